--- /dev/null
+++ b/cmd/crocus-entry/main.go
@@ -0,0 +1,12 @@
+// Command crocus-entry serves callers and operators and is a candidate owner of cells.
+package main
+
+import (
+	"os"
+
+	"github.com/crocusspring/crocusspring/internal/node"
+)
+
+func main() {
+	os.Exit(node.Main(node.RoleEntry, os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/crocusctl/main.go
@@ -0,0 +1,12 @@
+// Command crocusctl is the operator's tool.
+package main
+
+import (
+	"os"
+
+	"github.com/crocusspring/crocusspring/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,68 @@
+// Package app holds what the main functions of the binaries share: exit codes, help and signals.
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/crocusspring/crocusspring/internal/build"
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/settings"
+)
+
+// Exit codes of every binary.
+const (
+	ExitOK    = 0
+	ExitError = 1
+	ExitUsage = 2
+)
+
+// Common are the settings every long-running binary has.
+type Common struct {
+	Log     logs.Options
+	Version bool
+}
+
+// Add declares the common flags.
+func (c *Common) Add(s *settings.Set) {
+	s.Choice(&c.Log.Level, "log-level", "info", []string{"debug", "info", "warn", "error"}, "least level of log lines")
+	s.Bool(&c.Log.JSON, "log-json", false, "write log lines as JSON")
+	s.Bool(&c.Version, "version", false, "print the version and exit")
+}
+
+// Parse reads the settings. When done is true the program ends with the exit code.
+func Parse(s *settings.Set, c *Common, args []string, stdout, stderr io.Writer) (code int, done bool) {
+	err := s.Parse(args)
+	switch {
+	case errors.Is(err, settings.ErrHelp):
+		fmt.Fprint(stdout, s.Help())
+		return ExitOK, true
+	case c.Version:
+		fmt.Fprintln(stdout, build.String())
+		return ExitOK, true
+	case err != nil:
+		fmt.Fprintln(stderr, err)
+		return ExitUsage, true
+	}
+	return ExitOK, false
+}
+
+// Signals returns a context that ends at the first SIGTERM or SIGINT; the second one ends the
+// process at once.
+func Signals() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ch := make(chan os.Signal, 2)
+	signal.Notify(ch, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-ch
+		cancel()
+		<-ch
+		os.Exit(ExitError)
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/internal/jsonhttp/jsonhttp.go
@@ -0,0 +1,54 @@
+// Package jsonhttp reads and writes JSON bodies over HTTP.
+package jsonhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/crocusspring/crocusspring/internal/finding"
+)
+
+// Problem is the body of every answer that reports an error (after RFC 9457).
+type Problem struct {
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	// Outcome is answered, not-run or unknown for requests of callers.
+	Outcome  string       `json:"outcome,omitempty"`
+	Findings finding.List `json:"findings,omitempty"`
+}
+
+// Write answers with a JSON body.
+func Write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// WriteProblem answers with a problem body.
+func WriteProblem(w http.ResponseWriter, p Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// Fail answers with a problem made from an error; findings are listed.
+func Fail(w http.ResponseWriter, status int, err error) {
+	p := Problem{Title: http.StatusText(status), Status: status, Detail: err.Error()}
+	var fe *finding.Error
+	if errors.As(err, &fe) {
+		p.Findings = fe.Findings
+	}
+	WriteProblem(w, p)
+}
+
+// Read decodes a body of at most limit bytes.
+func Read(w http.ResponseWriter, r *http.Request, limit int64, into any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	if err := dec.Decode(into); err != nil {
+		return fmt.Errorf("decode body: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,84 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"pgregory.net/rapid"
+)
+
+// TestOneOwner checks that two candidates never own the cell at once, however their appends are
+// delayed, lost or doubled.
+func TestOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length = 2 * time.Second
+		now := time.Unix(0, 0)
+		cores := []*Core{New("a", length), New("b", length), New("c", length)}
+		read := make([]int, len(cores))
+		var log, delayed []Body
+		owned := 0
+		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(cores)-1).Draw(t, "core")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				for read[i] < len(log) {
+					cores[i].Seen(now, logsvc.Offset(read[i]+1), log[read[i]])
+					read[i]++
+				}
+			case 2, 3:
+				if b, ok := cores[i].Tick(now); ok {
+					delayed = append(delayed, b)
+				}
+			}
+			if len(delayed) > 0 && rapid.Bool().Draw(t, "land") {
+				k := rapid.IntRange(0, len(delayed)-1).Draw(t, "which")
+				log = append(log, delayed[k])
+				if !rapid.Bool().Draw(t, "again") {
+					delayed = append(delayed[:k], delayed[k+1:]...)
+				}
+			}
+			owners := 0
+			for _, c := range cores {
+				if _, ok := c.Owner(now); ok {
+					owners++
+				}
+			}
+			owned += owners
+			if owners > 1 {
+				t.Fatalf("%d owners at %v", owners, now)
+			}
+		}
+	})
+}
+
+// TestTakeover checks that a silent owner is replaced once its lease was waited out.
+func TestTakeover(t *testing.T) {
+	now := time.Unix(0, 0)
+	a, b := New("a", time.Second), New("b", time.Second)
+	first, ok := a.Tick(now)
+	if !ok || first.Op != OpTake {
+		t.Fatalf("first record is %+v, %v", first, ok)
+	}
+	a.Seen(now, 1, first)
+	b.Seen(now, 1, first)
+	if _, ok := a.Owner(now); !ok {
+		t.Fatal("taker does not own the cell")
+	}
+	if r, ok := b.Tick(now.Add(time.Second)); ok {
+		t.Fatalf("second candidate appends %+v inside the lease", r)
+	}
+	later := now.Add(time.Second + Margin + 1)
+	take, ok := b.Tick(later)
+	if !ok || take.Replaces != 1 {
+		t.Fatalf("second candidate appends %+v, %v after the lease", take, ok)
+	}
+	if _, ok := a.Owner(later); ok {
+		t.Fatal("first owner still owns after its lease")
+	}
+	b.Seen(later, 2, take)
+	if epoch, ok := b.Owner(later); !ok || epoch != 2 {
+		t.Fatalf("second candidate owns epoch %d, %v", epoch, ok)
+	}
+}
--- /dev/null
+++ b/internal/node/defaults.go
@@ -0,0 +1,14 @@
+package node
+
+import "time"
+
+// Defaults returns the settings a node has when none are given.
+func Defaults() Options {
+	return Options{
+		Share:      1,
+		OwnerLease: 3 * time.Second,
+		TaskLease:  3 * time.Second,
+		SyncEvery:  500 * time.Millisecond,
+		Drain:      10 * time.Second,
+	}
+}
--- /dev/null
+++ b/internal/node/http.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+)
+
+// maxRequestBody bounds the bytes of one request body.
+const maxRequestBody = 1 << 20
+
+// routes adds the HTTP interfaces of callers, operators, targets and workers.
+func (n *Node) routes(mux *http.ServeMux) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", n.readyz)
+	mux.HandleFunc("POST /v1/announce", n.announce)
+	mux.HandleFunc("GET /v1/status", n.status)
+	n.callRoutes(mux)
+	n.jobRoutes(mux)
+	n.recordRoutes(mux)
+}
+
+// readyz answers 200 when the node may be sent requests.
+func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !n.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// announce takes an announcement of a target or worker.
+func (n *Node) announce(w http.ResponseWriter, r *http.Request) {
+	var a announce.Announcement
+	if err := jsonhttp.Read(w, r, maxRequestBody, &a); err != nil {
+		jsonhttp.Fail(w, http.StatusBadRequest, err)
+		return
+	}
+	if err := a.Check(); err != nil {
+		jsonhttp.Fail(w, http.StatusBadRequest, err)
+		return
+	}
+	n.members.Announce(a)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/node/main.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/app"
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/settings"
+	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/workerapi"
+)
+
+// flags are the settings of a node's binary.
+type flags struct {
+	app.Common
+	listen  string
+	logAddr string
+	conns   int64
+	share   int64
+	opt     Options
+}
+
+// add declares the flags.
+func (f *flags) add(s *settings.Set) {
+	d := Defaults()
+	s.Addr(&f.listen, "listen", "127.0.0.1:8400", "IP address and port to serve on")
+	s.Addr(&f.logAddr, "log-service", "127.0.0.1:8300", "IP address and port of the platform's log service")
+	s.String(&f.opt.ID, "id", "", true, "name of this process, unique in the installation")
+	s.String(&f.opt.DataCentre, "data-centre", "", true, "data centre this process runs in")
+	s.Addrs(&f.opt.Peers, "peers", "", false, "other nodes, comma-separated IP addresses with port")
+	s.List(&f.opt.Cells, "cells", "", "cells this process may own, comma-separated")
+	s.Int(&f.share, "share", 1, 1, 64, "how many nodes send to the same targets")
+	s.Int(&f.conns, "target-connections", 16, 1, 1024, "most connections to one target")
+	s.Duration(&f.opt.OwnerLease, "owner-lease", d.OwnerLease, time.Second, time.Minute, "how long a cell is owned without renewal")
+	s.Duration(&f.opt.TaskLease, "task-lease", d.TaskLease, time.Second, time.Minute, "how long a task runs without its owner")
+	s.Duration(&f.opt.SyncEvery, "sync-every", d.SyncEvery, 10*time.Millisecond, time.Minute, "time between two syncs with a worker")
+	s.Duration(&f.opt.Drain, "drain", d.Drain, 0, 10*time.Minute, "how long a graceful stop waits for requests in progress")
+	f.Common.Add(s)
+}
+
+// Main is the main function of a node's binary; it returns the exit code.
+func Main(role Role, args []string, stdout, stderr io.Writer) int {
+	f := flags{opt: Options{Role: role}}
+	s := settings.New("crocus-" + string(role))
+	f.add(s)
+	if code, done := app.Parse(s, &f.Common, args, stdout, stderr); done {
+		return code
+	}
+	f.opt.Share = int(f.share)
+	f.opt.Peers = slices.DeleteFunc(f.opt.Peers, func(p string) bool { return p == f.listen })
+	l, err := net.Listen("tcp", f.listen)
+	if err != nil {
+		fmt.Fprintln(stderr, settings.Place("listen")+":", err)
+		return app.ExitError
+	}
+	ctx, cancel := app.Signals()
+	defer cancel()
+	ports := Ports{
+		Log: logsvc.NewHTTP(f.logAddr), Workers: workerapi.NewHTTP(), Targets: targetapi.NewHTTP(int(f.conns)),
+	}
+	if err := New(f.opt, ports, logs.New(stderr, f.Log)).Serve(ctx, l); err != nil {
+		fmt.Fprintln(stderr, err)
+		return app.ExitError
+	}
+	return app.ExitOK
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,191 @@
+// Package node wires the parts that every entry and guard runs: configuration, membership, cells and
+// the HTTP interfaces.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
+	"github.com/crocusspring/crocusspring/api/peer/v1/peerv1connect"
+	"github.com/crocusspring/crocusspring/internal/cell"
+	"github.com/crocusspring/crocusspring/internal/cellrun"
+	"github.com/crocusspring/crocusspring/internal/configrun"
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/members"
+	"github.com/crocusspring/crocusspring/internal/route"
+	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/workerapi"
+	"golang.org/x/sync/errgroup"
+)
+
+// Role says which binary a node is.
+type Role string
+
+// Roles of a node.
+const (
+	RoleEntry Role = "entry"
+	RoleGuard Role = "guard"
+)
+
+// Options are the settings of a node.
+type Options struct {
+	Role       Role
+	ID         string
+	DataCentre string
+	// Peers are the addresses of other nodes, IP with port.
+	Peers []string
+	// Cells are the cells this node is a candidate for.
+	Cells []string
+	// Share is how many nodes send requests to the same targets.
+	Share      int
+	OwnerLease time.Duration
+	TaskLease  time.Duration
+	SyncEvery  time.Duration
+	// Drain bounds how long a graceful stop waits for requests in progress.
+	Drain time.Duration
+}
+
+// Ports are the outside systems of a node.
+type Ports struct {
+	Log     logsvc.Client
+	Workers workerapi.Syncer
+	Targets targetapi.Caller
+}
+
+// Node is one running entry or guard. Use New to make one.
+type Node struct {
+	opt     Options
+	ports   Ports
+	lg      *log.Logger
+	began   time.Time
+	addr    atomic.Value
+	seq     atomic.Int64
+	leaving atomic.Bool
+
+	config  *configrun.Driver
+	members *members.Members
+	cells   map[string]*cellrun.Driver
+	router  *router
+}
+
+// New returns a node that has not started.
+func New(opt Options, ports Ports, lg *log.Logger) *Node {
+	n := &Node{opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(), cells: map[string]*cellrun.Driver{}}
+	n.config = configrun.New(ports.Log, opt.ID, logs.Part(lg, "config"))
+	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"))
+	n.router = &router{table: route.New(opt.Share), members: n.members, caller: ports.Targets, dataCentre: opt.DataCentre}
+	for _, c := range opt.Cells {
+		co := cell.Options{
+			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
+			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures,
+		}
+		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
+	}
+	return n
+}
+
+// maxFailures is how often a task may fail before it is failed for good.
+const maxFailures = 3
+
+// Process implements members.Self.
+func (n *Node) Process() *peerv1.Process {
+	addr, _ := n.addr.Load().(string)
+	return &peerv1.Process{
+		Id: n.opt.ID, Role: string(n.opt.Role), DataCentre: n.opt.DataCentre, Address: addr,
+		ConfigOffset: int64(n.config.Offset()), Incarnation: n.began.UnixNano(), Seq: n.seq.Add(1),
+		Ready: n.Ready(), Cells: n.owned(),
+	}
+}
+
+// owned returns the cells this node owns now.
+func (n *Node) owned() []string {
+	var out []string
+	for name, d := range n.cells {
+		d.View(func(c *cell.Core) {
+			if _, ok := c.Owner(time.Now()); ok {
+				out = append(out, name)
+			}
+		})
+	}
+	return out
+}
+
+// Ready reports whether the node may be sent requests.
+func (n *Node) Ready() bool { return !n.leaving.Load() && n.config.Ready() }
+
+// Handler returns all HTTP interfaces of the node.
+func (n *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(n.members))
+	n.routes(mux)
+	return mux
+}
+
+// Serve runs the node on a listener until ctx ends, then stops it gracefully.
+func (n *Node) Serve(ctx context.Context, l net.Listener) error {
+	n.addr.Store(l.Addr().String())
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, run := errgroup.WithContext(run)
+	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 16 << 10}
+	g.Go(func() error { n.config.Run(run); return nil })
+	g.Go(func() error { n.members.Run(run); return nil })
+	for _, d := range n.cells {
+		g.Go(func() error { return d.Run(run) })
+	}
+	g.Go(func() error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve: %w", err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.shutdown(srv)
+		case <-run.Done():
+		}
+		stop()
+		return nil
+	})
+	n.lg.Info("Node is up.", "id", n.opt.ID, "addr", l.Addr())
+	err := g.Wait()
+	n.lg.Info("Node is down.", "id", n.opt.ID)
+	return err
+}
+
+// shutdown gives cells back and lets requests in progress end.
+func (n *Node) shutdown(srv *http.Server) {
+	n.leaving.Store(true)
+	n.lg.Info("Node is leaving.")
+	for _, d := range n.cells {
+		d.View((*cell.Core).Leave)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), n.opt.Drain)
+	defer cancel()
+	n.waitReleased(ctx)
+	if err := srv.Shutdown(ctx); err != nil {
+		n.lg.Error("Requests were cut off.", "err", err)
+	}
+}
+
+// waitReleased waits until no cell is owned any more.
+func (n *Node) waitReleased(ctx context.Context) {
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for len(n.owned()) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+)
+
+// Status is the body of GET /v1/status.
+type Status struct {
+	Processes []ProcessStatus `json:"processes"`
+	Targets   []string        `json:"targets"`
+	Workers   []string        `json:"workers"`
+}
+
+// ProcessStatus is what a process reports of itself.
+type ProcessStatus struct {
+	ID           string   `json:"id"`
+	Role         string   `json:"role"`
+	Address      string   `json:"address"`
+	ConfigOffset int64    `json:"config_offset"`
+	Ready        bool     `json:"ready"`
+	Cells        []string `json:"cells,omitempty"`
+}
+
+// status tells what this node knows of the system.
+func (n *Node) status(w http.ResponseWriter, _ *http.Request) {
+	var s Status
+	for _, p := range n.members.Processes() {
+		s.Processes = append(s.Processes, ProcessStatus{p.Id, p.Role, p.Address, p.ConfigOffset, p.Ready, p.Cells})
+	}
+	for _, t := range n.members.Live(announce.RoleTarget) {
+		s.Targets = append(s.Targets, t.Name)
+	}
+	for _, wk := range n.members.Live(announce.RoleWorker) {
+		s.Workers = append(s.Workers, wk.Name)
+	}
+	slices.Sort(s.Targets)
+	slices.Sort(s.Workers)
+	slices.SortFunc(s.Processes, func(a, b ProcessStatus) int { return cmp.Compare(a.ID, b.ID) })
+	jsonhttp.Write(w, http.StatusOK, s)
+}
