Log stand-in: retention, outage, slowness, lost answers, garbled records

Cause: faults of the log could not be brought about by time, per process, or seen in a history. Change: retention by time and count, forced expiry, gates with faults of their own, an observer told id, stream, offset and time in log order, peak of appends in any one second, refusal over a rate. Tests: each fault by what a client and the observer see; expiry and rate on a synthetic clock.

--- a/internal/standin/logstand/logstand.go
+++ b/internal/standin/logstand/logstand.go
@@ -1,71 +1,62 @@
 // Package logstand is a small stand-in of the platform's log service for tests and demonstrations.
+//
+// It keeps records for a limited time and count, can be down or slow, can lose the answer to an append
+// that took effect, can garble what it keeps, and refuses appends over a rate. What it did is told to
+// an observer, so that a history can be judged without asking the product.
 package logstand
 
 import (
 	"encoding/json"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 )
 
-// maxWait bounds how long a read waits for new records.
-const maxWait = 10 * time.Second
-
-// Faults say how the stand-in misbehaves.
-type Faults struct {
-	// Down refuses everything.
-	Down bool `json:"down"`
-	// LoseAnswers appends but closes the connection without an answer.
-	LoseAnswers bool `json:"lose_answers"`
-	// Delay is added before every answer.
-	Delay time.Duration `json:"delay"`
+// Options bound what the stand-in keeps and takes; zero means no bound.
+type Options struct {
+	// KeepRecords is how many records of a stream are kept.
+	KeepRecords int
+	// KeepFor is how long a record is kept.
+	KeepFor time.Duration
+	// MaxAppends is how many appends are taken in any one second; more are refused with 429.
+	MaxAppends int
 }
 
-// Server is the stand-in. Use New to make one.
+// Server is the stand-in. Use New or NewWith to make one.
 type Server struct {
-	mu      sync.Mutex
-	streams map[string]*stream
-	faults  Faults
-	appends []time.Time
-	keep    int
+	*Gate
+	opt Options
+
+	mu       sync.Mutex
+	streams  map[string]*stream
+	appends  []time.Time
+	records  int
+	corrupt  int
+	observer Observer
 }
 
 // stream holds the retained records of one stream.
 type stream struct {
 	first   logsvc.Offset
-	records []json.RawMessage
+	records []kept
 	grown   chan struct{}
 }
 
-// New returns an empty log that keeps the newest keep records of a stream; 0 keeps all.
-func New(keep int) *Server {
-	return &Server{streams: map[string]*stream{}, keep: keep}
-}
-
-// SetFaults changes how the stand-in misbehaves.
-func (s *Server) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
+// kept is one retained record.
+type kept struct {
+	data json.RawMessage
+	at   time.Time
 }
 
-// Appends returns the times of all appends that took effect.
-func (s *Server) Appends() []time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]time.Time(nil), s.appends...)
-}
+// New returns an empty log that keeps the newest keep records of a stream; 0 keeps all.
+func New(keep int) *Server { return NewWith(Options{KeepRecords: keep}) }
 
-// Handler returns the HTTP interface.
-func (s *Server) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/streams/{stream}/records", s.append)
-	mux.HandleFunc("GET /v1/streams/{stream}/records", s.read)
-	return mux
+// NewWith returns an empty log.
+func NewWith(opt Options) *Server {
+	s := &Server{opt: opt, streams: map[string]*stream{}}
+	s.Gate = s.NewGate()
+	return s
 }
 
 // stream returns a stream and makes it when it is new. The caller holds the lock.
@@ -78,83 +69,102 @@
 	return st
 }
 
-// append serves POST.
-func (s *Server) append(w http.ResponseWriter, r *http.Request) {
-	var req logsvc.AppendRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || len(req.Records) == 0 {
-		http.Error(w, "bad append", http.StatusBadRequest)
+// tail returns the offset of the next record.
+func (st *stream) tail() logsvc.Offset { return st.first + logsvc.Offset(len(st.records)) }
+
+// drop forgets the oldest n records.
+func (st *stream) drop(n int) {
+	if n <= 0 {
 		return
 	}
-	f := s.now()
-	time.Sleep(f.Delay)
-	if f.Down {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	n = min(n, len(st.records))
+	st.records = append([]kept(nil), st.records[n:]...)
+	st.first += logsvc.Offset(n)
+}
+
+// retain drops what has passed out of retention. The caller holds the lock.
+func (s *Server) retain(st *stream, now time.Time) {
+	if s.opt.KeepRecords > 0 {
+		st.drop(len(st.records) - s.opt.KeepRecords)
+	}
+	if s.opt.KeepFor <= 0 {
 		return
 	}
-	first := s.add(r.PathValue("stream"), req.Records)
-	if f.LoseAnswers {
-		panic(http.ErrAbortHandler)
+	old := 0
+	for old < len(st.records) && now.Sub(st.records[old].at) > s.opt.KeepFor {
+		old++
 	}
-	jsonhttp.Write(w, http.StatusOK, logsvc.AppendResponse{First: first})
+	st.drop(old)
 }
 
-// now returns the faults in force.
-func (s *Server) now() Faults {
+// Expire drops the records of a stream that stand before an offset, as if their time had passed.
+func (s *Server) Expire(name string, before logsvc.Offset) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults
+	st := s.stream(name)
+	st.drop(int(before - st.first))
 }
 
-// add appends records and wakes readers.
-func (s *Server) add(name string, records []json.RawMessage) logsvc.Offset {
+// ExpireAll drops all records of every stream and returns how many were dropped.
+func (s *Server) ExpireAll() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := s.stream(name)
-	first := st.first + logsvc.Offset(len(st.records))
-	st.records = append(st.records, records...)
-	if over := len(st.records) - s.keep; s.keep > 0 && over > 0 {
-		st.records = append([]json.RawMessage(nil), st.records[over:]...)
-		st.first += logsvc.Offset(over)
+	n := 0
+	for _, st := range s.streams {
+		n += len(st.records)
+		st.drop(len(st.records))
 	}
-	s.appends = append(s.appends, time.Now())
-	close(st.grown)
-	st.grown = make(chan struct{})
+	return n
+}
+
+// Tails returns the offset of the next record of every stream.
+func (s *Server) Tails() map[string]logsvc.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]logsvc.Offset{}
+	for name, st := range s.streams {
+		out[name] = st.tail()
+	}
+	return out
+}
+
+// CorruptNext garbles the next n records that are appended.
+func (s *Server) CorruptNext(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.corrupt = n
+}
+
+// Put appends records to a stream without a client, as an operator's own tool would.
+func (s *Server) Put(name string, records ...json.RawMessage) logsvc.Offset {
+	first, _ := s.add(name, records)
 	return first
 }
 
-// read serves GET.
-func (s *Server) read(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	from, _ := strconv.ParseInt(q.Get("from"), 10, 64)
-	limit, _ := strconv.Atoi(q.Get("limit"))
-	waitMS, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
-	deadline := time.NewTimer(min(time.Duration(waitMS)*time.Millisecond, maxWait))
-	defer deadline.Stop()
-	for {
-		f := s.now()
-		if f.Down {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		b, grown, expired := s.batch(r.PathValue("stream"), logsvc.Offset(from), max(1, limit))
-		if expired {
-			jsonhttp.Write(w, http.StatusGone, logsvc.ExpiredResponse{First: b.First})
-			return
-		}
-		if len(b.Entries) > 0 {
-			time.Sleep(f.Delay)
-			jsonhttp.Write(w, http.StatusOK, b)
-			return
-		}
-		select {
-		case <-grown:
-		case <-r.Context().Done():
-			return
-		case <-deadline.C:
-			jsonhttp.Write(w, http.StatusOK, b)
-			return
+// add appends records and wakes readers; it reports false when the rate is exceeded.
+func (s *Server) add(name string, records []json.RawMessage) (logsvc.Offset, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.opt.MaxAppends > 0 && s.recent(now) >= s.opt.MaxAppends {
+		return 0, false
+	}
+	st := s.stream(name)
+	first := st.tail()
+	for i, data := range records {
+		if s.corrupt > 0 {
+			s.corrupt--
+			data = json.RawMessage(`"garbled"`)
 		}
+		st.records = append(st.records, kept{data, now})
+		s.tell(Event{Stream: name, ID: idOf(data), Offset: first + logsvc.Offset(i), Time: now, Data: data})
 	}
+	s.appends = append(s.appends, now)
+	s.records += len(records)
+	s.retain(st, now)
+	close(st.grown)
+	st.grown = make(chan struct{})
+	return first, true
 }
 
 // batch returns the records from an offset on, and a channel that is closed when the stream grows.
@@ -162,13 +172,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
-	tail := st.first + logsvc.Offset(len(st.records))
-	b := logsvc.Batch{First: st.first, Next: max(from, 1), Tail: tail}
+	s.retain(st, time.Now())
+	b := logsvc.Batch{First: st.first, Next: max(from, 1), Tail: st.tail()}
 	if b.Next < st.first {
 		return b, nil, true
 	}
-	for at := b.Next; at < tail && len(b.Entries) < limit; at++ {
-		b.Entries = append(b.Entries, logsvc.Entry{Offset: at, Data: st.records[at-st.first]})
+	for at := b.Next; at < b.Tail && len(b.Entries) < limit; at++ {
+		b.Entries = append(b.Entries, logsvc.Entry{Offset: at, Data: st.records[at-st.first].data})
 		b.Next = at + 1
 	}
 	return b, st.grown, false
--- a/internal/standin/main.go
+++ b/internal/standin/main.go
@@ -24,10 +24,14 @@
 	listen string
 	nodes  []string
 	keep   int64
-	work   time.Duration
-	a      announce.Announcement
-	slots  int64
-	conns  int64
+	rate   int64
+
+	keepFor time.Duration
+
+	work  time.Duration
+	a     announce.Announcement
+	slots int64
+	conns int64
 }
 
 // usage is printed when no stand-in is named.
@@ -47,6 +51,8 @@
 	switch args[0] {
 	case "log":
 		s.Int(&f.keep, "keep", 0, 0, 1<<40, "how many records a stream keeps; 0 keeps all")
+		s.Duration(&f.keepFor, "keep-for", 0, 0, 1000*time.Hour, "how long a record is kept; 0 keeps all")
+		s.Int(&f.rate, "max-appends", 0, 0, 1<<20, "appends a second; 0 is without bound")
 	case string(announce.RoleWorker):
 		f.addAnnounced(s)
 		s.Int(&f.a.Capacity.MilliCPU, "milli-cpu", 16000, 1, 1<<30, "processors, in thousandths of a core")
@@ -94,7 +100,9 @@
 	var h http.Handler
 	switch kind {
 	case "log":
-		h = logstand.New(int(f.keep)).Handler()
+		h = logstand.NewWith(logstand.Options{
+			KeepRecords: int(f.keep), KeepFor: f.keepFor, MaxAppends: int(f.rate),
+		}).Handler()
 	case string(announce.RoleWorker):
 		w := workerstand.New(f.a, nil)
 		g.Go(func() error { w.Run(ctx.Done()); return nil })
