--- /dev/null
+++ b/internal/probation/probation_test.go
@@ -0,0 +1,83 @@
+package probation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestBadWorker checks that a worker that fails everything is suspended after three starts, comes
+// back by trial, is suspended longer when the trial fails, and is good again once trials pass.
+func TestBadWorker(t *testing.T) {
+	tr := New(DefaultLimits())
+	now := start
+	n := 0
+	end := func(worker string, failed bool) bool {
+		n++
+		now = now.Add(time.Second)
+		tr.Started(now, worker, fmt.Sprint(n))
+		return tr.Ended(now, worker, fmt.Sprint(n), failed)
+	}
+	for range 10 {
+		end("good", false)
+		end("fine", false)
+	}
+	for i := range 3 {
+		if got := tr.Refuse(now, "bad"); got != "" {
+			t.Fatalf("start %d is refused: %s", i+1, got)
+		}
+		end("bad", true)
+	}
+	if tr.Refuse(now, "bad") == "" || tr.Refuse(now, "good") != "" {
+		t.Fatal("the bad worker is not the one on probation")
+	}
+	now = now.Add(DefaultLimits().First)
+	if tr.State(now, "bad") != Trial {
+		t.Fatal("probation does not end in trial")
+	}
+	tr.Started(now, "bad", "try")
+	if tr.Refuse(now, "bad") == "" {
+		t.Error("a second task starts on a worker on trial")
+	}
+	tr.Ended(now, "bad", "try", true)
+	if tr.State(now.Add(DefaultLimits().First+time.Second), "bad") != Probation {
+		t.Error("a failed trial does not lengthen probation")
+	}
+	now = now.Add(2 * DefaultLimits().First)
+	if tr.State(now, "bad") != Trial {
+		t.Fatal("second probation does not end")
+	}
+	end("bad", false)
+	if !end("bad", false) || tr.State(now, "bad") != Good {
+		t.Error("passed trials do not bring the worker back")
+	}
+}
+
+// TestBadTasks checks that tasks which fail everywhere suspend no worker, in whatever order.
+func TestBadTasks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := New(DefaultLimits())
+		now := start
+		workers := []string{"a", "b", "c", "d"}
+		for i := range rapid.IntRange(1, 60).Draw(t, "tasks") {
+			first := rapid.IntRange(0, 3).Draw(t, "first")
+			now = now.Add(time.Second)
+			if rapid.Bool().Draw(t, "bad") {
+				for k := range 3 {
+					tr.Ended(now, workers[(first+k)%4], fmt.Sprint(i), true)
+				}
+			} else {
+				tr.Ended(now, workers[first], fmt.Sprint(i), false)
+			}
+			for _, w := range workers {
+				if s := tr.State(now, w); s != Good {
+					t.Fatalf("worker %s is on %s because of bad tasks", w, s)
+				}
+			}
+		}
+	})
+}
