--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -105,7 +105,7 @@
 		opt:     opt,
 		lease:   lease.New(opt.Self, opt.OwnerLease),
 		state:   state{tasks: map[string]*Task{}, next: 1},
-		pipe:    place.Default(),
+		pipe:    place.Default(nil),
 		workers: map[string]*worker{},
 		outbox:  newOutbox(),
 		assumed: map[string]Assign{},
--- /dev/null
+++ b/internal/place/filter.go
@@ -0,0 +1,52 @@
+package place
+
+// Drain refuses workers that are being drained.
+type Drain struct{}
+
+// Name implements Filter.
+func (Drain) Name() string { return "drain" }
+
+// Refuse implements Filter.
+func (Drain) Refuse(_ *Task, w *Worker) string {
+	if w.Draining {
+		return "worker is draining"
+	}
+	return ""
+}
+
+// Probation refuses workers that are suspended for their failures.
+type Probation struct{}
+
+// Name implements Filter.
+func (Probation) Name() string { return "probation" }
+
+// Refuse implements Filter.
+func (Probation) Refuse(_ *Task, w *Worker) string { return w.Suspended }
+
+// DataCentre refuses workers outside the data centre a task is bound to.
+type DataCentre struct{}
+
+// Name implements Filter.
+func (DataCentre) Name() string { return "data-centre" }
+
+// Refuse implements Filter.
+func (DataCentre) Refuse(t *Task, w *Worker) string {
+	if t.DataCentre != "" && t.DataCentre != w.DataCentre {
+		return "worker is in another data centre"
+	}
+	return ""
+}
+
+// Capacity refuses workers whose free resources are too small.
+type Capacity struct{}
+
+// Name implements Filter.
+func (Capacity) Name() string { return "capacity" }
+
+// Refuse implements Filter.
+func (Capacity) Refuse(t *Task, w *Worker) string {
+	if kind := t.Reserve.Lacking(w.Free()); kind != "" {
+		return "too few " + kind
+	}
+	return ""
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -2,8 +2,10 @@
 package place
 
 import (
-	"sort"
+	"slices"
+	"strings"
 
+	"github.com/crocusspring/crocusspring/internal/interfere"
 	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
@@ -13,20 +15,52 @@
 	DataCentre string
 	Rack       string
 	Capacity   resource.Vector
-	// Reserved is the sum over all attempts the worker may hold.
+	// Reserved is the sum over all attempts and services the worker may hold, and over held room.
 	Reserved resource.Vector
 	// Draining workers take no new tasks.
 	Draining bool
+	// Suspended says why the worker takes no new tasks on account of its failures; empty when it does.
+	Suspended string
+	// Classes counts the tasks of each class on the worker, sorted by class.
+	Classes []interfere.Neighbour
+	// Services counts the replicas of each service in the worker's rack.
+	RackServices map[string]int
 }
 
 // Free returns what is not reserved.
 func (w *Worker) Free() resource.Vector { return w.Capacity.Sub(w.Reserved) }
 
+// Busy returns the part of the processors that is reserved, from 0 to 1.
+func (w *Worker) Busy() float64 {
+	if w.Capacity.MilliCPU == 0 {
+		return 1
+	}
+	return float64(w.Reserved.MilliCPU) / float64(w.Capacity.MilliCPU)
+}
+
+// Add notes that a task has been placed on the worker.
+func (w *Worker) Add(t *Task) {
+	w.Reserved = w.Reserved.Add(t.Reserve)
+	i, found := slices.BinarySearchFunc(w.Classes, t.Class, func(n interfere.Neighbour, c string) int {
+		return strings.Compare(n.Class, c)
+	})
+	if !found {
+		w.Classes = slices.Insert(w.Classes, i, interfere.Neighbour{Class: t.Class})
+	}
+	w.Classes[i].Count++
+}
+
 // Task is what placement knows of one task.
 type Task struct {
 	ID      string
 	Class   string
 	Reserve resource.Vector
+	// Service is set for a replica of a latency-critical service.
+	Service string
+	// DataCentre binds the task to a data centre; empty for any.
+	DataCentre string
+	// FailedOn lists workers on which the task has failed.
+	FailedOn []string
 }
 
 // Filter refuses workers that must not take a task.
@@ -47,96 +81,3 @@
 	Filter string `json:"filter"`
 	Reason string `json:"reason"`
 }
-
-// Pipeline is an ordered set of filters and a sum of scorers.
-type Pipeline struct {
-	Filters []Filter
-	Scorers []Scorer
-}
-
-// Default returns the pipeline of the product.
-func Default() *Pipeline {
-	return &Pipeline{
-		Filters: []Filter{Drain{}, Capacity{}},
-		Scorers: []Scorer{Spread{}},
-	}
-}
-
-// Select returns the best worker, or nil with a refusal for each worker. Ties go to the lower name.
-func (p *Pipeline) Select(t *Task, workers []*Worker) (*Worker, []Refusal) {
-	var best *Worker
-	var top float64
-	var refusals []Refusal
-	for _, w := range workers {
-		if r, ok := p.refuse(t, w); ok {
-			refusals = append(refusals, r)
-			continue
-		}
-		s := p.score(t, w)
-		if best == nil || s > top || s == top && w.Name < best.Name {
-			best, top = w, s
-		}
-	}
-	if best == nil {
-		sort.Slice(refusals, func(i, j int) bool { return refusals[i].Worker < refusals[j].Worker })
-	}
-	return best, refusals
-}
-
-// refuse returns the first refusal of a filter.
-func (p *Pipeline) refuse(t *Task, w *Worker) (Refusal, bool) {
-	for _, f := range p.Filters {
-		if reason := f.Refuse(t, w); reason != "" {
-			return Refusal{Worker: w.Name, Filter: f.Name(), Reason: reason}, true
-		}
-	}
-	return Refusal{}, false
-}
-
-// score sums the scorers.
-func (p *Pipeline) score(t *Task, w *Worker) float64 {
-	var sum float64
-	for _, s := range p.Scorers {
-		sum += s.Score(t, w)
-	}
-	return sum
-}
-
-// Drain refuses workers that are being drained.
-type Drain struct{}
-
-// Name implements Filter.
-func (Drain) Name() string { return "drain" }
-
-// Refuse implements Filter.
-func (Drain) Refuse(_ *Task, w *Worker) string {
-	if w.Draining {
-		return "worker is draining"
-	}
-	return ""
-}
-
-// Capacity refuses workers whose free resources are too small.
-type Capacity struct{}
-
-// Name implements Filter.
-func (Capacity) Name() string { return "capacity" }
-
-// Refuse implements Filter.
-func (Capacity) Refuse(t *Task, w *Worker) string {
-	if kind := t.Reserve.Lacking(w.Free()); kind != "" {
-		return "too few " + kind
-	}
-	return ""
-}
-
-// Spread prefers the worker with the larger free share of processors.
-type Spread struct{}
-
-// Score implements Scorer.
-func (Spread) Score(_ *Task, w *Worker) float64 {
-	if w.Capacity.MilliCPU == 0 {
-		return 0
-	}
-	return float64(w.Free().MilliCPU) / float64(w.Capacity.MilliCPU)
-}
