workerstand: faults, real speeds and checkpoints

The stand-in could only fail every start. Inventories carry only what changed after a version. An attempt that outlives its lease ends at the end of the lease, and no longer finishes after it when the host was paused.

--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -181,7 +181,7 @@
 func start(t *Task) workerapi.Command {
 	return workerapi.Command{
 		Op: workerapi.OpStart, Task: t.ID, Attempt: t.Attempt, Class: t.Class,
-		Reserve: t.Reserve, RunMS: t.RunMS, Resume: t.Checkpoint,
+		Declare: t.Declare, Reserve: t.Reserve, RunMS: t.RunMS, Resume: t.Checkpoint,
 	}
 }
 
--- /dev/null
+++ b/internal/standin/workerstand/sync.go
@@ -0,0 +1,121 @@
+package workerstand
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/workerapi"
+)
+
+// Sync handles one sync at a time. Its error is a *workerapi.StaleError or ErrDown.
+func (w *Worker) Sync(now time.Time, req workerapi.SyncRequest) (workerapi.SyncResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down || w.paused != nil {
+		return workerapi.SyncResponse{}, ErrDown
+	}
+	w.advance(now)
+	tn := w.cells[req.Cell]
+	if tn == nil {
+		tn = &tenant{attempts: map[attemptKey]*attempt{}}
+		w.cells[req.Cell] = tn
+	}
+	if req.Epoch < tn.epoch || req.Epoch == tn.epoch && req.Seq <= tn.seq {
+		return workerapi.SyncResponse{}, &workerapi.StaleError{Epoch: tn.epoch}
+	}
+	tn.epoch, tn.seq = req.Epoch, req.Seq
+	resp := workerapi.SyncResponse{Worker: w.announce.Name, Incarnation: w.announce.Incarnation, ClockMS: w.clock(now)}
+	resp.Refusals = w.commands(tn, req, now)
+	w.sample(tn, now)
+	since := req.Since
+	if req.Incarnation != w.announce.Incarnation {
+		since = 0
+	}
+	resp.Full, resp.Version = since == 0, tn.version
+	resp.Attempts = w.inventory(tn, now, since)
+	if resp.Full || len(w.resident) > 0 {
+		resp.Residents = w.residents()
+	}
+	return resp, nil
+}
+
+// clock is the worker's monotonic clock in milliseconds; it starts at 1 since 0 means none.
+func (w *Worker) clock(now time.Time) int64 { return now.Sub(w.began).Milliseconds() + 1 }
+
+// commands renews the lease and does the commands of a sync. Both ask for an echo of this
+// incarnation's clock, so that a sync which was on its way for long has no effect past its lease.
+func (w *Worker) commands(tn *tenant, req workerapi.SyncRequest, now time.Time) []workerapi.Refusal {
+	current := req.Incarnation == w.announce.Incarnation && req.EchoMS > 0
+	if current {
+		end := w.began.Add(time.Duration(req.EchoMS-1+req.LeaseMS) * time.Millisecond)
+		if end.After(tn.leaseEnd) {
+			tn.leaseEnd = end
+		}
+	}
+	var out []workerapi.Refusal
+	for _, c := range req.Commands {
+		if reason := w.command(tn, c, now, current); reason != "" {
+			out = append(out, workerapi.Refusal{Task: c.Task, Attempt: c.Attempt, Reason: reason})
+		}
+	}
+	return out
+}
+
+// command does one command and returns why not when it was refused.
+func (w *Worker) command(tn *tenant, c workerapi.Command, now time.Time, current bool) string {
+	key := attemptKey{c.Task, c.Attempt}
+	a := tn.attempts[key]
+	if a == nil {
+		if c.Op != workerapi.OpStart {
+			return ""
+		}
+		if !current || !now.Before(tn.leaseEnd) {
+			return "lease has lapsed"
+		}
+		w.start(tn, key, c, now)
+		return ""
+	}
+	running := a.state == workerapi.StateRunning
+	switch {
+	case c.Op == workerapi.OpStop:
+		w.end(tn, a, workerapi.StateStopped, now, "stopped by its owner")
+	case c.Op == workerapi.OpForget && !running:
+		delete(tn.attempts, key)
+	case c.Op == workerapi.OpThrottle && running && a.percent != c.Percent:
+		a.percent = c.Percent
+		tn.touch(a)
+		if o, ok := w.seen.(CheckpointObserver); ok {
+			o.Throttled(w.announce.Name, c.Task, c.Attempt, c.Percent, now)
+		}
+	case c.Op == workerapi.OpCheckpoint && running && a.saving.IsZero():
+		a.saving, a.savingMS = now.Add(checkpointTakes), a.done.Milliseconds()
+	}
+	return ""
+}
+
+// touch gives an attempt the next version of the inventory.
+func (tn *tenant) touch(a *attempt) {
+	tn.version++
+	a.changed = tn.version
+}
+
+// inventory lists the attempts of a cell that changed after a version, in order.
+func (w *Worker) inventory(tn *tenant, now time.Time, since int64) []workerapi.Attempt {
+	var out []workerapi.Attempt
+	for key, a := range tn.attempts {
+		if since > 0 && a.changed <= since {
+			continue
+		}
+		item := workerapi.Attempt{
+			Task: key.task, Attempt: key.attempt, State: a.state, Reason: a.reason, Checkpoint: a.saved, Percent: a.percent,
+		}
+		if s := a.reported; !s.at.IsZero() {
+			item.Used, item.Slowdown, item.DoneMS = s.used, s.slowdown, s.done.Milliseconds()
+			item.AgeMS = now.Sub(s.at).Milliseconds()
+		}
+		out = append(out, item)
+	}
+	slices.SortFunc(out, func(a, b workerapi.Attempt) int { return strings.Compare(a.Task, b.Task) })
+	return out
+}
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -37,8 +37,9 @@
 	Op      Op     `json:"op"`
 	Task    string `json:"task"`
 	Attempt int    `json:"attempt"`
-	// Class, Reserve and RunMS describe the work of a start.
+	// Class, Declare, Reserve and RunMS describe the work of a start; the worker holds the attempt to Reserve.
 	Class   string          `json:"class,omitempty"`
+	Declare resource.Vector `json:"declare,omitzero"`
 	Reserve resource.Vector `json:"reserve,omitzero"`
 	RunMS   int64           `json:"run_ms,omitempty"`
 	// Resume is the checkpoint a start goes on from.
@@ -74,6 +75,10 @@
 	State      State       `json:"state"`
 	Checkpoint *Checkpoint `json:"checkpoint,omitempty"`
 	Reason     string      `json:"reason,omitempty"`
+	// DoneMS is the progress at the time of the reading, in milliseconds of work.
+	DoneMS int64 `json:"done_ms,omitempty"`
+	// Percent is the share of processor time a throttle leaves; 0 when not throttled.
+	Percent int `json:"percent,omitempty"`
 	// Used is late usage; AgeMS is how old the reading is.
 	Used  resource.Vector `json:"used,omitzero"`
 	AgeMS int64           `json:"age_ms,omitempty"`
@@ -81,6 +86,16 @@
 	Slowdown float64 `json:"slowdown,omitempty"`
 }
 
+// Resident is a latency-critical service that runs on a worker outside of any cell's control.
+type Resident struct {
+	Name    string          `json:"name"`
+	Class   string          `json:"class"`
+	Reserve resource.Vector `json:"reserve"`
+	// Slowdown and AgeMS are late like those of an attempt.
+	Slowdown float64 `json:"slowdown,omitempty"`
+	AgeMS    int64   `json:"age_ms,omitempty"`
+}
+
 // Refusal says that a worker did not do a command.
 type Refusal struct {
 	Task    string `json:"task"`
@@ -97,18 +112,26 @@
 	// EchoMS is the newest clock reading received from this incarnation of the worker; 0 for none yet.
 	EchoMS int64 `json:"echo_ms"`
 	// Incarnation is the worker start the echo came from; 0 for none yet.
-	Incarnation int64     `json:"incarnation"`
-	LeaseMS     int64     `json:"lease_ms"`
-	Commands    []Command `json:"commands,omitempty"`
+	Incarnation int64 `json:"incarnation"`
+	LeaseMS     int64 `json:"lease_ms"`
+	// Since is the newest inventory version received from this incarnation in this epoch; the answer
+	// lists what changed after it, and 0 asks for everything.
+	Since    int64     `json:"since,omitempty"`
+	Commands []Command `json:"commands,omitempty"`
 }
 
 // SyncResponse is the answer to a sync.
 type SyncResponse struct {
-	Worker      string    `json:"worker"`
-	Incarnation int64     `json:"incarnation"`
-	ClockMS     int64     `json:"clock_ms"`
-	Attempts    []Attempt `json:"attempts,omitempty"`
-	Refusals    []Refusal `json:"refusals,omitempty"`
+	Worker      string `json:"worker"`
+	Incarnation int64  `json:"incarnation"`
+	ClockMS     int64  `json:"clock_ms"`
+	// Version is that of the inventory; Full says that Attempts is all of it and not only changes.
+	Version  int64     `json:"version"`
+	Full     bool      `json:"full,omitempty"`
+	Attempts []Attempt `json:"attempts,omitempty"`
+	Refusals []Refusal `json:"refusals,omitempty"`
+	// Residents are listed in a full answer and when they changed.
+	Residents []Resident `json:"residents,omitempty"`
 }
 
 // StaleError says that the worker has seen a newer epoch.
