--- a/internal/place/filter.go
+++ b/internal/place/filter.go
@@ -1,5 +1,7 @@
 package place
 
+import "github.com/crocusspring/crocusspring/internal/interfere"
+
 // Drain refuses workers that are being drained.
 type Drain struct{}
 
@@ -50,3 +52,34 @@
 	}
 	return ""
 }
+
+// maxSlowdown is the expected slowdown of a service above which no more work is placed beside it.
+const maxSlowdown = 1.8
+
+// Tolerance refuses workers on which a service is expected to become too slow. It waits for room
+// beside a tolerant service instead of placing work that would soon be evicted.
+type Tolerance struct{ Model Model }
+
+// Name implements Filter.
+func (Tolerance) Name() string { return "tolerance" }
+
+// Refuse implements Filter.
+func (f Tolerance) Refuse(t *Task, w *Worker) string {
+	if t.Service != "" {
+		return ""
+	}
+	load := interfere.LoadOf(w.Busy())
+	for _, service := range w.Critical {
+		sum, _ := f.Model.Effect(service, t.Class, load)
+		for _, n := range w.Classes {
+			if n.Class != service {
+				v, _ := f.Model.Effect(service, n.Class, load)
+				sum += v * float64(n.Count)
+			}
+		}
+		if 1+sum > maxSlowdown {
+			return "service " + service + " would become too slow"
+		}
+	}
+	return ""
+}
--- a/internal/place/pipeline.go
+++ b/internal/place/pipeline.go
@@ -18,6 +18,7 @@
 		Scorers: []Scorer{Spread{}, RackSpread{}, Untried{}},
 	}
 	if model != nil {
+		p.Filters = append(p.Filters, Tolerance{Model: model})
 		p.Scorers = append(p.Scorers, Interference{Model: model})
 	}
 	return p
