Stand-in target: faults, fencing probe and kept answers

Cause: nothing could bring about a silent connection, a truncated or lost answer, a crash or a slow target. Change: Faults, Silence, Crash and Restart on the stand-in target, a Watcher that sees refusals, crashes and connections, and a probe that fences an attempt which was never seen. The deadline ends the work.

--- a/internal/standin/targetstand/targetstand.go
+++ b/internal/standin/targetstand/targetstand.go
@@ -30,18 +30,27 @@
 	active   int
 	peak     int
 	seen     Observer
+	faults   Faults
+	conns    connSet
+	crashed  bool
+	// down is closed when the target crashes and renewed when it restarts.
+	down     chan struct{}
+	attempts map[string]attemptState
+	order    []string
 }
 
 // New returns a target as its announcement describes it; work gives the time of each request.
 // The observer may be nil.
 func New(a announce.Announcement, work func() time.Duration, seen Observer) *Target {
-	return &Target{announce: a, work: work, seen: seen}
+	return &Target{announce: a, work: work, seen: seen, down: make(chan struct{}), attempts: map[string]attemptState{}}
 }
 
 // Handler returns the HTTP interface.
 func (t *Target) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/run", t.run)
+	mux.HandleFunc("POST /v1/attempts/{request}/{attempt}/fence", t.fence)
+	mux.HandleFunc("GET /v1/ping", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	return mux
 }
 
@@ -52,7 +61,8 @@
 	return t.peak
 }
 
-// run serves one request: it works for a while and answers with the body it got.
+// run serves one request: it works for a while and answers with the body it got. The work ends at
+// the deadline whatever happens.
 func (t *Target) run(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
@@ -61,21 +71,48 @@
 	id, attempt := r.Header.Get(targetapi.HeaderRequestID), r.Header.Get(targetapi.HeaderAttempt)
 	budget, err := strconv.ParseInt(r.Header.Get(targetapi.HeaderBudgetMS), 10, 64)
 	if err != nil || budget <= 0 {
-		refuse(w, "no budget left")
+		t.refuse(w, id, attempt, "no budget left")
 		return
 	}
-	if !t.begin() {
-		refuse(w, "no free slot")
+	down, reason := t.begin(id, attempt)
+	if reason != "" {
+		t.refuse(w, id, attempt, reason)
 		return
 	}
-	defer t.end()
+	f := t.Faults()
 	t.observe(id, attempt, true)
-	timer := time.NewTimer(min(t.work(), time.Duration(budget)*time.Millisecond))
-	defer timer.Stop()
-	<-timer.C
+	whole, crashed := t.sleep(t.work()+f.Slow, time.Duration(budget)*time.Millisecond, down)
+	if crashed {
+		panic(http.ErrAbortHandler)
+	}
 	t.observe(id, attempt, false)
-	w.Header().Set("Content-Type", "text/plain")
-	fmt.Fprintf(w, "%s %s %s", t.announce.Name, id, body)
+	answer := &targetapi.Answer{Status: http.StatusOK, ContentType: "text/plain", Body: fmt.Appendf(nil, "%s %s %s", t.announce.Name, id, body)}
+	t.end(down, id, attempt, answer, whole)
+	if !whole {
+		w.Header().Set(targetapi.HeaderOutcome, string(targetapi.Unknown))
+		w.Header().Set(targetapi.HeaderReason, "deadline passed")
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	if f.spoil(w, answer.Body) {
+		return
+	}
+	w.Header().Set("Content-Type", answer.ContentType)
+	w.Header().Set("Content-Length", itoa(len(answer.Body)))
+	_, _ = w.Write(answer.Body)
+}
+
+// sleep works for the given time and reports whether the deadline left room for the whole work, and
+// whether the target crashed meanwhile.
+func (t *Target) sleep(work, budget time.Duration, down <-chan struct{}) (whole, crashed bool) {
+	timer := time.NewTimer(min(work, budget))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return work <= budget, false
+	case <-down:
+		return false, true
+	}
 }
 
 // observe tells the observer of a begin or an end.
@@ -89,28 +126,51 @@
 	}
 }
 
-// begin takes a slot.
-func (t *Target) begin() bool {
+// begin takes a slot for an attempt. It returns a channel that is closed when the target crashes, or
+// the reason of a refusal.
+func (t *Target) begin(request, attempt string) (<-chan struct{}, string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	key := attemptKey(request, attempt)
+	if _, ok := t.attempts[key]; ok {
+		return nil, "attempt was fenced or seen before"
+	}
+	if t.crashed {
+		return nil, "target is down"
+	}
 	if t.active >= t.announce.Slots {
-		return false
+		return nil, "no free slot"
 	}
+	t.remember(key, attemptState{state: targetapi.AttemptRunning})
 	t.active++
 	t.peak = max(t.peak, t.active)
-	return true
+	return t.down, ""
 }
 
-// end gives the slot back.
-func (t *Target) end() {
+// end gives the slot back and keeps the answer, unless the target crashed since the attempt began.
+func (t *Target) end(began <-chan struct{}, request, attempt string, answer *targetapi.Answer, whole bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.crashed || (<-chan struct{})(t.down) != began {
+		return
+	}
 	t.active--
+	s := attemptState{state: targetapi.AttemptEnded}
+	if whole {
+		s.answer = answer
+	}
+	t.remember(attemptKey(request, attempt), s)
 }
 
 // refuse answers that the request did not run.
-func refuse(w http.ResponseWriter, reason string) {
+func (t *Target) refuse(w http.ResponseWriter, request, attempt, reason string) {
+	if o, ok := t.seen.(Watcher); ok {
+		o.Refused(t.announce.Name, request, attempt, reason, time.Now())
+	}
 	w.Header().Set(targetapi.HeaderOutcome, string(targetapi.NotRun))
 	w.Header().Set(targetapi.HeaderReason, reason)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
+
+// itoa formats a length for a header.
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/internal/targetapi/probe.go
@@ -0,0 +1,21 @@
+package targetapi
+
+// AttemptState is what a target says of one attempt.
+type AttemptState string
+
+// States of an attempt at a target.
+const (
+	// AttemptRunning says that the attempt runs now.
+	AttemptRunning AttemptState = "running"
+	// AttemptEnded says that the attempt ran and is over.
+	AttemptEnded AttemptState = "ended"
+	// AttemptFenced says that the attempt was not seen and will be refused should it still arrive.
+	AttemptFenced AttemptState = "fenced"
+)
+
+// Probe is a target's answer to POST /v1/attempts/{request}/{attempt}/fence.
+type Probe struct {
+	State AttemptState `json:"state"`
+	// Answer is the kept answer of an attempt that ended; nil when it is not kept.
+	Answer *Answer `json:"answer,omitempty"`
+}
--- a/internal/targetapi/targetapi.go
+++ b/internal/targetapi/targetapi.go
@@ -52,9 +52,9 @@
 
 // Answer is the whole answer of a target.
 type Answer struct {
-	Status      int
-	ContentType string
-	Body        []byte
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type"`
+	Body        []byte `json:"body"`
 }
 
 // NotRunError says that the attempt surely did not run.
