Log client with group commit, a shared budget by class and early refusal

Cause: every caller made its own append; nothing kept the processes together under the service's rate.

--- a/internal/cellrun/cellrun.go
+++ b/internal/cellrun/cellrun.go
@@ -115,6 +115,9 @@
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, appendTimeout)
 	defer cancel()
+	if a.Lease {
+		ctx = logsvc.WithClass(ctx, logsvc.ClassLease)
+	}
 	_, err := d.log.Append(ctx, cell.Stream(d.name), data)
 	if err != nil {
 		d.lg.Debug("Append failed.", "err", err)
--- a/internal/logsvc/http.go
+++ b/internal/logsvc/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -60,11 +61,18 @@
 	req.Header.Set("Content-Type", "application/json")
 	var out AppendResponse
 	status, err := h.do(req, &out)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, ErrRefused, err)
+	}
 	if err != nil {
 		return 0, fmt.Errorf("append to %s: %w", stream, err)
 	}
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	switch status {
+	case http.StatusServiceUnavailable:
 		return 0, fmt.Errorf("append to %s: %w (status %d)", stream, ErrRefused, status)
+	case http.StatusTooManyRequests:
+		return 0, fmt.Errorf("append to %s: %w", stream, ErrOverRate)
 	}
 	if status != http.StatusOK {
 		return 0, fmt.Errorf("append to %s: status %d", stream, status)
--- a/internal/node/defaults.go
+++ b/internal/node/defaults.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+)
 
 // Defaults returns the settings a node has when none are given.
 func Defaults() Options {
@@ -9,6 +13,7 @@
 		OwnerLease: 3 * time.Second,
 		TaskLease:  3 * time.Second,
 		SyncEvery:  500 * time.Millisecond,
+		LogAppends: logsvc.DefaultAppends,
 		Drain:      10 * time.Second,
 	}
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errNotAccepted, err)
 	}
-	_, err = n.ports.Log.Append(ctx, cell.Stream(cellName), []json.RawMessage{raw})
+	_, err = n.ports.Log.Append(logsvc.WithClass(ctx, logsvc.ClassJob), cell.Stream(cellName), []json.RawMessage{raw})
 	switch {
 	case err == nil:
 		return nil
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -22,6 +22,7 @@
 	logAddr string
 	conns   int64
 	share   int64
+	appends int64
 	opt     Options
 }
 
@@ -35,6 +36,7 @@
 	s.Addrs(&f.opt.Peers, "peers", "", false, "other nodes, comma-separated IP addresses with port")
 	s.List(&f.opt.Cells, "cells", "", "cells this process may own, comma-separated")
 	s.Int(&f.share, "share", 1, 1, 64, "how many nodes send to the same targets")
+	s.Int(&f.appends, "log-appends", int64(d.LogAppends), 1, 1<<20, "budget of all processes together, in appends a second")
 	s.Int(&f.conns, "target-connections", 16, 1, 1024, "most connections to one target")
 	s.Duration(&f.opt.OwnerLease, "owner-lease", d.OwnerLease, time.Second, time.Minute, "how long a cell is owned without renewal")
 	s.Duration(&f.opt.TaskLease, "task-lease", d.TaskLease, time.Second, time.Minute, "how long a task runs without its owner")
@@ -51,7 +53,7 @@
 	if code, done := app.Parse(s, &f.Common, args, stdout, stderr); done {
 		return code
 	}
-	f.opt.Share = int(f.share)
+	f.opt.Share, f.opt.LogAppends = int(f.share), int(f.appends)
 	f.opt.Peers = slices.DeleteFunc(f.opt.Peers, func(p string) bool { return p == f.listen })
 	l, err := net.Listen("tcp", f.listen)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,8 @@
 	OwnerLease time.Duration
 	TaskLease  time.Duration
 	SyncEvery  time.Duration
+	// LogAppends is the budget of all processes together, in appends a second.
+	LogAppends int
 	// Drain bounds how long a graceful stop waits for requests in progress.
 	Drain time.Duration
 }
@@ -70,6 +72,7 @@
 	seq     atomic.Int64
 	leaving atomic.Bool
 
+	commit  *logsvc.Committer
 	config  *configrun.Driver
 	members *members.Members
 	cells   map[string]*cellrun.Driver
@@ -79,6 +82,8 @@
 // New returns a node that has not started.
 func New(opt Options, ports Ports, lg *log.Logger) *Node {
 	n := &Node{opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(), cells: map[string]*cellrun.Driver{}}
+	n.commit = logsvc.NewCommitter(ports.Log, logsvc.DefaultCommit())
+	n.ports.Log, ports.Log = n.commit, n.commit
 	n.config = configrun.New(ports.Log, opt.ID, logs.Part(lg, "config"))
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"))
 	n.router = &router{table: route.New(opt.Share), members: n.members, caller: ports.Targets, dataCentre: opt.DataCentre}
@@ -138,6 +143,7 @@
 	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 16 << 10}
 	g.Go(func() error { n.config.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
+	g.Go(func() error { return n.keepShare(run) })
 	for _, d := range n.cells {
 		g.Go(func() error { return d.Run(run) })
 	}
