--- /dev/null
+++ b/internal/history/check.go
@@ -0,0 +1,179 @@
+package history
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Promise names what the system promises its users.
+type Promise string
+
+// Promises that Check judges.
+const (
+	Capacity      Promise = "capacity"
+	OnePlace      Promise = "one place at a time"
+	ResumeOnce    Promise = "resume exactly once"
+	OwnAnswer     Promise = "whole own answer"
+	TrueNotRun    Promise = "true not-run"
+	AtMostOnce    Promise = "at most once"
+	LeavingTarget Promise = "leaving target"
+	GracefulStop  Promise = "graceful stop"
+	Slots         Promise = "slots of a target"
+	NoRevert      Promise = "configuration never reverts"
+	InForce       Promise = "configuration in force in time"
+	OneVerdict    Promise = "one verdict on each record"
+	NoJobLost     Promise = "no accepted job lost"
+	EveryOutcome  Promise = "every request has an outcome"
+	Progress      Promise = "batch work makes progress"
+)
+
+// Bounds of the promises.
+const (
+	// LeaveWithin is how long a leaving target may still receive new work.
+	LeaveWithin = 2 * time.Second
+	// ForceWithin is how long an accepted record may take to be in force everywhere.
+	ForceWithin = 5 * time.Second
+)
+
+// Violation is one broken promise with the operations that show it.
+type Violation struct {
+	Promise    Promise  `json:"promise"`
+	Detail     string   `json:"detail"`
+	Operations []string `json:"operations"`
+}
+
+// Report is the verdict on a history. All counts come from what was seen outside the system.
+type Report struct {
+	RequestsSent     int `json:"requests_sent"`
+	RequestsAnswered int `json:"requests_answered"`
+	RequestsNotRun   int `json:"requests_not_run"`
+	RequestsUnknown  int `json:"requests_unknown"`
+	RequestsLost     int `json:"requests_lost"`
+	WrongAnswers     int `json:"wrong_answers"`
+	DoubleRuns       int `json:"double_runs"`
+	FalseNotRun      int `json:"false_not_run"`
+	CutRequests      int `json:"cut_requests"`
+	OverSlots        int `json:"over_slots"`
+	LateToLeaving    int `json:"late_to_leaving"`
+
+	JobsAccepted  int `json:"jobs_accepted"`
+	JobsFinished  int `json:"jobs_finished"`
+	JobsFailed    int `json:"jobs_failed"`
+	JobsCancelled int `json:"jobs_cancelled"`
+	JobsOpen      int `json:"jobs_open"`
+	JobsLost      int `json:"jobs_lost"`
+	DoubleResumes int `json:"double_resumes"`
+	Evictions     int `json:"evictions"`
+	OverCapacity  int `json:"over_capacity"`
+
+	RecordsApplied  int         `json:"records_applied"`
+	ConfigReverts   int         `json:"config_reverts"`
+	ConfigSlowestMS int64       `json:"config_slowest_ms"`
+	LogAppendsPeak  int         `json:"log_appends_peak_per_second"`
+	LatencyMS       Tail        `json:"latency_ms"`
+	JainIndex       float64     `json:"jain_index"`
+	Violations      []Violation `json:"violations"`
+}
+
+// Tail is the tail latency of answered requests in milliseconds, counted from when each was due.
+type Tail struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+}
+
+// Check judges a history.
+func Check(h *History) Report {
+	c := &checker{h: h, r: Report{Violations: []Violation{}}}
+	c.index()
+	c.requests()
+	c.answers()
+	c.notRun()
+	c.places()
+	c.once()
+	c.slots()
+	c.leaving()
+	c.stops()
+	c.capacity()
+	c.ownership()
+	c.resumes()
+	c.jobs()
+	c.reverts()
+	c.inForce()
+	c.verdicts()
+	c.measures()
+	return c.r
+}
+
+// checker holds a history with its indexes while it is judged.
+type checker struct {
+	h *History
+	r Report
+	// byRequest, byToken and byKey hold the runs that truly began.
+	byRequest map[string][]*Run
+	byToken   map[string][]*Run
+	byKey     map[string][]*Run
+	byTask    map[string][]*Attempt
+	// sends are the requests by key, filled at first use.
+	sends map[string][]*Request
+}
+
+// index sorts and groups what several checks need.
+func (c *checker) index() {
+	c.byRequest, c.byToken, c.byKey = map[string][]*Run{}, map[string][]*Run{}, map[string][]*Run{}
+	for _, r := range c.h.Runs {
+		if r.Start.IsZero() {
+			continue
+		}
+		c.byRequest[r.RequestID] = append(c.byRequest[r.RequestID], r)
+		if r.Token != "" {
+			c.byToken[r.Token] = append(c.byToken[r.Token], r)
+		}
+		if r.Key != "" {
+			c.byKey[r.Key] = append(c.byKey[r.Key], r)
+		}
+	}
+	c.byTask = map[string][]*Attempt{}
+	for _, a := range c.h.Attempts {
+		c.byTask[a.Task] = append(c.byTask[a.Task], a)
+	}
+	for _, as := range c.byTask {
+		slices.SortStableFunc(as, func(a, b *Attempt) int { return a.Start.Compare(b.Start) })
+	}
+}
+
+// broken adds a violation and names its operations.
+func (c *checker) broken(p Promise, ops []fmt.Stringer, format string, args ...any) {
+	v := Violation{Promise: p, Detail: fmt.Sprintf(format, args...), Operations: []string{}}
+	for _, o := range ops {
+		v.Operations = append(v.Operations, o.String())
+	}
+	c.r.Violations = append(c.r.Violations, v)
+}
+
+// end returns the end of a span that may not have been seen to end.
+func (c *checker) end(t time.Time) time.Time {
+	if t.IsZero() {
+		return c.h.End
+	}
+	return t
+}
+
+// during reports whether an incident of one of the kinds about a subject overlaps a span, or began
+// within the time before it.
+func (c *checker) during(from, to time.Time, subject string, kinds ...IncidentKind) bool {
+	return slices.ContainsFunc(c.h.Incidents, func(i *Incident) bool {
+		return slices.Contains(kinds, i.Kind) && i.Subject == subject && !i.Start.After(to) && !c.end(i.End).Before(from)
+	})
+}
+
+// sortedKeys returns the keys of a map in order, so that every check reports alike.
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/history/recorder.go
@@ -0,0 +1,253 @@
+package history
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// History is everything that was seen in one run.
+type History struct {
+	// Slots and Capacity are the sizes of targets and workers by name.
+	Slots    map[string]int
+	Capacity map[string]Amount
+
+	Requests  []*Request
+	Runs      []*Run
+	Attempts  []*Attempt
+	Jobs      []*Job
+	Proposals []*Proposal
+	Readings  []*Reading
+	Appends   []*Append
+	Incidents []*Incident
+	// End is when observation ended.
+	End time.Time
+}
+
+// runKey names one attempt of a request at one target.
+type runKey struct{ target, request, attempt string }
+
+// taskKey names one attempt of a task at one worker.
+type taskKey struct {
+	worker, task string
+	attempt      int
+}
+
+// Recorder collects a history from many goroutines. Use NewRecorder to make one.
+type Recorder struct {
+	mu    sync.Mutex
+	h     History
+	ops   int
+	runs  map[runKey]*Run
+	tasks map[taskKey]*Attempt
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{
+		h:    History{Slots: map[string]int{}, Capacity: map[string]Amount{}},
+		runs: map[runKey]*Run{}, tasks: map[taskKey]*Attempt{},
+	}
+}
+
+// next numbers an operation. The caller holds the lock.
+func (r *Recorder) next() int {
+	r.ops++
+	return r.ops
+}
+
+// Target notes the slots of a target.
+func (r *Recorder) Target(name string, slots int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.h.Slots[name] = slots
+}
+
+// Worker notes the capacity of a worker.
+func (r *Recorder) Worker(name string, capacity Amount) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.h.Capacity[name] = capacity
+}
+
+// Request adds a request whose outcome was seen.
+func (r *Recorder) Request(q Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q.Op = r.next()
+	r.h.Requests = append(r.h.Requests, &q)
+}
+
+// Arrived adds an arrival at a target before it is known whether it runs.
+func (r *Recorder) Arrived(run Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.Op = r.next()
+	r.h.Runs = append(r.h.Runs, &run)
+	r.runs[runKey{run.Target, run.RequestID, run.Attempt}] = &run
+}
+
+// Began notes that a run began at its target.
+func (r *Recorder) Began(target, request, attempt string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := runKey{target, request, attempt}
+	run := r.runs[key]
+	if run == nil || !run.Start.IsZero() {
+		run = &Run{Op: r.next(), Target: target, RequestID: request, Attempt: attempt, Arrived: at}
+		r.h.Runs = append(r.h.Runs, run)
+		r.runs[key] = run
+	}
+	run.Start = at
+}
+
+// Ended notes that a run ended at its target; only its first end counts.
+func (r *Recorder) Ended(target, request, attempt string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if run := r.runs[runKey{target, request, attempt}]; run != nil && run.End.IsZero() {
+		run.End = at
+	}
+}
+
+// TargetCrashed ends every run of a target.
+func (r *Recorder) TargetCrashed(target string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, run := range r.h.Runs {
+		if run.Target == target && !run.Start.IsZero() && run.End.IsZero() {
+			run.End = at
+		}
+	}
+}
+
+// TaskStarted adds an attempt of a task.
+func (r *Recorder) TaskStarted(a Attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.Op = r.next()
+	r.h.Attempts = append(r.h.Attempts, &a)
+	r.tasks[taskKey{a.Worker, a.Task, a.Attempt}] = &a
+}
+
+// TaskEnded notes how an attempt ended; only its first end counts.
+func (r *Recorder) TaskEnded(worker, task string, attempt int, state string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.tasks[taskKey{worker, task, attempt}]; a != nil && a.End.IsZero() {
+		a.End, a.State = at, state
+	}
+}
+
+// WorkerCrashed ends every attempt of a worker.
+func (r *Recorder) WorkerCrashed(worker string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.h.Attempts {
+		if a.Worker == worker && a.End.IsZero() {
+			a.End, a.State = at, StateCrashed
+		}
+	}
+}
+
+// Job adds a submitted job.
+func (r *Recorder) Job(j Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j.Op = r.next()
+	r.h.Jobs = append(r.h.Jobs, &j)
+}
+
+// JobCancelled notes that a caller asked for the cancellation of a job.
+func (r *Recorder) JobCancelled(id string, at time.Time) {
+	r.eachJob(id, func(j *Job) { j.Cancelled = at })
+}
+
+// JobFinal notes what the system tells of a job at the end.
+func (r *Recorder) JobFinal(id string, s JobState) {
+	r.eachJob(id, func(j *Job) { j.Final = s })
+}
+
+// eachJob calls f for the submissions of a job.
+func (r *Recorder) eachJob(id string, f func(*Job)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, j := range r.h.Jobs {
+		if j.ID == id {
+			f(j)
+		}
+	}
+}
+
+// Proposal adds a published record whose verdict was seen.
+func (r *Recorder) Proposal(p Proposal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.Op = r.next()
+	r.h.Proposals = append(r.h.Proposals, &p)
+}
+
+// Reading adds what a process showed of the configuration.
+func (r *Recorder) Reading(rd Reading) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rd.Op = r.next()
+	r.h.Readings = append(r.h.Readings, &rd)
+}
+
+// Append adds one append the log saw.
+func (r *Recorder) Append(a Append) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.Op = r.next()
+	r.h.Appends = append(r.h.Appends, &a)
+}
+
+// Incident adds a planned event or fault and returns a function that notes its end.
+func (r *Recorder) Incident(kind IncidentKind, subject string, at time.Time) func(at time.Time, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := &Incident{Op: r.next(), Kind: kind, Subject: subject, Start: at}
+	r.h.Incidents = append(r.h.Incidents, i)
+	return func(at time.Time, err error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		i.End = at
+		if err != nil {
+			i.Err = err.Error()
+		}
+	}
+}
+
+// Jobs returns copies of the jobs submitted so far.
+func (r *Recorder) Jobs() []Job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Job, len(r.h.Jobs))
+	for i, j := range r.h.Jobs {
+		out[i] = *j
+	}
+	return out
+}
+
+// History returns a copy of what was seen until now.
+func (r *Recorder) History(now time.Time) *History {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &History{
+		Slots: maps.Clone(r.h.Slots), Capacity: maps.Clone(r.h.Capacity),
+		Requests: clone(r.h.Requests), Runs: clone(r.h.Runs), Attempts: clone(r.h.Attempts),
+		Jobs: clone(r.h.Jobs), Proposals: clone(r.h.Proposals), Readings: clone(r.h.Readings),
+		Appends: clone(r.h.Appends), Incidents: clone(r.h.Incidents), End: now,
+	}
+}
+
+// clone copies a slice of pointers and what they point to.
+func clone[T any](in []*T) []*T {
+	out := make([]*T, len(in))
+	for i, p := range in {
+		v := *p
+		out[i] = &v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/history/slots.go
@@ -0,0 +1,75 @@
+package history
+
+import (
+	"fmt"
+	"slices"
+)
+
+// slots finds work that was sent to a target while all its slots were in use.
+func (c *checker) slots() {
+	byTarget := map[string][]*Run{}
+	for _, r := range c.h.Runs {
+		byTarget[r.Target] = append(byTarget[r.Target], r)
+	}
+	for _, name := range sortedKeys(byTarget) {
+		if n, ok := c.h.Slots[name]; ok {
+			c.targetSlots(n, byTarget[name])
+		}
+	}
+}
+
+// targetSlots judges one target with n slots.
+func (c *checker) targetSlots(n int, runs []*Run) {
+	slices.SortStableFunc(runs, func(a, b *Run) int { return a.Arrived.Compare(b.Arrived) })
+	var active []*Run
+	for _, r := range runs {
+		active = slices.DeleteFunc(active, func(a *Run) bool { return !c.end(a.End).After(r.Arrived) })
+		if len(active) >= n {
+			c.r.OverSlots++
+			c.broken(Slots, append([]fmt.Stringer{r}, stringers(active)...), "target %s has %d slots and all were in use", r.Target, n)
+		}
+		if !r.Start.IsZero() {
+			active = append(active, r)
+		}
+	}
+}
+
+// capacity finds starts that gave a worker more than it has, and starts that reserved less than was
+// declared, which would hide the former.
+func (c *checker) capacity() {
+	declared := map[string]Amount{}
+	for _, j := range c.h.Jobs {
+		declared[j.ID] = j.Declare
+	}
+	byWorker := map[string][]*Attempt{}
+	for _, a := range c.h.Attempts {
+		byWorker[a.Worker] = append(byWorker[a.Worker], a)
+		if d, ok := declared[a.Task]; ok && !d.within(a.Reserve) {
+			c.r.OverCapacity++
+			c.broken(Capacity, []fmt.Stringer{a}, "reserved %v although %v was declared", a.Reserve, d)
+		}
+	}
+	for _, name := range sortedKeys(byWorker) {
+		if room, ok := c.h.Capacity[name]; ok {
+			c.workerCapacity(room, byWorker[name])
+		}
+	}
+}
+
+// workerCapacity judges one worker.
+func (c *checker) workerCapacity(room Amount, attempts []*Attempt) {
+	slices.SortStableFunc(attempts, func(a, b *Attempt) int { return a.Start.Compare(b.Start) })
+	var active []*Attempt
+	for _, a := range attempts {
+		active = slices.DeleteFunc(active, func(o *Attempt) bool { return !c.end(o.End).After(a.Start) })
+		active = append(active, a)
+		var sum Amount
+		for _, o := range active {
+			sum = sum.plus(o.Reserve)
+		}
+		if !sum.within(room) {
+			c.r.OverCapacity++
+			c.broken(Capacity, stringers(active), "worker %s has %v and was given %v", a.Worker, room, sum)
+		}
+	}
+}
