Connections are dialled through a Func of the process

Cause: a fault run has to stand between one process and the network: latency between data centres, silent connections, an abrupt end that sends nothing more. Change: the adapters and the peer client take an optional netdial.Func; a node can be killed. Conclusion: no change without the option.

--- a/internal/logsvc/http.go
+++ b/internal/logsvc/http.go
@@ -6,11 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/netdial"
 )
 
 // maxAnswer bounds the bytes read from one answer of the service.
@@ -38,9 +39,9 @@
 }
 
 // NewHTTP returns a client of the service at an IP address with port.
-func NewHTTP(addr string) *HTTP {
+func NewHTTP(addr string, dial ...netdial.Func) *HTTP {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         netdial.First(time.Second, dial...),
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
 	"github.com/crocusspring/crocusspring/api/peer/v1/peerv1connect"
 	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/netdial"
 	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
@@ -38,10 +38,10 @@
 }
 
 // New returns a table that is exchanged with the peers at the given addresses.
-func New(self Self, peers []string, lg *log.Logger) *Members {
+func New(self Self, peers []string, lg *log.Logger, dial ...netdial.Func) *Members {
 	m := &Members{table: announce.NewTable(), processes: map[string]*peerv1.Process{}, self: self, lg: lg}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: exchangeTimeout}).DialContext,
+		DialContext:         netdial.First(exchangeTimeout, dial...),
 		MaxIdleConnsPerHost: 2,
 	}}
 	for _, p := range peers {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/members"
+	"github.com/crocusspring/crocusspring/internal/netdial"
 	"github.com/crocusspring/crocusspring/internal/route"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
@@ -58,6 +59,8 @@
 	Log     logsvc.Client
 	Workers workerapi.Syncer
 	Targets targetapi.Caller
+	// Dial opens the connections to other nodes; nil for the plain network.
+	Dial netdial.Func
 }
 
 // Node is one running entry or guard. Use New to make one.
@@ -69,6 +72,7 @@
 	addr    atomic.Value
 	seq     atomic.Int64
 	leaving atomic.Bool
+	killed  chan struct{}
 
 	config  *configrun.Driver
 	members *members.Members
@@ -78,9 +82,9 @@
 
 // New returns a node that has not started.
 func New(opt Options, ports Ports, lg *log.Logger) *Node {
-	n := &Node{opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(), cells: map[string]*cellrun.Driver{}}
+	n := &Node{opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(), killed: make(chan struct{}), cells: map[string]*cellrun.Driver{}}
 	n.config = configrun.New(ports.Log, opt.ID, logs.Part(lg, "config"))
-	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"))
+	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"), ports.Dial)
 	n.router = &router{table: route.New(opt.Share), members: n.members, caller: ports.Targets, dataCentre: opt.DataCentre}
 	for _, c := range opt.Cells {
 		co := cell.Options{
@@ -151,6 +155,8 @@
 		select {
 		case <-ctx.Done():
 			n.shutdown(srv)
+		case <-n.killed:
+			_ = srv.Close()
 		case <-run.Done():
 		}
 		stop()
--- a/internal/targetapi/targetapi.go
+++ b/internal/targetapi/targetapi.go
@@ -10,12 +10,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/netdial"
 )
 
 // Headers of the protocol between the system and targets, and towards callers.
@@ -85,9 +86,9 @@
 type HTTP struct{ client *http.Client }
 
 // NewHTTP returns an adapter that keeps at most conns connections to each target.
-func NewHTTP(conns int) *HTTP {
+func NewHTTP(conns int, dial ...netdial.Func) *HTTP {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+		DialContext:         netdial.First(500*time.Millisecond, dial...),
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     30 * time.Second,
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -13,10 +13,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/netdial"
 	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
@@ -150,9 +150,9 @@
 type HTTP struct{ client *http.Client }
 
 // NewHTTP returns an adapter.
-func NewHTTP() *HTTP {
+func NewHTTP(dial ...netdial.Func) *HTTP {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         netdial.First(time.Second, dial...),
 		MaxIdleConnsPerHost: 2,
 	}
 	return &HTTP{client: &http.Client{Transport: t}}
