--- a/internal/logsvc/http.go
+++ b/internal/logsvc/http.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/netdial"
 )
 
 // maxAnswer bounds the bytes read from one answer of the service.
@@ -39,9 +41,9 @@
 }
 
 // NewHTTP returns a client of the service at an IP address with port.
-func NewHTTP(addr string) *HTTP {
+func NewHTTP(addr string, dial ...netdial.Func) *HTTP {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         netdial.First(time.Second, dial...),
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 	}
