--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -7,8 +7,6 @@
 	"io/fs"
 	"slices"
 
-	"github.com/crocusspring/crocusspring/internal/finding"
-	"github.com/goccy/go-yaml"
 	"github.com/qmuntal/stateless"
 )
 
@@ -18,14 +16,6 @@
 	Event string
 )
 
-// file is the shape of a chart file.
-type file struct {
-	Chart   string                    `yaml:"chart"`
-	Initial State                     `yaml:"initial"`
-	Final   []State                   `yaml:"final"`
-	States  map[State]map[Event]State `yaml:"states"`
-}
-
 // Chart is a checked chart. Use Load to make one.
 type Chart struct {
 	Name    string
@@ -46,17 +36,17 @@
 	return fmt.Sprintf("chart %s: state %s takes no event %s", e.Chart, e.State, e.Event)
 }
 
-// Load reads and checks a chart file and reports all findings together.
+// Load reads and checks a chart file and reports all findings together, each with file and line.
 func Load(files fs.FS, name string) (*Chart, error) {
 	data, err := fs.ReadFile(files, name)
 	if err != nil {
 		return nil, fmt.Errorf("read chart: %w", err)
 	}
-	var f file
-	if err := yaml.UnmarshalWithOptions(data, &f, yaml.Strict()); err != nil {
-		return nil, fmt.Errorf("chart %s: %w", name, err)
+	f, err := parse(name, data)
+	if err != nil {
+		return nil, err
 	}
-	if err := check(name, f); err != nil {
+	if err := f.check(); err != nil {
 		return nil, err
 	}
 	return build(f)
@@ -71,70 +61,46 @@
 	return c
 }
 
-// check collects what is wrong with a chart.
-func check(name string, f file) error {
-	var l finding.List
-	known := func(s State) bool { return f.States[s] != nil || slices.Contains(f.Final, s) }
-	reached := map[State]bool{f.Initial: true}
-	for s, edges := range f.States {
-		for e, to := range edges {
-			reached[to] = true
-			if !known(to) {
-				l.Add(name, string(to), "state %s, event %s: leads to a state that is not defined", s, e)
-			}
-		}
-	}
-	for s := range f.States {
-		if !reached[s] {
-			l.Add(name, string(s), "state can't be reached")
-		}
-	}
-	if f.States[f.Initial] == nil {
-		l.Add(name, string(f.Initial), "initial state is not defined")
-	}
-	return l.Err()
-}
-
 // build asks the library once for every state and event, so that Next is a look-up.
-func build(f file) (*Chart, error) {
-	c := &Chart{Name: f.Chart, Initial: f.Initial, final: map[State]bool{}, next: map[State]map[Event]State{}}
-	for _, s := range f.Final {
-		c.final[s] = true
-	}
-	for s, edges := range f.States {
-		c.next[s] = map[Event]State{}
-		for e := range edges {
-			to, err := fire(f, s, e)
-			if err != nil {
-				return nil, fmt.Errorf("chart %s: %w", f.Chart, err)
+func build(f *file) (*Chart, error) {
+	c := &Chart{Name: f.name, Initial: f.initial.state(), final: map[State]bool{}, next: map[State]map[Event]State{}}
+	for _, s := range f.final {
+		c.final[s.state()] = true
+	}
+	m, current := machine(f)
+	for _, s := range f.states {
+		c.next[s.state()] = map[Event]State{}
+		for _, e := range s.edges {
+			*current = s.state()
+			if err := m.Fire(Event(e.text)); err != nil {
+				return nil, fmt.Errorf("chart %s: %w", f.name, err)
 			}
-			c.next[s][e] = to
+			c.next[s.state()][Event(e.text)] = *current
 		}
 	}
 	return c, nil
 }
 
-// fire runs one event in the library's machine.
-func fire(f file, from State, e Event) (State, error) {
-	m := stateless.NewStateMachine(from)
-	for s, edges := range f.States {
-		conf := m.Configure(s)
-		for ev, to := range edges {
-			if to == s {
-				conf.PermitReentry(ev)
+// machine returns the library's machine of a file and the place where it keeps its state.
+func machine(f *file) (*stateless.StateMachine, *State) {
+	current := f.initial.state()
+	get := func(context.Context) (stateless.State, error) { return current, nil }
+	set := func(_ context.Context, s stateless.State) error {
+		current = s.(State)
+		return nil
+	}
+	m := stateless.NewStateMachineWithExternalStorage(get, set, stateless.FiringQueued)
+	for _, s := range f.states {
+		conf := m.Configure(s.state())
+		for _, e := range s.edges {
+			if e.to.text == s.text {
+				conf.PermitReentry(Event(e.text))
 			} else {
-				conf.Permit(ev, to)
+				conf.Permit(Event(e.text), e.to.state())
 			}
 		}
 	}
-	if err := m.Fire(e); err != nil {
-		return "", err
-	}
-	to, err := m.State(context.Background())
-	if err != nil {
-		return "", err
-	}
-	return to.(State), nil
+	return m, &current
 }
 
 // Next returns the state an event leads to, or a *RefusedError.
@@ -173,3 +139,29 @@
 	slices.Sort(out)
 	return slices.Compact(out)
 }
+
+// Missing compares the chart with the states and events that code names and returns what only one
+// side has, sorted; empty when both agree.
+func (c *Chart) Missing(states []State, events []Event) []string {
+	var out []string
+	out = append(out, differ("state", c.States(), states)...)
+	out = append(out, differ("event", c.Events(), events)...)
+	slices.Sort(out)
+	return out
+}
+
+// differ lists what stands on one side only.
+func differ[T ~string](what string, chart, code []T) []string {
+	var out []string
+	for _, x := range chart {
+		if !slices.Contains(code, x) {
+			out = append(out, fmt.Sprintf("%s %s is in the chart but not in the code", what, x))
+		}
+	}
+	for _, x := range code {
+		if !slices.Contains(chart, x) {
+			out = append(out, fmt.Sprintf("%s %s is in the code but not in the chart", what, x))
+		}
+	}
+	return out
+}
