--- /dev/null
+++ b/internal/cell/summary.go
@@ -0,0 +1,37 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/chart"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+)
+
+// Summary is a cell in a few numbers.
+type Summary struct {
+	// Holder and Epoch are the owner in log order.
+	Holder string        `json:"holder"`
+	Epoch  logsvc.Offset `json:"epoch"`
+	// Owner tells whether this process may act as the owner now.
+	Owner  bool          `json:"owner"`
+	AtTail bool          `json:"at_tail"`
+	Next   logsvc.Offset `json:"next_offset"`
+	// Tasks counts tasks by state; every state of the chart has an entry.
+	Tasks map[chart.State]int `json:"tasks"`
+	// Unsent counts records that are decided but not yet seen in the stream.
+	Unsent int `json:"unsent_records"`
+}
+
+// Summary returns the cell in a few numbers.
+func (c *Core) Summary(now time.Time) Summary {
+	s := Summary{AtTail: c.atTail, Next: c.state.next, Tasks: map[chart.State]int{}, Unsent: len(c.outbox.waiting)}
+	s.Holder, s.Epoch = c.lease.Holder()
+	_, s.Owner = c.lease.Owner(now)
+	for _, st := range taskChart.States() {
+		s.Tasks[st] = 0
+	}
+	for _, t := range c.state.tasks {
+		s.Tasks[t.State]++
+	}
+	return s
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/members"
+	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/netdial"
 	"github.com/crocusspring/crocusspring/internal/route"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
@@ -73,8 +74,9 @@
 	began   time.Time
 	addr    atomic.Value
 	seq     atomic.Int64
-	leaving atomic.Bool
+	life    *life
 	killed  chan struct{}
+	metrics *metrics.Metrics
 
 	commit  *logsvc.Committer
 	config  *configrun.Driver
@@ -87,7 +89,7 @@
 func New(opt Options, ports Ports, lg *log.Logger) *Node {
 	n := &Node{
 		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
-		killed: make(chan struct{}), cells: map[string]*cellrun.Driver{},
+		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{},
 	}
 	n.commit = logsvc.NewCommitter(ports.Log, logsvc.DefaultCommit())
 	n.ports.Log, ports.Log = n.commit, n.commit
@@ -131,14 +133,21 @@
 }
 
 // Ready reports whether the node may be sent requests.
-func (n *Node) Ready() bool { return !n.leaving.Load() && n.config.Ready() }
+func (n *Node) Ready() bool {
+	if n.config.Ready() {
+		n.life.fire(eventCaughtUp)
+	}
+	return n.life.State() == lifeReady
+}
 
 // Handler returns all HTTP interfaces of the node.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(n.members))
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
-	return mux
+	return measured(n.metrics, mux)
 }
 
 // Serve runs the node on a listener until ctx ends, then stops it gracefully.
@@ -150,6 +159,7 @@
 	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 16 << 10}
 	g.Go(func() error { n.config.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
+	g.Go(func() error { n.gauges(run); return nil })
 	g.Go(func() error { return n.keepShare(run) })
 	for _, d := range n.cells {
 		g.Go(func() error { return d.Run(run) })
@@ -172,14 +182,14 @@
 		return nil
 	})
 	n.lg.Info("Node is up.", "id", n.opt.ID, "addr", l.Addr())
-	err := g.Wait()
+	err := errors.Join(g.Wait(), n.metrics.Close())
 	n.lg.Info("Node is down.", "id", n.opt.ID)
 	return err
 }
 
 // shutdown gives cells back and lets requests in progress end.
 func (n *Node) shutdown(srv *http.Server) {
-	n.leaving.Store(true)
+	n.life.fire(eventStop)
 	n.lg.Info("Node is leaving.")
 	for _, d := range n.cells {
 		d.View((*cell.Core).Leave)
@@ -189,7 +199,9 @@
 	n.waitReleased(ctx)
 	if err := srv.Shutdown(ctx); err != nil {
 		n.lg.Error("Requests were cut off.", "err", err)
+		n.life.fire(eventDrainTimeout)
 	}
+	n.life.fire(eventDrained)
 }
 
 // waitReleased waits until no cell is owned any more.
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -35,3 +35,10 @@
 	}()
 	return r.caller.Call(ctx, m.Address, c)
 }
+
+// inProgress returns how many requests are at targets now.
+func (r *router) inProgress() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Active()
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -28,10 +28,7 @@
 
 // status tells what this node knows of the system.
 func (n *Node) status(w http.ResponseWriter, _ *http.Request) {
-	var s Status
-	for _, p := range n.members.Processes() {
-		s.Processes = append(s.Processes, ProcessStatus{p.Id, p.Role, p.Address, p.ConfigOffset, p.Ready, p.Cells})
-	}
+	s := Status{Processes: n.processes()}
 	for _, t := range n.members.Live(announce.RoleTarget) {
 		s.Targets = append(s.Targets, t.Name)
 	}
@@ -40,6 +37,15 @@
 	}
 	slices.Sort(s.Targets)
 	slices.Sort(s.Workers)
-	slices.SortFunc(s.Processes, func(a, b ProcessStatus) int { return cmp.Compare(a.ID, b.ID) })
 	jsonhttp.Write(w, http.StatusOK, s)
 }
+
+// processes returns the newest status of every process heard of, in order of id.
+func (n *Node) processes() []ProcessStatus {
+	var out []ProcessStatus
+	for _, p := range n.members.Processes() {
+		out = append(out, ProcessStatus{p.Id, p.Role, p.Address, p.ConfigOffset, p.Ready, p.Cells})
+	}
+	slices.SortFunc(out, func(a, b ProcessStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
