--- /dev/null
+++ b/internal/script/script_test.go
@@ -0,0 +1,27 @@
+// Package script runs the scripts under testdata/script against the programs of the product.
+package script
+
+import (
+	"os"
+	"testing"
+
+	"github.com/crocusspring/crocusspring/internal/ctl"
+	"github.com/crocusspring/crocusspring/internal/node"
+	"github.com/crocusspring/crocusspring/internal/standin"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestMain makes the programs available to scripts.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"crocus-entry":   func() { os.Exit(node.Main(node.RoleEntry, os.Args[1:], os.Stdout, os.Stderr)) },
+		"crocus-guard":   func() { os.Exit(node.Main(node.RoleGuard, os.Args[1:], os.Stdout, os.Stderr)) },
+		"crocus-standin": func() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"crocusctl":      func() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs every script.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "../../testdata/script"})
+}
