--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -36,12 +36,20 @@
 const (
 	// PeerServiceExchangeProcedure is the fully-qualified name of the PeerService's Exchange RPC.
 	PeerServiceExchangeProcedure = "/crocusspring.peer.v1.PeerService/Exchange"
+	// PeerServiceBorrowProcedure is the fully-qualified name of the PeerService's Borrow RPC.
+	PeerServiceBorrowProcedure = "/crocusspring.peer.v1.PeerService/Borrow"
+	// PeerServiceOutcomeProcedure is the fully-qualified name of the PeerService's Outcome RPC.
+	PeerServiceOutcomeProcedure = "/crocusspring.peer.v1.PeerService/Outcome"
 )
 
 // PeerServiceClient is a client for the crocusspring.peer.v1.PeerService service.
 type PeerServiceClient interface {
 	// Exchange spreads what both sides know: announcements and process status.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Borrow asks for slots of targets that are at home at the called process; see package credit.
+	Borrow(context.Context, *connect.Request[v1.BorrowRequest]) (*connect.Response[v1.BorrowResponse], error)
+	// Outcome asks for the outcome of a keyed request that the called process owns.
+	Outcome(context.Context, *connect.Request[v1.OutcomeRequest]) (*connect.Response[v1.OutcomeResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the crocusspring.peer.v1.PeerService service. By
@@ -61,12 +69,26 @@
 			connect.WithSchema(peerServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		borrow: connect.NewClient[v1.BorrowRequest, v1.BorrowResponse](
+			httpClient,
+			baseURL+PeerServiceBorrowProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Borrow")),
+			connect.WithClientOptions(opts...),
+		),
+		outcome: connect.NewClient[v1.OutcomeRequest, v1.OutcomeResponse](
+			httpClient,
+			baseURL+PeerServiceOutcomeProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Outcome")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	borrow   *connect.Client[v1.BorrowRequest, v1.BorrowResponse]
+	outcome  *connect.Client[v1.OutcomeRequest, v1.OutcomeResponse]
 }
 
 // Exchange calls crocusspring.peer.v1.PeerService.Exchange.
@@ -74,10 +96,24 @@
 	return c.exchange.CallUnary(ctx, req)
 }
 
+// Borrow calls crocusspring.peer.v1.PeerService.Borrow.
+func (c *peerServiceClient) Borrow(ctx context.Context, req *connect.Request[v1.BorrowRequest]) (*connect.Response[v1.BorrowResponse], error) {
+	return c.borrow.CallUnary(ctx, req)
+}
+
+// Outcome calls crocusspring.peer.v1.PeerService.Outcome.
+func (c *peerServiceClient) Outcome(ctx context.Context, req *connect.Request[v1.OutcomeRequest]) (*connect.Response[v1.OutcomeResponse], error) {
+	return c.outcome.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the crocusspring.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange spreads what both sides know: announcements and process status.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Borrow asks for slots of targets that are at home at the called process; see package credit.
+	Borrow(context.Context, *connect.Request[v1.BorrowRequest]) (*connect.Response[v1.BorrowResponse], error)
+	// Outcome asks for the outcome of a keyed request that the called process owns.
+	Outcome(context.Context, *connect.Request[v1.OutcomeRequest]) (*connect.Response[v1.OutcomeResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -93,10 +129,26 @@
 		connect.WithSchema(peerServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceBorrowHandler := connect.NewUnaryHandler(
+		PeerServiceBorrowProcedure,
+		svc.Borrow,
+		connect.WithSchema(peerServiceMethods.ByName("Borrow")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceOutcomeHandler := connect.NewUnaryHandler(
+		PeerServiceOutcomeProcedure,
+		svc.Outcome,
+		connect.WithSchema(peerServiceMethods.ByName("Outcome")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/crocusspring.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
 			peerServiceExchangeHandler.ServeHTTP(w, r)
+		case PeerServiceBorrowProcedure:
+			peerServiceBorrowHandler.ServeHTTP(w, r)
+		case PeerServiceOutcomeProcedure:
+			peerServiceOutcomeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -109,3 +161,11 @@
 func (UnimplementedPeerServiceHandler) Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocusspring.peer.v1.PeerService.Exchange is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Borrow(context.Context, *connect.Request[v1.BorrowRequest]) (*connect.Response[v1.BorrowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocusspring.peer.v1.PeerService.Borrow is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) Outcome(context.Context, *connect.Request[v1.OutcomeRequest]) (*connect.Response[v1.OutcomeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("crocusspring.peer.v1.PeerService.Outcome is not implemented"))
+}
--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -32,6 +32,8 @@
 	// Slots and Connections are how many requests and connections a target takes at once.
 	Slots       int `json:"slots,omitempty"`
 	Connections int `json:"connections,omitempty"`
+	// Guard is the address of the guard beside a target, IP with port; empty when there is none.
+	Guard string `json:"guard,omitempty"`
 	// Capacity is what a worker has; zero for targets.
 	Capacity resource.Vector `json:"capacity,omitzero"`
 	// Incarnation is larger after every start of the announcer (nanoseconds of its start).
@@ -54,27 +56,77 @@
 	Announcement
 	// Expires is when the lease ends by the clock of the process that keeps the table.
 	Expires time.Time
+	// Changed is the table's version at which the member last changed in any way.
+	Changed uint64
 }
 
+// Change says how much an announcement changed the table.
+type Change int
+
+// Changes of a table.
+const (
+	// ChangeNone is an announcement that was known.
+	ChangeNone Change = iota
+	// ChangeRenewed is a longer lease and nothing else.
+	ChangeRenewed
+	// ChangeNews is what peers should hear at once: a new member, a new start or a leaving one.
+	ChangeNews
+)
+
 // Table is the set of members. Use NewTable to make one.
-type Table struct{ members map[ID]Member }
+type Table struct {
+	members map[ID]Member
+	version uint64
+}
 
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{members: map[ID]Member{}} }
 
-// Step folds one announcement and reports whether it changed the table.
-func (t *Table) Step(now time.Time, a Announcement) bool {
+// Version grows with every change.
+func (t *Table) Version() uint64 { return t.version }
+
+// maxLease bounds the lease of an announcement.
+const maxLease = time.Minute
+
+// Step folds one announcement and says how much it changed the table.
+func (t *Table) Step(now time.Time, a Announcement) Change {
 	id := ID{a.Role, a.Name}
 	old, ok := t.members[id]
+	same := ok && old.Incarnation == a.Incarnation
+	if same && a.Leaving && !old.Leaving && a.Seq <= old.Seq {
+		// Leaving is final, so it holds even when a later renewal overtook it.
+		old.Leaving = true
+		t.put(id, old)
+		return ChangeNews
+	}
 	if ok && !newer(a, old.Announcement) {
-		return false
+		return ChangeNone
+	}
+	a.Leaving = a.Leaving || same && old.Leaving
+	lease := min(time.Duration(a.LeaseMS)*time.Millisecond, maxLease)
+	t.put(id, Member{Announcement: a, Expires: now.Add(lease)})
+	if same && a.Leaving == old.Leaving && now.Before(old.Expires) {
+		return ChangeRenewed
 	}
-	if ok && old.Incarnation == a.Incarnation && old.Leaving {
-		a.Leaving = true
+	return ChangeNews
+}
+
+// put stores a member under a new version.
+func (t *Table) put(id ID, m Member) {
+	t.version++
+	m.Changed = t.version
+	t.members[id] = m
+}
+
+// Since returns the members that changed after a version and whose lease holds.
+func (t *Table) Since(now time.Time, version uint64) []Member {
+	var out []Member
+	for _, m := range t.members {
+		if m.Changed > version && now.Before(m.Expires) {
+			out = append(out, m)
+		}
 	}
-	lease := time.Duration(a.LeaseMS) * time.Millisecond
-	t.members[id] = Member{Announcement: a, Expires: now.Add(lease)}
-	return true
+	return out
 }
 
 // newer reports whether a should replace b.
--- a/internal/announce/check.go
+++ b/internal/announce/check.go
@@ -19,6 +19,9 @@
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		l.Add("/address", a.Address, "must be an IP address with port")
 	}
+	if _, err := netip.ParseAddrPort(a.Guard); a.Guard != "" && err != nil {
+		l.Add("/guard", a.Guard, "must be an IP address with port")
+	}
 	if a.LeaseMS <= 0 {
 		l.Add("/lease_ms", strconv.FormatInt(a.LeaseMS, 10), "must be more than 0")
 	}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -1,4 +1,7 @@
 // Package members keeps the announcement table of a process and spreads it between processes.
+//
+// Every exchange carries what the peer has not been told yet or what it will soon forget. News, such
+// as a target that leaves, is passed on at once. Nothing here needs the log.
 package members
 
 import (
@@ -11,14 +14,18 @@
 	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
-	"github.com/crocusspring/crocusspring/api/peer/v1/peerv1connect"
 	"github.com/crocusspring/crocusspring/internal/announce"
-	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
 const (
-	exchangeEvery   = 500 * time.Millisecond
-	exchangeTimeout = time.Second
+	exchangeEvery = 500 * time.Millisecond
+	// exchangeTimeout is also the deadline of the ping that an exchange is: a connection that stays
+	// silent for this long is closed and the next exchange opens a new one.
+	exchangeTimeout = 700 * time.Millisecond
+	// fullEvery is how many exchanges pass between two that ask for the whole table.
+	fullEvery = 20
+	// deadAfter is how long a process is not heard of before it counts as gone.
+	deadAfter = 3 * time.Second
 )
 
 // Self describes this process to its peers.
@@ -31,21 +38,35 @@
 type Members struct {
 	mu        sync.Mutex
 	table     *announce.Table
-	processes map[string]*peerv1.Process
+	processes map[string]heard
 	self      Self
-	peers     []peerv1connect.PeerServiceClient
+	peers     []*peer
+	byAddr    map[string]*peer
+	client    *http.Client
 	lg        *log.Logger
+	news      chan struct{}
+	services  Services
+}
+
+// heard is the newest status of a process and when it came.
+type heard struct {
+	status *peerv1.Process
+	at     time.Time
 }
 
 // New returns a table that is exchanged with the peers at the given addresses.
 func New(self Self, peers []string, lg *log.Logger) *Members {
-	m := &Members{table: announce.NewTable(), processes: map[string]*peerv1.Process{}, self: self, lg: lg}
-	client := &http.Client{Transport: &http.Transport{
+	m := &Members{
+		table: announce.NewTable(), processes: map[string]heard{}, byAddr: map[string]*peer{},
+		self: self, lg: lg, news: make(chan struct{}, 1),
+	}
+	m.client = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: exchangeTimeout}).DialContext,
-		MaxIdleConnsPerHost: 2,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     30 * time.Second,
 	}}
-	for _, p := range peers {
-		m.peers = append(m.peers, peerv1connect.NewPeerServiceClient(client, "http://"+p))
+	for _, addr := range peers {
+		m.peers = append(m.peers, m.peer(addr))
 	}
 	return m
 }
@@ -56,11 +77,12 @@
 	defer t.Stop()
 	for {
 		for _, p := range m.peers {
-			go m.call(ctx, p)
+			go m.exchange(ctx, p)
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-m.news:
 		case <-t.C:
 			m.mu.Lock()
 			m.table.Tick(time.Now())
@@ -69,14 +91,31 @@
 	}
 }
 
-// call exchanges with one peer.
-func (m *Members) call(ctx context.Context, p peerv1connect.PeerServiceClient) {
+// exchange exchanges with one peer, unless an exchange with nothing less to say is on its way.
+func (m *Members) exchange(ctx context.Context, p *peer) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	req := &peerv1.ExchangeRequest{Sender: m.self.Process(), Announcements: m.export()}
-	resp, err := p.Exchange(ctx, connect.NewRequest(req))
+	m.mu.Lock()
+	told := p.untold(time.Now(), m.table.All())
+	if p.busy && !told.news {
+		m.mu.Unlock()
+		return
+	}
+	p.busy = true
+	p.rounds++
+	full := !p.known || p.rounds%fullEvery == 0
+	m.mu.Unlock()
+	req := &peerv1.ExchangeRequest{Sender: m.self.Process(), Announcements: told.list, Full: full}
+	resp, err := p.client.Exchange(ctx, connect.NewRequest(req))
+	m.mu.Lock()
+	p.busy = false
+	p.known = err == nil
+	if err == nil {
+		p.remember(told.sent)
+	}
+	m.mu.Unlock()
 	if err != nil {
-		m.lg.Debug("Exchange failed.", "err", err)
+		m.lg.Debug("Exchange failed.", "peer", p.addr, "err", err)
 		return
 	}
 	m.take(resp.Msg.Sender, resp.Msg.Announcements)
@@ -85,14 +124,49 @@
 // Exchange implements the peer service.
 func (m *Members) Exchange(_ context.Context, r *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
 	m.take(r.Msg.Sender, r.Msg.Announcements)
-	return connect.NewResponse(&peerv1.ExchangeResponse{Sender: m.self.Process(), Announcements: m.export()}), nil
+	resp := &peerv1.ExchangeResponse{Sender: m.self.Process()}
+	if r.Msg.Full || !m.isPeer(r.Msg.Sender.GetAddress()) {
+		resp.Announcements = m.export()
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// isPeer reports whether this process exchanges with an address by itself.
+func (m *Members) isPeer(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.addr == addr {
+			return true
+		}
+	}
+	return false
 }
 
 // Announce folds one announcement made to this process.
 func (m *Members) Announce(a announce.Announcement) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.table.Step(time.Now(), a)
+	m.fold(time.Now(), a)
+}
+
+// fold folds one announcement and wakes the exchange when peers should hear of it at once. The
+// caller holds the lock.
+func (m *Members) fold(now time.Time, a announce.Announcement) {
+	if m.table.Step(now, a) != announce.ChangeNews {
+		return
+	}
+	select {
+	case m.news <- struct{}{}:
+	default:
+	}
+}
+
+// Version grows with every change of the table.
+func (m *Members) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Version()
 }
 
 // Live returns the members of a role whose lease holds.
@@ -113,13 +187,18 @@
 	return out
 }
 
-// Processes returns the newest status of every process heard of, this one included.
+// Processes returns the newest status of every process heard of lately, this one included.
 func (m *Members) Processes() []*peerv1.Process {
+	out := []*peerv1.Process{m.self.Process()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := []*peerv1.Process{m.self.Process()}
-	for _, p := range m.processes {
-		out = append(out, p)
+	now := time.Now()
+	for id, h := range m.processes {
+		if now.Sub(h.at) > deadAfter {
+			delete(m.processes, id)
+			continue
+		}
+		out = append(out, h.status)
 	}
 	return out
 }
@@ -128,15 +207,28 @@
 func (m *Members) take(sender *peerv1.Process, as []*peerv1.Announcement) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if sender.GetId() != "" {
-		m.processes[sender.GetId()] = sender
-	}
 	now := time.Now()
-	for _, a := range as {
-		m.table.Step(now, decode(a))
+	if id := sender.GetId(); id != "" && !newerStatus(m.processes[id].status, sender) {
+		m.processes[id] = heard{status: sender, at: now}
+	}
+	for _, p := range as {
+		a := decode(p)
+		if err := a.Check(); err != nil {
+			m.lg.Debug("Announcement is bad.", "name", a.Name, "err", err)
+			continue
+		}
+		m.fold(now, a)
 	}
 }
 
+// newerStatus reports whether a is newer than b; a status that is nil is the oldest.
+func newerStatus(a, b *peerv1.Process) bool {
+	if a.GetIncarnation() != b.GetIncarnation() {
+		return a.GetIncarnation() > b.GetIncarnation()
+	}
+	return a.GetSeq() > b.GetSeq()
+}
+
 // export returns the table with the time each lease has left.
 func (m *Members) export() []*peerv1.Announcement {
 	m.mu.Lock()
@@ -150,23 +242,3 @@
 	}
 	return out
 }
-
-// encode returns the wire form of an announcement.
-func encode(a announce.Announcement, left time.Duration) *peerv1.Announcement {
-	return &peerv1.Announcement{
-		Role: string(a.Role), Name: a.Name, Address: a.Address, DataCentre: a.DataCentre, Rack: a.Rack,
-		Service: a.Service, Slots: int32(a.Slots), Connections: int32(a.Connections),
-		MilliCpu: a.Capacity.MilliCPU, MemoryMb: a.Capacity.MemoryMB, Accelerators: a.Capacity.Accelerators,
-		Incarnation: a.Incarnation, Seq: a.Seq, Leaving: a.Leaving, LeaseMs: left.Milliseconds(),
-	}
-}
-
-// decode returns the announcement of a wire form.
-func decode(p *peerv1.Announcement) announce.Announcement {
-	return announce.Announcement{
-		Role: announce.Role(p.Role), Name: p.Name, Address: p.Address, DataCentre: p.DataCentre, Rack: p.Rack,
-		Service: p.Service, Slots: int(p.Slots), Connections: int(p.Connections),
-		Capacity:    resource.Vector{MilliCPU: p.MilliCpu, MemoryMB: p.MemoryMb, Accelerators: p.Accelerators},
-		Incarnation: p.Incarnation, Seq: p.Seq, Leaving: p.Leaving, LeaseMS: p.LeaseMs,
-	}
-}
--- /dev/null
+++ b/internal/members/wire.go
@@ -0,0 +1,29 @@
+package members
+
+import (
+	"time"
+
+	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
+	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/resource"
+)
+
+// encode returns the wire form of an announcement with the time its lease has left.
+func encode(a announce.Announcement, left time.Duration) *peerv1.Announcement {
+	return &peerv1.Announcement{
+		Role: string(a.Role), Name: a.Name, Address: a.Address, DataCentre: a.DataCentre, Rack: a.Rack,
+		Service: a.Service, Slots: int32(a.Slots), Connections: int32(a.Connections), Guard: a.Guard,
+		MilliCpu: a.Capacity.MilliCPU, MemoryMb: a.Capacity.MemoryMB, Accelerators: a.Capacity.Accelerators,
+		Incarnation: a.Incarnation, Seq: a.Seq, Leaving: a.Leaving, LeaseMs: max(1, left.Milliseconds()),
+	}
+}
+
+// decode returns the announcement of a wire form.
+func decode(p *peerv1.Announcement) announce.Announcement {
+	return announce.Announcement{
+		Role: announce.Role(p.Role), Name: p.Name, Address: p.Address, DataCentre: p.DataCentre, Rack: p.Rack,
+		Service: p.Service, Slots: int(p.Slots), Connections: int(p.Connections), Guard: p.Guard,
+		Capacity:    resource.Vector{MilliCPU: p.MilliCpu, MemoryMB: p.MemoryMb, Accelerators: p.Accelerators},
+		Incarnation: p.Incarnation, Seq: p.Seq, Leaving: p.Leaving, LeaseMS: p.LeaseMs,
+	}
+}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
-	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/dispatch"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/retry"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 	"github.com/google/uuid"
 )
@@ -16,6 +18,10 @@
 const (
 	defaultBudget = time.Second
 	maxBudget     = time.Minute
+	// maxName bounds the length of a service, workspace or key.
+	maxName = 128
+	// fullRetry is when a caller may come back that was refused for want of memory.
+	fullRetry = 200 * time.Millisecond
 )
 
 // callRoutes adds the interface of latency-critical requests.
@@ -26,29 +32,113 @@
 // call serves one latency-critical request of a caller.
 func (n *Node) call(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	budget, err := budgetOf(r)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, err)
+	if n.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	room := size(r)
+	if err := n.intake.take(room); err != nil {
+		n.answer(w, dispatch.Reply{Outcome: targetapi.NotRun, Reason: err.Error(), RetryAfter: fullRetry})
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
+	defer n.intake.give(room)
+	q, c, err := n.parse(w, r, began)
 	if err != nil {
-		refuse(w, http.StatusRequestEntityTooLarge, fmt.Errorf("read body: %w", err))
+		status := http.StatusBadRequest
+		var b *badRequest
+		if errors.As(err, &b) {
+			status = b.status
+		}
+		refuse(w, status, err)
 		return
 	}
-	c := targetapi.Call{
-		RequestID: uuid.Must(uuid.NewV7()).String(), Attempt: 1, Service: r.PathValue("service"),
-		Workspace: r.Header.Get(targetapi.HeaderWorkspace), Budget: budget - time.Since(began), Body: body,
-	}
-	w.Header().Set(targetapi.HeaderRequestID, c.RequestID)
-	ans, err := n.router.send(r.Context(), c)
-	var notRun *targetapi.NotRunError
-	switch {
-	case errors.As(err, &notRun):
-		refuse(w, http.StatusServiceUnavailable, err)
-	case err != nil:
-		outcome(w, http.StatusBadGateway, targetapi.Unknown, err)
+	w.Header().Set(targetapi.HeaderRequestID, q.ID)
+	n.answer(w, n.requests.Do(r.Context(), q, c))
+}
+
+// parse reads and checks a request.
+func (n *Node) parse(w http.ResponseWriter, r *http.Request, began time.Time) (dispatch.Request, targetapi.Call, error) {
+	var q dispatch.Request
+	var c targetapi.Call
+	if size := headerBytes(r); size > maxHeader {
+		return q, c, bad(http.StatusRequestHeaderFieldsTooLarge, "headers have %d bytes, at most %d are taken", size, maxHeader)
+	}
+	budget, err := budgetOf(r)
+	if err != nil {
+		return q, c, err
+	}
+	q = dispatch.Request{
+		ID: uuid.Must(uuid.NewV7()).String(), Service: r.PathValue("service"),
+		Workspace: r.Header.Get(targetapi.HeaderWorkspace), Deadline: began.Add(budget),
+	}
+	if err := checkNames(q.Service, q.Workspace); err != nil {
+		return q, c, err
+	}
+	if q.Kind, err = kindOf(r); err != nil {
+		return q, c, err
+	}
+	if !n.requests.Knows(q.Service) {
+		return q, c, bad(http.StatusNotFound, "service %q: no target has announced it", q.Service)
+	}
+	body, err := readBody(w, r, budget)
+	if err != nil {
+		return q, c, err
+	}
+	q.Bytes = len(body)
+	c = targetapi.Call{RequestID: q.ID, Service: q.Service, Workspace: q.Workspace, Body: body}
+	return q, c, nil
+}
+
+// checkNames checks the words a request is given.
+func checkNames(service, workspace string) error {
+	if !printable(service) || service == "" {
+		return bad(http.StatusBadRequest, "service: must be 1 to %d printable characters", maxName)
+	}
+	if !printable(workspace) {
+		return bad(http.StatusBadRequest, "header %s: must be at most %d printable characters", targetapi.HeaderWorkspace, maxName)
+	}
+	return nil
+}
+
+// printable reports whether a word is short and of printable ASCII characters without spaces.
+func printable(s string) bool {
+	if len(s) > maxName {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// kindOf reads how often a request may run.
+func kindOf(r *http.Request) (retry.Kind, error) {
+	switch text := r.Header.Get(targetapi.HeaderIdempotent); text {
+	case "", "false":
+		return retry.Once, nil
+	case "true":
+		return retry.Idempotent, nil
+	default:
+		return retry.Once, bad(http.StatusBadRequest, "header %s: %q: must be true or false", targetapi.HeaderIdempotent, text)
+	}
+}
+
+// answer gives a caller the outcome of its request.
+func (n *Node) answer(w http.ResponseWriter, rep dispatch.Reply) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(maxAnswerTime))
+	if rep.RetryAfter > 0 {
+		seconds := int(math.Ceil(rep.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set(targetapi.HeaderRetryAfterMS, strconv.FormatInt(max(1, rep.RetryAfter.Milliseconds()), 10))
+	}
+	switch rep.Outcome {
+	case targetapi.NotRun:
+		refuse(w, http.StatusServiceUnavailable, errors.New(rep.Reason))
+	case targetapi.Unknown:
+		outcome(w, http.StatusBadGateway, targetapi.Unknown, errors.New(rep.Reason))
 	default:
+		ans := rep.Answer
 		w.Header().Set(targetapi.HeaderOutcome, string(targetapi.Answered))
 		w.Header().Set("Content-Type", ans.ContentType)
 		w.Header().Set("Content-Length", strconv.Itoa(len(ans.Body)))
--- a/internal/node/defaults.go
+++ b/internal/node/defaults.go
@@ -10,5 +10,6 @@
 		TaskLease:  3 * time.Second,
 		SyncEvery:  500 * time.Millisecond,
 		Drain:      10 * time.Second,
+		ReadyLag:   time.Second,
 	}
 }
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -33,6 +33,9 @@
 	s.String(&f.opt.ID, "id", "", true, "name of this process, unique in the installation")
 	s.String(&f.opt.DataCentre, "data-centre", "", true, "data centre this process runs in")
 	s.Addrs(&f.opt.Peers, "peers", "", false, "other nodes, comma-separated IP addresses with port")
+	s.Addrs(&f.opt.Entries, "entries", "", false, "all entries, the same list at every node; empty for the peers and this one")
+	s.String(&f.opt.Advertise, "advertise", "", false, "IP address and port others reach this node at, when it listens on all addresses")
+	s.Duration(&f.opt.ReadyLag, "ready-lag", d.ReadyLag, 0, time.Minute, "how long a stopping node serves on after readiness went down")
 	s.List(&f.opt.Cells, "cells", "", "cells this process may own, comma-separated")
 	s.Int(&f.share, "share", 1, 1, 64, "how many nodes send to the same targets")
 	s.Int(&f.conns, "target-connections", 16, 1, 1024, "most connections to one target")
@@ -52,7 +55,7 @@
 		return code
 	}
 	f.opt.Share = int(f.share)
-	f.opt.Peers = slices.DeleteFunc(f.opt.Peers, func(p string) bool { return p == f.listen })
+	f.opt.Peers = slices.DeleteFunc(f.opt.Peers, func(p string) bool { return p == f.listen || p == f.opt.Advertise })
 	l, err := net.Listen("tcp", f.listen)
 	if err != nil {
 		fmt.Fprintln(stderr, settings.Place("listen")+":", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,10 +17,10 @@
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/cellrun"
 	"github.com/crocusspring/crocusspring/internal/configrun"
+	"github.com/crocusspring/crocusspring/internal/dispatch"
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/members"
-	"github.com/crocusspring/crocusspring/internal/route"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 	"golang.org/x/sync/errgroup"
@@ -44,8 +44,14 @@
 	Peers []string
 	// Cells are the cells this node is a candidate for.
 	Cells []string
+	// Advertise is the address others reach this node at; empty for the address it listens on.
+	Advertise string
+	// Entries are the addresses of all entries, the same at every node; empty for the peers and this one.
+	Entries []string
 	// Share is how many nodes send requests to the same targets.
-	Share      int
+	Share int
+	// ReadyLag is how long a stopping node serves on after readiness went down.
+	ReadyLag   time.Duration
 	OwnerLease time.Duration
 	TaskLease  time.Duration
 	SyncEvery  time.Duration
@@ -73,7 +79,9 @@
 	config  *configrun.Driver
 	members *members.Members
 	cells   map[string]*cellrun.Driver
-	router  *router
+
+	requests *dispatch.Dispatcher
+	intake   intake
 }
 
 // New returns a node that has not started.
@@ -81,7 +89,6 @@
 	n := &Node{opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(), cells: map[string]*cellrun.Driver{}}
 	n.config = configrun.New(ports.Log, opt.ID, logs.Part(lg, "config"))
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"))
-	n.router = &router{table: route.New(opt.Share), members: n.members, caller: ports.Targets, dataCentre: opt.DataCentre}
 	for _, c := range opt.Cells {
 		co := cell.Options{
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
@@ -119,7 +126,9 @@
 }
 
 // Ready reports whether the node may be sent requests.
-func (n *Node) Ready() bool { return !n.leaving.Load() && n.config.Ready() }
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.config.Ready() && n.requests.Warm()
+}
 
 // Handler returns all HTTP interfaces of the node.
 func (n *Node) Handler() http.Handler {
@@ -131,13 +140,14 @@
 
 // Serve runs the node on a listener until ctx ends, then stops it gracefully.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
-	n.addr.Store(l.Addr().String())
+	n.newRequests(l.Addr())
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
-	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 16 << 10}
+	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 4 * maxHeader, IdleTimeout: time.Minute}
 	g.Go(func() error { n.config.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
+	g.Go(func() error { n.runRequests(run); return nil })
 	for _, d := range n.cells {
 		g.Go(func() error { return d.Run(run) })
 	}
@@ -171,10 +181,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.opt.Drain)
 	defer cancel()
+	n.lag(ctx)
 	n.waitReleased(ctx)
 	if err := srv.Shutdown(ctx); err != nil {
 		n.lg.Error("Requests were cut off.", "err", err)
 	}
+	n.requests.Drain(ctx)
 }
 
 // waitReleased waits until no cell is owned any more.
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -2,36 +2,61 @@
 
 import (
 	"context"
-	"sync"
+	"net"
+	"slices"
 	"time"
 
-	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/dispatch"
+	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/members"
-	"github.com/crocusspring/crocusspring/internal/route"
-	"github.com/crocusspring/crocusspring/internal/targetapi"
 )
 
-// router sends requests to targets as the route table decides.
-type router struct {
-	mu         sync.Mutex
-	table      *route.Table
-	members    *members.Members
-	caller     targetapi.Caller
-	dataCentre string
+// newRequests makes the request path of a node that serves at an address.
+func (n *Node) newRequests(addr net.Addr) {
+	self := addr.String()
+	if n.opt.Advertise != "" {
+		self = n.opt.Advertise
+	}
+	n.addr.Store(self)
+	set := dispatch.Settings{
+		Self: self, Homes: n.homes(self), DataCentre: n.opt.DataCentre, Incarnation: n.began.UnixNano(),
+	}
+	n.requests = dispatch.New(set, n.members, n.ports.Targets, logs.Part(n.lg, "request"))
+	n.members.Provide(members.Services{Borrow: n.requests.Lend})
+}
+
+// homes returns the addresses of all entries. Every entry must have the same ones in its settings,
+// since the slots of targets are dealt to them.
+func (n *Node) homes(self string) []string {
+	homes := slices.Clone(n.opt.Entries)
+	if len(homes) == 0 {
+		homes = slices.Clone(n.opt.Peers)
+	}
+	if n.opt.Role == RoleEntry {
+		homes = append(homes, self)
+	}
+	slices.Sort(homes)
+	return slices.Compact(homes)
+}
+
+// runner is a port that has work to do in the background.
+type runner interface{ Run(context.Context) }
+
+// runRequests keeps the request path going until ctx ends.
+func (n *Node) runRequests(ctx context.Context) {
+	if r, ok := n.ports.Targets.(runner); ok {
+		go r.Run(ctx)
+	}
+	n.requests.Run(ctx)
 }
 
-// send runs one request. Its error is a *targetapi.NotRunError or *targetapi.UnknownError.
-func (r *router) send(ctx context.Context, c targetapi.Call) (targetapi.Answer, error) {
-	r.mu.Lock()
-	m, ok := r.table.Pick(time.Now(), c.Service, r.dataCentre, r.members.Live(announce.RoleTarget))
-	r.mu.Unlock()
-	if !ok {
-		return targetapi.Answer{}, &targetapi.NotRunError{Reason: "no free slot at any target of the service"}
+// lag keeps serving for a while after readiness went down, so that the balancer sends its requests
+// elsewhere before the listener closes.
+func (n *Node) lag(ctx context.Context) {
+	t := time.NewTimer(n.opt.ReadyLag)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
-	defer func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.table.Done(m.Name)
-	}()
-	return r.caller.Call(ctx, m.Address, c)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,64 +2,124 @@
 package route
 
 import (
+	"math/rand/v2"
 	"time"
+)
+
+// Candidate is a target that may get the request: it has a free credit and is not ejected.
+type Candidate struct {
+	// Near is true for targets in the data centre of this process.
+	Near bool
+	// InUse is how many requests of this process the target has, Slots how many it takes in all.
+	InUse int
+	Slots int
+	// Latency is the moving average seen from here, way there and back included; 0 when unknown.
+	Latency time.Duration
+}
 
-	"github.com/crocusspring/crocusspring/internal/announce"
+// Policy says how to choose.
+type Policy string
+
+// Policies. Default is what the product uses; the others are what it is measured against.
+const (
+	Default     Policy = "two-choices"
+	Random      Policy = "random"
+	RoundRobin  Policy = "round-robin"
+	LeastLoaded Policy = "least-loaded"
 )
 
-// Table counts what this process has in progress at each target. Use New to make one.
-type Table struct {
-	// share is the part of a target's slots this process may use, as 1/share.
-	share  int
-	active map[string]int
+// Picker chooses targets. Use New to make one.
+type Picker struct {
+	policy Policy
+	rng    *rand.Rand
+	next   int
+	near   []int
+	far    []int
+}
+
+// New returns a picker; the seed makes its choices repeatable.
+func New(p Policy, seed uint64) *Picker {
+	return &Picker{policy: p, rng: rand.New(rand.NewPCG(seed, seed))}
 }
 
-// New returns a table for a process that shares targets with share processes, itself included.
-func New(share int) *Table {
-	return &Table{share: max(1, share), active: map[string]int{}}
+// Pick returns the index of the chosen candidate; there must be one at least.
+func (p *Picker) Pick(cs []Candidate) int {
+	switch p.policy {
+	case Random:
+		return p.rng.IntN(len(cs))
+	case RoundRobin:
+		p.next++
+		return p.next % len(cs)
+	case LeastLoaded:
+		return leastLoaded(cs)
+	}
+	return p.twoChoices(cs)
 }
 
-// Pick returns the least loaded target of a service with a free slot, its own data centre first.
-func (t *Table) Pick(now time.Time, service, dataCentre string, members []announce.Member) (announce.Member, bool) {
-	var best announce.Member
-	found := false
-	for _, m := range members {
-		if m.Service != service || m.Leaving || t.active[m.Name] >= m.Slots/t.share {
+// leastLoaded returns the candidate with the fewest requests, near ones first.
+func leastLoaded(cs []Candidate) int {
+	best := 0
+	for i, c := range cs {
+		b := cs[best]
+		if c.Near != b.Near {
+			if c.Near {
+				best = i
+			}
 			continue
 		}
-		if !found || t.better(m, best, dataCentre) {
-			best, found = m, true
+		if c.InUse < b.InUse {
+			best = i
 		}
 	}
-	if found {
-		t.active[best.Name]++
-	}
-	return best, found
+	return best
 }
 
-// better reports whether a is to be preferred over b.
-func (t *Table) better(a, b announce.Member, dataCentre string) bool {
-	if near := a.DataCentre == dataCentre; near != (b.DataCentre == dataCentre) {
-		return near
+// twoChoices draws two near candidates and two far ones and takes the one with the least expected
+// time. Latency contains the way to another data centre, so a far target wins only when the near
+// ones are that much slower or fuller.
+func (p *Picker) twoChoices(cs []Candidate) int {
+	p.near, p.far = p.near[:0], p.far[:0]
+	for i, c := range cs {
+		if c.Near {
+			p.near = append(p.near, i)
+		} else {
+			p.far = append(p.far, i)
+		}
 	}
-	if t.active[a.Name] != t.active[b.Name] {
-		return t.active[a.Name] < t.active[b.Name]
+	mean := meanLatency(cs)
+	best := -1
+	for _, side := range [][]int{p.near, p.far} {
+		for range min(2, len(side)) {
+			i := side[p.rng.IntN(len(side))]
+			if best < 0 || cost(cs[i], mean) < cost(cs[best], mean) {
+				best = i
+			}
+		}
 	}
-	return a.Name < b.Name
+	return best
 }
 
-// Done gives a slot back.
-func (t *Table) Done(target string) {
-	if t.active[target] > 0 {
-		t.active[target]--
+// meanLatency is the latency assumed of a target that is not known yet.
+func meanLatency(cs []Candidate) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, c := range cs {
+		if c.Latency > 0 {
+			sum += c.Latency
+			n++
+		}
 	}
+	return sum / time.Duration(max(1, n))
 }
 
-// Active returns how many requests are in progress at all targets.
-func (t *Table) Active() int {
-	sum := 0
-	for _, n := range t.active {
-		sum += n
+// cost is the expected time of one more request.
+func cost(c Candidate, mean time.Duration) float64 {
+	l := c.Latency
+	if l == 0 {
+		l = mean
+	}
+	if l == 0 {
+		l = time.Millisecond
 	}
-	return sum
+	return float64(l) * (1 + float64(c.InUse)/float64(max(1, c.Slots)))
 }
--- a/internal/standin/targetstand/targetstand.go
+++ b/internal/standin/targetstand/targetstand.go
@@ -26,6 +26,8 @@
 type Target struct {
 	mu       sync.Mutex
 	announce announce.Announcement
+	began    time.Time
+	start    string
 	work     func() time.Duration
 	active   int
 	peak     int
@@ -42,7 +44,10 @@
 // New returns a target as its announcement describes it; work gives the time of each request.
 // The observer may be nil.
 func New(a announce.Announcement, work func() time.Duration, seen Observer) *Target {
-	return &Target{announce: a, work: work, seen: seen, down: make(chan struct{}), attempts: map[string]attemptState{}}
+	now := time.Now()
+	return &Target{
+		announce: a, work: work, began: now, start: strconv.FormatInt(now.UnixNano(), 36), seen: seen, down: make(chan struct{}), attempts: map[string]attemptState{},
+	}
 }
 
 // Handler returns the HTTP interface.
@@ -50,10 +55,37 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/run", t.run)
 	mux.HandleFunc("POST /v1/attempts/{request}/{attempt}/fence", t.fence)
-	mux.HandleFunc("GET /v1/ping", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /v1/ping", func(w http.ResponseWriter, _ *http.Request) {
+		t.tell(w)
+		w.WriteHeader(http.StatusNoContent)
+	})
 	return mux
 }
 
+// tell gives the reading of the target's clock.
+func (t *Target) tell(w http.ResponseWriter) {
+	w.Header().Set(targetapi.HeaderClock, targetapi.FormatClock(t.start, time.Since(t.began)))
+}
+
+// left returns the time an attempt has: what its budget says, counted from now, and its deadline by
+// the target's clock, whichever ends first.
+func (t *Target) left(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(targetapi.HeaderBudgetMS), 10, 64)
+	if err != nil {
+		return 0
+	}
+	left := time.Duration(ms) * time.Millisecond
+	start, deadline, ok := targetapi.ParseClock(r.Header.Get(targetapi.HeaderDeadline))
+	switch {
+	case !ok:
+		return left
+	case start != t.start:
+		return 0
+	default:
+		return min(left, deadline-time.Since(t.began))
+	}
+}
+
 // Peak returns the largest number of requests that ran at once.
 func (t *Target) Peak() int {
 	t.mu.Lock()
@@ -69,8 +101,9 @@
 		return
 	}
 	id, attempt := r.Header.Get(targetapi.HeaderRequestID), r.Header.Get(targetapi.HeaderAttempt)
-	budget, err := strconv.ParseInt(r.Header.Get(targetapi.HeaderBudgetMS), 10, 64)
-	if err != nil || budget <= 0 {
+	t.tell(w)
+	budget := t.left(r)
+	if budget <= 0 {
 		t.refuse(w, id, attempt, "no budget left")
 		return
 	}
@@ -81,7 +114,7 @@
 	}
 	f := t.Faults()
 	t.observe(id, attempt, true)
-	whole, crashed := t.sleep(t.work()+f.Slow, time.Duration(budget)*time.Millisecond, down)
+	whole, crashed := t.sleep(t.work()+f.Slow, budget, down)
 	if crashed {
 		panic(http.ErrAbortHandler)
 	}
--- /dev/null
+++ b/internal/targetapi/http.go
@@ -0,0 +1,188 @@
+package targetapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// HTTP is the adapter over HTTP. Use NewHTTP to make one.
+type HTTP struct {
+	conns int
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// NewHTTP returns an adapter that keeps at most conns connections to each target.
+func NewHTTP(conns int) *HTTP {
+	return &HTTP{conns: max(1, conns), pools: map[string]*pool{}}
+}
+
+// Call implements Caller.
+func (h *HTTP) Call(ctx context.Context, addr string, c Call) (Answer, error) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.Budget)
+	defer cancel()
+	p := h.pool(addr)
+	ln, err := p.take(ctx)
+	if err != nil {
+		return Answer{}, &NotRunError{Reason: "no free connection to the target"}
+	}
+	ans, err := h.on(ctx, ln, p, addr, c, began)
+	p.put(ln, err == nil || errors.As(err, new(*NotRunError)))
+	return ans, err
+}
+
+// on runs an attempt on one lane.
+func (h *HTTP) on(ctx context.Context, ln *lane, p *pool, addr string, c Call, began time.Time) (Answer, error) {
+	left := c.Budget - time.Since(began)
+	if left <= 0 {
+		return Answer{}, &NotRunError{Reason: "no budget left"}
+	}
+	req, err := newRequest(ctx, addr, c, left)
+	if err != nil {
+		return Answer{}, &NotRunError{Reason: err.Error()}
+	}
+	deadline, enforced := p.clock.deadline(time.Now(), left)
+	if enforced {
+		req.Header.Set(HeaderDeadline, deadline)
+	}
+	ln.written.Store(0)
+	resp, err := ln.client.Do(req)
+	if err != nil && ln.written.Load() == 0 {
+		return Answer{}, &NotRunError{Reason: "no connection to the target"}
+	}
+	if err != nil {
+		over := enforced && errors.Is(ctx.Err(), context.DeadlineExceeded)
+		return Answer{}, &UnknownError{Err: err, Over: over}
+	}
+	defer resp.Body.Close()
+	p.clock.read(time.Now(), resp.Header.Get(HeaderClock))
+	return whole(resp)
+}
+
+// newRequest makes the request of an attempt. It can't be sent again by the transport, since its
+// method is not idempotent and its body can't be rewound.
+func newRequest(ctx context.Context, addr string, c Call, left time.Duration) (*http.Request, error) {
+	body := io.Reader(http.NoBody)
+	if len(c.Body) > 0 {
+		body = io.NopCloser(bytes.NewReader(c.Body))
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/run", body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(c.Body))
+	req.Header.Set(HeaderRequestID, c.RequestID)
+	req.Header.Set(HeaderAttempt, strconv.Itoa(c.Attempt))
+	req.Header.Set(HeaderBudgetMS, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	req.Header.Set(HeaderWorkspace, c.Workspace)
+	req.Header.Set("Content-Type", "application/octet-stream")
+	return req, nil
+}
+
+// errNoLength says that an answer carries no length, so that a part can't be told from the whole.
+var errNoLength = errors.New("answer has no length")
+
+// whole reads the answer to its end; a part of one is an error.
+func whole(resp *http.Response) (Answer, error) {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return Answer{}, &UnknownError{Err: errNoLength}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
+	if err != nil {
+		return Answer{}, &UnknownError{Err: fmt.Errorf("read answer: %w", err)}
+	}
+	if len(body) > MaxAnswer {
+		return Answer{}, &UnknownError{Err: errors.New("answer is too large")}
+	}
+	reason := resp.Header.Get(HeaderReason)
+	switch Outcome(resp.Header.Get(HeaderOutcome)) {
+	case NotRun:
+		return Answer{}, &NotRunError{Reason: "target refused: " + reason, Sent: true}
+	case Unknown:
+		return Answer{}, &UnknownError{Err: errors.New("target: " + reason), Over: true}
+	}
+	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
+
+// Probe implements Caller.
+func (h *HTTP) Probe(ctx context.Context, addr, request string, attempt int) (Probe, error) {
+	p := h.pool(addr)
+	ln, err := p.takeProbe(ctx)
+	if err != nil {
+		return Probe{}, err
+	}
+	defer p.putProbe(ln)
+	path := "http://" + addr + "/v1/attempts/" + url.PathEscape(request) + "/" + strconv.Itoa(attempt) + "/fence"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, path, http.NoBody)
+	if err != nil {
+		return Probe{}, err
+	}
+	resp, err := ln.client.Do(req)
+	if err != nil {
+		return Probe{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Probe{}, fmt.Errorf("%w (status %d)", ErrNoProbe, resp.StatusCode)
+	}
+	var out Probe
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 2*MaxAnswer)).Decode(&out); err != nil {
+		return Probe{}, fmt.Errorf("probe: %w", err)
+	}
+	return out, nil
+}
+
+// pool returns the connections to a target.
+func (h *HTTP) pool(addr string) *pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.pools[addr]
+	if p == nil {
+		p = newPool(addr, h.conns)
+		h.pools[addr] = p
+	}
+	p.used = time.Now()
+	return p
+}
+
+// Run pings idle connections and closes unused ones until ctx ends.
+func (h *HTTP) Run(ctx context.Context) {
+	t := time.NewTicker(pingEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			now := time.Now()
+			for _, p := range h.swept(now) {
+				go p.pingIdle(ctx, now.Add(-pingEvery/2))
+			}
+		}
+	}
+}
+
+// swept forgets pools that were not used for long and returns the others.
+func (h *HTTP) swept(now time.Time) []*pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []*pool
+	for addr, p := range h.pools {
+		if now.Sub(p.used) > forgetPool && p.closeIdle() {
+			delete(h.pools, addr)
+			continue
+		}
+		out = append(out, p)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/targetapi/pool.go
@@ -0,0 +1,219 @@
+package targetapi
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// pingEvery is the time between two pings of an idle connection, pingTimeout its deadline.
+	pingEvery   = 500 * time.Millisecond
+	pingTimeout = 300 * time.Millisecond
+	// idleAfter is how long a connection is kept without a request.
+	idleAfter = 10 * time.Second
+	// forgetPool is how long a target without requests is remembered.
+	forgetPool = time.Minute
+	// maxPing bounds the bytes read from the answer to a ping.
+	maxPing = 4 << 10
+)
+
+// lane is one connection to a target, dialled when it is first used. It has a transport of its own,
+// so that a request and a ping can be put on just this connection.
+type lane struct {
+	client  *http.Client
+	written atomic.Int64
+	used    time.Time
+	pinged  time.Time
+}
+
+// newLane returns a lane that is not connected yet.
+func newLane() *lane {
+	ln := &lane{}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	ln.client = &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true,
+			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, addr)
+				if err != nil {
+					return nil, err
+				}
+				return &countedConn{Conn: c, written: &ln.written}, nil
+			},
+		},
+	}
+	return ln
+}
+
+// close closes the connection.
+func (ln *lane) close() { ln.client.CloseIdleConnections() }
+
+// countedConn counts what was handed to the network, so that a request of which nothing was is known
+// not to have been sent.
+type countedConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+// Write counts before it writes: a failed write may still have sent a part.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+// pool is the connections to one target. A connection serves one request at a time.
+type pool struct {
+	addr string
+	// free holds one item for each connection that may still be used or opened.
+	free  chan struct{}
+	probe chan struct{}
+	clock clock
+	used  time.Time
+
+	mu   sync.Mutex
+	idle []*lane
+}
+
+// newPool returns a pool of at most conns connections, one of them for probes when there are two.
+func newPool(addr string, conns int) *pool {
+	p := &pool{addr: addr, free: make(chan struct{}, max(1, conns-1))}
+	for range cap(p.free) {
+		p.free <- struct{}{}
+	}
+	p.probe = p.free
+	if conns > 1 {
+		p.probe = make(chan struct{}, 1)
+		p.probe <- struct{}{}
+	}
+	return p
+}
+
+// errNoConnection says that every connection is in use.
+var errNoConnection = errors.New("no free connection")
+
+// take returns the lane that was used last, or a new one.
+func (p *pool) take(ctx context.Context) (*lane, error) {
+	select {
+	case <-p.free:
+	case <-ctx.Done():
+		return nil, errNoConnection
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.idle); n > 0 {
+		ln := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		return ln, nil
+	}
+	return newLane(), nil
+}
+
+// put gives a lane back. One whose request failed is closed, and the idle ones are pinged, since what
+// made one connection silent has likely met the others.
+func (p *pool) put(ln *lane, sound bool) {
+	if sound {
+		ln.used = time.Now()
+		p.mu.Lock()
+		p.idle = append(p.idle, ln)
+		p.mu.Unlock()
+	} else {
+		ln.close()
+		go p.pingIdle(context.Background(), time.Now())
+	}
+	p.free <- struct{}{}
+}
+
+// takeProbe returns a lane with a new connection.
+func (p *pool) takeProbe(ctx context.Context) (*lane, error) {
+	select {
+	case <-p.probe:
+		return newLane(), nil
+	case <-ctx.Done():
+		return nil, errNoConnection
+	}
+}
+
+// putProbe closes the lane of a probe.
+func (p *pool) putProbe(ln *lane) {
+	ln.close()
+	p.probe <- struct{}{}
+}
+
+// pingIdle pings the idle connections that were neither used nor pinged since a time, and closes
+// those that don't answer.
+func (p *pool) pingIdle(ctx context.Context, since time.Time) {
+	var wg sync.WaitGroup
+	for ln := p.unchecked(since); ln != nil; ln = p.unchecked(since) {
+		wg.Go(func() { p.check(ctx, ln) })
+	}
+	wg.Wait()
+}
+
+// unchecked takes an idle connection that was neither used nor pinged since a time.
+func (p *pool) unchecked(since time.Time) *lane {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.idle, func(ln *lane) bool { return ln.used.Before(since) && ln.pinged.Before(since) })
+	if i < 0 {
+		return nil
+	}
+	select {
+	case <-p.free:
+	default:
+		return nil
+	}
+	ln := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return ln
+}
+
+// check pings one connection and gives it back when it answers in time.
+func (p *pool) check(ctx context.Context, ln *lane) {
+	defer func() { p.free <- struct{}{} }()
+	if time.Since(ln.used) > idleAfter || !p.ping(ctx, ln) {
+		ln.close()
+		return
+	}
+	ln.pinged = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle = slices.Insert(p.idle, 0, ln)
+}
+
+// ping reports whether the target answers on a connection before the deadline; any status will do.
+func (p *pool) ping(ctx context.Context, ln *lane) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.addr+"/v1/ping", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := ln.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	p.clock.read(time.Now(), resp.Header.Get(HeaderClock))
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxPing))
+	return err == nil
+}
+
+// closeIdle closes the idle connections and reports whether no connection is in use.
+func (p *pool) closeIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, ln := range p.idle {
+		ln.close()
+	}
+	p.idle = nil
+	return len(p.free) == cap(p.free)
+}
--- a/internal/targetapi/probe.go
+++ b/internal/targetapi/probe.go
@@ -1,5 +1,10 @@
 package targetapi
 
+import "errors"
+
+// ErrNoProbe says that a target does not answer probes.
+var ErrNoProbe = errors.New("target answers no probes")
+
 // AttemptState is what a target says of one attempt.
 type AttemptState string
 
--- a/internal/targetapi/targetapi.go
+++ b/internal/targetapi/targetapi.go
@@ -1,20 +1,14 @@
 // Package targetapi is the port to targets and its HTTP adapter.
 //
 // A target serves POST /v1/run with the request's body. It refuses with header Crocus-Outcome:
-// not-run when it did not run the request, and enforces the deadline it is given.
+// not-run when it did not run the request, and enforces the deadline it is given. It may also serve
+// POST /v1/attempts/{request}/{attempt}/fence, which tells whether an attempt is over and refuses one
+// that was never seen should it still arrive, GET /v1/ping, and give the reading of its clock in
+// header Crocus-Clock. What a target does not serve only costs proof: outcomes stay unknown longer.
 package targetapi
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"fmt"
-	"io"
-	"net"
-	"net/http"
-	"net/http/httptrace"
-	"strconv"
-	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +21,14 @@
 	HeaderWorkspace = "Crocus-Workspace"
 	HeaderKey       = "Idempotency-Key"
 	HeaderReason    = "Crocus-Reason"
+	// HeaderClock gives the target's clock: a word that is new after each start and milliseconds since.
+	HeaderClock = "Crocus-Clock"
+	// HeaderDeadline gives the deadline of an attempt by the target's own clock, in the same form.
+	HeaderDeadline = "Crocus-Deadline"
+	// HeaderIdempotent is true on a request that may run again once an earlier run is over.
+	HeaderIdempotent = "Crocus-Idempotent"
+	// HeaderRetryAfterMS tells a refused caller when to come back, finer than Retry-After.
+	HeaderRetryAfterMS = "Crocus-Retry-After-Ms"
 )
 
 // Outcome is what is known of a request.
@@ -58,13 +60,21 @@
 }
 
 // NotRunError says that the attempt surely did not run.
-type NotRunError struct{ Reason string }
+type NotRunError struct {
+	Reason string
+	// Sent is true when bytes of the attempt reached the target, which then refused it.
+	Sent bool
+}
 
 // Error gives the reason.
 func (e *NotRunError) Error() string { return "not run: " + e.Reason }
 
 // UnknownError says that the attempt may have run.
-type UnknownError struct{ Err error }
+type UnknownError struct {
+	Err error
+	// Over is true when the attempt is surely over, run or not.
+	Over bool
+}
 
 // Error gives the cause.
 func (e *UnknownError) Error() string { return "outcome unknown: " + e.Err.Error() }
@@ -76,65 +86,9 @@
 type Caller interface {
 	// Call runs one attempt at the target's address. Its error is a *NotRunError or *UnknownError.
 	Call(ctx context.Context, addr string, c Call) (Answer, error)
+	// Probe asks over a connection of its own what became of an attempt.
+	Probe(ctx context.Context, addr, request string, attempt int) (Probe, error)
 }
 
 // MaxAnswer bounds the bytes of one answer.
 const MaxAnswer = 8 << 20
-
-// HTTP is the adapter over HTTP.
-type HTTP struct{ client *http.Client }
-
-// NewHTTP returns an adapter that keeps at most conns connections to each target.
-func NewHTTP(conns int) *HTTP {
-	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
-		MaxConnsPerHost:     conns,
-		MaxIdleConnsPerHost: conns,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
-	return &HTTP{client: &http.Client{Transport: t}}
-}
-
-// Call implements Caller.
-func (h *HTTP) Call(ctx context.Context, addr string, c Call) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.Budget)
-	defer cancel()
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
-		"http://"+addr+"/v1/run", io.NopCloser(bytes.NewReader(c.Body)))
-	if err != nil {
-		return Answer{}, &NotRunError{Reason: err.Error()}
-	}
-	req.ContentLength = int64(len(c.Body))
-	req.Header.Set(HeaderRequestID, c.RequestID)
-	req.Header.Set(HeaderAttempt, strconv.Itoa(c.Attempt))
-	req.Header.Set(HeaderBudgetMS, strconv.FormatInt(c.Budget.Milliseconds(), 10))
-	req.Header.Set(HeaderWorkspace, c.Workspace)
-	req.Header.Set("Content-Type", "application/octet-stream")
-	resp, err := h.client.Do(req)
-	if err != nil && !wrote.Load() {
-		return Answer{}, &NotRunError{Reason: "no connection to the target"}
-	}
-	if err != nil {
-		return Answer{}, &UnknownError{Err: err}
-	}
-	defer resp.Body.Close()
-	return whole(resp)
-}
-
-// whole reads the answer to its end; a part of one is an error.
-func whole(resp *http.Response) (Answer, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
-	if err != nil {
-		return Answer{}, &UnknownError{Err: fmt.Errorf("read answer: %w", err)}
-	}
-	if len(body) > MaxAnswer {
-		return Answer{}, &UnknownError{Err: errors.New("answer is too large")}
-	}
-	if resp.Header.Get(HeaderOutcome) == string(NotRun) {
-		return Answer{}, &NotRunError{Reason: "target refused: " + resp.Header.Get(HeaderReason)}
-	}
-	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
-}
