--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -72,6 +72,9 @@
 	seen    uint64
 	// attempts counts attempts that run at a target, those whose caller was answered included.
 	attempts sync.WaitGroup
+	// life ends when Run does; then nothing is started any more and open calls are given up.
+	life   context.Context
+	finish context.CancelFunc
 	hungry   chan struct{}
 	// asking holds the lenders to which a request is on its way.
 	asking sync.Map
@@ -93,8 +96,9 @@
 		DataCentre: s.DataCentre, MaxAttempt: MaxAttempt, Policy: route.Default, Seed: rand.Uint64(),
 		Queue: admit.Limits{Requests: maxWaiting, Bytes: maxWaitingBytes},
 	}
+	life, finish := context.WithCancel(context.Background())
 	return &Dispatcher{
-		members: m, caller: c, lg: lg, core: NewCore(o, book), credits: book,
+		life: life, finish: finish, members: m, caller: c, lg: lg, core: NewCore(o, book), credits: book,
 		pending: map[string]*pending{}, hungry: make(chan struct{}, 1),
 	}
 }
@@ -143,6 +147,10 @@
 	}
 	for _, st := range a.Starts {
 		p := d.pending[st.Request]
+		if d.life.Err() != nil {
+			d.reply(st.Request, Reply{Outcome: targetapi.NotRun, Reason: "this node has stopped"})
+			continue
+		}
 		d.attempts.Add(1)
 		go d.run(st, p.call)
 	}
@@ -187,6 +195,7 @@
 
 // Run keeps targets and credits up to date until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
+	defer d.finish()
 	go d.borrow(ctx)
 	for ctx.Err() == nil {
 		d.refresh()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -34,7 +34,7 @@
 // run runs one attempt to its end and settles the request.
 func (d *Dispatcher) run(st Start, c targetapi.Call) {
 	defer d.attempts.Done()
-	ctx, cancel := context.WithDeadline(context.Background(), st.Until)
+	ctx, cancel := context.WithDeadline(d.life, st.Until)
 	defer cancel()
 	c.Attempt, c.Budget = st.Attempt, time.Until(st.Until)
 	w := &watch{d: d, st: st, request: c.RequestID, ctx: ctx, cancel: cancel}
@@ -47,11 +47,11 @@
 	case f == nil:
 		f = d.settle(st, c.RequestID, err)
 	}
-	d.finish(st, c.Service, f)
+	d.ended(st, c.Service, f)
 }
 
-// finish tells the core how an attempt ended and the caller what came of its request.
-func (d *Dispatcher) finish(st Start, service string, f *finding) {
+// ended tells the core how an attempt ended and the caller what came of its request.
+func (d *Dispatcher) ended(st Start, service string, f *finding) {
 	d.step(func(now time.Time) Actions {
 		if f.result.Answered {
 			d.reply(st.Request, Reply{Outcome: targetapi.Answered, Answer: *f.answer})
@@ -72,7 +72,7 @@
 // it is known or the deadline has passed.
 func (d *Dispatcher) settle(st Start, request string, err error) *finding {
 	f := judge(err)
-	for f.result.Proof == retry.None && time.Now().Before(st.Until) {
+	for f.result.Proof == retry.None && time.Now().Before(st.Until) && d.life.Err() == nil {
 		p, perr := d.probe(st, request)
 		if errors.Is(perr, targetapi.ErrNoProbe) {
 			return f
@@ -118,7 +118,7 @@
 
 // probe asks a target what became of an attempt.
 func (d *Dispatcher) probe(st Start, request string) (targetapi.Probe, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), min(probeTimeout, max(time.Millisecond, time.Until(st.Until))))
+	ctx, cancel := context.WithTimeout(d.life, min(probeTimeout, max(time.Millisecond, time.Until(st.Until))))
 	defer cancel()
 	p, err := d.caller.Probe(ctx, st.Address, request, st.Attempt)
 	if err != nil {
--- a/internal/logsvc/http.go
+++ b/internal/logsvc/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/netdial"
 )
 
 // maxAnswer bounds the bytes read from one answer of the service.
@@ -38,9 +41,9 @@
 }
 
 // NewHTTP returns a client of the service at an IP address with port.
-func NewHTTP(addr string) *HTTP {
+func NewHTTP(addr string, dial ...netdial.Func) *HTTP {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         netdial.First(time.Second, dial...),
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     time.Minute,
 	}
@@ -60,11 +63,18 @@
 	req.Header.Set("Content-Type", "application/json")
 	var out AppendResponse
 	status, err := h.do(req, &out)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, ErrRefused, err)
+	}
 	if err != nil {
 		return 0, fmt.Errorf("append to %s: %w", stream, err)
 	}
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	switch status {
+	case http.StatusServiceUnavailable:
 		return 0, fmt.Errorf("append to %s: %w (status %d)", stream, ErrRefused, status)
+	case http.StatusTooManyRequests:
+		return 0, fmt.Errorf("append to %s: %w", stream, ErrOverRate)
 	}
 	if status != http.StatusOK {
 		return 0, fmt.Errorf("append to %s: status %d", stream, status)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
 	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/netdial"
 )
 
 const (
@@ -55,13 +55,13 @@
 }
 
 // New returns a table that is exchanged with the peers at the given addresses.
-func New(self Self, peers []string, lg *log.Logger) *Members {
+func New(self Self, peers []string, lg *log.Logger, dial ...netdial.Func) *Members {
 	m := &Members{
 		table: announce.NewTable(), processes: map[string]heard{}, byAddr: map[string]*peer{},
 		self: self, lg: lg, news: make(chan struct{}, 1),
 	}
 	m.client = &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: exchangeTimeout}).DialContext,
+		DialContext:         netdial.First(exchangeTimeout, dial...),
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     30 * time.Second,
 	}}
--- a/internal/targetapi/http.go
+++ b/internal/targetapi/http.go
@@ -12,18 +12,21 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/netdial"
 )
 
 // HTTP is the adapter over HTTP. Use NewHTTP to make one.
 type HTTP struct {
 	conns int
+	dial  netdial.Func
 	mu    sync.Mutex
 	pools map[string]*pool
 }
 
 // NewHTTP returns an adapter that keeps at most conns connections to each target.
-func NewHTTP(conns int) *HTTP {
-	return &HTTP{conns: max(1, conns), pools: map[string]*pool{}}
+func NewHTTP(conns int, dial ...netdial.Func) *HTTP {
+	return &HTTP{conns: max(1, conns), dial: netdial.First(dialTimeout, dial...), pools: map[string]*pool{}}
 }
 
 // Call implements Caller.
@@ -148,7 +151,7 @@
 	defer h.mu.Unlock()
 	p := h.pools[addr]
 	if p == nil {
-		p = newPool(addr, h.conns)
+		p = newPool(addr, h.conns, h.dial)
 		h.pools[addr] = p
 	}
 	p.used = time.Now()
--- a/internal/targetapi/pool.go
+++ b/internal/targetapi/pool.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/netdial"
 )
 
 const (
@@ -35,15 +37,14 @@
 }
 
 // newLane returns a lane that is not connected yet.
-func newLane() *lane {
+func newLane(dial netdial.Func) *lane {
 	ln := &lane{}
-	dialer := net.Dialer{Timeout: dialTimeout}
 	ln.client = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
 			MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true,
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-				c, err := dialer.DialContext(ctx, network, addr)
+				c, err := dial(ctx, network, addr)
 				if err != nil {
 					return nil, err
 				}
@@ -73,6 +74,7 @@
 // pool is the connections to one target. A connection serves one request at a time.
 type pool struct {
 	addr string
+	dial netdial.Func
 	// free holds one item for each connection that may still be used or opened.
 	free  chan struct{}
 	probe chan struct{}
@@ -84,8 +86,8 @@
 }
 
 // newPool returns a pool of at most conns connections, one of them for probes when there are two.
-func newPool(addr string, conns int) *pool {
-	p := &pool{addr: addr, free: make(chan struct{}, max(1, conns-1))}
+func newPool(addr string, conns int, dial netdial.Func) *pool {
+	p := &pool{addr: addr, dial: dial, free: make(chan struct{}, max(1, conns-1))}
 	for range cap(p.free) {
 		p.free <- struct{}{}
 	}
@@ -114,7 +116,7 @@
 		p.idle = p.idle[:n-1]
 		return ln, nil
 	}
-	return newLane(), nil
+	return newLane(p.dial), nil
 }
 
 // put gives a lane back. One whose request failed is closed, and the idle ones are pinged, since what
@@ -136,7 +138,7 @@
 func (p *pool) takeProbe(ctx context.Context) (*lane, error) {
 	select {
 	case <-p.probe:
-		return newLane(), nil
+		return newLane(p.dial), nil
 	case <-ctx.Done():
 		return nil, errNoConnection
 	}
