--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -293,3 +293,12 @@
 	slices.Sort(out)
 	return out
 }
+
+// SetRested says that nothing from an earlier life of this process can last, so that its own slots
+// may be used at once.
+func (b *Book) SetRested(now time.Time) {
+	b.began = now.Add(-b.opt.rest())
+	for _, a := range b.targets {
+		a.rests = now
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -75,7 +75,7 @@
 	// life ends when Run does; then nothing is started any more and open calls are given up.
 	life   context.Context
 	finish context.CancelFunc
-	hungry   chan struct{}
+	hungry chan struct{}
 	// asking holds the lenders to which a request is on its way.
 	asking sync.Map
 }
