--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -32,7 +32,7 @@
 // call serves one latency-critical request of a caller.
 func (n *Node) call(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	if n.leaving.Load() {
+	if n.life.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	room := size(r)
