--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -33,8 +33,9 @@
 				Targets []string `json:"targets"`
 				Workers []string `json:"workers"`
 			}
+			ready, _ := call(ctx, http.MethodGet, "http://"+a+"/readyz", nil, nil, nil)
 			status, err := call(ctx, http.MethodGet, "http://"+a+"/v1/status", nil, nil, &s)
-			if err == nil && status == http.StatusOK && len(s.Targets) == c.Shape.Targets && len(s.Workers) == c.Shape.Workers {
+			if err == nil && ready == http.StatusOK && status == http.StatusOK && len(s.Targets) == c.Shape.Targets && len(s.Workers) == c.Shape.Workers {
 				break
 			}
 			select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,12 +17,12 @@
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/cellrun"
 	"github.com/crocusspring/crocusspring/internal/configrun"
+	"github.com/crocusspring/crocusspring/internal/dispatch"
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/members"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/netdial"
-	"github.com/crocusspring/crocusspring/internal/route"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 	"golang.org/x/sync/errgroup"
@@ -46,8 +46,14 @@
 	Peers []string
 	// Cells are the cells this node is a candidate for.
 	Cells []string
+	// Advertise is the address others reach this node at; empty for the address it listens on.
+	Advertise string
+	// Entries are the addresses of all entries, the same at every node; empty for the peers and this one.
+	Entries []string
 	// Share is how many nodes send requests to the same targets.
-	Share      int
+	Share int
+	// ReadyLag is how long a stopping node serves on after readiness went down.
+	ReadyLag   time.Duration
 	OwnerLease time.Duration
 	TaskLease  time.Duration
 	SyncEvery  time.Duration
@@ -82,7 +88,9 @@
 	config  *configrun.Driver
 	members *members.Members
 	cells   map[string]*cellrun.Driver
-	router  *router
+
+	requests *dispatch.Dispatcher
+	intake   intake
 }
 
 // New returns a node that has not started.
@@ -95,7 +103,6 @@
 	n.ports.Log, ports.Log = n.commit, n.commit
 	n.config = configrun.New(ports.Log, opt.ID, logs.Part(lg, "config"))
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"), ports.Dial)
-	n.router = &router{table: route.New(opt.Share), members: n.members, caller: ports.Targets, dataCentre: opt.DataCentre}
 	for _, c := range opt.Cells {
 		co := cell.Options{
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
@@ -134,7 +141,7 @@
 
 // Ready reports whether the node may be sent requests.
 func (n *Node) Ready() bool {
-	if n.config.Ready() {
+	if n.config.Ready() && n.requests.Warm() {
 		n.life.fire(eventCaughtUp)
 	}
 	return n.life.State() == lifeReady
@@ -152,13 +159,14 @@
 
 // Serve runs the node on a listener until ctx ends, then stops it gracefully.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
-	n.addr.Store(l.Addr().String())
+	n.newRequests(l.Addr())
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
-	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 16 << 10}
+	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 4 * maxHeader, IdleTimeout: time.Minute}
 	g.Go(func() error { n.config.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
+	g.Go(func() error { n.runRequests(run); return nil })
 	g.Go(func() error { n.gauges(run); return nil })
 	g.Go(func() error { return n.keepShare(run) })
 	for _, d := range n.cells {
@@ -196,11 +204,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.opt.Drain)
 	defer cancel()
+	n.lag(ctx)
 	n.waitReleased(ctx)
 	if err := srv.Shutdown(ctx); err != nil {
 		n.lg.Error("Requests were cut off.", "err", err)
 		n.life.fire(eventDrainTimeout)
 	}
+	n.requests.Drain(ctx)
 	n.life.fire(eventDrained)
 }
 
