--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,20 +2,25 @@
 //
 // A proposal names the version it expects to replace. The first one in log order that names the
 // current version wins and every reader reaches the same verdict, so the fold needs no other
-// agreement. Folding is idempotent by record id.
+// agreement. Whether a spec is sound plays no part in the verdict: builds of different age would
+// disagree about it. It is checked before a record is published, and once more when the record is
+// converted to the internal form, see View.
 package config
 
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/crocusspring/crocusspring/internal/logsvc"
-	"github.com/crocusspring/crocusspring/internal/record"
 )
 
 // Stream is the log stream that carries configuration.
 const Stream = "config"
 
+// ProposalSchema is the version of the shape of Proposal.
+const ProposalSchema = 1
+
 // Key names one configuration record.
 type Key struct {
 	Kind string `json:"kind"`
@@ -37,15 +42,18 @@
 	// Deleted withdraws the record.
 	Deleted bool            `json:"deleted,omitempty"`
 	Spec    json.RawMessage `json:"spec,omitempty"`
+	// At is when the record was published, by the clock of the process that did.
+	At time.Time `json:"at,omitzero"`
 }
 
 // Version is one accepted record.
 type Version struct {
 	Proposal
-	// Number counts the accepted proposals of the key, from 1.
-	Number int64         `json:"version"`
-	Offset logsvc.Offset `json:"offset"`
-	By     string        `json:"by"`
+	// Number grows with every accepted proposal of the key; it need not grow by one.
+	Number   int64         `json:"version"`
+	Offset   logsvc.Offset `json:"offset"`
+	By       string        `json:"by"`
+	RecordID string        `json:"record_id"`
 }
 
 // Verdict is what the fold decided about one proposal.
@@ -54,80 +62,42 @@
 	Key      Key    `json:"key"`
 	Accepted bool   `json:"accepted"`
 	// Current is the version in force after the verdict.
-	Current int64  `json:"current"`
-	Reason  string `json:"reason,omitempty"`
-}
-
-// State is the fold of the config stream. The zero value is not ready; use NewState.
-type State struct {
-	versions map[Key]Version
-	verdicts map[string]Verdict
-	next     logsvc.Offset
+	Current int64 `json:"current"`
+	// Offset is where the proposal stands.
+	Offset logsvc.Offset `json:"offset"`
+	Reason string        `json:"reason,omitempty"`
 }
 
-// NewState returns the fold of the empty stream.
-func NewState() *State {
-	return &State{versions: map[Key]Version{}, verdicts: map[string]Verdict{}, next: 1}
+// Change is what one entry of the stream did.
+type Change struct {
+	Verdict
+	By       string
+	Proposal Proposal
+	// Before is the version that was in force; nil for none.
+	Before *Version
+	// Repeated says that the record's id was judged before and that nothing changed.
+	Repeated bool
 }
 
-// Step folds one log entry. Entries before the next offset were folded already and change nothing.
-func (s *State) Step(e logsvc.Entry) (Verdict, error) {
-	if e.Offset < s.next {
-		return Verdict{}, nil
-	}
-	s.next = e.Offset + 1
-	env, err := record.Decode(e.Data)
-	if err != nil {
-		return Verdict{}, fmt.Errorf("config offset %d: %w", e.Offset, err)
-	}
-	if v, ok := s.verdicts[env.ID]; ok {
-		return v, nil
-	}
-	var p Proposal
-	if err := json.Unmarshal(env.Body, &p); err != nil {
-		return Verdict{}, fmt.Errorf("config offset %d: record %s: %w", e.Offset, env.ID, err)
-	}
-	v := s.judge(env, p, e.Offset)
-	s.verdicts[env.ID] = v
-	return v, nil
+// Fault is an entry or a record that could not be read. Nothing else is affected by it.
+type Fault struct {
+	Offset  logsvc.Offset `json:"offset"`
+	Record  string        `json:"record,omitempty"`
+	Problem string        `json:"problem"`
 }
 
-// judge compares the proposal with the version in force and folds it when it wins.
-func (s *State) judge(env record.Envelope, p Proposal, at logsvc.Offset) Verdict {
-	cur := s.versions[p.Key]
-	v := Verdict{RecordID: env.ID, Key: p.Key, Current: cur.Number}
-	if p.Expected != cur.Number {
-		v.Reason = fmt.Sprintf("expected version %d, but version %d by %s is in force", p.Expected, cur.Number, cur.By)
-		return v
+// String formats the fault on one line.
+func (f Fault) String() string {
+	if f.Record == "" {
+		return fmt.Sprintf("offset %d: %s", f.Offset, f.Problem)
 	}
-	s.versions[p.Key] = Version{Proposal: p, Number: cur.Number + 1, Offset: at, By: env.By}
-	v.Accepted = true
-	v.Current = cur.Number + 1
-	return v
+	return fmt.Sprintf("offset %d: %s: %s", f.Offset, f.Record, f.Problem)
 }
 
-// Get returns the version in force of a key; deleted records are not found.
-func (s *State) Get(k Key) (Version, bool) {
-	v, ok := s.versions[k]
-	return v, ok && !v.Deleted
-}
+// GapError says that an entry does not follow the newest one that was folded.
+type GapError struct{ Next, Got logsvc.Offset }
 
-// Verdict returns what was decided about a record id.
-func (s *State) Verdict(id string) (Verdict, bool) {
-	v, ok := s.verdicts[id]
-	return v, ok
+// Error names both offsets.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("entry %d can't be folded before entry %d", e.Got, e.Next)
 }
-
-// All returns every record in force in no particular order.
-func (s *State) All() []Version {
-	out := make([]Version, 0, len(s.versions))
-	for _, v := range s.versions {
-		if !v.Deleted {
-			out = append(out, v)
-		}
-	}
-	return out
-}
-
-// Next returns the offset to read from next.
-func (s *State) Next() logsvc.Offset { return s.next }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,11 +26,10 @@
 	Expired(first logsvc.Offset) logsvc.Offset
 }
 
-// Run reads the stream from an offset on until ctx ends.
+// Run reads the stream from an offset on until ctx ends. A fold that must outlive the retention of its
+// stream uses Fold in place of Run.
 func Run(ctx context.Context, r logsvc.Reader, stream string, from logsvc.Offset, h Handler, lg *log.Logger) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = 50 * time.Millisecond
-	pause.MaxInterval = maxBackoff
+	pause := newPause()
 	for ctx.Err() == nil {
 		b, err := read(ctx, r, stream, from)
 		if err == nil {
@@ -52,6 +51,14 @@
 	}
 }
 
+// newPause returns the pauses between failed reads: doubling with jitter.
+func newPause() *backoff.ExponentialBackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 50 * time.Millisecond
+	pause.MaxInterval = maxBackoff
+	return pause
+}
+
 // read does one read under a timeout.
 func read(ctx context.Context, r logsvc.Reader, stream string, from logsvc.Offset) (logsvc.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
