--- /dev/null
+++ b/internal/config/state_test.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/record"
+	"pgregory.net/rapid"
+)
+
+// put folds a proposal at the next offset.
+func put(t interface{ Fatal(...any) }, s *State, id string, p Proposal) Change {
+	env, err := record.New(id, record.KindProposal, ProposalSchema, "op", p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := env.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := s.Step(logsvc.Entry{Offset: s.Next(), Data: raw})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestReplays draws proposals and repeats of any earlier one, however late, with room for only two
+// verdicts and with snapshots in between: no record seen again has an effect, numbers only grow, a
+// verdict that is still kept stands, and Early foretells what the fold decides.
+func TestReplays(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := NewState()
+		s.recent = newRing(2)
+		sent := []Proposal{}
+		judged := map[int]bool{}
+		newest := map[Key]int64{}
+		old, oldNext := snapshotOf(rt, s), s.Next()
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			i := rapid.IntRange(0, 2*len(sent)).Draw(rt, "which")
+			if i >= len(sent) {
+				i = len(sent)
+				k := Key{KindService, rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "name")}
+				ahead := rapid.SampledFrom([]int64{0, 0, -1, 1, 2}).Draw(rt, "ahead")
+				sent = append(sent, Proposal{
+					Key: k, Expected: max(0, s.Newest(k)+ahead), Schema: 1,
+					Deleted: rapid.Bool().Draw(rt, "deleted"), Spec: json.RawMessage(`{"budget_ms":5}`),
+				})
+			}
+			id := fmt.Sprintf("r%d", i)
+			kept, known := s.Verdict(id)
+			early, sure := s.Early(id, sent[i])
+			c := put(rt, s, id, sent[i])
+			if known && (c.Verdict != kept || !c.Repeated) {
+				rt.Fatalf("%s was %+v and is now %+v", id, kept, c.Verdict)
+			}
+			if sure && early.Accepted != c.Accepted && !judged[i] {
+				rt.Fatalf("%s was foretold %+v and is %+v", id, early, c.Verdict)
+			}
+			if _, ok := s.Verdict(id); !ok {
+				rt.Fatalf("the verdict on %s is not kept", id)
+			}
+			if c.Accepted && !c.Repeated {
+				if judged[i] {
+					rt.Fatalf("%s had an effect when it was seen again", id)
+				}
+				if c.Current <= newest[c.Key] || c.Current <= sent[i].Expected {
+					rt.Fatalf("%s got number %d after %d", id, c.Current, newest[c.Key])
+				}
+				newest[c.Key] = c.Current
+			}
+			judged[i] = true
+			switch rapid.IntRange(0, 9).Draw(rt, "then") {
+			case 0:
+				old, oldNext = snapshotOf(rt, s), s.Next()
+				s = reborn(rt, s)
+			case 1:
+				before := string(snapshotOf(rt, s))
+				if err := s.Restore(oldNext, old); err != nil || string(snapshotOf(rt, s)) != before {
+					rt.Fatalf("an older snapshot changed the state: %v", err)
+				}
+			}
+		}
+	})
+}
+
+// snapshotOf returns a snapshot of s.
+func snapshotOf(t interface{ Fatal(...any) }, s *State) json.RawMessage {
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// reborn returns the state that starts from a snapshot of s.
+func reborn(t interface{ Fatal(...any) }, s *State) *State {
+	out := NewState()
+	if err := out.Restore(s.Next(), snapshotOf(t, s)); err != nil {
+		t.Fatal(err)
+	}
+	out.recent.size = s.recent.size
+	return out
+}
--- a/internal/configrun/peers.go
+++ b/internal/configrun/peers.go
@@ -39,8 +39,8 @@
 }
 
 // Since returns what a peer that has folded up to an offset is to be passed: the entries after it, or
-// one snapshot of this process when they are no longer kept. The snapshot has the offset of the last
-// entry it covers, which no reader of the log ever sees.
+// one snapshot of this process when they are no longer kept. It has offset 0, since it stands nowhere
+// in the log and must not take the place of an entry that does.
 func (d *Driver) Since(offset logsvc.Offset) []logsvc.Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -62,7 +62,7 @@
 		d.lg.Error("Snapshot can't be made.", "err", err)
 		return nil
 	}
-	return []logsvc.Entry{{Offset: next - 1, Data: data}}
+	return []logsvc.Entry{{Data: data}}
 }
 
 // Offer takes what a peer passed on together with the offset the peer has in force and whether it is
@@ -71,11 +71,11 @@
 func (d *Driver) Offer(entries []logsvc.Entry, peerOffset logsvc.Offset, peerReady bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(entries) > 0 && entries[0].Offset > d.state.Next() {
-		if s, ok := follow.ReadSnapshot(entries[0]); ok && s.Next == entries[0].Offset+1 {
+	if len(entries) > 0 && entries[0].Offset == 0 {
+		if s, ok := follow.ReadSnapshot(entries[0]); ok {
 			_ = d.restore(s)
-			entries = entries[1:]
 		}
+		entries = entries[1:]
 	}
 	if len(entries) > 0 {
 		d.take(entries)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -35,11 +35,12 @@
 	self      Self
 	peers     []peerv1connect.PeerServiceClient
 	lg        *log.Logger
+	config    ConfigPasser
 }
 
 // New returns a table that is exchanged with the peers at the given addresses.
 func New(self Self, peers []string, lg *log.Logger) *Members {
-	m := &Members{table: announce.NewTable(), processes: map[string]*peerv1.Process{}, self: self, lg: lg}
+	m := &Members{table: announce.NewTable(), processes: map[string]*peerv1.Process{}, self: self, lg: lg, config: noConfig{}}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: exchangeTimeout}).DialContext,
 		MaxIdleConnsPerHost: 2,
@@ -80,12 +81,15 @@
 		return
 	}
 	m.take(resp.Msg.Sender, resp.Msg.Announcements)
+	m.config.Offer(resp.Msg.Sender, resp.Msg.Config)
 }
 
 // Exchange implements the peer service.
 func (m *Members) Exchange(_ context.Context, r *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
 	m.take(r.Msg.Sender, r.Msg.Announcements)
-	return connect.NewResponse(&peerv1.ExchangeResponse{Sender: m.self.Process(), Announcements: m.export()}), nil
+	resp := &peerv1.ExchangeResponse{Sender: m.self.Process(), Announcements: m.export()}
+	resp.Config = m.config.Since(r.Msg.Sender.GetConfigOffset())
+	return connect.NewResponse(resp), nil
 }
 
 // Announce folds one announcement made to this process.
--- a/internal/node/defaults.go
+++ b/internal/node/defaults.go
@@ -9,11 +9,12 @@
 // Defaults returns the settings a node has when none are given.
 func Defaults() Options {
 	return Options{
-		Share:      1,
-		OwnerLease: 3 * time.Second,
-		TaskLease:  3 * time.Second,
-		SyncEvery:  500 * time.Millisecond,
-		LogAppends: logsvc.DefaultAppends,
-		Drain:      10 * time.Second,
+		Share:       1,
+		OwnerLease:  3 * time.Second,
+		TaskLease:   3 * time.Second,
+		SyncEvery:   500 * time.Millisecond,
+		SnapshotAge: time.Hour,
+		LogAppends:  logsvc.DefaultAppends,
+		Drain:       10 * time.Second,
 	}
 }
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -37,6 +37,7 @@
 	s.List(&f.opt.Cells, "cells", "", "cells this process may own, comma-separated")
 	s.Int(&f.share, "share", 1, 1, 64, "how many nodes send to the same targets")
 	s.Int(&f.appends, "log-appends", int64(d.LogAppends), 1, 1<<20, "budget of all processes together, in appends a second")
+	s.Duration(&f.opt.SnapshotAge, "snapshot-age", d.SnapshotAge, time.Second, 100*time.Hour, "how long a snapshot of the configuration counts; at most an eighth of the log's retention")
 	s.Int(&f.conns, "target-connections", 16, 1, 1024, "most connections to one target")
 	s.Duration(&f.opt.OwnerLease, "owner-lease", d.OwnerLease, time.Second, time.Minute, "how long a cell is owned without renewal")
 	s.Duration(&f.opt.TaskLease, "task-lease", d.TaskLease, time.Second, time.Minute, "how long a task runs without its owner")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,8 +14,10 @@
 	"github.com/charmbracelet/log"
 	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
 	"github.com/crocusspring/crocusspring/api/peer/v1/peerv1connect"
+	"github.com/crocusspring/crocusspring/internal/audit"
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/cellrun"
+	"github.com/crocusspring/crocusspring/internal/config"
 	"github.com/crocusspring/crocusspring/internal/configrun"
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
@@ -51,6 +53,9 @@
 	SyncEvery  time.Duration
 	// LogAppends is the budget of all processes together, in appends a second.
 	LogAppends int
+	// SnapshotAge is how long a snapshot of the configuration counts; an eighth of the log's retention
+	// time or less.
+	SnapshotAge time.Duration
 	// Drain bounds how long a graceful stop waits for requests in progress.
 	Drain time.Duration
 }
@@ -74,6 +79,7 @@
 
 	commit  *logsvc.Committer
 	config  *configrun.Driver
+	audit   *audit.Writer
 	members *members.Members
 	cells   map[string]*cellrun.Driver
 	router  *router
@@ -84,8 +90,13 @@
 	n := &Node{opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(), cells: map[string]*cellrun.Driver{}}
 	n.commit = logsvc.NewCommitter(ports.Log, logsvc.DefaultCommit())
 	n.ports.Log, ports.Log = n.commit, n.commit
-	n.config = configrun.New(ports.Log, opt.ID, logs.Part(lg, "config"))
+	n.audit = audit.NewWriter(ports.Log, opt.ID, logs.Part(lg, "audit"))
+	n.config = configrun.New(ports.Log, configrun.Options{
+		Self: opt.ID, SnapshotAge: opt.SnapshotAge, Rank: n.rank,
+		Changed: func(c config.Change) { n.audit.Note(audit.FromChange(c)) },
+	}, logs.Part(lg, "config"))
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"))
+	n.members.PassConfig(configPasser{n.config})
 	n.router = &router{table: route.New(opt.Share), members: n.members, caller: ports.Targets, dataCentre: opt.DataCentre}
 	for _, c := range opt.Cells {
 		co := cell.Options{
@@ -142,6 +153,7 @@
 	g, run := errgroup.WithContext(run)
 	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 16 << 10}
 	g.Go(func() error { n.config.Run(run); return nil })
+	g.Go(func() error { n.audit.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
 	g.Go(func() error { return n.keepShare(run) })
 	for _, d := range n.cells {
