crocus-dev: open-loop load, faults, and a verdict by the history checker

Cause: crocus-dev sent one request after another, without latency or faults, and counted by itself. Failed try: keeping a process's port free by closing its listener; another socket took it. The port is now held by a bound socket.

--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -11,64 +11,73 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/crocusspring/crocusspring/internal/announce"
-	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/history"
 	"github.com/crocusspring/crocusspring/internal/node"
-	"github.com/crocusspring/crocusspring/internal/standin"
 	"github.com/crocusspring/crocusspring/internal/standin/logstand"
-	"github.com/crocusspring/crocusspring/internal/standin/targetstand"
-	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
-	"github.com/crocusspring/crocusspring/internal/targetapi"
-	"github.com/crocusspring/crocusspring/internal/workerapi"
 	"golang.org/x/sync/errgroup"
 )
 
-// Observers see what the stand-ins see; either may be nil.
-type Observers struct {
-	Target targetstand.Observer
-	Worker workerstand.Observer
+// Options say what to start besides the deployment's shape.
+type Options struct {
+	Seed uint64
+	// Guards starts one guard beside each target.
+	Guards bool
+	// Log bounds what the log service keeps and takes.
+	Log logstand.Options
 }
 
 // Cluster is a running deployment. Use Start to make one.
 type Cluster struct {
 	Shape   Deployment
+	Record  *history.Recorder
 	Log     *logstand.Server
 	LogAddr string
-	// EntryAddrs are the addresses of the entries.
-	EntryAddrs []string
-
-	lg     *log.Logger
+	Entries []*Process
+	Guards  []*Process
+	Targets []*Target
+	Workers []*Worker
+
+	opt Options
+	lg  *log.Logger
+	// client is the observer's own, without latency.
+	client *http.Client
 	group  *errgroup.Group
 	ctx    context.Context
 	cancel context.CancelFunc
-	seen   Observers
-	mu     sync.Mutex
-	rng    *rand.Rand
+
+	mu  sync.Mutex
+	rng *rand.Rand
+	// place is the data centre of every address.
+	place map[string]string
+	// ports are the ports of all processes.
+	ports []*port
 }
 
 // Start runs a deployment on loopback until Stop.
-func Start(ctx context.Context, shape Deployment, seed uint64, seen Observers, lg *log.Logger) (*Cluster, error) {
+func Start(ctx context.Context, shape Deployment, opt Options, lg *log.Logger) (*Cluster, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	g, ctx := errgroup.WithContext(ctx)
 	c := &Cluster{
-		Shape: shape, Log: logstand.New(0), lg: lg, group: g, ctx: ctx, cancel: cancel, seen: seen,
-		rng: rand.New(rand.NewPCG(seed, seed)),
+		Shape: shape, Record: history.NewRecorder(), Log: logstand.NewWith(opt.Log), opt: opt, lg: lg, group: g, ctx: ctx, cancel: cancel,
+		rng: rand.New(rand.NewPCG(opt.Seed, 3)), place: map[string]string{},
+		client: &http.Client{Transport: &http.Transport{}},
 	}
 	if err := c.start(); err != nil {
-		cancel()
-		return nil, errors.Join(err, g.Wait())
+		return nil, errors.Join(err, c.Stop())
 	}
 	return c, nil
 }
 
-// start brings up the log, the entries, the targets and the workers.
+// start brings up the log, the targets, the workers and then the processes.
 func (c *Cluster) start() error {
-	addr, err := c.serve(c.Log.Handler())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
 	}
-	c.LogAddr = addr
-	if err := c.startEntries(); err != nil {
+	c.LogAddr = l.Addr().String()
+	c.locate(c.LogAddr, c.Shape.DataCentres[0])
+	c.serveOn(l, c.Log.Handler())
+	if err := c.reserve(); err != nil {
 		return err
 	}
 	for i := range c.Shape.Targets {
@@ -81,112 +90,88 @@
 			return err
 		}
 	}
+	for _, p := range append(append([]*Process(nil), c.Entries...), c.Guards...) {
+		if err := c.startProcess(p); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
-// startEntries runs the entries, each knowing the others.
-func (c *Cluster) startEntries() error {
-	var ls []net.Listener
-	for range c.Shape.Entries {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+// reserve gives every process its name and address, so that each can know the others.
+func (c *Cluster) reserve() error {
+	for i := range c.Shape.Entries {
+		p, err := c.newProcess(node.RoleEntry, fmt.Sprintf("entry-%d", i+1), c.dataCentre(i))
 		if err != nil {
-			return fmt.Errorf("listen: %w", err)
+			return err
 		}
-		ls = append(ls, l)
-		c.EntryAddrs = append(c.EntryAddrs, l.Addr().String())
+		c.Entries = append(c.Entries, p)
 	}
-	for i, l := range ls {
-		n := node.New(c.entryOptions(i), c.ports(), c.lg)
-		c.group.Go(func() error { return n.Serve(c.ctx, l) })
+	if c.opt.Guards {
+		for i := range c.Shape.Targets {
+			p, err := c.newProcess(node.RoleGuard, fmt.Sprintf("guard-%02d", i+1), c.dataCentre(i))
+			if err != nil {
+				return err
+			}
+			c.Guards = append(c.Guards, p)
+		}
 	}
-	return nil
-}
-
-// entryOptions returns the settings of an entry.
-func (c *Cluster) entryOptions(i int) node.Options {
-	var peers []string
-	for j, a := range c.EntryAddrs {
-		if j != i {
-			peers = append(peers, a)
+	for _, p := range append(append([]*Process(nil), c.Entries...), c.Guards...) {
+		for _, e := range c.Entries {
+			if e != p {
+				p.opt.Peers = append(p.opt.Peers, e.Addr)
+			}
 		}
 	}
-	opt := node.Defaults()
-	opt.Role, opt.ID, opt.DataCentre = node.RoleEntry, fmt.Sprintf("entry-%d", i+1), c.dataCentre(i)
-	opt.Peers, opt.Cells, opt.Share = peers, c.Shape.DataCentres, c.Shape.Entries
-	return opt
+	return nil
 }
 
-// ports returns adapters to the stand-ins.
-func (c *Cluster) ports() node.Ports {
-	return node.Ports{
-		Log:     logsvc.NewHTTP(c.LogAddr),
-		Workers: workerapi.NewHTTP(),
-		Targets: targetapi.NewHTTP(c.Shape.Conns / c.Shape.Entries),
+// newProcess returns a process that is not started, on a port held for it.
+func (c *Cluster) newProcess(role node.Role, name, dc string) (*Process, error) {
+	held, err := holdPort()
+	if err != nil {
+		return nil, err
 	}
+	c.ports = append(c.ports, held)
+	c.locate(held.addr, dc)
+	opt := node.Defaults()
+	opt.Role, opt.ID, opt.DataCentre = role, name, dc
+	opt.Share, opt.Cells = c.Shape.Entries, c.Shape.DataCentres
+	return &Process{Name: name, Addr: held.addr, opt: opt, conns: c.Shape.Conns / c.Shape.Entries}, nil
 }
 
 // dataCentre spreads things over the data centres by number.
 func (c *Cluster) dataCentre(i int) string { return c.Shape.DataCentres[i%len(c.Shape.DataCentres)] }
 
-// startTarget runs one target.
-func (c *Cluster) startTarget(i int) error {
-	a := announce.Announcement{
-		Role: announce.RoleTarget, Name: fmt.Sprintf("target-%02d", i+1), DataCentre: c.dataCentre(i),
-		Service: c.Shape.Service, Slots: c.Shape.Slots, Connections: c.Shape.Conns, Incarnation: time.Now().UnixNano(),
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	a.Address = l.Addr().String()
-	t := targetstand.New(a, c.work, c.seen.Target)
-	c.serveOn(l, t.Handler())
-	c.announce(a)
-	return nil
-}
-
-// work draws the time one request takes at a target.
-func (c *Cluster) work() time.Duration {
+// locate notes the data centre of an address.
+func (c *Cluster) locate(addr, dc string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return 2*time.Millisecond + time.Duration(c.rng.ExpFloat64()*float64(3*time.Millisecond))
+	c.place[addr] = dc
 }
 
-// startWorker runs one worker.
-func (c *Cluster) startWorker(i int) error {
-	a := announce.Announcement{
-		Role: announce.RoleWorker, Name: fmt.Sprintf("worker-%02d", i+1), DataCentre: c.dataCentre(i),
-		Rack: fmt.Sprintf("rack-%d", i/c.Shape.PerRack+1), Capacity: c.Shape.Worker, Incarnation: time.Now().UnixNano(),
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+// latencyFrom returns the one-way latencies from a data centre.
+func (c *Cluster) latencyFrom(dc string) func(addr string) time.Duration {
+	return func(addr string) time.Duration {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if there, ok := c.place[addr]; ok && there != dc {
+			return c.Shape.Between
+		}
+		return 0
 	}
-	a.Address = l.Addr().String()
-	w := workerstand.New(a, c.seen.Worker)
-	c.serveOn(l, w.Handler())
-	c.group.Go(func() error { w.Run(c.ctx.Done()); return nil })
-	c.announce(a)
-	return nil
-}
-
-// announce announces a target or worker until the cluster stops.
-func (c *Cluster) announce(a announce.Announcement) {
-	an := standin.NewAnnouncer(a, c.EntryAddrs)
-	c.group.Go(func() error { an.Run(c.ctx); return nil })
 }
 
-// serve serves a handler on a free port and returns its address.
-func (c *Cluster) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("listen: %w", err)
+// announceTo returns the addresses a stand-in announces to.
+func (c *Cluster) announceTo() []string {
+	var out []string
+	for _, p := range c.Entries {
+		out = append(out, p.Addr)
 	}
-	c.serveOn(l, h)
-	return l.Addr().String(), nil
+	return out
 }
 
-// serveOn serves a handler until the cluster stops.
+// serveOn serves a handler of a stand-in until the cluster stops.
 func (c *Cluster) serveOn(l net.Listener, h http.Handler) {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
 	c.group.Go(func() error {
@@ -201,8 +186,18 @@
 	})
 }
 
-// Stop ends everything and returns the first error.
+// Stop stops every process gracefully, then the stand-ins, and returns the first error.
 func (c *Cluster) Stop() error {
+	var g errgroup.Group
+	for _, p := range c.Processes() {
+		g.Go(func() error { return c.Shutdown(p) })
+	}
+	err := g.Wait()
+	c.client.CloseIdleConnections()
 	c.cancel()
-	return c.group.Wait()
+	err = errors.Join(err, c.group.Wait())
+	for _, p := range c.ports {
+		err = errors.Join(err, p.release())
+	}
+	return err
 }
--- a/internal/dev/cluster_test.go
+++ b/internal/dev/cluster_test.go
@@ -2,32 +2,93 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/workload"
+	"go.uber.org/goleak"
 )
 
-// TestWholePath runs the smallest shape end to end: a request, jobs and one record.
-func TestWholePath(t *testing.T) {
-	shape := Deployments()["klang"]
-	shape.Targets, shape.Workers, shape.Entries = 3, 3, 2
-	c, err := Start(t.Context(), shape, 1, Observers{}, logs.Discard())
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// small returns a small shape of a deployment and a light load for it.
+func small(deployment string) (Deployment, workload.Mix) {
+	shape, mix := Deployments()[deployment], workload.Mixes()[deployment]
+	shape.Targets, shape.Workers = 4, 4
+	mix.RequestsPerSecond, mix.JobsPerSecond = 40, 4
+	return shape, mix
+}
+
+// runSmall runs a plan on a small cluster and returns what the checker found.
+func runSmall(t *testing.T, deployment string, guards bool, seconds int, names ...string) Report {
+	t.Helper()
+	shape, mix := small(deployment)
+	plan := Plan{Mix: mix, Seed: 1, Length: time.Duration(seconds) * time.Second}
+	opt := Options{Seed: 1, Guards: guards}
+	for _, n := range names {
+		f, err := FaultNamed(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.Prepare != nil {
+			f.Prepare(&opt)
+		}
+		plan.Faults = append(plan.Faults, f)
+	}
+	c, err := Start(t.Context(), shape, opt, logs.Discard())
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := c.Load(t.Context(), 1)
+	r, err := c.Run(t.Context(), plan)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
 	}
 	if err := c.Stop(); err != nil {
-		t.Fatal(err)
+		t.Error(err)
+	}
+	return r
+}
+
+// check holds a report to what every run has to show.
+func check(t *testing.T, r Report) {
+	t.Helper()
+	for _, v := range r.Violations {
+		t.Errorf("%s: %s: %v", v.Promise, v.Detail, v.Operations)
+	}
+	if r.RequestsAnswered == 0 || r.RequestsSent != r.RequestsAnswered+r.RequestsNotRun+r.RequestsUnknown+r.RequestsLost {
+		t.Errorf("requests don't add up: %+v", r.Report)
+	}
+	if r.JobsFinished == 0 || r.JobsAccepted != r.JobsFinished+r.JobsFailed+r.JobsCancelled+r.JobsOpen+r.JobsLost {
+		t.Errorf("jobs don't add up: %+v", r.Report)
 	}
-	if r.RequestsAnswered == 0 || r.RequestsSent != r.RequestsAnswered+r.RequestsNotRun+r.RequestsUnknown {
-		t.Errorf("requests don't add up: %+v", r)
+	if r.RecordsApplied == 0 {
+		t.Error("no record was applied")
 	}
-	if r.JobsAccepted == 0 || r.JobsFinished != r.JobsAccepted {
-		t.Errorf("jobs don't add up: %+v", r)
+	for _, f := range r.Faults {
+		if r.FaultEvents[f] == 0 {
+			t.Errorf("fault %s did not take place", f)
+		}
 	}
-	if r.RecordsApplied != 1 {
-		t.Errorf("records don't add up: %+v", r)
+}
+
+// TestWholePath runs both deployments end to end, with and without guards.
+func TestWholePath(t *testing.T) {
+	for _, d := range []string{"klang", "hanoi"} {
+		for name, guards := range map[string]bool{"entries": false, "guards": true} {
+			t.Run(d+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				check(t, runSmall(t, d, guards, 2))
+			})
+		}
+	}
+}
+
+// TestFaultsKeepPromises runs one fault at a time under load.
+func TestFaultsKeepPromises(t *testing.T) {
+	for _, name := range []string{"target-leave", "worker-crash", "log-lost-answer", "config-race"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			check(t, runSmall(t, "klang", false, 3, name))
+		})
 	}
 }
--- /dev/null
+++ b/internal/dev/fault_log.go
@@ -0,0 +1,87 @@
+package dev
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/standin/logstand"
+)
+
+const (
+	outageHold = 3 * time.Second
+	lostHold   = time.Second
+	// expiryKeep is how many records of each stream an expiry leaves.
+	expiryKeep = 200
+	raceEvery  = 300 * time.Millisecond
+)
+
+// logOutage takes the log down. One event is one call it refused.
+func logOutage() Fault {
+	return Fault{
+		Name: "log-outage", About: "the log service refuses everything for a while; counts calls it refused",
+		Run: func(ctx context.Context, in *Injector) error {
+			return in.logFault(ctx, outageHold, logstand.Faults{Down: true}, logstand.StruckDown)
+		},
+	}
+}
+
+// logLostAnswer loses the answers to appends. One event is one lost answer.
+func logLostAnswer() Fault {
+	return Fault{
+		Name: "log-lost-answer", About: "appends take effect and their answers are lost for a while; counts lost answers",
+		Run: func(ctx context.Context, in *Injector) error {
+			return in.logFault(ctx, lostHold, logstand.Faults{LoseAnswers: true}, logstand.StruckLost)
+		},
+	}
+}
+
+// logFault gives the log a fault again and again and counts how often it struck.
+func (in *Injector) logFault(ctx context.Context, hold time.Duration, f logstand.Faults, struck string) error {
+	before := in.Log.Struck()[struck]
+	err := in.cycle(ctx, hold, func() (func() error, error) {
+		in.Log.SetFaults(f)
+		return func() error { in.Log.SetFaults(logstand.Faults{}); return nil }, nil
+	})
+	in.happened(in.Log.Struck()[struck] - before)
+	return err
+}
+
+// logExpiry drops old records and restarts a process that then can't read them. One event is one
+// restart after records were dropped.
+func logExpiry() Fault {
+	return Fault{
+		Name: "log-expiry", About: "old records of every stream expire, and an entry starts with nothing; counts such starts",
+		Run: func(ctx context.Context, in *Injector) error {
+			return in.cycle(ctx, downHold, func() (func() error, error) {
+				for stream, tail := range in.Log.Tails() {
+					in.Log.Expire(stream, tail-expiryKeep)
+				}
+				return in.kill(pick(in, in.Entries))
+			})
+		},
+	}
+}
+
+// configRace lets two operators change the same record at once. One event is one proposal that lost.
+func configRace() Fault {
+	return Fault{
+		Name: "config-race", About: "two operators change the same records at once; counts proposals that lost",
+		Run: func(ctx context.Context, in *Injector) error {
+			rivals := []*operator{in.newOperator("rival-1", in.load.Client), in.newOperator("rival-2", in.load.Client)}
+			done := make(chan int)
+			for _, o := range rivals {
+				go func() {
+					lost := 0
+					for sleep(ctx, raceEvery) {
+						if !o.change(ctx, in.Shape.Service+"-archive", 500) {
+							lost++
+						}
+					}
+					done <- lost
+				}()
+			}
+			in.happened(<-done + <-done)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/dev/fault_process.go
@@ -0,0 +1,82 @@
+package dev
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	downHold = 1500 * time.Millisecond
+	// takeoverHold is longer than an owner's lease and the margin of a taker.
+	takeoverHold = 5 * time.Second
+)
+
+// entryKill kills entries. One event is one kill.
+func entryKill() Fault {
+	return Fault{
+		Name: "entry-kill", About: "an entry ends abruptly and starts again with nothing; counts kills",
+		Run: func(ctx context.Context, in *Injector) error {
+			return in.cycle(ctx, downHold, func() (func() error, error) {
+				return in.kill(pick(in, in.Entries))
+			})
+		},
+	}
+}
+
+// kill kills a process and returns how to start it again; nothing when it is down already.
+func (in *Injector) kill(p *Process) (func() error, error) {
+	if p == nil || !in.Kill(p) {
+		return nil, nil
+	}
+	in.happened(1)
+	return func() error { return in.Restart(p) }, nil
+}
+
+// entryStop stops entries as planned. One event is one stop.
+func entryStop() Fault {
+	return Fault{
+		Name: "entry-stop", About: "an entry is stopped as planned and started again; counts stops",
+		Run: func(ctx context.Context, in *Injector) error {
+			return in.cycle(ctx, downHold, func() (func() error, error) {
+				p := pick(in, in.Entries)
+				if !in.isUp(p) {
+					return nil, nil
+				}
+				in.happened(1)
+				// A stop that fails is judged from the history.
+				_ = in.Shutdown(p)
+				return func() error { return in.Restart(p) }, nil
+			})
+		},
+	}
+}
+
+// ownerKill kills the owner of a cell. One event is one kill.
+func ownerKill() Fault {
+	return Fault{
+		Name: "owner-kill", About: "the process that owns a cell ends abruptly, longer than its lease; counts kills",
+		Run: func(ctx context.Context, in *Injector) error {
+			return in.cycle(ctx, takeoverHold, func() (func() error, error) {
+				return in.kill(in.owner(ctx, in.rng.IntN(len(in.Shape.DataCentres))))
+			})
+		},
+	}
+}
+
+// ownerPause pauses the owner of a cell past its lease. One event is one pause.
+func ownerPause() Fault {
+	return Fault{
+		Name: "owner-pause", About: "the process that owns a cell stands still past its lease, then all it held back arrives; counts pauses",
+		Run: func(ctx context.Context, in *Injector) error {
+			return in.cycle(ctx, takeoverHold, func() (func() error, error) {
+				p := in.owner(ctx, in.rng.IntN(len(in.Shape.DataCentres)))
+				if p == nil {
+					return nil, nil
+				}
+				in.happened(1)
+				goOn := in.Pause(p)
+				return func() error { goOn(); return nil }, nil
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/dev/poll.go
@@ -0,0 +1,96 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/history"
+)
+
+const (
+	pollEvery   = 200 * time.Millisecond
+	pollTimeout = time.Second
+)
+
+// shown is one record as GET /v1/records lists it.
+type shown struct {
+	Kind    string `json:"kind"`
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+}
+
+// poll reads the configuration every process shows until ctx ends.
+func (c *Cluster) poll(ctx context.Context) {
+	t := time.NewTicker(pollEvery)
+	defer t.Stop()
+	busy := make(chan struct{}, len(c.Entries)+len(c.Guards))
+	for {
+		for _, p := range c.Processes() {
+			select {
+			case busy <- struct{}{}:
+				c.group.Go(func() error {
+					defer func() { <-busy }()
+					c.pollOnce(ctx, p)
+					return nil
+				})
+			default:
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// pollOnce reads what one process shows. A reading counts only when the same start of the process was
+// up all the time.
+func (c *Cluster) pollOnce(ctx context.Context, p *Process) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	before := c.instance(p)
+	r := history.Reading{Process: before, Start: time.Now(), Versions: map[string]int64{}}
+	status, err := getJSON(ctx, c.client, "http://"+p.Addr+"/readyz", nil)
+	if err != nil {
+		return
+	}
+	r.Ready = status == http.StatusOK
+	var list []shown
+	if status, err = getJSON(ctx, c.client, "http://"+p.Addr+"/v1/records", &list); err != nil || status != http.StatusOK {
+		return
+	}
+	for _, s := range list {
+		r.Versions[s.Kind+"/"+s.Name] = s.Version
+	}
+	r.End = time.Now()
+	if before == c.instance(p) {
+		c.Record.Reading(r)
+	}
+}
+
+// instance returns the newest start of a process.
+func (c *Cluster) instance(p *Process) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return p.Instance()
+}
+
+// getJSON does one GET; out may be nil.
+func getJSON(ctx context.Context, client *http.Client, url string, out any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if out == nil || resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, nil
+	}
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
+}
--- /dev/null
+++ b/internal/dev/report.go
@@ -0,0 +1,80 @@
+package dev
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/crocusspring/crocusspring/internal/history"
+)
+
+// Report is what crocus-dev prints as its last line.
+type Report struct {
+	Deployment string   `json:"deployment"`
+	Seed       uint64   `json:"seed"`
+	Faults     []string `json:"faults"`
+	history.Report
+	// FaultEvents says how often each fault did take place.
+	FaultEvents map[string]int `json:"fault_events,omitempty"`
+}
+
+// maxShown is how many violations of one promise the summary prints.
+const maxShown = 3
+
+// Summary writes the report for people.
+func (r Report) Summary(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	line := func(name, format string, args ...any) {
+		fmt.Fprintf(t, "%s\t"+format+"\n", append([]any{name}, args...)...)
+	}
+	line("deployment", "%s, seed %d, faults: %s", r.Deployment, r.Seed, orNone(r.Faults))
+	line("requests", "%d sent, %d answered, %d not run, %d unknown, %d lost",
+		r.RequestsSent, r.RequestsAnswered, r.RequestsNotRun, r.RequestsUnknown, r.RequestsLost)
+	line("latency", "p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms", r.LatencyMS.P50, r.LatencyMS.P99, r.LatencyMS.P999)
+	line("jobs", "%d accepted, %d finished, %d failed, %d cancelled, %d open, %d lost; %d evictions, Jain's index %.3f",
+		r.JobsAccepted, r.JobsFinished, r.JobsFailed, r.JobsCancelled, r.JobsOpen, r.JobsLost, r.Evictions, r.JainIndex)
+	line("records", "%d applied, slowest in force everywhere after %d ms", r.RecordsApplied, r.ConfigSlowestMS)
+	line("log", "%d appends in the busiest second", r.LogAppendsPeak)
+	for _, name := range r.Faults {
+		line("fault", "%s took place %d times", name, r.FaultEvents[name])
+	}
+	_ = t.Flush()
+	r.promises(w)
+}
+
+// promises writes which promises were broken.
+func (r Report) promises(w io.Writer) {
+	if len(r.Violations) == 0 {
+		fmt.Fprintln(w, "no promise was broken")
+		return
+	}
+	fmt.Fprintf(w, "%d violations\n", len(r.Violations))
+	byPromise := map[history.Promise][]history.Violation{}
+	var order []history.Promise
+	for _, v := range r.Violations {
+		if !slices.Contains(order, v.Promise) {
+			order = append(order, v.Promise)
+		}
+		byPromise[v.Promise] = append(byPromise[v.Promise], v)
+	}
+	for _, p := range order {
+		all := byPromise[p]
+		fmt.Fprintf(w, "  %s: %d\n", p, len(all))
+		for _, v := range all[:min(maxShown, len(all))] {
+			fmt.Fprintf(w, "    %s\n", v.Detail)
+			for _, o := range v.Operations[:min(maxShown, len(v.Operations))] {
+				fmt.Fprintf(w, "      %s\n", o)
+			}
+		}
+	}
+}
+
+// orNone joins words.
+func orNone(words []string) string {
+	if len(words) == 0 {
+		return "none"
+	}
+	return strings.Join(words, ", ")
+}
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -1,178 +1,154 @@
 package dev
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
-	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/history"
+	"github.com/crocusspring/crocusspring/internal/workload"
 )
 
-// Report is what crocus-dev prints as its last line.
-type Report struct {
-	Deployment       string `json:"deployment"`
-	Seed             uint64 `json:"seed"`
-	RequestsSent     int    `json:"requests_sent"`
-	RequestsAnswered int    `json:"requests_answered"`
-	RequestsNotRun   int    `json:"requests_not_run"`
-	RequestsUnknown  int    `json:"requests_unknown"`
-	JobsAccepted     int    `json:"jobs_accepted"`
-	JobsFinished     int    `json:"jobs_finished"`
-	RecordsApplied   int    `json:"records_applied"`
-}
+const (
+	// settleTimeout bounds the wait for jobs after the load has ended.
+	settleTimeout = 45 * time.Second
+	// callersConns is how many idle connections the callers keep to one entry.
+	callersConns = 256
+	progressStep = time.Second
+	resends      = 2
+)
 
-// waitReady waits until every entry is ready and knows all targets and workers.
-func (c *Cluster) waitReady(ctx context.Context) error {
-	for _, a := range c.EntryAddrs {
-		for {
-			var s struct {
-				Targets []string `json:"targets"`
-				Workers []string `json:"workers"`
-			}
-			status, err := call(ctx, http.MethodGet, "http://"+a+"/v1/status", nil, nil, &s)
-			if err == nil && status == http.StatusOK && len(s.Targets) == c.Shape.Targets && len(s.Workers) == c.Shape.Workers {
-				break
-			}
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("entry %s did not become ready: %w", a, ctx.Err())
-			case <-time.After(50 * time.Millisecond):
-			}
-		}
-	}
-	return nil
+// Plan says what to do with a cluster that runs.
+type Plan struct {
+	Mix    workload.Mix
+	Seed   uint64
+	Length time.Duration
+	Faults []Fault
+	// Progress takes a line each second; it may be nil.
+	Progress io.Writer
 }
 
-// Load sends a little of everything for a while and reports what came of it.
-func (c *Cluster) Load(ctx context.Context, seconds int) (Report, error) {
-	r := Report{Deployment: c.Shape.Name}
-	ready, cancel := context.WithTimeout(ctx, 20*time.Second)
-	defer cancel()
-	if err := c.waitReady(ready); err != nil {
+// Run sends the load, brings the faults about, waits until all that can end has ended, and judges
+// what was seen.
+func (c *Cluster) Run(ctx context.Context, p Plan) (Report, error) {
+	r := Report{Deployment: c.Shape.Name, Seed: p.Seed, Faults: names(p.Faults), FaultEvents: map[string]int{}}
+	if err := c.waitReady(ctx); err != nil {
 		return r, err
 	}
-	if err := c.apply(ctx, &r); err != nil {
-		return r, err
-	}
-	var jobs []string
-	end := time.Now().Add(time.Duration(seconds) * time.Second)
-	for i := 0; time.Now().Before(end) && ctx.Err() == nil; i++ {
-		entry := c.EntryAddrs[i%len(c.EntryAddrs)]
-		if i%10 == 0 {
-			if id, ok := c.submit(ctx, entry, i); ok {
-				jobs = append(jobs, id)
-			}
-		}
-		c.request(ctx, entry, i, &r)
-	}
-	r.JobsAccepted = len(jobs)
-	for _, id := range jobs {
-		if c.waitFinished(ctx, id) {
-			r.JobsFinished++
-		}
-	}
-	return r, nil
+	callers := newHost(func(string) time.Duration { return c.Shape.Client })
+	defer callers.kill()
+	client := &http.Client{Transport: &http.Transport{DialContext: callers.dial, MaxIdleConnsPerHost: callersConns, DisableCompression: true}}
+	o := workload.Options{
+		Mix: p.Mix, Seed: p.Seed, Length: p.Length, Client: client, Record: c.Record, Resends: resends,
+		Balancer: workload.NewBalancer(client, c.entries()),
+	}
+	watch, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { o.Balancer.Run(watch) })
+	wg.Go(func() { c.poll(watch) })
+	wg.Go(func() { c.progress(watch, p.Progress) })
+	err := c.load(ctx, o, p, r.FaultEvents)
+	if err == nil {
+		c.say(p.Progress, "load has ended, waiting for jobs")
+		settle, cancel := context.WithTimeout(ctx, settleTimeout)
+		workload.Settle(settle, o)
+		cancel()
+		c.waitForced(ctx)
+	}
+	stop()
+	wg.Wait()
+	client.CloseIdleConnections()
+	appends(c.Record, c.Log)
+	r.Report = history.Check(c.Record.History(time.Now()))
+	return r, err
 }
 
-// apply publishes one service record.
-func (c *Cluster) apply(ctx context.Context, r *Report) error {
-	body := map[string]any{
-		"id": fmt.Sprintf("dev-%d", time.Now().UnixNano()), "by": "dev", "kind": "service", "name": c.Shape.Service, "schema": 1,
-		"spec": map[string]any{"budget_ms": 200},
-	}
-	status, err := call(ctx, http.MethodPost, "http://"+c.EntryAddrs[0]+"/v1/records", nil, body, nil)
-	if err != nil || status != http.StatusOK {
-		return fmt.Errorf("apply: status %d: %w", status, err)
+// entries returns the entries as callers reach them.
+func (c *Cluster) entries() []workload.Entry {
+	var out []workload.Entry
+	for _, p := range c.Entries {
+		out = append(out, workload.Entry{Name: p.Name, Addr: p.Addr})
 	}
-	r.RecordsApplied++
-	return nil
+	return out
 }
 
-// submit submits one job.
-func (c *Cluster) submit(ctx context.Context, entry string, i int) (string, bool) {
-	body := map[string]any{
-		"workspace": "centre-a", "class": "timetable-rebuild", "run_ms": 100 + i%200,
-		"declare": map[string]any{"milli_cpu": 1000, "memory_mb": 500},
+// load sends the load beside an operator and the faults, and returns when all of them are over.
+func (c *Cluster) load(ctx context.Context, o workload.Options, p Plan, events map[string]int) error {
+	during, cancel := context.WithTimeout(ctx, p.Length)
+	defer cancel()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	for i, f := range p.Faults {
+		wg.Go(func() {
+			in := newInjector(c, p, o, uint64(i))
+			err := f.Run(during, in)
+			mu.Lock()
+			defer mu.Unlock()
+			events[f.Name] += in.count()
+			if err != nil && failed == nil {
+				failed = fmt.Errorf("fault %s: %w", f.Name, err)
+			}
+		})
 	}
-	var out struct {
-		ID string `json:"id"`
+	wg.Go(func() { c.newOperator("operator-1", o.Client).run(during) })
+	err := workload.Run(ctx, o)
+	wg.Wait()
+	if err != nil {
+		return err
 	}
-	status, err := call(ctx, http.MethodPost, "http://"+entry+"/v1/jobs", nil, body, &out)
-	return out.ID, err == nil && status == http.StatusCreated
+	return failed
 }
 
-// request sends one request and counts its outcome.
-func (c *Cluster) request(ctx context.Context, entry string, i int, r *Report) {
-	hdr := http.Header{targetapi.HeaderBudgetMS: {"200"}, targetapi.HeaderWorkspace: {"centre-a"}}
-	url := "http://" + entry + "/v1/services/" + c.Shape.Service + "/call"
-	r.RequestsSent++
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(fmt.Sprintf("seat-%d", i))))
-	if err != nil {
-		return
-	}
-	req.Header = hdr
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		r.RequestsUnknown++
-		return
-	}
-	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
-	switch targetapi.Outcome(resp.Header.Get(targetapi.HeaderOutcome)) {
-	case targetapi.Answered:
-		r.RequestsAnswered++
-	case targetapi.NotRun:
-		r.RequestsNotRun++
-	default:
-		r.RequestsUnknown++
+// waitForced waits until every process shows the newest version of every accepted record, or until
+// the bound for that has passed.
+func (c *Cluster) waitForced(ctx context.Context) {
+	end := time.Now().Add(history.ForceWithin + pollTimeout)
+	for time.Now().Before(end) && ctx.Err() == nil && !c.forced() {
+		time.Sleep(pollEvery)
 	}
 }
 
-// waitFinished waits until a job has finished.
-func (c *Cluster) waitFinished(ctx context.Context, id string) bool {
-	end := time.Now().Add(10 * time.Second)
-	for time.Now().Before(end) && ctx.Err() == nil {
-		var t struct {
-			State string `json:"state"`
-		}
-		status, err := call(ctx, http.MethodGet, "http://"+c.EntryAddrs[0]+"/v1/jobs/"+id, nil, nil, &t)
-		if err == nil && status == http.StatusOK && t.State == "finished" {
-			return true
+// forced reports whether the newest reading of every process shows all accepted records.
+func (c *Cluster) forced() bool {
+	h := c.Record.History(time.Now())
+	newest := map[string]*history.Reading{}
+	for _, r := range h.Readings {
+		newest[r.Process] = r
+	}
+	for _, p := range c.Processes() {
+		r := newest[c.instance(p)]
+		for _, pr := range h.Proposals {
+			if pr.Outcome == history.Accepted && (r == nil || r.Versions[pr.Name] < pr.Version) {
+				return false
+			}
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
-	return false
+	return true
 }
 
-// call does one JSON call.
-func call(ctx context.Context, method, url string, hdr http.Header, in, out any) (int, error) {
-	var body io.Reader
-	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
-			return 0, err
+// progress writes a line each second until ctx ends.
+func (c *Cluster) progress(ctx context.Context, w io.Writer) {
+	t := time.NewTicker(progressStep)
+	defer t.Stop()
+	for began := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n := c.Record.Counts()
+			c.say(w, "%3.0fs  %d of %d requests answered, %d attempts begun, %d finished, %d records applied",
+				time.Since(began).Seconds(), n.Answered, n.Sent, n.Started, n.Finished, n.Applied)
 		}
-		body = bytes.NewReader(data)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, body)
-	if err != nil {
-		return 0, err
-	}
-	if hdr != nil {
-		req.Header = hdr
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	if out == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		return resp.StatusCode, err
+}
+
+// say writes one line of progress.
+func (c *Cluster) say(w io.Writer, format string, args ...any) {
+	if w != nil {
+		fmt.Fprintf(w, format+"\n", args...)
 	}
-	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
 }
--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -122,10 +122,17 @@
 // index sorts and groups what several checks need.
 func (c *checker) index() {
 	c.byRequest, c.byToken, c.byKey = map[string][]*Run{}, map[string][]*Run{}, map[string][]*Run{}
+	keys := map[string]string{}
+	for _, q := range c.h.Requests {
+		keys[q.Token] = q.Key
+	}
 	for _, r := range c.h.Runs {
 		if r.Start.IsZero() {
 			continue
 		}
+		if r.Key == "" {
+			r.Key = keys[r.Token]
+		}
 		c.byRequest[r.RequestID] = append(c.byRequest[r.RequestID], r)
 		if r.Token != "" {
 			c.byToken[r.Token] = append(c.byToken[r.Token], r)
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -61,6 +61,7 @@
 	again := keyed(5, "pay", 210, 320)
 	return &History{
 		Slots:    map[string]int{"target-01": 2, "target-02": 2},
+		Conns:    map[string]int{"target-01": 64, "target-02": 64},
 		Capacity: map[string]Amount{"worker-01": {8000, 1000, 0}, "worker-02": {8000, 1000, 0}},
 		Requests: []*Request{
 			request(1, "seat-1", 0, 100), request(2, "seat-2", 50, 150),
@@ -183,7 +184,7 @@
 		{
 			"charged twice", AtMostOnce,
 			[]int{13, 15},
-			func(h *History) { h.Runs = append(h.Runs, keyedRun(15, "pay", "target-01", 250, 300)) },
+			func(h *History) { h.Runs = append(h.Runs, run(15, "pay", "target-01", 250, 300)) },
 			func(r Report) int { return r.DoubleRuns },
 		},
 		{
@@ -200,6 +201,14 @@
 			},
 			func(r Report) int { return r.OverSlots },
 		},
+		{
+			"more than the connections", Slots,
+			[]int{18},
+			func(h *History) {
+				h.Opened = append(h.Opened, &Opened{Op: 18, Target: "target-01", Open: 65, At: at(70)})
+			},
+			func(r Report) int { return r.OverSlots },
+		},
 		{
 			"late to a leaving target", LeavingTarget,
 			[]int{17, 71},
@@ -432,6 +441,9 @@
 	for _, v := range h.Readings {
 		add(v.Op, v.String())
 	}
+	for _, v := range h.Opened {
+		add(v.Op, v.String())
+	}
 	for _, v := range h.Incidents {
 		add(v.Op, v.String())
 	}
--- a/internal/history/events.go
+++ b/internal/history/events.go
@@ -191,6 +191,18 @@
 	Outcome Outcome
 }
 
+// Opened is a connection that a target saw being opened over its limit.
+type Opened struct {
+	Op     int
+	Target string
+	// Open is how many there were with this one.
+	Open int
+	At   time.Time
+}
+
+// String names the connection for people.
+func (o *Opened) String() string { return fmt.Sprintf("connection %d to %s", o.Op, o.Target) }
+
 // IncidentKind is a kind of planned event or fault.
 type IncidentKind string
 
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -8,8 +8,9 @@
 
 // History is everything that was seen in one run.
 type History struct {
-	// Slots and Capacity are the sizes of targets and workers by name.
+	// Slots, Conns and Capacity are the sizes of targets and workers by name.
 	Slots    map[string]int
+	Conns    map[string]int
 	Capacity map[string]Amount
 
 	Requests  []*Request
@@ -19,6 +20,7 @@
 	Proposals []*Proposal
 	Readings  []*Reading
 	Appends   []*Append
+	Opened    []*Opened
 	Incidents []*Incident
 	// End is when observation ended.
 	End time.Time
@@ -45,7 +47,7 @@
 // NewRecorder returns an empty recorder.
 func NewRecorder() *Recorder {
 	return &Recorder{
-		h:    History{Slots: map[string]int{}, Capacity: map[string]Amount{}},
+		h:    History{Slots: map[string]int{}, Conns: map[string]int{}, Capacity: map[string]Amount{}},
 		runs: map[runKey]*Run{}, tasks: map[taskKey]*Attempt{},
 	}
 }
@@ -56,11 +58,20 @@
 	return r.ops
 }
 
-// Target notes the slots of a target.
-func (r *Recorder) Target(name string, slots int) {
+// Target notes the slots and connections of a target.
+func (r *Recorder) Target(name string, slots, conns int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.h.Slots[name] = slots
+	r.h.Slots[name], r.h.Conns[name] = slots, conns
+}
+
+// Connected notes how many connections a target had after one was opened; only too many are kept.
+func (r *Recorder) Connected(target string, open int, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if open > r.h.Conns[target] {
+		r.h.Opened = append(r.h.Opened, &Opened{Op: r.next(), Target: target, Open: open, At: at})
+	}
 }
 
 // Worker notes the capacity of a worker.
@@ -235,10 +246,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return &History{
-		Slots: maps.Clone(r.h.Slots), Capacity: maps.Clone(r.h.Capacity),
+		Slots: maps.Clone(r.h.Slots), Conns: maps.Clone(r.h.Conns), Capacity: maps.Clone(r.h.Capacity),
 		Requests: clone(r.h.Requests), Runs: clone(r.h.Runs), Attempts: clone(r.h.Attempts),
 		Jobs: clone(r.h.Jobs), Proposals: clone(r.h.Proposals), Readings: clone(r.h.Readings),
-		Appends: clone(r.h.Appends), Incidents: clone(r.h.Incidents), End: now,
+		Appends: clone(r.h.Appends), Opened: clone(r.h.Opened), Incidents: clone(r.h.Incidents), End: now,
 	}
 }
 
@@ -251,3 +262,42 @@
 	}
 	return out
 }
+
+// Counts are how far a run has come.
+type Counts struct{ Sent, Answered, Started, Finished, Applied int }
+
+// Counts returns how far the run has come.
+func (r *Recorder) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := Counts{Sent: len(r.h.Requests), Started: len(r.h.Attempts)}
+	for _, q := range r.h.Requests {
+		if q.Outcome == Answered {
+			c.Answered++
+		}
+	}
+	for _, a := range r.h.Attempts {
+		if a.State == StateFinished {
+			c.Finished++
+		}
+	}
+	for _, p := range r.h.Proposals {
+		if p.Outcome == Accepted {
+			c.Applied++
+		}
+	}
+	return c
+}
+
+// Failed returns how many attempts have failed at their worker.
+func (r *Recorder) Failed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, a := range r.h.Attempts {
+		if a.State == StateFailed {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/history/slots.go
+++ b/internal/history/slots.go
@@ -5,7 +5,8 @@
 	"slices"
 )
 
-// slots finds work that was sent to a target while all its slots were in use.
+// slots finds work that was sent to a target while all its slots were in use, and connections over its
+// limit.
 func (c *checker) slots() {
 	byTarget := map[string][]*Run{}
 	for _, r := range c.h.Runs {
@@ -16,6 +17,12 @@
 			c.targetSlots(n, byTarget[name])
 		}
 	}
+	for _, o := range c.h.Opened {
+		if limit := c.h.Conns[o.Target]; o.Open > limit {
+			c.r.OverSlots++
+			c.broken(Slots, []fmt.Stringer{o}, "target %s takes %d connections and had %d", o.Target, limit, o.Open)
+		}
+	}
 }
 
 // targetSlots judges one target with n slots.
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -35,8 +35,24 @@
 	RunMS     int64       `json:"run_ms"`
 }
 
-// job submits one job; submitting it again under the same id is harmless.
-func (c *callers) job(ctx context.Context, a Arrival) {
+// Submit submits one job of a class with a run time and returns its id; false when it was not accepted.
+func Submit(ctx context.Context, o Options, workspace string, job Job, run time.Duration) (string, bool) {
+	c := &callers{Options: o}
+	j := c.job(ctx, Arrival{Workspace: workspace, Job: &job, Run: run})
+	return j.ID, j.Outcome == history.Accepted
+}
+
+// Cancel asks for the cancellation of a job; false when that was not taken.
+func Cancel(ctx context.Context, o Options, workspace, id string) bool {
+	c := &callers{Options: o}
+	o.Record.JobCancelled(id, time.Now())
+	e := o.Balancer.Next("")
+	status, _, err := c.call(ctx, http.MethodDelete, "http://"+e.Addr+"/v1/jobs/"+id, workspace, nil, nil)
+	return err == nil && status < http.StatusMultipleChoices
+}
+
+// job submits one job and returns what its caller saw; submitting it again under the same id is harmless.
+func (c *callers) job(ctx context.Context, a Arrival) history.Job {
 	s := submission{
 		ID: uuid.Must(uuid.NewV7()).String(), Workspace: a.Workspace, Class: a.Job.Class,
 		Declare: declaration{a.Job.MilliCPU, a.Job.MemoryMB}, RunMS: a.Run.Milliseconds(),
@@ -60,6 +76,7 @@
 	}
 	j.End = time.Now()
 	c.Record.Job(j)
+	return j
 }
 
 // submit does one submission.
--- a/internal/workload/request.go
+++ b/internal/workload/request.go
@@ -52,9 +52,9 @@
 }
 
 // sendOnce does one send and returns what the caller saw.
-func (c *callers) sendOnce(ctx context.Context, a Arrival, key, avoid string, due time.Time) history.Request {
+func (c *callers) sendOnce(ctx context.Context, a Arrival, key, avoid string, due time.Time) (q history.Request) {
 	e := c.Balancer.Next(avoid)
-	q := history.Request{
+	q = history.Request{
 		Token: a.Token, Key: key, Class: a.Request.Class, Workspace: a.Workspace, Entry: e.Name,
 		Idempotent: a.Request.Idempotent, Due: due, Budget: a.Request.Budget, Sent: a.body(),
 	}
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -78,6 +78,9 @@
 	count := map[history.Outcome]int{}
 	for _, q := range rec.History(time.Now()).Requests {
 		count[q.Outcome]++
+		if q.Start.Before(q.Due) || q.End.Before(q.Start) {
+			t.Errorf("%v: due %v, sent %v, ended %v", q, q.Due, q.Start, q.End)
+		}
 		if q.Outcome == history.Answered && q.Answer != q.Sent {
 			t.Errorf("%v: answer %q", q, q.Answer)
 		}
