--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -39,7 +39,6 @@
 
 	body    announce.Announcement
 	silence context.CancelFunc
-	up      func(time.Time, error)
 }
 
 // startTarget runs one target.
