Only readings that don't overlap are in order

Cause: TestWholePath/klang/guards failed once: two readings of one process at the same time were taken for a revert (reading 121 against 82). Change: the checker orders readings by their spans, the poller reads a process once at a time; a test holds that overlapping readings are excused, the planted reverts are found as before.

--- a/internal/dev/poll.go
+++ b/internal/dev/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/history"
@@ -25,17 +26,15 @@
 func (c *Cluster) poll(ctx context.Context) {
 	t := time.NewTicker(pollEvery)
 	defer t.Stop()
-	busy := make(chan struct{}, len(c.Entries)+len(c.Guards))
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for {
 		for _, p := range c.Processes() {
-			select {
-			case busy <- struct{}{}:
-				c.group.Go(func() error {
-					defer func() { <-busy }()
+			if p.polled.CompareAndSwap(false, true) {
+				wg.Go(func() {
+					defer p.polled.Store(false)
 					c.pollOnce(ctx, p)
-					return nil
 				})
-			default:
 			}
 		}
 		select {
--- a/internal/dev/process.go
+++ b/internal/dev/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/history"
@@ -25,6 +26,8 @@
 	stop   context.CancelFunc
 	done   chan error
 	up     bool
+	// polled says that a reading of the process is in progress.
+	polled atomic.Bool
 	// downNoted notes the end of the incident that took the process down.
 	downNoted func(time.Time, error)
 }
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -471,6 +471,9 @@
 			h.Incidents = append(h.Incidents, &Incident{Kind: ProcessPause, Subject: "entry-2", Start: at(900), End: at(6000)})
 			h.Readings = append(h.Readings, &Reading{Op: 56, Process: "entry-2#1", Ready: true, Start: at(6011), End: at(6020), Versions: map[string]int64{"service/s": 1}})
 		},
+		"readings at the same time": func(h *History) {
+			h.Readings = append(h.Readings, &Reading{Process: "entry-1#1", Start: at(1505), End: at(1600), Versions: map[string]int64{"service/s": 1}})
+		},
 		"proposal without a verdict": func(h *History) {
 			h.Proposals[1].Outcome, h.Proposals[1].Version = Unknown, 0
 		},
--- a/internal/history/config.go
+++ b/internal/history/config.go
@@ -19,18 +19,34 @@
 	return out
 }
 
-// reverts finds processes that showed a lower version after a higher one.
+// reverts finds processes that showed a lower version after a higher one. Two readings are in order
+// only when one had ended before the other began.
 func (c *checker) reverts() {
 	all := c.byProcess()
 	for _, p := range sortedKeys(all) {
+		ended := slices.Clone(all[p])
+		slices.SortStableFunc(ended, func(a, b *Reading) int { return a.End.Compare(b.End) })
 		newest := map[string]*Reading{}
 		for _, r := range all[p] {
+			for len(ended) > 0 && !ended[0].End.After(r.Start) {
+				newer(newest, ended[0])
+				ended = ended[1:]
+			}
 			c.reading(r, newest)
 		}
 	}
 }
 
-// reading judges one reading against the newest one that showed each record.
+// newer keeps a reading for every record that it shows newer than the readings before it.
+func newer(newest map[string]*Reading, r *Reading) {
+	for name, v := range r.Versions {
+		if newest[name] == nil || v > newest[name].Versions[name] {
+			newest[name] = r
+		}
+	}
+}
+
+// reading judges one reading against those that had ended before it and showed each record newest.
 func (c *checker) reading(r *Reading, newest map[string]*Reading) {
 	for _, name := range sortedKeys(newest) {
 		old := newest[name].Versions[name]
@@ -41,11 +57,6 @@
 			c.broken(NoRevert, []fmt.Stringer{newest[name], r}, "%s showed version %d of %s after version %d", r.Process, now, name, old)
 		}
 	}
-	for name, v := range r.Versions {
-		if newest[name] == nil || v > newest[name].Versions[name] {
-			newest[name] = r
-		}
-	}
 }
 
 // deletedAfter reports whether a record may have been withdrawn after a version.
