--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -103,7 +103,7 @@
 func New(opt Options) *Core {
 	return &Core{
 		opt:     opt,
-		lease:   lease.New(opt.Self, opt.OwnerLease),
+		lease:   lease.New(lease.Options{Self: opt.Self, Length: opt.OwnerLease, TaskLength: opt.TaskLease}),
 		state:   state{tasks: map[string]*Task{}, next: 1},
 		pipe:    place.Default(nil),
 		workers: map[string]*worker{},
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -17,6 +17,13 @@
 // Margin is added by a taker to the lease it waits out.
 const Margin = 500 * time.Millisecond
 
+const (
+	// renewPart is the part of the lease after which it is renewed.
+	renewPart = 3
+	// retryPart is the part of the lease after which an unsettled append is made anew.
+	retryPart = 6
+)
+
 // Op says what a lease record asks for.
 type Op string
 
@@ -35,37 +42,50 @@
 	Replaces logsvc.Offset `json:"replaces"`
 	// LeaseMS is how long the record holds, in milliseconds.
 	LeaseMS int64 `json:"lease_ms"`
+	// TaskLeaseMS is how long the holder lets tasks run without it, in milliseconds.
+	TaskLeaseMS int64 `json:"task_lease_ms,omitempty"`
 	// Seq tells the appends of one holder apart, so that a lease is counted from its own append.
 	Seq int64 `json:"seq"`
 }
 
+// Options are the fixed parameters of a lease.
+type Options struct {
+	// Self is unique to this start of the process.
+	Self   string
+	Length time.Duration
+	// TaskLength is put into records for the next owner to wait out.
+	TaskLength time.Duration
+	// Delay is waited before a take on top of the old lease, so that a preferred candidate comes first.
+	Delay time.Duration
+}
+
 // Core is the lease of one cell as one process sees it. Use New to make one.
 type Core struct {
-	self   string
-	length time.Duration
+	opt Options
 
 	holder string
 	epoch  logsvc.Offset
 	last   logsvc.Offset // offset of the newest accepted lease record
-	seen   time.Time     // when last was seen here
 	held   time.Duration // how long last holds
+	tasks  time.Duration // longest task lease any record has named
+	seen   time.Time     // when last was seen here; zero when nothing was seen
 
-	sentAt   time.Time // when the pending append began; zero when none
-	sentBody Body
+	sent     map[int64]time.Time // when each unsettled append began, by sequence number
+	sentAt   time.Time           // when the newest of them began; zero when none
 	seq      int64
 	validTil time.Time // until when this process may act as the owner
 	leaving  bool
 }
 
-// New returns the lease of a cell that no one holds yet. Self is unique to this process start.
-func New(self string, length time.Duration) *Core {
-	return &Core{self: self, length: length}
+// New returns the lease of a cell that no one holds yet.
+func New(opt Options) *Core {
+	return &Core{opt: opt, sent: map[int64]time.Time{}}
 }
 
 // Seen folds one lease record of the stream at an offset and reports whether it was accepted.
 func (c *Core) Seen(now time.Time, at logsvc.Offset, b Body) bool {
-	if b.Holder == c.self && b == c.sentBody {
-		defer c.settle()
+	if b.Holder == c.opt.Self {
+		defer c.settle(b.Seq)
 	}
 	if at <= c.last || b.Replaces != c.last {
 		return false
@@ -79,60 +99,75 @@
 
 // apply makes an accepted record the newest.
 func (c *Core) apply(now time.Time, at logsvc.Offset, b Body) {
-	c.last = at
-	c.seen = now
+	c.last, c.seen = at, now
 	c.held = time.Duration(b.LeaseMS) * time.Millisecond
+	c.tasks = max(c.tasks, time.Duration(b.TaskLeaseMS)*time.Millisecond)
 	switch b.Op {
 	case OpTake:
 		c.holder, c.epoch = b.Holder, at
 	case OpRelease:
 		c.holder, c.held = "", 0
 	}
-	if c.holder != c.self {
+	if c.holder != c.opt.Self {
 		c.validTil = time.Time{}
 		return
 	}
-	if b == c.sentBody && !c.sentAt.IsZero() {
-		c.validTil = c.sentAt.Add(c.held)
+	// The lease runs from before this very append was made; an append nobody remembers gives nothing.
+	if began, ok := c.sent[b.Seq]; ok {
+		c.validTil = began.Add(c.held)
 	}
 }
 
-// settle forgets the pending append.
-func (c *Core) settle() {
-	c.sentAt, c.sentBody = time.Time{}, Body{}
+// settle forgets appends up to a sequence number: each names the record that it replaces, so once one
+// stands in the log the older ones can no longer be accepted.
+func (c *Core) settle(seq int64) {
+	for s := range c.sent {
+		if s <= seq {
+			delete(c.sent, s)
+		}
+	}
+	if len(c.sent) == 0 {
+		c.sentAt = time.Time{}
+	}
 }
 
 // Tick returns the lease record to append now, if any. The caller appends it at once and must
 // read forward to learn the verdict; the append's own answer carries no meaning.
 func (c *Core) Tick(now time.Time) (Body, bool) {
-	if !c.sentAt.IsZero() && now.Sub(c.sentAt) < c.length {
+	if !c.sentAt.IsZero() && now.Sub(c.sentAt) < c.opt.Length/retryPart {
 		return Body{}, false
 	}
 	op, ok := c.want(now)
 	if !ok {
 		return Body{}, false
 	}
-	c.sentAt = now
 	c.seq++
-	c.sentBody = Body{Op: op, Holder: c.self, Replaces: c.last, LeaseMS: c.length.Milliseconds(), Seq: c.seq}
-	return c.sentBody, true
+	c.sentAt, c.sent[c.seq] = now, now
+	return Body{
+		Op: op, Holder: c.opt.Self, Replaces: c.last, LeaseMS: c.opt.Length.Milliseconds(),
+		TaskLeaseMS: c.opt.TaskLength.Milliseconds(), Seq: c.seq,
+	}, true
 }
 
 // want says which record the state calls for.
 func (c *Core) want(now time.Time) (Op, bool) {
-	if c.holder == c.self {
+	if c.holder == c.opt.Self {
 		if c.leaving {
 			return OpRelease, true
 		}
-		return OpRenew, now.After(c.validTil.Add(-2 * c.length / 3))
+		return OpRenew, now.After(c.validTil.Add(c.opt.Length/renewPart - c.opt.Length))
 	}
 	if c.leaving {
 		return "", false
 	}
-	if c.holder == "" {
-		return OpTake, true
+	if c.seen.IsZero() {
+		c.seen = now
 	}
-	return OpTake, now.Sub(c.seen) > c.held+Margin
+	wait := c.opt.Delay
+	if c.holder != "" {
+		wait += c.held + Margin
+	}
+	return OpTake, now.Sub(c.seen) >= wait && (c.holder == "" || now.Sub(c.seen) > wait)
 }
 
 // Leave makes the core give the lease back and never take it again.
@@ -140,8 +175,11 @@
 
 // Owner reports whether this process may act as the owner now, and under which epoch.
 func (c *Core) Owner(now time.Time) (logsvc.Offset, bool) {
-	return c.epoch, c.holder == c.self && now.Before(c.validTil)
+	return c.epoch, c.holder == c.opt.Self && now.Before(c.validTil)
 }
 
 // Holder returns the holder in log order and its epoch; empty when released.
 func (c *Core) Holder() (string, logsvc.Offset) { return c.holder, c.epoch }
+
+// TaskLease returns the longest task lease that any holder has named.
+func (c *Core) TaskLease() time.Duration { return max(c.tasks, c.opt.TaskLength) }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -8,13 +8,18 @@
 	"pgregory.net/rapid"
 )
 
+// newCore returns a candidate.
+func newCore(self string, length time.Duration) *Core {
+	return New(Options{Self: self, Length: length, TaskLength: 2 * length})
+}
+
 // TestOneOwner checks that two candidates never own the cell at once, however their appends are
 // delayed, lost or doubled.
 func TestOneOwner(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const length = 2 * time.Second
 		now := time.Unix(0, 0)
-		cores := []*Core{New("a", length), New("b", length), New("c", length)}
+		cores := []*Core{newCore("a", length), newCore("b", length), newCore("c", length)}
 		read := make([]int, len(cores))
 		var log, delayed []Body
 		owned := 0
@@ -56,7 +61,7 @@
 // TestTakeover checks that a silent owner is replaced once its lease was waited out.
 func TestTakeover(t *testing.T) {
 	now := time.Unix(0, 0)
-	a, b := New("a", time.Second), New("b", time.Second)
+	a, b := newCore("a", time.Second), newCore("b", time.Second)
 	first, ok := a.Tick(now)
 	if !ok || first.Op != OpTake {
 		t.Fatalf("first record is %+v, %v", first, ok)
@@ -82,3 +87,31 @@
 		t.Fatalf("second candidate owns epoch %d, %v", epoch, ok)
 	}
 }
+
+// TestRefusedRenewals checks that an owner whose renewals are refused for a part of its lease keeps
+// the cell, and that it stops in time when they stay away.
+func TestRefusedRenewals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length = 3 * time.Second
+		now := time.Unix(0, 0)
+		a := newCore("a", length)
+		take, _ := a.Tick(now)
+		a.Seen(now, 1, take)
+		began, last := now, logsvc.Offset(1)
+		refuse := time.Duration(rapid.IntRange(0, 4000).Draw(t, "outage ms")) * time.Millisecond
+		for now = now.Add(50 * time.Millisecond); now.Sub(began) < 5*time.Second; now = now.Add(50 * time.Millisecond) {
+			b, ok := a.Tick(now)
+			if ok && now.Sub(began) >= refuse {
+				last++
+				a.Seen(now, last, b)
+			}
+			_, owns := a.Owner(now)
+			if refuse <= 2*time.Second && !owns {
+				t.Fatalf("owner lost the cell %v after an outage of %v began", now.Sub(began), refuse)
+			}
+			if owns && last == 1 && now.Sub(began) >= length {
+				t.Fatalf("owner goes on %v after its only append", now.Sub(began))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/lease/snapshot.go
@@ -0,0 +1,32 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+)
+
+// Snapshot is the folded part of a lease, the same for every reader of the stream.
+type Snapshot struct {
+	Holder      string        `json:"holder"`
+	Epoch       logsvc.Offset `json:"epoch"`
+	Last        logsvc.Offset `json:"last"`
+	HeldMS      int64         `json:"held_ms"`
+	TaskLeaseMS int64         `json:"task_lease_ms"`
+}
+
+// Snapshot returns the folded part.
+func (c *Core) Snapshot() Snapshot {
+	return Snapshot{
+		Holder: c.holder, Epoch: c.epoch, Last: c.last, HeldMS: c.held.Milliseconds(), TaskLeaseMS: c.tasks.Milliseconds(),
+	}
+}
+
+// Restore replaces the folded part. The newest lease record counts as seen now, which is no earlier
+// than it was, and what this process may have held is given up.
+func (c *Core) Restore(now time.Time, s Snapshot) {
+	c.holder, c.epoch, c.last = s.Holder, s.Epoch, s.Last
+	c.held = time.Duration(s.HeldMS) * time.Millisecond
+	c.tasks = time.Duration(s.TaskLeaseMS) * time.Millisecond
+	c.seen, c.validTil = now, time.Time{}
+}
