--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -2,32 +2,20 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/interfere"
 	"github.com/crocusspring/crocusspring/internal/lease"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/place"
+	"github.com/crocusspring/crocusspring/internal/probation"
+	"github.com/crocusspring/crocusspring/internal/queue"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
 
-// Options are the fixed parameters of a core.
-type Options struct {
-	Cell string
-	// Self is unique to this start of the process.
-	Self       string
-	OwnerLease time.Duration
-	TaskLease  time.Duration
-	// SyncEvery is the time between two syncs with a worker that has no commands waiting.
-	SyncEvery time.Duration
-	// MaxFailures is how often a task may fail before it is failed for good.
-	MaxFailures int
-}
-
-// Event is what happens to a core: Entries, Workers, SyncDone, AppendDone or Tick.
+// Event is what happens to a core: Entries, Gap, Workers, Policies, SyncDone, AppendDone or Tick.
 type Event interface{ event() }
 
 // Entries are the next entries of the cell's stream.
@@ -36,9 +24,19 @@
 	Tail    logsvc.Offset
 }
 
+// Gap says that entries before an offset have expired unread; reading goes on at First.
+type Gap struct{ First logsvc.Offset }
+
 // Workers are all workers of the cell whose announcement holds.
 type Workers struct{ Members []announce.Member }
 
+// Policies are what the configuration says of workspaces and workers.
+type Policies struct {
+	Workspaces map[string]queue.Policy
+	// Drained reports whether a worker is to take no new tasks.
+	Drained func(announce.Member) bool
+}
+
 // SyncDone is the answer to a Sync action.
 type SyncDone struct {
 	Sync Sync
@@ -46,17 +44,16 @@
 	Err  error
 }
 
-// AppendDone is the answer to an Append action; its verdict is read from the stream.
-type AppendDone struct {
-	Append Append
-	Err    error
-}
+// AppendDone says that an Append action returned; its verdict is read from the stream.
+type AppendDone struct{ Append Append }
 
 // Tick says that time has passed.
 type Tick struct{}
 
 func (Entries) event()    {}
+func (Gap) event()        {}
 func (Workers) event()    {}
+func (Policies) event()   {}
 func (SyncDone) event()   {}
 func (AppendDone) event() {}
 func (Tick) event()       {}
@@ -64,14 +61,15 @@
 // Action is what a core asks its driver to do: Append or Sync.
 type Action interface{ action() }
 
-// Append asks for records to be appended to the cell's stream.
+// Append asks for a record to be appended to the cell's stream.
 type Append struct {
-	Records []record.Envelope
-	// Lease marks a lease record, which is never appended again.
-	Lease bool
+	Record record.Envelope
+	// Epoch is the epoch under which the record was made; 0 for lease records and snapshots, which
+	// may be appended by any process at any time.
+	Epoch logsvc.Offset
 }
 
-// Sync asks for one call to a worker.
+// Sync asks for one call to a worker. The driver makes it only while Epoch is still owned.
 type Sync struct {
 	Worker string
 	Addr   string
@@ -83,34 +81,40 @@
 
 // Core is the cell as one process sees it. Use New to make one.
 type Core struct {
-	opt     Options
-	lease   *lease.Core
-	state   state
-	atTail  bool
-	pipe    *place.Pipeline
-	workers map[string]*worker
-	outbox  outbox
-	// epoch is the epoch the owner's side below was built for; 0 when not the owner.
-	epoch    logsvc.Offset
-	ownSince time.Time
-	// assumed are assigns that are decided but not yet seen in the log, by task.
-	assumed map[string]Assign
-	waiting map[string][]place.Refusal
-	faults  []error
+	opt   Options
+	lease *lease.Core
+	state state
+	// ready says that the fold has reached the tail of the stream once, with no gap since.
+	ready   bool
+	seek    seek
+	members map[string]announce.Member
+	// joined counts changes of the set of workers.
+	joined   int
+	policies Policies
+	own      *owner
+	leaving  bool
+	faults   []error
+
+	// What was learned outlives an ownership.
+	model *interfere.Model
+	pipe  *place.Pipeline
+	track *probation.Tracker
+	sizes sizes
 }
 
 // New returns the core of a cell with an empty stream.
 func New(opt Options) *Core {
-	return &Core{
-		opt:     opt,
-		lease:   lease.New(lease.Options{Self: opt.Self, Length: opt.OwnerLease, TaskLength: opt.TaskLease}),
-		state:   state{tasks: map[string]*Task{}, next: 1},
-		pipe:    place.Default(nil),
-		workers: map[string]*worker{},
-		outbox:  newOutbox(),
-		assumed: map[string]Assign{},
-		waiting: map[string][]place.Refusal{},
+	opt = opt.withDefaults()
+	c := &Core{
+		opt: opt, state: newState(), members: map[string]announce.Member{}, sizes: sizes{},
+		lease: lease.New(lease.Options{Self: opt.Self, Length: opt.OwnerLease, TaskLength: opt.TaskLease, Delay: opt.TakeDelay}),
+		model: interfere.New(), track: probation.New(probation.DefaultLimits()),
+	}
+	c.pipe = opt.Pipeline
+	if c.pipe == nil {
+		c.pipe = place.Default(c.model)
 	}
+	return c
 }
 
 // Step takes one event and returns what the driver is to do.
@@ -118,124 +122,102 @@
 	switch ev := ev.(type) {
 	case Entries:
 		c.read(now, ev)
+	case Gap:
+		c.gap(ev.First)
 	case Workers:
 		c.announced(ev.Members)
+	case Policies:
+		c.policies = ev
+		if c.own != nil {
+			c.own.applyPolicies()
+		}
 	case SyncDone:
-		c.synced(now, ev)
+		if c.own != nil {
+			c.own.synced(now, ev)
+		}
 	case AppendDone:
-		if !ev.Append.Lease {
-			c.outbox.done(ev.Append.Records, ev.Err)
+		if c.own != nil {
+			c.own.out.answered(ev.Append.Record.ID)
 		}
 	case Tick:
 	}
 	return c.advance(now)
 }
 
-// read folds entries of the stream.
+// read takes entries of the stream.
 func (c *Core) read(now time.Time, ev Entries) {
-	for _, e := range ev.Entries {
-		if err := c.state.fold(now, c.lease, e); err != nil {
-			c.faults = append(c.faults, fmt.Errorf("cell %s: %w", c.opt.Cell, err))
-		}
-		c.outbox.seen(e)
-	}
-	c.atTail = c.state.next >= ev.Tail
-	for id, a := range c.assumed {
-		if t := c.state.tasks[id]; t == nil || t.Attempt >= a.Attempt || t.State != StateQueued {
-			delete(c.assumed, id)
-		}
+	if c.seek.active {
+		c.find(now, ev)
+		return
 	}
+	c.fold(now, ev)
 }
 
-// advance does what the new state calls for.
-func (c *Core) advance(now time.Time) []Action {
-	if !c.atTail {
-		return nil
-	}
-	var out []Action
-	if b, ok := c.lease.Tick(now); ok {
-		out = appendLease(out, c.opt.Self, b)
-	}
-	c.checkOwner(now)
-	if c.epoch != 0 {
-		c.lapse(now)
-		c.schedule(now)
-		out = append(out, c.syncs(now)...)
+// fold folds entries. It never folds across a gap.
+func (c *Core) fold(now time.Time, ev Entries) {
+	for i, e := range ev.Entries {
+		if e.Offset > c.state.next {
+			c.fault(fmt.Errorf("offset %d follows %d", e.Offset, c.state.next-1))
+			c.gap(e.Offset)
+			c.find(now, Entries{Entries: ev.Entries[i:], Tail: ev.Tail})
+			return
+		}
+		env, err := c.state.fold(now, c.lease, e)
+		if err != nil {
+			c.fault(err)
+		}
+		if c.own != nil {
+			c.own.out.seen(env.ID)
+		}
 	}
-	if recs := c.outbox.take(); recs != nil {
-		out = append(out, Append{Records: recs})
+	if c.state.next >= ev.Tail {
+		c.ready = true
 	}
-	return out
 }
 
-// appendLease adds the append of a lease record. It goes alone: its answer is settled by reading.
-func appendLease(out []Action, self string, b lease.Body) []Action {
-	env, err := record.New(record.NewID(), record.KindLease, SchemaVersion, self, b)
-	if err != nil {
-		return out
-	}
-	return append(out, Append{Records: []record.Envelope{env}, Lease: true})
+// fault keeps an error for the driver to report.
+func (c *Core) fault(err error) {
+	c.faults = append(c.faults, fmt.Errorf("cell %s: %w", c.opt.Cell, err))
 }
 
-// checkOwner resets the owner's side when the ownership changed.
-func (c *Core) checkOwner(now time.Time) {
-	epoch, ok := c.lease.Owner(now)
-	if !ok {
-		epoch = 0
+// announced takes the newest list of workers.
+func (c *Core) announced(members []announce.Member) {
+	seen := make(map[string]announce.Member, len(members))
+	changed := len(members) != len(c.members)
+	for _, m := range members {
+		old, ok := c.members[m.Name]
+		changed = changed || !ok || old.Address != m.Address || old.Capacity != m.Capacity || old.Leaving != m.Leaving
+		seen[m.Name] = m
 	}
-	if epoch == c.epoch {
-		return
-	}
-	c.epoch, c.ownSince = epoch, now
-	c.outbox = newOutbox()
-	clear(c.assumed)
-	for _, w := range c.workers {
-		w.reset()
+	c.members = seen
+	if changed {
+		c.joined++
 	}
 }
 
-// queued returns the tasks that wait for a worker: urgent ones first, then in order of acceptance.
-func (c *Core) queued() []*Task {
-	var out []*Task
-	for _, t := range c.state.tasks {
-		if _, busy := c.assumed[t.ID]; t.State == StateQueued && !busy {
-			out = append(out, t)
-		}
+// advance does what the new state calls for.
+func (c *Core) advance(now time.Time) []Action {
+	if !c.ready {
+		return nil
 	}
-	slices.SortFunc(out, func(a, b *Task) int {
-		if a.Urgent != b.Urgent {
-			if a.Urgent {
-				return -1
-			}
-			return 1
-		}
-		if a.Accepted != b.Accepted {
-			return int(a.Accepted - b.Accepted)
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	return out
-}
-
-// schedule places queued tasks on workers that have been fenced under this epoch.
-func (c *Core) schedule(now time.Time) {
-	open := c.openWorkers()
-	clear(c.waiting)
-	for _, t := range c.queued() {
-		pt := &place.Task{ID: t.ID, Class: t.Class, Reserve: t.Declare}
-		w, refusals := c.pipe.Select(pt, open)
-		if w == nil {
-			c.waiting[t.ID] = refusals
-			continue
-		}
-		w.Reserved = w.Reserved.Add(t.Declare)
-		a := Assign{
-			Epoch: c.epoch, Task: t.ID, Attempt: t.Attempt + 1, Worker: w.Name,
-			Reserve: t.Declare, Resume: t.Checkpoint,
+	var out []Action
+	if b, ok := c.lease.Tick(now); ok {
+		if env, err := record.New(record.NewID(), record.KindLease, SchemaVersion, c.opt.Self, b); err == nil {
+			out = append(out, Append{Record: env})
 		}
-		c.assumed[t.ID] = a
-		c.outbox.add(record.KindAssign, c.opt.Self, a)
 	}
+	epoch, ok := c.lease.Owner(now)
+	switch {
+	case !ok:
+		c.own = nil
+	case c.own == nil || c.own.epoch != epoch:
+		c.own = newOwner(c, now, epoch)
+	}
+	if c.own != nil {
+		out = c.own.advance(now, out)
+	}
+	c.state.changes = c.state.changes[:0]
+	return out
 }
 
 // Owner reports whether this process owns the cell now, and under which epoch.
@@ -245,28 +227,10 @@
 func (c *Core) Holder() (string, logsvc.Offset) { return c.lease.Holder() }
 
 // Ready reports whether the fold has reached the tail of the stream.
-func (c *Core) Ready() bool { return c.atTail }
+func (c *Core) Ready() bool { return c.ready }
 
-// Task returns a copy of a task.
-func (c *Core) Task(id string) (Task, bool) {
-	t := c.state.tasks[id]
-	if t == nil {
-		return Task{}, false
-	}
-	return *t, true
-}
-
-// Tasks returns copies of all tasks in no particular order.
-func (c *Core) Tasks() []Task {
-	out := make([]Task, 0, len(c.state.tasks))
-	for _, t := range c.state.tasks {
-		out = append(out, *t)
-	}
-	return out
-}
-
-// Waiting returns why a queued task was not placed in the newest round.
-func (c *Core) Waiting(id string) []place.Refusal { return c.waiting[id] }
+// Next returns the offset of the next entry to fold.
+func (c *Core) Next() logsvc.Offset { return c.state.next }
 
 // Faults returns what was wrong with entries of the stream and forgets it.
 func (c *Core) Faults() []error {
@@ -276,4 +240,7 @@
 }
 
 // Leave gives the ownership back at the next tick and never takes it again.
-func (c *Core) Leave() { c.lease.Leave() }
+func (c *Core) Leave() {
+	c.leaving = true
+	c.lease.Leave()
+}
--- /dev/null
+++ b/internal/cell/options.go
@@ -0,0 +1,60 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/place"
+)
+
+// Options are the fixed parameters of a core.
+type Options struct {
+	Cell string
+	// Self is unique to this start of the process.
+	Self       string
+	OwnerLease time.Duration
+	// TaskLease is how long tasks run on without their owner; it outlasts the change of an owner.
+	TaskLease time.Duration
+	// SyncEvery is the least time between two syncs with a worker that has no commands waiting.
+	SyncEvery time.Duration
+	// TakeDelay is waited before taking the cell, so that a preferred candidate comes first.
+	TakeDelay time.Duration
+	// MaxFailures is how often a task may fail before it is failed for good.
+	MaxFailures int
+	// SnapshotEvery is the least number of entries between two snapshots; 0 means the default. Large
+	// folds are written less often, so that the cost for each entry stays bounded.
+	SnapshotEvery int
+	// SlowdownLimit is the slowdown of a service from which its neighbours are held back.
+	SlowdownLimit float64
+	// KeepDone is how long ended tasks are kept, and MaxDone how many at the most.
+	KeepDone time.Duration
+	MaxDone  int
+	// Pipeline places tasks; nil means the product's own.
+	Pipeline *place.Pipeline
+}
+
+const (
+	defaultSnapshotEvery = 200
+	defaultSlowdownLimit = 1.25
+	defaultKeepDone      = 24 * time.Hour
+	defaultMaxDone       = 5000
+	// minKeepDone is how long an ended task is kept however many there are, so that a job submitted
+	// again is not run again.
+	minKeepDone = time.Hour
+)
+
+// withDefaults fills in what is not set.
+func (o Options) withDefaults() Options {
+	if o.SnapshotEvery == 0 {
+		o.SnapshotEvery = defaultSnapshotEvery
+	}
+	if o.SlowdownLimit == 0 {
+		o.SlowdownLimit = defaultSlowdownLimit
+	}
+	if o.KeepDone == 0 {
+		o.KeepDone = defaultKeepDone
+	}
+	if o.MaxDone == 0 {
+		o.MaxDone = defaultMaxDone
+	}
+	return o
+}
--- a/internal/cell/outbox.go
+++ b/internal/cell/outbox.go
@@ -1,74 +1,126 @@
 package cell
 
 import (
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/chart"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/record"
 )
 
-// maxGroup is how many records one append carries at the most.
-const maxGroup = 200
+const (
+	// maxBatch is how many decisions one batch carries at the most.
+	maxBatch = 200
+	// firstRetry doubles up to lastRetry while a batch does not show up in the stream.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 2 * time.Second
+)
 
-// outbox keeps records until they are seen in the stream. A record whose append failed or whose
-// answer was lost is appended again under the same id, which folds without effect the second time.
+// outbox collects decisions and has one batch of them on its way to the stream at a time. The same
+// record is appended again until it is seen there; readers fold a batch number once.
 type outbox struct {
-	waiting  []record.Envelope
-	sent     map[string]bool
-	inFlight bool
+	assigns []Assign
+	reports []Report
+	forget  []string
+	// open are the reports that are not folded yet, and ending the attempts whose end is among them.
+	open   map[reportKey]bool
+	ending map[attemptKey]bool
+
+	flight *record.Envelope
+	body   Batch
+	calls  bool
+	tries  int
+	due    time.Time
+	since  time.Time
+}
+
+// reportKey names one report of an attempt.
+type reportKey struct {
+	attemptKey
+	event chart.Event
 }
 
 // newOutbox returns an empty outbox.
-func newOutbox() outbox { return outbox{sent: map[string]bool{}} }
+func newOutbox() outbox {
+	return outbox{open: map[reportKey]bool{}, ending: map[attemptKey]bool{}}
+}
 
-// add queues a record.
-func (o *outbox) add(kind record.Kind, by string, body any) {
-	env, err := record.New(record.NewID(), kind, SchemaVersion, by, body)
-	if err != nil {
+// ends reports whether an event ends an attempt.
+func ends(e chart.Event) bool { return e != EventRun && e != EventCheckpoint }
+
+// add queues a report unless the same one is open, or the attempt's end is.
+func (o *outbox) add(r Report) {
+	k := reportKey{attemptKey{r.Task, r.Attempt}, chart.Event(r.Event)}
+	if o.open[k] || o.ending[k.attemptKey] {
 		return
 	}
-	o.waiting = append(o.waiting, env)
+	o.open[k] = true
+	if ends(k.event) {
+		o.ending[k.attemptKey] = true
+	}
+	o.reports = append(o.reports, r)
 }
 
-// take returns what is to be appended now, as one group, or nil.
-func (o *outbox) take() []record.Envelope {
-	if o.inFlight {
+// take returns the record to append now, or nil. Batches are numbered after the newest folded one.
+func (o *outbox) take(now time.Time, by string, epoch logsvc.Offset, folded int64) *record.Envelope {
+	if o.calls {
 		return nil
 	}
-	var out []record.Envelope
-	for _, e := range o.waiting {
-		if !o.sent[e.ID] && len(out) < maxGroup {
-			out = append(out, e)
-			o.sent[e.ID] = true
-		}
+	if o.flight == nil && !o.pack(now, by, epoch, folded+1) {
+		return nil
 	}
-	o.inFlight = out != nil
-	return out
+	if now.Before(o.due) {
+		return nil
+	}
+	o.due = now.Add(min(lastRetry, firstRetry<<min(o.tries, 8)))
+	o.tries++
+	o.calls = true
+	return o.flight
 }
 
-// done takes the answer to the append in flight; after an error its records are due again.
-func (o *outbox) done(records []record.Envelope, err error) {
-	o.inFlight = false
-	if err == nil {
-		return
+// pack makes the next batch of what is queued and reports whether there is one.
+func (o *outbox) pack(now time.Time, by string, epoch logsvc.Offset, seq int64) bool {
+	b := Batch{Epoch: epoch, Seq: seq}
+	b.Assigns, o.assigns = cut(o.assigns, maxBatch)
+	b.Reports, o.reports = cut(o.reports, maxBatch)
+	b.Forget, o.forget = cut(o.forget, maxBatch)
+	if len(b.Assigns)+len(b.Reports)+len(b.Forget) == 0 {
+		return false
 	}
-	for _, e := range records {
-		delete(o.sent, e.ID)
+	env, err := record.New(record.NewID(), KindBatch, SchemaVersion, by, b)
+	if err != nil {
+		return false
 	}
+	o.flight, o.body, o.tries, o.due, o.since = &env, b, 0, now, now
+	return true
 }
 
-// seen drops a record that stands in the stream.
-func (o *outbox) seen(e logsvc.Entry) {
-	if len(o.waiting) == 0 {
-		return
+// cut splits off up to n items.
+func cut[T any](items []T, n int) (head, tail []T) {
+	n = min(n, len(items))
+	return items[:n:n], items[n:]
+}
+
+// answered says that the append in flight returned; what became of it is read from the stream. A
+// refused one took no effect, and after an error it may have, so both are made again when due.
+func (o *outbox) answered(id string) {
+	if o.flight != nil && o.flight.ID == id {
+		o.calls = false
 	}
-	env, err := record.Decode(e.Data)
-	if err != nil {
+}
+
+// seen drops the batch that stands in the stream.
+func (o *outbox) seen(id string) {
+	if o.flight == nil || o.flight.ID != id {
 		return
 	}
-	for i, w := range o.waiting {
-		if w.ID == env.ID {
-			o.waiting = append(o.waiting[:i], o.waiting[i+1:]...)
-			delete(o.sent, env.ID)
-			return
-		}
+	for _, r := range o.body.Reports {
+		k := reportKey{attemptKey{r.Task, r.Attempt}, chart.Event(r.Event)}
+		delete(o.open, k)
+		delete(o.ending, k.attemptKey)
 	}
+	o.flight, o.body, o.calls = nil, Batch{}, false
 }
+
+// stuck reports whether a batch has been on its way for so long that the log seems to be down.
+func (o *outbox) stuck(now time.Time) bool { return o.flight != nil && now.Sub(o.since) > lastRetry }
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -1,9 +1,16 @@
 // Package cell is the decision core of one cell: it folds the cell's log stream, owns the cell under
-// a lease, places queued tasks and drives workers. It does no I/O and has no clock of its own.
+// a lease, places waiting tasks and drives workers. It does no I/O and has no clock of its own.
+//
+// An attempt runs in one place because of three rules. Its assignment, which names worker and worker
+// start, stands in the log before the start is sent. An attempt counts as over only when its worker
+// has said so under the current epoch, or when the worker's lease has surely lapsed. And all decisions
+// of an epoch are batches with consecutive numbers, one on its way at a time, so that a late or second
+// copy of any of them has no effect.
 package cell
 
 import (
 	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/resource"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
@@ -11,6 +18,9 @@
 // SchemaVersion is the version of the bodies below.
 const SchemaVersion = 1
 
+// KindBatch is the kind of a record with decisions of the owner.
+const KindBatch record.Kind = "cell-batch"
+
 // Stream returns the log stream of a cell.
 func Stream(name string) string { return "cell-" + name }
 
@@ -19,7 +29,9 @@
 	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	// Class groups tasks that behave alike, such as timetable-rebuild.
-	Class   string          `json:"class"`
+	Class string `json:"class"`
+	// Service is set for a replica of a latency-critical service, which is never throttled or evicted.
+	Service string          `json:"service,omitempty"`
 	Urgent  bool            `json:"urgent,omitempty"`
 	Declare resource.Vector `json:"declare"`
 	// RunMS is the declared run time in milliseconds of undisturbed work; 0 for a watcher without end.
@@ -31,21 +43,34 @@
 	Jobs []string `json:"jobs"`
 }
 
-// Assign is the owner's decision to run an attempt on a worker.
+// Batch is what the owner decided and learned in one round.
+type Batch struct {
+	Epoch logsvc.Offset `json:"epoch"`
+	// Seq counts the batches of an epoch from 1; a reader folds only the next one.
+	Seq     int64    `json:"seq"`
+	Assigns []Assign `json:"assigns,omitempty"`
+	Reports []Report `json:"reports,omitempty"`
+	// Forget lists ended tasks that readers drop.
+	Forget []string `json:"forget,omitempty"`
+}
+
+// Assign is the decision to run an attempt on a worker.
 type Assign struct {
-	Epoch   logsvc.Offset         `json:"epoch"`
-	Task    string                `json:"task"`
-	Attempt int                   `json:"attempt"`
-	Worker  string                `json:"worker"`
-	Reserve resource.Vector       `json:"reserve"`
-	Resume  *workerapi.Checkpoint `json:"resume,omitempty"`
+	Task    string `json:"task"`
+	Attempt int    `json:"attempt"`
+	Worker  string `json:"worker"`
+	// Incarnation is the worker start the attempt is meant for; no other start may run it.
+	Incarnation int64           `json:"incarnation"`
+	Reserve     resource.Vector `json:"reserve"`
+	// Resume is the checkpoint the attempt consumes.
+	Resume *workerapi.Checkpoint `json:"resume,omitempty"`
 }
 
-// TaskState is what the owner learned about an attempt.
-type TaskState struct {
-	Epoch   logsvc.Offset `json:"epoch"`
-	Task    string        `json:"task"`
-	Attempt int           `json:"attempt"`
+// Report is what the owner learned about a task.
+type Report struct {
+	Task string `json:"task"`
+	// Attempt is the attempt it is about; 0 for a task that waits.
+	Attempt int `json:"attempt,omitempty"`
 	// Event is an event of the task chart.
 	Event      string                `json:"event"`
 	Checkpoint *workerapi.Checkpoint `json:"checkpoint,omitempty"`
--- /dev/null
+++ b/internal/cell/schedule.go
@@ -0,0 +1,244 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/place"
+	"github.com/crocusspring/crocusspring/internal/queue"
+	"github.com/crocusspring/crocusspring/internal/resource"
+)
+
+// maxPlaced bounds the tasks that are tried in one round.
+const maxPlaced = 512
+
+// hold keeps room on a worker for a task that waits for it.
+type hold struct {
+	worker  string
+	reserve resource.Vector
+	until   time.Time
+}
+
+// shape is what tells tasks apart for placement. Tasks of one shape that find no worker in a round
+// are not tried one by one.
+type shape struct {
+	class, service string
+	reserve        resource.Vector
+}
+
+// schedule places waiting tasks on workers that have been fenced under this epoch.
+func (o *owner) schedule(now time.Time) {
+	if o.queue.Len() == 0 {
+		return
+	}
+	var open []*place.Worker
+	full := map[shape]string{}
+	for range maxPlaced {
+		it, ok := o.queue.Next(now)
+		if !ok {
+			return
+		}
+		t := o.c.state.tasks[it.ID]
+		if t == nil || !t.Waits() {
+			o.queue.Remove(it.ID)
+			continue
+		}
+		if open == nil {
+			open = o.open(now)
+		}
+		o.try(now, it, t, open, full)
+	}
+}
+
+// try places one task, or says why it has to wait.
+func (o *owner) try(now time.Time, it queue.Item, t *Task, open []*place.Worker, full map[shape]string) {
+	pt := o.placeTask(t)
+	s := shape{t.Class, t.Service, pt.Reserve}
+	h, held := o.holds[t.ID]
+	if reason, ok := full[s]; ok && !held && !it.Urgent {
+		o.queue.Wait(now, t.ID, reason)
+		return
+	}
+	if held {
+		o.release(h, open)
+	}
+	w, refusals := o.c.pipe.Select(pt, open)
+	if w != nil {
+		o.assign(now, t, pt, w)
+		return
+	}
+	if reason := o.never(t); reason != "" && now.Sub(o.since) >= settleIn {
+		o.queue.Park(t.ID, reason)
+		o.out.add(Report{Task: t.ID, Event: string(EventReject), Reason: reason})
+		return
+	}
+	reason := summary(refusals)
+	o.makeRoom(now, it, t, pt, open, h, held)
+	full[s] = reason
+	o.queue.Wait(now, t.ID, reason)
+}
+
+// makeRoom lets an urgent task push others out, and an old one hold room.
+func (o *owner) makeRoom(now time.Time, it queue.Item, t *Task, pt *place.Task, open []*place.Worker, h hold, held bool) {
+	if held && now.Before(h.until) {
+		o.keep(t.ID, h, open)
+		return
+	}
+	delete(o.holds, t.ID)
+	switch {
+	case it.Urgent:
+		if w := o.preempt(now, pt, open); w != nil {
+			o.keep(t.ID, hold{w.Name, pt.Reserve, now.Add(preemptWithin)}, open)
+		}
+	case o.queue.MayHold(now, it):
+		if w := place.Hold(pt, open); w != nil {
+			o.keep(t.ID, hold{w.Name, pt.Reserve, now.Add(holdFor)}, open)
+		}
+	}
+}
+
+// holdFor is how long room is held on one worker before another is tried.
+const holdFor = time.Minute
+
+// keep holds room on a worker.
+func (o *owner) keep(id string, h hold, open []*place.Worker) {
+	o.holds[id] = h
+	for _, w := range open {
+		if w.Name == h.worker {
+			w.Reserved = w.Reserved.Add(h.reserve)
+		}
+	}
+}
+
+// release takes held room back for the task it was meant for.
+func (o *owner) release(h hold, open []*place.Worker) {
+	for _, w := range open {
+		if w.Name == h.worker {
+			w.Reserved = w.Reserved.Sub(h.reserve)
+		}
+	}
+}
+
+// assign decides that a task runs on a worker.
+func (o *owner) assign(now time.Time, t *Task, pt *place.Task, p *place.Worker) {
+	w := o.workers[p.Name]
+	p.Add(pt)
+	a := Assign{
+		Task: t.ID, Attempt: t.Attempt + 1, Worker: w.name, Incarnation: w.incarnation, Reserve: pt.Reserve, Resume: t.Checkpoint,
+	}
+	o.assumed[t.ID], w.assumed[t.ID] = a, a
+	w.stale = true
+	delete(o.holds, t.ID)
+	o.out.assigns = append(o.out.assigns, a)
+	o.queue.Placed(t.ID)
+	o.c.track.Started(now, w.name, t.ID)
+	if p.Suspended == "" {
+		p.Suspended = o.c.track.Refuse(now, w.name)
+	}
+	if t.Service != "" {
+		o.racksStale = true
+	}
+}
+
+// open returns the workers that can take a start. They are copies, so that a round may note in them
+// what it has decided; held room counts as reserved.
+func (o *owner) open(now time.Time) []*place.Worker {
+	o.countRacks()
+	out := make([]*place.Worker, 0, len(o.order))
+	for _, w := range o.order {
+		if !w.open() {
+			continue
+		}
+		v := *o.refresh(now, w)
+		v.Classes = append(v.Classes[:0:0], v.Classes...)
+		v.Draining = w.drained
+		v.Suspended = o.c.track.Refuse(now, w.name)
+		v.RackServices = o.racks[v.Rack]
+		out = append(out, &v)
+	}
+	for id, h := range o.holds {
+		if t := o.c.state.tasks[id]; t == nil || !t.Waits() {
+			delete(o.holds, id)
+			continue
+		}
+		for _, v := range out {
+			if v.Name == h.worker {
+				v.Reserved = v.Reserved.Add(h.reserve)
+			}
+		}
+	}
+	return out
+}
+
+// countRacks counts the replicas of each service by rack when that is out of date.
+func (o *owner) countRacks() {
+	if !o.racksStale {
+		return
+	}
+	o.racksStale = false
+	o.racks = map[string]map[string]int{}
+	for name, tasks := range o.c.state.held {
+		for _, t := range tasks {
+			o.countRack(name, t)
+		}
+	}
+	for _, a := range o.assumed {
+		if t := o.c.state.tasks[a.Task]; t != nil {
+			o.countRack(a.Worker, t)
+		}
+	}
+}
+
+// countRack counts one replica.
+func (o *owner) countRack(worker string, t *Task) {
+	if t.Service == "" {
+		return
+	}
+	rack := o.worker(worker).member.Rack
+	if o.racks[rack] == nil {
+		o.racks[rack] = map[string]int{}
+	}
+	o.racks[rack][t.Service]++
+}
+
+// placeTask returns what placement has to know of a task.
+func (o *owner) placeTask(t *Task) *place.Task {
+	return &place.Task{ID: t.ID, Class: t.Class, Reserve: o.c.size(t), Service: t.Service, FailedOn: t.FailedOn}
+}
+
+// never returns why no announced worker could hold a task even when empty.
+func (o *owner) never(t *Task) string {
+	all := make([]*place.Worker, 0, len(o.order))
+	for _, w := range o.order {
+		if w.live {
+			all = append(all, &place.Worker{Name: w.name, DataCentre: w.member.DataCentre, Capacity: w.member.Capacity})
+		}
+	}
+	pt := o.placeTask(t)
+	pt.Reserve = t.Declare
+	if reason := place.Never(pt, all); reason != "" {
+		return reason
+	}
+	if kind := t.Declare.Lacking(bound(o.c.policies.Workspaces[t.Workspace].Quota)); kind != "" {
+		return "larger than the workspace's quota of " + kind
+	}
+	return ""
+}
+
+// bound turns amounts of 0, which bound nothing, into very large ones.
+func bound(quota resource.Vector) resource.Vector {
+	const none = 1 << 60
+	for _, v := range []*int64{&quota.MilliCPU, &quota.MemoryMB, &quota.Accelerators} {
+		if *v == 0 {
+			*v = none
+		}
+	}
+	return quota
+}
+
+// summary is the most frequent reason of refusals, in words.
+func summary(refusals []place.Refusal) string {
+	if len(refusals) == 0 {
+		return "no worker has been heard of under this epoch"
+	}
+	return place.Counts(refusals)[0].Reason
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -2,87 +2,96 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
-	"github.com/crocusspring/crocusspring/charts"
 	"github.com/crocusspring/crocusspring/internal/chart"
 	"github.com/crocusspring/crocusspring/internal/lease"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/resource"
-	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
 
-// States and events of charts/task.yaml that the code names.
-const (
-	StateQueued   chart.State = "queued"
-	StateAssigned chart.State = "assigned"
-	StateStopping chart.State = "stopping"
-
-	EventAssign    chart.Event = "assign"
-	EventCancel    chart.Event = "cancel"
-	EventFinish    chart.Event = "finish"
-	EventFail      chart.Event = "fail"
-	EventFailFinal chart.Event = "fail-final"
-	EventLose      chart.Event = "lose"
-	EventRefuse    chart.Event = "refuse"
-	EventStopped   chart.Event = "stopped"
-)
-
-var taskChart = chart.MustLoad(charts.Files, "task.yaml")
-
-// Task is one accepted job as the log tells it. A job has one task.
-type Task struct {
-	Job
-	State   chart.State `json:"state"`
-	Attempt int         `json:"attempt"`
-	// AssignEpoch is the epoch of the owner that assigned the current attempt.
-	AssignEpoch logsvc.Offset `json:"assign_epoch,omitempty"`
-	// Worker holds the attempt in states assigned and stopping.
-	Worker     string                `json:"worker,omitempty"`
-	Reserve    resource.Vector       `json:"reserve"`
-	Checkpoint *workerapi.Checkpoint `json:"checkpoint,omitempty"`
-	Failures   int                   `json:"failures,omitempty"`
-	Reason     string                `json:"reason,omitempty"`
-	Accepted   logsvc.Offset         `json:"accepted"`
-}
-
-// Held reports whether a worker may hold the current attempt.
-func (t *Task) Held() bool { return t.State == StateAssigned || t.State == StateStopping }
-
-// Done reports whether nothing more can happen to the task.
-func (t *Task) Done() bool { return taskChart.Final(t.State) }
+// ErrUnknownKind says that a record's kind is not one of the cell's stream.
+var ErrUnknownKind = errors.New("unknown kind of record")
 
 // state is the fold of a cell's stream; every reader of the stream has the same.
 type state struct {
 	tasks map[string]*Task
 	next  logsvc.Offset
+	// epoch and batch are the epoch and number of the newest batch that was folded.
+	epoch logsvc.Offset
+	batch int64
+	// sinceSnapshot counts the entries since the newest snapshot in the stream.
+	sinceSnapshot int
+
+	// The rest is worked out from the tasks.
+	waiting map[string]*Task
+	parked  map[string]*Task
+	held    map[string]map[string]*Task // by worker and task
+	done    []doneTask                  // in order of their end
+	changes []change
+}
+
+// doneTask is an ended task and when this reader saw its end.
+type doneTask struct {
+	id string
+	at time.Time
+}
+
+// change is one step of a task along its chart: which attempt it was about, whether a worker held it
+// before and after, and where.
+type change struct {
+	task    *Task
+	event   chart.Event
+	attempt int
+	before  bool
+	after   bool
+	worker  string
+	reserve resource.Vector
+}
+
+// newState returns the fold of an empty stream.
+func newState() state {
+	return state{
+		tasks: map[string]*Task{}, next: 1, waiting: map[string]*Task{}, parked: map[string]*Task{},
+		held: map[string]map[string]*Task{},
+	}
 }
 
-// fold applies one entry. Records of an epoch that is not the lease's are without effect.
-func (s *state) fold(now time.Time, l *lease.Core, e logsvc.Entry) error {
+// fold applies one entry. An entry that can't be read is reported and has no effect.
+func (s *state) fold(now time.Time, l *lease.Core, e logsvc.Entry) (record.Envelope, error) {
 	if e.Offset < s.next {
-		return nil
+		return record.Envelope{}, nil
 	}
 	s.next = e.Offset + 1
+	s.sinceSnapshot++
 	env, err := record.Decode(e.Data)
 	if err != nil {
-		return fmt.Errorf("offset %d: %w", e.Offset, err)
+		return env, fmt.Errorf("offset %d: %w", e.Offset, err)
+	}
+	if env.Schema > SchemaVersion {
+		return env, fmt.Errorf("offset %d: record %s has schema %d, newest known is %d", e.Offset, env.ID, env.Schema, SchemaVersion)
 	}
 	switch env.Kind {
 	case record.KindLease:
-		return foldBody(env, func(b lease.Body) { l.Seen(now, e.Offset, b) })
+		err = foldBody(env, func(b lease.Body) { l.Seen(now, e.Offset, b) })
 	case record.KindJob:
-		return foldBody(env, func(j Job) { s.accept(e.Offset, j) })
+		err = foldBody(env, func(j Job) { s.accept(e.Offset, j) })
 	case record.KindCancel:
-		return foldBody(env, s.cancel)
-	case record.KindAssign:
-		return foldBody(env, func(a Assign) { s.assign(l, a) })
-	case record.KindTaskState:
-		return foldBody(env, func(ts TaskState) { s.report(l, ts) })
+		err = foldBody(env, func(c Cancel) { s.cancel(now, c) })
+	case KindBatch:
+		err = foldBody(env, func(b Batch) { s.take(now, l, b) })
+	case record.KindSnapshot:
+		s.sinceSnapshot = 0
+	default:
+		err = fmt.Errorf("record %s: %w %q", env.ID, ErrUnknownKind, env.Kind)
+	}
+	if err != nil {
+		return env, fmt.Errorf("offset %d: %w", e.Offset, err)
 	}
-	return fmt.Errorf("offset %d: record %s has unknown kind %q", e.Offset, env.ID, env.Kind)
+	return env, nil
 }
 
 // foldBody decodes a body and applies it.
@@ -97,57 +106,139 @@
 
 // accept adds a job; the first record of an id counts.
 func (s *state) accept(at logsvc.Offset, j Job) {
-	if s.tasks[j.ID] != nil {
+	if j.ID == "" || s.tasks[j.ID] != nil {
 		return
 	}
-	s.tasks[j.ID] = &Task{Job: j, State: taskChart.Initial, Accepted: at}
+	t := &Task{Job: j, State: taskChart.Initial, Accepted: at}
+	s.tasks[j.ID] = t
+	s.waiting[j.ID] = t
+	s.changes = append(s.changes, change{task: t})
 }
 
 // cancel folds a cancellation; tasks that have ended stay as they are.
-func (s *state) cancel(c Cancel) {
+func (s *state) cancel(now time.Time, c Cancel) {
 	for _, id := range c.Jobs {
 		if t := s.tasks[id]; t != nil {
-			t.fire(EventCancel)
+			s.move(now, t, EventCancel, func() { t.Reason = "cancelled" })
 		}
 	}
 }
 
-// assign folds the owner's decision when it is of the current epoch and the next attempt.
-func (s *state) assign(l *lease.Core, a Assign) {
-	t := s.tasks[a.Task]
-	_, epoch := l.Holder()
-	if t == nil || a.Epoch != epoch || a.Attempt != t.Attempt+1 || !t.fire(EventAssign) {
+// take folds a batch when it is the next one of the current owner.
+func (s *state) take(now time.Time, l *lease.Core, b Batch) {
+	holder, epoch := l.Holder()
+	if holder == "" || b.Epoch != epoch {
 		return
 	}
-	t.Attempt, t.Worker, t.Reserve = a.Attempt, a.Worker, a.Reserve
-	t.AssignEpoch, t.Reason = a.Epoch, ""
+	if s.epoch != epoch {
+		s.epoch, s.batch = epoch, 0
+	}
+	if b.Seq != s.batch+1 {
+		return
+	}
+	s.batch = b.Seq
+	for _, a := range b.Assigns {
+		s.assign(now, a)
+	}
+	for _, r := range b.Reports {
+		s.report(now, r)
+	}
+	for _, id := range b.Forget {
+		s.forget(id)
+	}
 }
 
-// report folds what the owner learned about the current attempt.
-func (s *state) report(l *lease.Core, ts TaskState) {
-	t := s.tasks[ts.Task]
-	_, epoch := l.Holder()
-	if t == nil || ts.Epoch != epoch || ts.Attempt != t.Attempt || !t.Held() {
+// assign folds an assignment of the next attempt.
+func (s *state) assign(now time.Time, a Assign) {
+	t := s.tasks[a.Task]
+	if t == nil || a.Attempt != t.Attempt+1 {
 		return
 	}
-	if !t.fire(chart.Event(ts.Event)) {
+	s.move(now, t, EventAssign, func() { t.assigned(s.epoch, a) })
+}
+
+// report folds what the owner learned.
+func (s *state) report(now time.Time, r Report) {
+	t := s.tasks[r.Task]
+	if t == nil {
 		return
 	}
-	t.Worker, t.Reserve, t.Reason = "", resource.Vector{}, ts.Reason
-	if ts.Checkpoint != nil {
-		t.Checkpoint = ts.Checkpoint
+	e := chart.Event(r.Event)
+	if !t.Held() {
+		s.move(now, t, e, func() { t.Reason = r.Reason })
+		return
 	}
-	if chart.Event(ts.Event) == EventFail {
-		t.Failures++
+	if r.Attempt != t.Attempt {
+		return
 	}
+	s.move(now, t, e, func() {
+		if !t.Held() {
+			t.released(e, r)
+		}
+	})
 }
 
-// fire moves the task along its chart and reports whether the event was taken.
-func (t *Task) fire(e chart.Event) bool {
+// move takes a task along its chart and keeps the indexes. Apply runs in the new state; an event the
+// chart doesn't have is without effect.
+func (s *state) move(now time.Time, t *Task, e chart.Event, apply func()) {
 	to, err := taskChart.Next(t.State, e)
 	if err != nil {
-		return false
+		return
 	}
+	ch := change{task: t, event: e, before: t.Held(), worker: t.Worker, reserve: t.Reserve}
+	s.unindex(t)
 	t.State = to
-	return true
+	apply()
+	s.index(t)
+	if t.Done() {
+		s.done = append(s.done, doneTask{t.ID, now})
+	}
+	if ch.after = t.Held(); ch.after {
+		ch.worker, ch.reserve = t.Worker, t.Reserve
+	}
+	ch.attempt = t.Attempt
+	s.changes = append(s.changes, ch)
+}
+
+// index adds a task to the set its state belongs to.
+func (s *state) index(t *Task) {
+	switch {
+	case t.Waits():
+		s.waiting[t.ID] = t
+	case t.State == StateUnschedulable:
+		s.parked[t.ID] = t
+	case t.Held():
+		if s.held[t.Worker] == nil {
+			s.held[t.Worker] = map[string]*Task{}
+		}
+		s.held[t.Worker][t.ID] = t
+	}
+}
+
+// unindex takes a task out of the set its state belongs to.
+func (s *state) unindex(t *Task) {
+	delete(s.waiting, t.ID)
+	delete(s.parked, t.ID)
+	if !t.Held() {
+		return
+	}
+	delete(s.held[t.Worker], t.ID)
+	if len(s.held[t.Worker]) == 0 {
+		delete(s.held, t.Worker)
+	}
+}
+
+// forget drops a task that has ended.
+func (s *state) forget(id string) {
+	t := s.tasks[id]
+	if t == nil || !t.Done() {
+		return
+	}
+	delete(s.tasks, id)
+	for i, d := range s.done {
+		if d.id == id {
+			s.done = append(s.done[:i], s.done[i+1:]...)
+			return
+		}
+	}
 }
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -1,344 +1,169 @@
 package cell
 
 import (
-	"errors"
-	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/announce"
-	"github.com/crocusspring/crocusspring/internal/chart"
+	"github.com/crocusspring/crocusspring/internal/interfere"
 	"github.com/crocusspring/crocusspring/internal/place"
-	"github.com/crocusspring/crocusspring/internal/record"
+	"github.com/crocusspring/crocusspring/internal/resource"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
 
-// leaseMargin is added to a task lease for clocks that run at different rates.
-const leaseMargin = 500 * time.Millisecond
-
 // worker is what the owner knows of one worker in its epoch.
 type worker struct {
-	member announce.Member
-	live   bool
-	seq    int64
-	busy   bool
-	sentAt time.Time
-	// fenced says that the worker has answered a sync of this epoch.
+	name    string
+	member  announce.Member
+	live    bool
+	drained bool
+
+	// seq is the number of the newest sync; polling says that it carried nothing and may be overtaken.
+	seq     int64
+	busy    bool
+	polling bool
+	sentAt  time.Time
+	// urge asks for a sync at once.
+	urge bool
+
+	// fenced says that the worker has answered a sync of this epoch and was not given up since.
 	fenced      bool
 	incarnation int64
 	echo        int64
-	// heard is when the newest echo was received; a lease built on it ends TaskLease later at the latest.
+	// heard is when the newest echo was received; a lease built on it ends a task lease later at the latest.
 	heard time.Time
-	// known are the attempts that some answer of this epoch has listed.
-	known map[attemptKey]bool
-	// started are the attempts whose start some sync of this epoch has carried.
-	started map[attemptKey]bool
-	// forget are ended attempts whose end stands in the log.
-	forget map[attemptKey]bool
-	// stop are attempts the worker runs but should not.
-	stop map[attemptKey]bool
-	// reported are attempts whose end is on its way to the log.
-	reported map[attemptKey]bool
-}
-
-// attemptKey names one attempt of a task.
-type attemptKey struct {
-	task    string
-	attempt int
-}
-
-// reset forgets what belongs to an epoch.
-func (w *worker) reset() {
-	*w = worker{
-		member: w.member, live: w.live, known: map[attemptKey]bool{}, started: map[attemptKey]bool{}, forget: map[attemptKey]bool{},
-		stop: map[attemptKey]bool{}, reported: map[attemptKey]bool{},
-	}
-}
-
-// announced takes the newest list of workers.
-func (c *Core) announced(members []announce.Member) {
-	for _, w := range c.workers {
-		w.live = false
-	}
-	for _, m := range members {
-		w := c.workers[m.Name]
-		if w == nil {
-			w = &worker{}
-			w.reset()
-			c.workers[m.Name] = w
-		}
-		w.member, w.live = m, true
-	}
-}
-
-// names returns the names of all workers in order, so that every run decides alike.
-func (c *Core) names() []string {
-	out := make([]string, 0, len(c.workers))
-	for n := range c.workers {
-		out = append(out, n)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// openWorkers returns the workers that can take a start, with everything they may hold reserved.
-func (c *Core) openWorkers() []*place.Worker {
-	byName := map[string]*place.Worker{}
-	var out []*place.Worker
-	for _, n := range c.names() {
-		w := c.workers[n]
-		if !w.live || !w.fenced {
-			continue
-		}
-		p := &place.Worker{
-			Name: n, DataCentre: w.member.DataCentre, Rack: w.member.Rack,
-			Capacity: w.member.Capacity, Draining: w.member.Leaving,
-		}
-		byName[n] = p
-		out = append(out, p)
-	}
-	for _, t := range c.state.tasks {
-		if p := byName[t.Worker]; p != nil && t.Held() {
-			p.Reserved = p.Reserved.Add(t.Reserve)
-		}
-	}
-	for _, a := range c.assumed {
-		if p := byName[a.Worker]; p != nil {
-			p.Reserved = p.Reserved.Add(a.Reserve)
-		}
+	// version is that of mirror, the worker's inventory as far as it is known.
+	version int64
+	mirror  map[attemptKey]workerapi.Attempt
+	// answered is the number of the newest sync that was answered; the worker takes no older one.
+	answered int64
+	// startSeq is the newest sync that carried the start of an attempt.
+	startSeq  map[attemptKey]int64
+	refused   map[attemptKey]string
+	residents []workerapi.Resident
+	// readings are when the newest reading of each attempt was made.
+	readings map[attemptKey]time.Time
+	// throttle are the shares of processor time that attempts are held to.
+	throttle map[attemptKey]int
+	guard    guard
+	mixes    []mix
+
+	assumed map[string]Assign
+	// unsettled says that inventory and fold have to be compared, stale that view is out of date.
+	unsettled bool
+	stale     bool
+	view      *place.Worker
+	// stray says that the worker runs an attempt that it should not.
+	stray bool
+}
+
+// newWorker returns a worker that has not been heard of.
+func newWorker(name string) *worker {
+	w := &worker{name: name, assumed: map[string]Assign{}, stale: true, urge: true}
+	w.forgetAll()
+	return w
+}
+
+// forgetAll drops what an inventory said.
+func (w *worker) forgetAll() {
+	w.version = 0
+	w.mirror = map[attemptKey]workerapi.Attempt{}
+	w.startSeq = map[attemptKey]int64{}
+	w.refused = map[attemptKey]string{}
+	w.readings = map[attemptKey]time.Time{}
+	w.throttle = map[attemptKey]int{}
+}
+
+// drop forgets what was kept about an attempt that is over.
+func (w *worker) drop(key attemptKey) {
+	delete(w.startSeq, key)
+	delete(w.readings, key)
+	delete(w.throttle, key)
+}
+
+// open reports whether the worker can take a start.
+func (w *worker) open() bool { return w.live && w.fenced && !w.stray }
+
+// refresh works out what placement has to know, with everything the worker may hold reserved.
+func (o *owner) refresh(now time.Time, w *worker) *place.Worker {
+	if w.view != nil && !w.stale {
+		return w.view
+	}
+	w.stale = false
+	v := &place.Worker{
+		Name: w.name, DataCentre: w.member.DataCentre, Rack: w.member.Rack, Capacity: w.member.Capacity,
+	}
+	for _, t := range o.c.state.held[w.name] {
+		v.Add(&place.Task{Class: t.Class, Reserve: t.Reserve.Add(w.excess(t))})
+	}
+	for id, a := range w.assumed {
+		if t := o.c.state.tasks[id]; t != nil {
+			v.Add(&place.Task{Class: t.Class, Reserve: a.Reserve})
+		}
+	}
+	for _, r := range w.residents {
+		v.Add(&place.Task{Class: r.Class, Reserve: r.Reserve})
+	}
+	w.view = v
+	w.note(now, v)
+	return v
+}
+
+// excess is the memory an attempt uses past its reservation; the worker does not hold it to that.
+func (w *worker) excess(t *Task) resource.Vector {
+	used := w.mirror[t.key()].Used
+	return resource.Vector{MemoryMB: max(0, used.MemoryMB-t.Reserve.MemoryMB)}
+}
+
+// mix is what ran together on a worker from a time on.
+type mix struct {
+	from    time.Time
+	classes []interfere.Neighbour
+	load    interfere.Load
+}
+
+// keepMixes bounds how far back usage readings can be matched.
+const keepMixes = 32
+
+// note remembers what runs together from now on.
+func (w *worker) note(now time.Time, v *place.Worker) {
+	m := mix{from: now, classes: slices.Clone(v.Classes), load: interfere.LoadOf(v.Busy())}
+	if n := len(w.mixes); n > 0 && m.load == w.mixes[n-1].load && slices.Equal(m.classes, w.mixes[n-1].classes) {
+		return
 	}
-	return out
-}
-
-// syncs returns the calls that are due.
-func (c *Core) syncs(now time.Time) []Action {
-	commands := c.commands()
-	var out []Action
-	for _, n := range c.names() {
-		w := c.workers[n]
-		cmds := commands[n]
-		due := now.Sub(w.sentAt) >= c.opt.SyncEvery
-		if w.busy || w.member.Address == "" || !due && (len(cmds) == 0 || !w.fenced) {
-			continue
-		}
-		w.busy, w.sentAt = true, now
-		w.seq++
-		req := workerapi.SyncRequest{
-			Cell: c.opt.Cell, Epoch: int64(c.epoch), Seq: w.seq, EchoMS: w.echo,
-			Incarnation: w.incarnation, LeaseMS: c.opt.TaskLease.Milliseconds(),
-		}
-		if w.fenced {
-			req.Commands = cmds
-			w.noteStarts(cmds)
-		}
-		out = append(out, Sync{Worker: n, Addr: w.member.Address, Req: req})
+	w.mixes = append(w.mixes, m)
+	if len(w.mixes) > keepMixes {
+		w.mixes = slices.Delete(w.mixes, 0, len(w.mixes)-keepMixes)
 	}
-	return out
 }
 
-// noteStarts remembers which starts are on their way.
-func (w *worker) noteStarts(cmds []workerapi.Command) {
-	for _, cmd := range cmds {
-		if cmd.Op == workerapi.OpStart {
-			w.started[attemptKey{cmd.Task, cmd.Attempt}] = true
-		}
-	}
-}
+// steady is how long around a reading the mix must not have changed for the reading to teach anything.
+const steady = time.Second
 
-// commands works out what each worker is to be told from the fold and its inventory.
-func (c *Core) commands() map[string][]workerapi.Command {
-	out := map[string][]workerapi.Command{}
-	for _, t := range c.held() {
-		w := c.workers[t.Worker]
-		if w == nil {
+// mixAt returns what ran together at a time; false when that changed about then.
+func (w *worker) mixAt(at time.Time) (mix, bool) {
+	for i := len(w.mixes) - 1; i >= 0; i-- {
+		if w.mixes[i].from.After(at) {
+			if w.mixes[i].from.Sub(at) < steady {
+				return mix{}, false
+			}
 			continue
 		}
-		key := attemptKey{t.ID, t.Attempt}
-		switch {
-		case t.State == StateAssigned && !w.known[key]:
-			out[t.Worker] = append(out[t.Worker], start(t))
-		case t.State == StateStopping && !w.reported[key]:
-			out[t.Worker] = append(out[t.Worker], workerapi.Command{Op: workerapi.OpStop, Task: t.ID, Attempt: t.Attempt})
-		}
-	}
-	for n, w := range c.workers {
-		out[n] = appendKeyed(out[n], workerapi.OpStop, w.stop)
-		out[n] = appendKeyed(out[n], workerapi.OpForget, w.forget)
+		return w.mixes[i], at.Sub(w.mixes[i].from) >= steady
 	}
-	return out
+	return mix{}, false
 }
 
-// appendKeyed adds one command for each attempt.
-func appendKeyed(out []workerapi.Command, op workerapi.Op, keys map[attemptKey]bool) []workerapi.Command {
-	for k := range keys {
-		out = append(out, workerapi.Command{Op: op, Task: k.task, Attempt: k.attempt})
+// without returns the neighbours of one task of a class.
+func (m mix) without(class string) []interfere.Neighbour {
+	out := slices.Clone(m.classes)
+	i, found := slices.BinarySearchFunc(out, class, func(n interfere.Neighbour, c string) int { return strings.Compare(n.Class, c) })
+	if !found {
+		return out
 	}
-	return out
-}
-
-// start returns the command that starts the current attempt of a task.
-func start(t *Task) workerapi.Command {
-	return workerapi.Command{
-		Op: workerapi.OpStart, Task: t.ID, Attempt: t.Attempt, Class: t.Class,
-		Declare: t.Declare, Reserve: t.Reserve, RunMS: t.RunMS, Resume: t.Checkpoint,
-	}
-}
-
-// held returns the tasks a worker may hold, in order of id.
-func (c *Core) held() []*Task {
-	var out []*Task
-	for _, t := range c.state.tasks {
-		if t.Held() {
-			out = append(out, t)
-		}
+	if out[i].Count--; out[i].Count == 0 {
+		out = slices.Delete(out, i, i+1)
 	}
-	slices.SortFunc(out, func(a, b *Task) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
-
-// synced takes the answer of a worker.
-func (c *Core) synced(now time.Time, ev SyncDone) {
-	w := c.workers[ev.Sync.Worker]
-	if w == nil || int64(c.epoch) != ev.Sync.Req.Epoch || w.seq != ev.Sync.Req.Seq {
-		return
-	}
-	w.busy = false
-	var stale *workerapi.StaleError
-	if errors.As(ev.Err, &stale) {
-		w.fenced = false
-		return
-	}
-	if ev.Err != nil {
-		return
-	}
-	if w.fenced && w.incarnation != ev.Resp.Incarnation {
-		// The start may have taken effect before the restart, so the attempt is never started again.
-		maps.Copy(w.known, w.started)
-	}
-	w.fenced, w.incarnation, w.echo, w.heard = true, ev.Resp.Incarnation, ev.Resp.ClockMS, now
-	c.compare(ev.Sync.Worker, w, ev)
-}
-
-// compare settles the fold against a worker's inventory.
-func (c *Core) compare(name string, w *worker, ev SyncDone) {
-	listed := map[attemptKey]workerapi.Attempt{}
-	clear(w.stop)
-	clear(w.forget)
-	for _, a := range ev.Resp.Attempts {
-		listed[attemptKey{a.Task, a.Attempt}] = a
-	}
-	for key, a := range listed {
-		c.listed(name, w, key, a)
-	}
-	refused := map[attemptKey]string{}
-	for _, r := range ev.Resp.Refusals {
-		refused[attemptKey{r.Task, r.Attempt}] = r.Reason
-	}
-	for _, t := range c.held() {
-		key := attemptKey{t.ID, t.Attempt}
-		if _, ok := listed[key]; ok || t.Worker != name || w.reported[key] {
-			continue
-		}
-		switch reason, no := refused[key]; {
-		case no:
-			c.end(w, key, EventRefuse, nil, reason)
-		case w.known[key] || !carried(ev.Sync.Req, key) && t.State == StateAssigned && c.older(t):
-			c.end(w, key, EventLose, nil, "worker no longer holds it")
-		case t.State == StateStopping && stopped(ev.Sync.Req, key):
-			c.end(w, key, EventStopped, nil, "")
-		}
-	}
-	for key := range listed {
-		w.known[key] = true
-	}
-}
-
-// older reports whether the current attempt was assigned under an earlier epoch.
-func (c *Core) older(t *Task) bool { return t.AssignEpoch != c.epoch }
-
-// carried reports whether a sync carried the start of an attempt.
-func carried(req workerapi.SyncRequest, key attemptKey) bool {
-	return commanded(req, workerapi.OpStart, key)
-}
-
-// stopped reports whether a sync carried the stop of an attempt.
-func stopped(req workerapi.SyncRequest, key attemptKey) bool {
-	return commanded(req, workerapi.OpStop, key)
-}
-
-// commanded reports whether a sync carried a command for an attempt.
-func commanded(req workerapi.SyncRequest, op workerapi.Op, key attemptKey) bool {
-	return slices.ContainsFunc(req.Commands, func(cmd workerapi.Command) bool {
-		return cmd.Op == op && cmd.Task == key.task && cmd.Attempt == key.attempt
-	})
-}
-
-// listed settles one attempt of the inventory.
-func (c *Core) listed(name string, w *worker, key attemptKey, a workerapi.Attempt) {
-	t := c.state.tasks[key.task]
-	current := t != nil && t.Held() && t.Worker == name && t.Attempt == key.attempt
-	running := a.State == workerapi.StateRunning
-	switch {
-	case current && !running:
-		c.ended(w, t, key, a)
-	case !current && running:
-		w.stop[key] = true
-	case !current:
-		w.forget[key] = true
-	}
-}
-
-// ended reports the end of a current attempt.
-func (c *Core) ended(w *worker, t *Task, key attemptKey, a workerapi.Attempt) {
-	if w.reported[key] {
-		return
-	}
-	c.end(w, key, c.endEvent(t, a.State), a.Checkpoint, a.Reason)
-}
-
-// endEvent maps a worker's word for an end to the chart's.
-func (c *Core) endEvent(t *Task, s workerapi.State) chart.Event {
-	switch s {
-	case workerapi.StateFinished:
-		return EventFinish
-	case workerapi.StateFailed:
-		if t.Failures+1 >= c.opt.MaxFailures {
-			return EventFailFinal
-		}
-		return EventFail
-	case workerapi.StateStopped:
-		if t.State == StateStopping {
-			return EventStopped
-		}
-	}
-	return EventLose
-}
-
-// end queues the record of an attempt's end.
-func (c *Core) end(w *worker, key attemptKey, ev chart.Event, cp *workerapi.Checkpoint, reason string) {
-	w.reported[key] = true
-	c.outbox.add(record.KindTaskState, c.opt.Self, TaskState{
-		Epoch: c.epoch, Task: key.task, Attempt: key.attempt, Event: string(ev), Checkpoint: cp, Reason: reason,
-	})
-}
-
-// lapse gives up the attempts of workers whose task lease has surely ended.
-func (c *Core) lapse(now time.Time) {
-	for _, t := range c.held() {
-		w := c.workers[t.Worker]
-		if w == nil {
-			w = &worker{}
-			w.reset()
-			c.workers[t.Worker] = w
-		}
-		from := c.ownSince
-		if w.heard.After(from) {
-			from = w.heard
-		}
-		key := attemptKey{t.ID, t.Attempt}
-		if now.Sub(from) > c.opt.TaskLease+leaseMargin && !w.reported[key] {
-			c.end(w, key, EventLose, nil, "worker is silent and its lease has lapsed")
-		}
-	}
-}
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -116,7 +116,10 @@
 	LeaseMS     int64 `json:"lease_ms"`
 	// Since is the newest inventory version received from this incarnation in this epoch; the answer
 	// lists what changed after it, and 0 asks for everything.
-	Since    int64     `json:"since,omitempty"`
+	Since int64 `json:"since,omitempty"`
+	// WaitMS is how long the worker may wait for an attempt to end before it answers; a newer sync
+	// ends the wait.
+	WaitMS   int64     `json:"wait_ms,omitempty"`
 	Commands []Command `json:"commands,omitempty"`
 }
 
