--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -206,18 +206,29 @@
 			out = append(out, Append{Record: env})
 		}
 	}
-	epoch, ok := c.lease.Owner(now)
-	switch {
-	case !ok:
+	out = c.serve(now, out)
+	c.state.changes = c.state.changes[:0]
+	return out
+}
+
+// serve acts as the owner while the lease holds. Between the end of a lease and its late renewal under
+// the same epoch nothing is done, but what was under way is not forgotten: nobody else can have taken
+// the cell in between.
+func (c *Core) serve(now time.Time, out []Action) []Action {
+	holder, held := c.lease.Holder()
+	if c.own != nil && (holder != c.opt.Self || held != c.own.epoch) {
 		c.own = nil
-	case c.own == nil || c.own.epoch != epoch:
-		c.own = newOwner(c, now, epoch)
 	}
-	if c.own != nil {
-		out = c.own.advance(now, out)
+	if _, ok := c.lease.Owner(now); !ok {
+		if c.own != nil {
+			c.own.absorb(now)
+		}
+		return out
 	}
-	c.state.changes = c.state.changes[:0]
-	return out
+	if c.own == nil {
+		c.own = newOwner(c, now, held)
+	}
+	return c.own.advance(now, out)
 }
 
 // Owner reports whether this process owns the cell now, and under which epoch.
--- /dev/null
+++ b/internal/cell/model_test.go
@@ -0,0 +1,433 @@
+package cell
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/record"
+	"github.com/crocusspring/crocusspring/internal/resource"
+	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
+	"github.com/crocusspring/crocusspring/internal/workerapi"
+)
+
+const (
+	modelTick    = 25 * time.Millisecond
+	modelTimeout = 2 * time.Second
+)
+
+// chaos says which faults a run of the model has.
+type chaos struct {
+	Seed        uint64
+	Kill        bool // owners die and are replaced by fresh starts
+	Pause       bool // owners freeze, also between a decision and its send
+	Crash       bool // workers crash and restart
+	PauseWorker bool
+	Lose        bool // syncs and their answers are lost
+	Delay       bool // syncs and answers are late, appends land late
+	Double      bool // syncs and appends arrive twice
+	LogDown     bool
+	LogAnswers  bool // answers to appends are lost
+	Cancel      bool
+	Expire      bool // the log keeps little
+	Cut         bool // a core can't reach some of the workers
+}
+
+// model is a whole small cell: cores, a log, workers and the ways between them.
+type model struct {
+	chaos
+	rng     *rand.Rand
+	now     time.Time
+	cores   []*modelCore
+	workers []*modelWorker
+	log     []json.RawMessage
+	first   logsvc.Offset // oldest entry kept
+	down    time.Time     // until when the log is down
+	msgs    []message
+	hist    *modelHistory
+	jobs    []string
+	starts  int
+}
+
+// modelCore is one candidate with its driver.
+type modelCore struct {
+	core   *Core
+	next   logsvc.Offset
+	paused time.Time
+	held   []func() // what the driver was about to do when it was paused
+	cut    string   // a worker it can't reach
+}
+
+// modelWorker is one worker.
+type modelWorker struct {
+	w      *workerstand.Worker
+	member announce.Member
+	back   time.Time // when it restarts or resumes; zero when it is well
+	frozen bool
+}
+
+// message arrives at a time.
+type message struct {
+	due time.Time
+	do  func()
+}
+
+// newModel returns a cell with jobs submitted over the time of the chaos.
+func newModel(c chaos, workers int) *model {
+	m := &model{chaos: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), now: time.Unix(1000, 0), first: 1, hist: newHistory()}
+	for i := range workers {
+		a := announce.Announcement{
+			Role: announce.RoleWorker, Name: fmt.Sprintf("w%d", i), Address: "127.0.0.1:1", DataCentre: "dc",
+			Rack: fmt.Sprintf("r%d", i/2), Capacity: resource.Vector{MilliCPU: 4000, MemoryMB: 4000}, Incarnation: 1,
+		}
+		w := workerstand.NewAt(a, m.hist, m.now)
+		w.SetTruth(workerstand.Truth{Seed: c.Seed, Strength: 2, Off: 1.5})
+		m.workers = append(m.workers, &modelWorker{w: w, member: announce.Member{Announcement: a}})
+	}
+	for range 3 {
+		m.cores = append(m.cores, m.newCore())
+	}
+	return m
+}
+
+// newCore returns a fresh start of a candidate.
+func (m *model) newCore() *modelCore {
+	m.starts++
+	return &modelCore{next: 1, core: New(Options{
+		Cell: "dc", Self: fmt.Sprintf("p%d", m.starts), OwnerLease: 2 * time.Second, TaskLease: 4 * time.Second,
+		SyncEvery: 200 * time.Millisecond, MaxFailures: 3, SnapshotEvery: 40,
+	})}
+}
+
+// chance is true with a probability.
+func (m *model) chance(p float64) bool { return m.rng.Float64() < p }
+
+// after draws a delay.
+func (m *model) after(low, high time.Duration) time.Duration {
+	return low + time.Duration(m.rng.Int64N(int64(high-low)+1))
+}
+
+// send delivers something later, perhaps twice or never.
+func (m *model) send(lossy bool, do func()) {
+	delay := m.after(0, 20*time.Millisecond)
+	if m.Delay && m.chance(0.1) {
+		delay = m.after(0, 5*time.Second)
+	}
+	if lossy && m.Lose && m.chance(0.1) {
+		return
+	}
+	m.msgs = append(m.msgs, message{m.now.Add(delay), do})
+	if m.Double && m.chance(0.1) {
+		m.msgs = append(m.msgs, message{m.now.Add(delay + m.after(0, 3*time.Second)), do})
+	}
+}
+
+// deliver does what is due, in any order.
+func (m *model) deliver() {
+	due := slices.DeleteFunc(slices.Clone(m.msgs), func(x message) bool { return x.due.After(m.now) })
+	m.msgs = slices.DeleteFunc(m.msgs, func(x message) bool { return !x.due.After(m.now) })
+	m.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, x := range due {
+		x.do()
+	}
+}
+
+// step gives a core one event and drives its actions.
+func (m *model) step(mc *modelCore, ev Event) {
+	for _, a := range mc.core.Step(m.now, ev) {
+		switch a := a.(type) {
+		case Append:
+			m.drive(mc, func() { m.append(mc, a) })
+		case Sync:
+			m.drive(mc, func() { m.sync(mc, a) })
+		}
+	}
+}
+
+// drive does an action now, or after the pause that begins right here.
+func (m *model) drive(mc *modelCore, do func()) {
+	if m.Pause && mc.paused.IsZero() && m.chance(0.001) {
+		mc.paused = m.now.Add(m.after(time.Second, 12*time.Second))
+	}
+	if !mc.paused.IsZero() {
+		mc.held = append(mc.held, do)
+		return
+	}
+	do()
+}
+
+// append sends a record to the log. The core learns of the end of the call in any case.
+func (m *model) append(mc *modelCore, a Append) {
+	raw, _ := a.Record.Encode()
+	done := func() { m.toCore(mc, AppendDone{Append: a}) }
+	if m.now.Before(m.down) {
+		m.msgs = append(m.msgs, message{m.now.Add(10 * time.Millisecond), done})
+		return
+	}
+	m.send(false, func() { m.land(raw) })
+	wait := 30 * time.Millisecond
+	if m.LogAnswers && m.chance(0.3) {
+		wait = modelTimeout
+	}
+	m.msgs = append(m.msgs, message{m.now.Add(wait), done})
+}
+
+// land adds a record to the log.
+func (m *model) land(raw json.RawMessage) {
+	m.log = append(m.log, raw)
+	if keep := 120; m.Expire && len(m.log) > keep {
+		m.first += logsvc.Offset(len(m.log) - keep)
+		m.log = m.log[len(m.log)-keep:]
+	}
+}
+
+// sync calls a worker the way the driver does: the lease is looked at again right before.
+func (m *model) sync(mc *modelCore, a Sync) {
+	epoch, ok := mc.core.Owner(m.now)
+	if !ok || int64(epoch) != a.Req.Epoch {
+		m.toCore(mc, SyncDone{Sync: a, Err: fmt.Errorf("not owned")})
+		return
+	}
+	answered := false
+	m.msgs = append(m.msgs, message{m.now.Add(modelTimeout), func() {
+		if !answered {
+			answered = true
+			m.toCore(mc, SyncDone{Sync: a, Err: fmt.Errorf("timeout")})
+		}
+	}})
+	if mc.cut == a.Worker {
+		return
+	}
+	w := m.workers[slices.IndexFunc(m.workers, func(w *modelWorker) bool { return w.member.Name == a.Worker })]
+	m.send(true, func() {
+		resp, err := w.w.Sync(m.now, a.Req)
+		m.send(true, func() {
+			if !answered {
+				answered = true
+				m.toCore(mc, SyncDone{Sync: a, Resp: resp, Err: err})
+			}
+		})
+	})
+}
+
+// toCore hands an event to a core unless it is paused; then the event waits.
+func (m *model) toCore(mc *modelCore, ev Event) {
+	if !mc.paused.IsZero() {
+		mc.held = append(mc.held, func() { m.step(mc, ev) })
+		return
+	}
+	m.step(mc, ev)
+}
+
+// read lets a core read the log.
+func (m *model) read(mc *modelCore) {
+	if mc.next < m.first {
+		mc.next = m.first
+		m.step(mc, Gap{First: m.first})
+	}
+	tail := m.first + logsvc.Offset(len(m.log))
+	var es []logsvc.Entry
+	for ; mc.next < tail && len(es) < 50; mc.next++ {
+		es = append(es, logsvc.Entry{Offset: mc.next, Data: m.log[mc.next-m.first]})
+	}
+	m.step(mc, Entries{Entries: es, Tail: tail})
+}
+
+// tick lets time pass; with faults when chaotic.
+func (m *model) tick(chaotic bool) {
+	m.now = m.now.Add(modelTick)
+	if chaotic {
+		m.disturb()
+	}
+	m.deliver()
+	var members []announce.Member
+	for _, w := range m.workers {
+		if !w.back.IsZero() && !m.now.Before(w.back) {
+			w.back = time.Time{}
+			if w.frozen {
+				w.frozen = false
+				w.w.Resume(m.now)
+			} else {
+				w.w.Restart(m.now)
+			}
+		}
+		w.w.Advance(m.now)
+		if w.back.IsZero() {
+			members = append(members, w.member)
+		}
+	}
+	for _, mc := range m.cores {
+		if !mc.paused.IsZero() && !m.now.Before(mc.paused) {
+			m.resume(mc)
+		}
+		if !mc.paused.IsZero() {
+			continue
+		}
+		m.step(mc, Workers{Members: members})
+		if m.now.After(m.down) && m.chance(0.7) {
+			m.read(mc)
+		}
+	}
+}
+
+// resume ends a pause: what was under way goes on first.
+func (m *model) resume(mc *modelCore) {
+	mc.paused = time.Time{}
+	held := mc.held
+	mc.held = nil
+	for _, do := range held {
+		do()
+	}
+}
+
+// disturb draws faults.
+func (m *model) disturb() {
+	mc, w := m.cores[m.rng.IntN(len(m.cores))], m.workers[m.rng.IntN(len(m.workers))]
+	if m.Kill && m.chance(0.004) {
+		*mc = *m.newCore()
+	}
+	if m.Pause && mc.paused.IsZero() && m.chance(0.004) {
+		mc.paused = m.now.Add(m.after(100*time.Millisecond, 12*time.Second))
+	}
+	if m.Cut && m.chance(0.005) {
+		mc.cut = w.member.Name
+		if m.chance(0.5) {
+			mc.cut = ""
+		}
+	}
+	if w.back.IsZero() && m.Crash && m.chance(0.006) {
+		w.w.Crash(m.now)
+		w.back = m.now.Add(m.after(20*time.Millisecond, 8*time.Second))
+	}
+	if w.back.IsZero() && m.PauseWorker && m.chance(0.006) {
+		w.w.Pause(m.now)
+		w.frozen, w.back = true, m.now.Add(m.after(20*time.Millisecond, 8*time.Second))
+	}
+	if m.LogDown && m.chance(0.002) {
+		m.down = m.now.Add(m.after(100*time.Millisecond, 8*time.Second))
+	}
+	if m.chance(0.12) {
+		m.submit()
+	}
+	if m.Cancel && len(m.jobs) > 0 && m.chance(0.02) {
+		m.publish(record.KindCancel, Cancel{Jobs: []string{m.jobs[m.rng.IntN(len(m.jobs))], m.jobs[m.rng.IntN(len(m.jobs))]}})
+	}
+}
+
+// submit accepts one job.
+func (m *model) submit() {
+	id := fmt.Sprintf("j%d", len(m.jobs))
+	j := Job{
+		ID: id, Workspace: fmt.Sprintf("centre-%d", m.rng.IntN(3)), Class: fmt.Sprintf("class-%d", m.rng.IntN(3)),
+		Urgent: m.chance(0.2), Declare: resource.Vector{MilliCPU: 500 + 500*m.rng.Int64N(5), MemoryMB: 300},
+		RunMS: 100 + m.rng.Int64N(4000),
+	}
+	if m.publish(record.KindJob, j) {
+		m.jobs = append(m.jobs, id)
+	}
+}
+
+// publish appends a caller's record, perhaps twice.
+func (m *model) publish(kind record.Kind, body any) bool {
+	if m.now.Before(m.down) {
+		return false
+	}
+	env, _ := record.New(record.NewID(), kind, SchemaVersion, "caller", body)
+	raw, _ := env.Encode()
+	m.land(raw)
+	if m.Double && m.chance(0.2) {
+		m.land(raw)
+	}
+	return true
+}
+
+// settle stops all faults and waits until every job has ended.
+func (m *model) settle() bool {
+	for _, mc := range m.cores {
+		mc.cut = ""
+	}
+	m.chaos = chaos{Seed: m.Seed, Expire: m.Expire}
+	for i := 0; i < int(90*time.Second/modelTick); i++ {
+		m.tick(false)
+		if m.allDone() {
+			return true
+		}
+	}
+	return false
+}
+
+// allDone reports whether every core knows that every job has ended.
+func (m *model) allDone() bool {
+	for _, mc := range m.cores {
+		if !mc.paused.IsZero() || !mc.core.Ready() || mc.next != m.first+logsvc.Offset(len(m.log)) {
+			return false
+		}
+		for _, id := range m.jobs {
+			if t, ok := mc.core.Task(id); !ok || !t.Done() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// modelHistory is what the workers saw.
+type modelHistory struct {
+	running  map[string]map[string]workerapi.Command // by worker and task
+	where    map[string]string
+	started  map[string]int
+	resumed  map[string]int
+	finished map[string]int
+	wrong    []string
+}
+
+// newHistory returns an empty history.
+func newHistory() *modelHistory {
+	return &modelHistory{
+		running: map[string]map[string]workerapi.Command{}, where: map[string]string{}, started: map[string]int{},
+		resumed: map[string]int{}, finished: map[string]int{},
+	}
+}
+
+// Started implements workerstand.Observer and checks what must always hold.
+func (h *modelHistory) Started(worker string, c workerapi.Command, at time.Time) {
+	if on, ok := h.where[c.Task]; ok {
+		h.wrong = append(h.wrong, fmt.Sprintf("%v: %s/%d starts on %s while it runs on %s", at, c.Task, c.Attempt, worker, on))
+	}
+	h.where[c.Task] = worker
+	if h.running[worker] == nil {
+		h.running[worker] = map[string]workerapi.Command{}
+	}
+	h.running[worker][c.Task] = c
+	var sum resource.Vector
+	for _, r := range h.running[worker] {
+		sum = sum.Add(r.Reserve)
+	}
+	if !sum.Fits(resource.Vector{MilliCPU: 4000, MemoryMB: 4000}) {
+		h.wrong = append(h.wrong, fmt.Sprintf("%v: %s carries %v", at, worker, sum))
+	}
+	h.count(h.started, fmt.Sprintf("start of %s/%d", c.Task, c.Attempt))
+	if c.Resume != nil {
+		h.count(h.resumed, fmt.Sprintf("resume of %s from %+v", c.Task, *c.Resume))
+	}
+}
+
+// count counts what must happen once at the most.
+func (h *modelHistory) count(in map[string]int, what string) {
+	if in[what]++; in[what] > 1 {
+		h.wrong = append(h.wrong, "second "+what)
+	}
+}
+
+// Ended implements workerstand.Observer.
+func (h *modelHistory) Ended(worker, task string, _ int, s workerapi.State, _ time.Time) {
+	delete(h.running[worker], task)
+	delete(h.where, task)
+	if s == workerapi.StateFinished {
+		h.finished[task]++
+	}
+}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -19,6 +19,8 @@
 	settleIn = 5 * time.Second
 	// snapshotRetry is the least time between two attempts at a snapshot.
 	snapshotRetry = 5 * time.Second
+	// pauseFrom is the time between two rounds from which the owner was paused or without its lease.
+	pauseFrom = time.Second
 	// leaseMargin is added to a task lease for clocks that run at different rates.
 	leaseMargin = 500 * time.Millisecond
 )
@@ -28,6 +30,9 @@
 	c     *Core
 	epoch logsvc.Offset
 	since time.Time
+	// watching is since when workers have been called without a break, and rounded the newest round.
+	watching time.Time
+	rounded  time.Time
 
 	workers map[string]*worker
 	order   []*worker // by name, so that every run decides alike
@@ -93,6 +98,10 @@
 
 // advance does one round.
 func (o *owner) advance(now time.Time, out []Action) []Action {
+	if now.Sub(o.rounded) > pauseFrom {
+		o.watching = now
+	}
+	o.rounded = now
 	o.roster()
 	o.absorb(now)
 	if now.Sub(o.swept) >= sweepEvery {
@@ -242,12 +251,13 @@
 }
 
 // lapse gives up the attempts of workers whose task lease has surely ended: a worker was heard of
-// last, or an earlier owner renewed last, longer ago than any lease they were given.
+// last, or an earlier owner renewed last, longer ago than any lease they were given. After a pause of
+// the owner the wait begins anew, so that a worker can still tell what it has finished.
 func (o *owner) lapse(now time.Time) {
 	wait := o.c.lease.TaskLease() + leaseMargin
 	for name, tasks := range o.c.state.held {
 		w := o.worker(name)
-		from := o.since
+		from := o.watching
 		if w.heard.After(from) {
 			from = w.heard
 		}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -15,6 +15,7 @@
 type hold struct {
 	worker  string
 	reserve resource.Vector
+	urgent  bool
 	until   time.Time
 }
 
@@ -86,12 +87,39 @@
 	delete(o.holds, t.ID)
 	switch {
 	case it.Urgent:
-		if w := o.preempt(now, pt, open); w != nil {
-			o.keep(t.ID, hold{w.Name, pt.Reserve, now.Add(preemptWithin)}, open)
+		if w := o.preempt(now, pt, o.free(open, true)); w != nil {
+			o.displace(w.Name, open)
+			o.keep(t.ID, hold{w.Name, pt.Reserve, true, now.Add(preemptWithin)}, open)
 		}
 	case o.queue.MayHold(now, it):
-		if w := place.Hold(pt, open); w != nil {
-			o.keep(t.ID, hold{w.Name, pt.Reserve, now.Add(holdFor)}, open)
+		if w := place.Hold(pt, o.free(open, false)); w != nil {
+			o.keep(t.ID, hold{w.Name, pt.Reserve, false, now.Add(holdFor)}, open)
+		}
+	}
+}
+
+// free returns the workers on which no room is held; an urgent task may displace a hold that is not
+// urgent. One task holds room on a worker at a time, since two could keep each other out for ever.
+func (o *owner) free(open []*place.Worker, urgent bool) []*place.Worker {
+	taken := map[string]bool{}
+	for _, h := range o.holds {
+		taken[h.worker] = taken[h.worker] || !urgent || h.urgent
+	}
+	var out []*place.Worker
+	for _, w := range open {
+		if !taken[w.Name] {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// displace ends the hold on a worker.
+func (o *owner) displace(worker string, open []*place.Worker) {
+	for id, h := range o.holds {
+		if h.worker == worker {
+			o.release(h, open)
+			delete(o.holds, id)
 		}
 	}
 }
--- a/internal/cellrun/cellrun.go
+++ b/internal/cellrun/cellrun.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -13,16 +14,23 @@
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/follow"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 	"golang.org/x/sync/errgroup"
 )
 
 const (
-	tickEvery     = 50 * time.Millisecond
+	tickEvery = 50 * time.Millisecond
+	// rosterTicks is how many ticks pass between two looks at the list of workers.
+	rosterTicks   = 5
 	appendTimeout = 2 * time.Second
-	syncTimeout   = 2 * time.Second
+	// syncTimeout is how long a worker may take over an answer, on top of the wait that the sync allows.
+	syncTimeout = 2 * time.Second
 )
 
+// errNotOwner says that an action was decided under an epoch that is no longer owned.
+var errNotOwner = errors.New("cell is no longer owned under this epoch")
+
 // WorkerSource tells which workers of a data centre are alive.
 type WorkerSource interface {
 	Workers(dataCentre string) []announce.Member
@@ -62,16 +70,23 @@
 func (d *Driver) tick() error {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
-	for {
+	for n := 0; ; n++ {
+		if n%rosterTicks == 0 {
+			d.step(cell.Workers{Members: d.workers.Workers(d.name)})
+		} else {
+			d.step(cell.Tick{})
+		}
 		select {
 		case <-d.ctx.Done():
 			return nil
 		case <-t.C:
-			d.step(cell.Workers{Members: d.workers.Workers(d.name)})
 		}
 	}
 }
 
+// SetPolicies hands the configuration to the core.
+func (d *Driver) SetPolicies(p cell.Policies) { d.step(p) }
+
 // Entries implements follow.Handler.
 func (d *Driver) Entries(entries []logsvc.Entry, tail logsvc.Offset) {
 	d.step(cell.Entries{Entries: entries, Tail: tail})
@@ -79,7 +94,8 @@
 
 // Expired implements follow.Handler.
 func (d *Driver) Expired(first logsvc.Offset) logsvc.Offset {
-	d.lg.Error("Entries have expired.", "stream", cell.Stream(d.name), "first", first)
+	d.lg.Warn("Entries have expired, a snapshot is sought.", "stream", cell.Stream(d.name), "first", first)
+	d.step(cell.Gap{First: first})
 	return first
 }
 
@@ -104,33 +120,37 @@
 
 // append does an Append action.
 func (d *Driver) append(a cell.Append) error {
-	var data []json.RawMessage
-	for _, env := range a.Records {
-		raw, err := env.Encode()
-		if err != nil {
-			d.lg.Error("Record can't be encoded.", "err", err)
-			continue
-		}
-		data = append(data, raw)
+	if raw, err := a.Record.Encode(); err != nil {
+		d.lg.Error("Record can't be encoded.", "err", err)
+	} else if err := d.appendRaw(a, raw); err != nil {
+		d.lg.Debug("Append failed.", "err", err)
 	}
+	d.step(cell.AppendDone{Append: a})
+	return nil
+}
+
+// appendRaw appends one record.
+func (d *Driver) appendRaw(a cell.Append, raw json.RawMessage) error {
 	ctx, cancel := context.WithTimeout(d.ctx, appendTimeout)
 	defer cancel()
-	if a.Lease {
+	if a.Record.Kind == record.KindLease {
 		ctx = logsvc.WithClass(ctx, logsvc.ClassLease)
 	}
-	_, err := d.log.Append(ctx, cell.Stream(d.name), data)
-	if err != nil {
-		d.lg.Debug("Append failed.", "err", err)
-	}
-	d.step(cell.AppendDone{Append: a, Err: err})
-	return nil
+	_, err := d.log.Append(ctx, cell.Stream(d.name), []json.RawMessage{raw})
+	return err
 }
 
-// sync does a Sync action.
+// sync does a Sync action. The lease is looked at again right before the call is made; should the
+// process be paused between that and the send, the worker's epoch and the age of the echoed clock
+// reading make the call harmless.
 func (d *Driver) sync(a cell.Sync) error {
-	ctx, cancel := context.WithTimeout(d.ctx, syncTimeout)
+	wait := time.Duration(a.Req.WaitMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(d.ctx, wait+syncTimeout)
 	defer cancel()
-	resp, err := d.syncer.Sync(ctx, a.Addr, a.Req)
+	resp, err := workerapi.SyncResponse{}, errNotOwner
+	if d.owns(a.Req.Epoch) {
+		resp, err = d.syncer.Sync(ctx, a.Addr, a.Req)
+	}
 	if err != nil {
 		d.lg.Debug("Sync failed.", "worker", a.Worker, "err", err)
 	}
@@ -138,6 +158,14 @@
 	return nil
 }
 
+// owns reports whether the cell is owned under an epoch right now.
+func (d *Driver) owns(epoch int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, ok := d.core.Owner(time.Now())
+	return ok && int64(now) == epoch
+}
+
 // View calls f with the core under the driver's lock. f must not keep it.
 func (d *Driver) View(f func(*cell.Core)) {
 	d.mu.Lock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -75,6 +75,7 @@
 	seq      int64
 	validTil time.Time // until when this process may act as the owner
 	leaving  bool
+	restored bool // what this process did under the present epoch is not known
 }
 
 // New returns the lease of a cell that no one holds yet.
@@ -104,7 +105,7 @@
 	c.tasks = max(c.tasks, time.Duration(b.TaskLeaseMS)*time.Millisecond)
 	switch b.Op {
 	case OpTake:
-		c.holder, c.epoch = b.Holder, at
+		c.holder, c.epoch, c.restored = b.Holder, at, false
 	case OpRelease:
 		c.holder, c.held = "", 0
 	}
@@ -155,6 +156,9 @@
 		if c.leaving {
 			return OpRelease, true
 		}
+		if c.restored {
+			return OpTake, true
+		}
 		return OpRenew, now.After(c.validTil.Add(c.opt.Length/renewPart - c.opt.Length))
 	}
 	if c.leaving {
--- a/internal/lease/snapshot.go
+++ b/internal/lease/snapshot.go
@@ -23,10 +23,13 @@
 }
 
 // Restore replaces the folded part. The newest lease record counts as seen now, which is no earlier
-// than it was, and what this process may have held is given up.
+// than it was, and what this process may have held is given up: it has to take the cell anew, since it
+// does not know what it did under the old epoch.
 func (c *Core) Restore(now time.Time, s Snapshot) {
 	c.holder, c.epoch, c.last = s.Holder, s.Epoch, s.Last
 	c.held = time.Duration(s.HeldMS) * time.Millisecond
 	c.tasks = time.Duration(s.TaskLeaseMS) * time.Millisecond
 	c.seen, c.validTil = now, time.Time{}
+	c.sent, c.sentAt = map[int64]time.Time{}, time.Time{}
+	c.restored = true
 }
--- a/internal/standin/workerstand/sync.go
+++ b/internal/standin/workerstand/sync.go
@@ -18,26 +18,54 @@
 	w.advance(now)
 	tn := w.cells[req.Cell]
 	if tn == nil {
-		tn = &tenant{attempts: map[attemptKey]*attempt{}}
+		tn = &tenant{version: 1, attempts: map[attemptKey]*attempt{}}
 		w.cells[req.Cell] = tn
 	}
 	if req.Epoch < tn.epoch || req.Epoch == tn.epoch && req.Seq <= tn.seq {
 		return workerapi.SyncResponse{}, &workerapi.StaleError{Epoch: tn.epoch}
 	}
 	tn.epoch, tn.seq = req.Epoch, req.Seq
-	resp := workerapi.SyncResponse{Worker: w.announce.Name, Incarnation: w.announce.Incarnation, ClockMS: w.clock(now)}
-	resp.Refusals = w.commands(tn, req, now)
+	refusals := w.commands(tn, req, now)
+	resp := w.answer(tn, now, req)
+	resp.Refusals = refusals
+	return resp, nil
+}
+
+// again answers a sync that has waited, unless a newer one came meanwhile.
+func (w *Worker) again(now time.Time, req workerapi.SyncRequest) (workerapi.SyncResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down || w.paused != nil {
+		return workerapi.SyncResponse{}, ErrDown
+	}
+	w.advance(now)
+	tn := w.cells[req.Cell]
+	if tn == nil || tn.epoch != req.Epoch || tn.seq != req.Seq {
+		return workerapi.SyncResponse{}, ErrDown
+	}
+	return w.answer(tn, now, req), nil
+}
+
+// changed reports whether a waiting sync has to be answered: an attempt ended or was checkpointed, or
+// a newer sync came.
+func (w *Worker) changed(req workerapi.SyncRequest) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	tn := w.cells[req.Cell]
+	return w.down || tn == nil || tn.epoch != req.Epoch || tn.seq != req.Seq || tn.moved > req.Since
+}
+
+// answer returns the inventory as a sync asks for it.
+func (w *Worker) answer(tn *tenant, now time.Time, req workerapi.SyncRequest) workerapi.SyncResponse {
 	w.sample(tn, now)
 	since := req.Since
 	if req.Incarnation != w.announce.Incarnation {
 		since = 0
 	}
-	resp.Full, resp.Version = since == 0, tn.version
-	resp.Attempts = w.inventory(tn, now, since)
-	if resp.Full || len(w.resident) > 0 {
-		resp.Residents = w.residents()
+	return workerapi.SyncResponse{
+		Worker: w.announce.Name, Incarnation: w.announce.Incarnation, ClockMS: w.clock(now),
+		Full: since == 0, Version: tn.version, Attempts: w.inventory(tn, now, since), Residents: w.residents(),
 	}
-	return resp, nil
 }
 
 // clock is the worker's monotonic clock in milliseconds; it starts at 1 since 0 means none.
@@ -100,6 +128,12 @@
 	a.changed = tn.version
 }
 
+// move is touch for what a waiting sync is answered for.
+func (tn *tenant) move(a *attempt) {
+	tn.touch(a)
+	tn.moved = tn.version
+}
+
 // inventory lists the attempts of a cell that changed after a version, in order.
 func (w *Worker) inventory(tn *tenant, now time.Time, since int64) []workerapi.Attempt {
 	var out []workerapi.Attempt
--- a/internal/standin/workerstand/work.go
+++ b/internal/standin/workerstand/work.go
@@ -88,7 +88,7 @@
 	}
 	a.saved = &workerapi.Checkpoint{Attempt: a.cmd.Attempt, DoneMS: a.savingMS}
 	a.saving = time.Time{}
-	tn.touch(a)
+	tn.move(a)
 	if o, ok := w.seen.(CheckpointObserver); ok {
 		o.Checkpointed(w.announce.Name, a.cmd.Task, *a.saved, now)
 	}
@@ -100,7 +100,7 @@
 		return
 	}
 	a.state, a.reason, a.saving = s, reason, time.Time{}
-	tn.touch(a)
+	tn.move(a)
 	if w.seen != nil {
 		w.seen.Ended(w.announce.Name, a.cmd.Task, a.cmd.Attempt, s, at)
 	}
--- a/internal/standin/workerstand/workerstand.go
+++ b/internal/standin/workerstand/workerstand.go
@@ -55,7 +55,9 @@
 	epoch    int64
 	seq      int64
 	leaseEnd time.Time
+	// version counts the changes of the inventory; moved is that of the newest end or checkpoint.
 	version  int64
+	moved    int64
 	attempts map[attemptKey]*attempt
 }
 
@@ -123,7 +125,7 @@
 		return
 	}
 	f := w.arrive(r.Context(), req)
-	resp, err := w.Sync(time.Now(), req)
+	resp, err := w.poll(r.Context(), req)
 	if errors.Is(err, ErrDown) || f.LoseAnswers {
 		panic(http.ErrAbortHandler)
 	}
@@ -135,6 +137,19 @@
 	jsonhttp.Write(rw, http.StatusOK, resp)
 }
 
+// poll handles a sync and, where that is asked for, waits for an attempt to end before it answers.
+func (w *Worker) poll(ctx context.Context, req workerapi.SyncRequest) (workerapi.SyncResponse, error) {
+	resp, err := w.Sync(time.Now(), req)
+	end := time.Now().Add(time.Duration(req.WaitMS) * time.Millisecond)
+	for err == nil && !resp.Full && ctx.Err() == nil && time.Now().Before(end) && !w.changed(req) {
+		wait(ctx, runEvery)
+	}
+	if err != nil || req.WaitMS == 0 {
+		return resp, err
+	}
+	return w.again(time.Now(), req)
+}
+
 // arrive lets the faults of the way to the worker act on a sync.
 func (w *Worker) arrive(ctx context.Context, req workerapi.SyncRequest) Faults {
 	w.mu.Lock()
