--- a/internal/cell/outbox.go
+++ b/internal/cell/outbox.go
@@ -124,3 +124,8 @@
 
 // stuck reports whether a batch has been on its way for so long that the log seems to be down.
 func (o *outbox) stuck(now time.Time) bool { return o.flight != nil && now.Sub(o.since) > lastRetry }
+
+// size counts decisions that do not stand in the stream yet.
+func (o *outbox) size() int {
+	return len(o.assigns) + len(o.reports) + len(o.forget) + len(o.body.Assigns) + len(o.body.Reports) + len(o.body.Forget)
+}
--- a/internal/cell/snapshot.go
+++ b/internal/cell/snapshot.go
@@ -23,8 +23,9 @@
 // is the same for every reader, it doesn't matter who wrote the snapshot or under which epoch.
 type Snapshot struct {
 	Next logsvc.Offset `json:"next"`
-	// Data is compressed JSON of type snapshotData.
-	Data []byte `json:"data"`
+	// Schema is the version of the shape of State: compressed JSON of type snapshotData.
+	Schema int    `json:"schema"`
+	State  []byte `json:"state"`
 }
 
 // snapshotData is what a snapshot carries.
@@ -50,12 +51,12 @@
 	if err := z.Close(); err != nil {
 		return record.Envelope{}, fmt.Errorf("compress snapshot: %w", err)
 	}
-	return record.New(record.NewID(), record.KindSnapshot, SchemaVersion, by, Snapshot{Next: s.next, Data: buf.Bytes()})
+	return record.New(record.NewID(), record.KindSnapshot, SchemaVersion, by, Snapshot{Next: s.next, Schema: SchemaVersion, State: buf.Bytes()})
 }
 
 // restore returns the fold that a snapshot holds, and gives the lease its part.
 func restore(now time.Time, l *lease.Core, snap Snapshot) (state, error) {
-	z, err := gzip.NewReader(bytes.NewReader(snap.Data))
+	z, err := gzip.NewReader(bytes.NewReader(snap.State))
 	if err != nil {
 		return state{}, fmt.Errorf("decompress snapshot: %w", err)
 	}
@@ -87,7 +88,7 @@
 		return Snapshot{}, false
 	}
 	var s Snapshot
-	if json.Unmarshal(env.Body, &s) != nil || s.Next < 1 || s.Next > e.Offset {
+	if json.Unmarshal(env.Body, &s) != nil || s.Schema > SchemaVersion || s.Next < 1 || s.Next > e.Offset {
 		return Snapshot{}, false
 	}
 	return s, true
--- a/internal/cell/summary.go
+++ b/internal/cell/summary.go
@@ -24,7 +24,7 @@
 
 // Summary returns the cell in a few numbers.
 func (c *Core) Summary(now time.Time) Summary {
-	s := Summary{AtTail: c.atTail, Next: c.state.next, Tasks: map[chart.State]int{}, Unsent: len(c.outbox.waiting)}
+	s := Summary{AtTail: c.ready, Next: c.state.next, Tasks: map[chart.State]int{}, Unsent: c.unsent()}
 	s.Holder, s.Epoch = c.lease.Holder()
 	_, s.Owner = c.lease.Owner(now)
 	for _, st := range taskChart.States() {
@@ -35,3 +35,11 @@
 	}
 	return s
 }
+
+// unsent counts decisions that do not stand in the stream yet.
+func (c *Core) unsent() int {
+	if c.own == nil {
+		return 0
+	}
+	return c.own.out.size()
+}
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -85,7 +85,7 @@
 		e.Reason = "about to be assigned to " + a.Worker
 		return
 	}
-	if !t.Waits() {
+	if !t.Waits() && t.State != StateUnschedulable {
 		return
 	}
 	open := o.open(now)
--- a/internal/node/defaults.go
+++ b/internal/node/defaults.go
@@ -11,7 +11,7 @@
 	return Options{
 		Share:      1,
 		OwnerLease: 3 * time.Second,
-		TaskLease:  3 * time.Second,
+		TaskLease:  8 * time.Second,
 		SyncEvery:  500 * time.Millisecond,
 		LogAppends: logsvc.DefaultAppends,
 		Drain:      10 * time.Second,
--- /dev/null
+++ b/internal/node/jobhttp.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"github.com/crocusspring/crocusspring/internal/cell"
+	"github.com/crocusspring/crocusspring/internal/chart"
+	"github.com/crocusspring/crocusspring/internal/finding"
+	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/record"
+	"github.com/crocusspring/crocusspring/internal/targetapi"
+)
+
+const (
+	defaultListed = 100
+	maxListed     = 1000
+	// maxCancelled bounds the ids of one request to cancel.
+	maxCancelled = 10_000
+)
+
+// jobRoutes adds the interface of batch jobs.
+func (n *Node) jobRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/jobs", n.serveSubmit)
+	mux.HandleFunc("GET /v1/jobs", n.serveList)
+	mux.HandleFunc("POST /v1/jobs/cancel", n.serveCancel)
+	mux.HandleFunc("POST /v1/jobs/{id}/cancel", n.serveCancelOne)
+	mux.HandleFunc("GET /v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+		n.askJob(r.Context(), verbGet, r.PathValue("id")).write(w)
+	})
+	mux.HandleFunc("GET /v1/jobs/{id}/explain", func(w http.ResponseWriter, r *http.Request) {
+		n.askJob(r.Context(), verbExplain, r.PathValue("id")).write(w)
+	})
+}
+
+// write answers a caller.
+func (a jobAnswer) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	if a.status >= http.StatusBadRequest {
+		w.Header().Set("Content-Type", "application/problem+json")
+	}
+	if a.outcome != "" {
+		w.Header().Set(targetapi.HeaderOutcome, string(a.outcome))
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(append(a.body, '\n'))
+}
+
+// serveSubmit accepts a job.
+func (n *Node) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	var q submitRequest
+	if err := jsonhttp.Read(w, r, maxRequestBody, &q); err != nil {
+		failed(http.StatusBadRequest, targetapi.NotRun, err).write(w)
+		return
+	}
+	if err := q.check(); err != nil {
+		failed(http.StatusBadRequest, targetapi.NotRun, err).write(w)
+		return
+	}
+	op := jobOp{Verb: verbSubmit, Cell: q.DataCentre, Submit: &q, Given: q.ID != ""}
+	if !op.Given {
+		q.ID = record.NewID()
+	}
+	if op.Cell == "" {
+		op.Cell = n.homeOf(q.ID)
+	}
+	if op.Cell == "" {
+		var l finding.List
+		l.Add("/data_centre", "", "must be given, this node knows no cells")
+		failed(http.StatusBadRequest, targetapi.NotRun, l.Err()).write(w)
+		return
+	}
+	if !op.Given {
+		q.ID = op.Cell + idSeparator + q.ID
+	}
+	n.doJob(r.Context(), op).write(w)
+}
+
+// serveList lists jobs of all cells in order of id.
+func (n *Node) serveList(w http.ResponseWriter, r *http.Request) {
+	p := r.URL.Query()
+	q := cell.Query{
+		Workspace: p.Get("workspace"), State: chart.State(p.Get("state")), Class: p.Get("class"),
+		Worker: p.Get("worker"), After: p.Get("after"), Limit: defaultListed,
+	}
+	if text := p.Get("limit"); text != "" {
+		v, err := strconv.Atoi(text)
+		if err != nil || v < 1 || v > maxListed {
+			var l finding.List
+			l.Add("limit", text, "must be a whole number from 1 to %d", maxListed)
+			failed(http.StatusBadRequest, "", l.Err()).write(w)
+			return
+		}
+		q.Limit = v
+	}
+	cells := n.allCells()
+	if c := p.Get("cell"); c != "" {
+		cells = []string{c}
+	}
+	all := []jobStatus{}
+	for _, c := range cells {
+		a := n.doJob(r.Context(), jobOp{Verb: verbList, Cell: c, Query: q})
+		if a.status != http.StatusOK {
+			a.write(w)
+			return
+		}
+		var part []jobStatus
+		if err := json.Unmarshal(a.body, &part); err != nil {
+			failed(http.StatusBadGateway, "", fmt.Errorf("cell %s: %w", c, err)).write(w)
+			return
+		}
+		all = append(all, part...)
+	}
+	slices.SortFunc(all, func(a, b jobStatus) int { return cmp.Compare(a.ID, b.ID) })
+	answer(http.StatusOK, all[:min(len(all), q.Limit)]).write(w)
+}
--- /dev/null
+++ b/internal/node/jobops.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/crocusspring/crocusspring/internal/cell"
+	"github.com/crocusspring/crocusspring/internal/finding"
+	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/targetapi"
+)
+
+// jobVerb is what an operation on jobs does.
+type jobVerb string
+
+// Verbs of operations on jobs.
+const (
+	verbSubmit  jobVerb = "submit"
+	verbGet     jobVerb = "get"
+	verbList    jobVerb = "list"
+	verbExplain jobVerb = "explain"
+	verbCancel  jobVerb = "cancel"
+)
+
+// jobOp is one operation on the jobs of one cell, as it is passed between processes.
+type jobOp struct {
+	Verb jobVerb `json:"verb"`
+	Cell string  `json:"cell"`
+	// ID is the job that get and explain ask for, IDs are those to cancel.
+	ID     string         `json:"id,omitempty"`
+	IDs    []string       `json:"ids,omitempty"`
+	Query  cell.Query     `json:"query,omitzero"`
+	Submit *submitRequest `json:"submit,omitempty"`
+	// Given says that the caller chose the id of a submission.
+	Given bool `json:"given,omitempty"`
+}
+
+// jobAnswer is the answer to an operation.
+type jobAnswer struct {
+	status  int
+	outcome targetapi.Outcome
+	body    json.RawMessage
+}
+
+// answer is a good answer.
+func answer(status int, body any) jobAnswer {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return failed(http.StatusInternalServerError, targetapi.Unknown, err)
+	}
+	return jobAnswer{status: status, body: data}
+}
+
+// failed is the answer that reports an error.
+func failed(status int, o targetapi.Outcome, err error) jobAnswer {
+	p := jsonhttp.Problem{Title: http.StatusText(status), Status: status, Detail: err.Error(), Outcome: string(o)}
+	var fe *finding.Error
+	if errors.As(err, &fe) {
+		p.Findings = fe.Findings
+	}
+	data, err := json.Marshal(p)
+	if err != nil {
+		data = nil
+	}
+	return jobAnswer{status: status, outcome: o, body: data}
+}
+
+// unknownJob is the answer for an id that no cell knows.
+func unknownJob(id string) jobAnswer {
+	return failed(http.StatusNotFound, "", fmt.Errorf("job %s is not known", id))
+}
+
+// doJob does an operation here when the cell is known here and may answer, else at the cell's owner.
+func (n *Node) doJob(ctx context.Context, op jobOp) jobAnswer {
+	d := n.cells[op.Cell]
+	if d == nil {
+		return n.forwardJob(ctx, op)
+	}
+	ready, owner := false, false
+	d.View(func(c *cell.Core) {
+		ready = c.Ready()
+		_, owner = c.Owner(time.Now())
+	})
+	if !ready || op.Verb == verbExplain && !owner {
+		if a, ok := n.tryForward(ctx, op); ok {
+			return a
+		}
+	}
+	return n.doJobHere(ctx, op)
+}
+
+// doJobHere does an operation on a cell that is known here.
+func (n *Node) doJobHere(ctx context.Context, op jobOp) jobAnswer {
+	d := n.cells[op.Cell]
+	if d == nil {
+		return failed(http.StatusServiceUnavailable, targetapi.NotRun, fmt.Errorf("cell %s is not known here", op.Cell))
+	}
+	switch op.Verb {
+	case verbSubmit:
+		return n.submit(ctx, *op.Submit, op.Cell, op.Given)
+	case verbCancel:
+		return n.cancel(ctx, op.Cell, op.IDs)
+	case verbGet:
+		var t cell.Task
+		var ok bool
+		d.View(func(c *cell.Core) { t, ok = c.Task(op.ID) })
+		if !ok {
+			return unknownJob(op.ID)
+		}
+		return answer(http.StatusOK, jobStatus{t, op.Cell})
+	case verbExplain:
+		var e cell.Explanation
+		var ok bool
+		d.View(func(c *cell.Core) { e, ok = c.Explain(time.Now(), op.ID) })
+		if !ok {
+			return unknownJob(op.ID)
+		}
+		return answer(http.StatusOK, e)
+	case verbList:
+		var ts []cell.Task
+		d.View(func(c *cell.Core) { ts = c.Tasks(op.Query) })
+		out := make([]jobStatus, 0, len(ts))
+		for _, t := range ts {
+			out = append(out, jobStatus{t, op.Cell})
+		}
+		return answer(http.StatusOK, out)
+	}
+	return failed(http.StatusBadRequest, targetapi.NotRun, fmt.Errorf("operation %q is not known", op.Verb))
+}
+
+// jobStatus is where a job stands.
+type jobStatus struct {
+	cell.Task
+	Cell string `json:"cell"`
+}
+
+// idSeparator stands between the cell and the rest in ids that the system gives, so that every process
+// knows where to ask.
+const idSeparator = "."
+
+// allCells returns every cell that this node knows of, in order.
+func (n *Node) allCells() []string {
+	names := slices.Clone(n.opt.Cells)
+	for _, p := range n.members.Processes() {
+		names = append(names, p.Cells...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// homeOf returns the cell of a job that names none: chosen by its id, so that the same id always meets
+// the same cell.
+func (n *Node) homeOf(id string) string {
+	names := slices.Clone(n.opt.Cells)
+	slices.Sort(names)
+	if len(names) == 0 {
+		names = n.allCells()
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return names[xxhash.Sum64String(id)%uint64(len(names))]
+}
+
+// cellsFor returns the cells that may know a job, the most likely first.
+func (n *Node) cellsFor(id string) []string {
+	if name, _, ok := n.findJob(id); ok {
+		return []string{name}
+	}
+	all := n.allCells()
+	likely := n.homeOf(id)
+	for _, c := range all {
+		if strings.HasPrefix(id, c+idSeparator) {
+			likely = c
+		}
+	}
+	out := []string{}
+	if likely != "" {
+		out = append(out, likely)
+	}
+	for _, c := range all {
+		if c != likely {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// askJob asks the cells that may know a job until one does.
+func (n *Node) askJob(ctx context.Context, verb jobVerb, id string) jobAnswer {
+	out := unknownJob(id)
+	for _, c := range n.cellsFor(id) {
+		a := n.doJob(ctx, jobOp{Verb: verb, Cell: c, ID: id})
+		if a.status == http.StatusOK {
+			return a
+		}
+		if a.status != http.StatusNotFound {
+			// It may be known where no answer came from.
+			out = a
+		}
+	}
+	return out
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -6,158 +6,166 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/configrun"
 	"github.com/crocusspring/crocusspring/internal/finding"
-	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 )
 
-// jobRoutes adds the interface of batch jobs.
-func (n *Node) jobRoutes(mux *http.ServeMux) {
-	mux.HandleFunc("POST /v1/jobs", n.submit)
-	mux.HandleFunc("GET /v1/jobs/{id}", n.job)
-}
+var (
+	// errNotAccepted says that a job surely does not stand in the log.
+	errNotAccepted = errors.New("job was not accepted")
+	// errUnsettled says that a record was not seen in the cell in time; it may still take effect.
+	errUnsettled = errors.New("outcome is not known yet, ask again with the same ids")
+)
+
+const (
+	// foldPoll is the time between two looks at whether a record has been folded.
+	foldPoll = 2 * time.Millisecond
+	// maxJobID bounds the length of a job's id.
+	maxJobID = 200
+	// maxAmount bounds each declared amount, and maxRunMS the declared run time (400 days).
+	maxAmount = 1 << 40
+	maxRunMS  = 400 * 24 * 3600 * 1000
+)
 
-// errNotAccepted says that a job surely does not stand in the log.
-var errNotAccepted = errors.New("job was not accepted")
+// submitRequest is a job with the cell it is meant for.
+type submitRequest struct {
+	cell.Job
+	// DataCentre chooses the cell; empty leaves the choice to the system.
+	DataCentre string `json:"data_centre,omitempty"`
+}
 
-// cellOf returns the cell of a job: the data centre it names, else one chosen by its id, so that the
-// same id always meets the same cell.
-func (n *Node) cellOf(req submitRequest) string {
-	if req.DataCentre != "" {
-		return req.DataCentre
-	}
-	names := slices.Clone(n.opt.Cells)
-	slices.Sort(names)
-	if len(names) == 0 {
-		return ""
-	}
-	return names[xxhash.Sum64String(req.ID)%uint64(len(names))]
+// submitResponse is the answer to an accepted job.
+type submitResponse struct {
+	ID   string `json:"id"`
+	Cell string `json:"cell"`
 }
 
-// checkJob reports everything that is wrong with a submitted job.
-func checkJob(req submitRequest, cellName string) error {
+// check reports everything that is wrong with a submitted job.
+func (q *submitRequest) check() error {
 	var l finding.List
-	if cellName == "" {
-		l.Add("/data_centre", "", "must be given, this node knows no cells")
+	if len(q.ID) > maxJobID || !printable(q.ID) {
+		l.Add("/id", "", "must be at most %d printable characters without spaces or slashes", maxJobID)
 	}
-	if req.Workspace == "" {
+	if q.Workspace == "" {
 		l.Add("/workspace", "", "must not be empty")
 	}
-	if req.Class == "" {
+	if q.Class == "" {
 		l.Add("/class", "", "must not be empty")
 	}
-	if req.Declare.MilliCPU <= 0 || req.Declare.Negative() {
-		l.Add("/declare", req.Declare.String(), "must ask for some processor time and nothing negative")
+	d := q.Declare
+	if d.MilliCPU <= 0 || d.Negative() {
+		l.Add("/declare", d.String(), "must ask for some processor time and nothing negative")
 	}
-	if req.RunMS < 0 {
-		l.Add("/run_ms", fmt.Sprint(req.RunMS), "must not be negative")
+	if max(d.MilliCPU, d.MemoryMB, d.Accelerators) > maxAmount {
+		l.Add("/declare", d.String(), "must be at most %d of anything", int64(maxAmount))
+	}
+	if q.RunMS < 0 || q.RunMS > maxRunMS {
+		l.Add("/run_ms", fmt.Sprint(q.RunMS), "must be from 0 to %d", int64(maxRunMS))
+	}
+	if q.Service != "" && q.RunMS != 0 {
+		l.Add("/run_ms", fmt.Sprint(q.RunMS), "must be 0 for a replica of a service")
 	}
 	return l.Err()
 }
 
-// appendJob makes a job durable. It returns errNotAccepted when it surely is not.
-func (n *Node) appendJob(ctx context.Context, cellName string, j cell.Job) error {
-	d := n.cells[cellName]
-	if d == nil {
-		return fmt.Errorf("%w: cell %s is not known here", errNotAccepted, cellName)
+// printable reports whether an id has only characters that need no quoting in a path.
+func printable(id string) bool {
+	for _, r := range id {
+		if r <= ' ' || r > '~' || r == '/' || r == '?' || r == '#' || r == '%' {
+			return false
+		}
+	}
+	return true
+}
+
+// submit accepts a job in a cell known here; it is accepted once it stands in the log.
+func (n *Node) submit(ctx context.Context, q submitRequest, cellName string, given bool) jobAnswer {
+	if at, t, ok := n.findJob(q.ID); ok {
+		return acceptedAs(q, at, t, http.StatusOK)
+	}
+	ctx, cancel := context.WithTimeout(ctx, configrun.WaitTimeout)
+	defer cancel()
+	answered, err := n.appendJob(ctx, cellName, q.Job)
+	switch {
+	case errors.Is(err, errNotAccepted):
+		return failed(http.StatusServiceUnavailable, targetapi.NotRun, err)
+	case err != nil:
+		return failed(http.StatusServiceUnavailable, targetapi.Unknown, err)
+	case answered && !given:
+		return answer(http.StatusCreated, submitResponse{ID: q.ID, Cell: cellName})
+	}
+	// Another submission under the id may have come first, so the fold has the last word.
+	var t cell.Task
+	err = n.await(ctx, cellName, func(c *cell.Core) (ok bool) { t, ok = c.Task(q.ID); return ok })
+	if err != nil {
+		return failed(http.StatusServiceUnavailable, targetapi.Unknown, fmt.Errorf("job %s: %w", q.ID, err))
+	}
+	return acceptedAs(q, cellName, t, http.StatusCreated)
+}
+
+// acceptedAs answers a submission under an id that stands in a cell.
+func acceptedAs(q submitRequest, at string, t cell.Task, status int) jobAnswer {
+	if t.Job != q.Job || q.DataCentre != "" && q.DataCentre != at {
+		return failed(http.StatusConflict, targetapi.NotRun, fmt.Errorf("another job has been accepted under id %s", q.ID))
 	}
+	return answer(status, submitResponse{ID: q.ID, Cell: at})
+}
+
+// appendJob makes a job durable. It returns errNotAccepted when it surely is not, and whether the log
+// has answered that it is.
+func (n *Node) appendJob(ctx context.Context, cellName string, j cell.Job) (bool, error) {
 	env, err := record.New("job-"+j.ID, record.KindJob, cell.SchemaVersion, n.opt.ID, j)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errNotAccepted, err)
+		return false, fmt.Errorf("%w: %w", errNotAccepted, err)
 	}
+	_, err = n.appendTo(ctx, cellName, env)
+	if errors.Is(err, logsvc.ErrRefused) {
+		return false, fmt.Errorf("%w: %w", errNotAccepted, err)
+	}
+	// After any other error the job may stand in the log, which reading forward tells.
+	return err == nil, nil
+}
+
+// appendTo appends a caller's record to the stream of a cell.
+func (n *Node) appendTo(ctx context.Context, cellName string, env record.Envelope) (logsvc.Offset, error) {
 	raw, err := env.Encode()
 	if err != nil {
-		return fmt.Errorf("%w: %w", errNotAccepted, err)
-	}
-	_, err = n.ports.Log.Append(logsvc.WithClass(ctx, logsvc.ClassJob), cell.Stream(cellName), []json.RawMessage{raw})
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, logsvc.ErrRefused):
-		return fmt.Errorf("%w: %w", errNotAccepted, err)
+		return 0, err
 	}
-	return n.settleJob(ctx, cellName, j.ID)
+	return n.ports.Log.Append(logsvc.WithClass(ctx, logsvc.ClassJob), cell.Stream(cellName), []json.RawMessage{raw})
 }
 
-// settleJob reads forward for a job whose append was not answered.
-func (n *Node) settleJob(ctx context.Context, cellName, id string) error {
-	t := time.NewTicker(20 * time.Millisecond)
+// await waits until the fold of a cell satisfies a condition.
+func (n *Node) await(ctx context.Context, cellName string, ok func(*cell.Core) bool) error {
+	t := time.NewTicker(foldPoll)
 	defer t.Stop()
 	for {
-		var ok bool
-		n.cells[cellName].View(func(c *cell.Core) { _, ok = c.Task(id) })
-		if ok {
+		done := false
+		n.cells[cellName].View(func(c *cell.Core) { done = ok(c) })
+		if done {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("job %s: the log's answer was lost; submit the same id again", id)
+			return errUnsettled
 		case <-t.C:
 		}
 	}
 }
 
-// submitRequest is a job with the cell it is meant for.
-type submitRequest struct {
-	cell.Job
-	// DataCentre chooses the cell; empty leaves the choice to the system.
-	DataCentre string `json:"data_centre,omitempty"`
-}
-
-// submit accepts a job; it is accepted once it stands in the log.
-func (n *Node) submit(w http.ResponseWriter, r *http.Request) {
-	var req submitRequest
-	if err := jsonhttp.Read(w, r, maxRequestBody, &req); err != nil {
-		refuse(w, http.StatusBadRequest, err)
-		return
-	}
-	if req.ID == "" {
-		req.ID = record.NewID()
-	}
-	name := n.cellOf(req)
-	if err := checkJob(req, name); err != nil {
-		w.Header().Set(targetapi.HeaderOutcome, string(targetapi.NotRun))
-		jsonhttp.Fail(w, http.StatusBadRequest, err)
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), configrun.WaitTimeout)
-	defer cancel()
-	if err := n.appendJob(ctx, name, req.Job); err != nil {
-		o := targetapi.Unknown
-		if errors.Is(err, errNotAccepted) {
-			o = targetapi.NotRun
-		}
-		outcome(w, http.StatusServiceUnavailable, o, err)
-		return
-	}
-	jsonhttp.Write(w, http.StatusCreated, submitResponse{ID: req.ID, Cell: name})
-}
-
-// submitResponse is the answer to an accepted job.
-type submitResponse struct {
-	ID   string `json:"id"`
-	Cell string `json:"cell"`
-}
-
-// job tells where a job stands.
-func (n *Node) job(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("id")
-	for _, d := range n.cells {
-		var t cell.Task
-		var ok bool
+// findJob looks for a job in the cells known here.
+func (n *Node) findJob(id string) (cellName string, t cell.Task, ok bool) {
+	for name, d := range n.cells {
 		d.View(func(c *cell.Core) { t, ok = c.Task(id) })
 		if ok {
-			jsonhttp.Write(w, http.StatusOK, t)
-			return
+			return name, t, true
 		}
 	}
-	jsonhttp.Fail(w, http.StatusNotFound, fmt.Errorf("job %s is not known here", id))
+	return "", t, false
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
 	"github.com/crocusspring/crocusspring/api/peer/v1/peerv1connect"
@@ -83,13 +84,15 @@
 	members *members.Members
 	cells   map[string]*cellrun.Driver
 	router  *router
+	// jobClient calls the owners of cells.
+	jobClient *http.Client
 }
 
 // New returns a node that has not started.
 func New(opt Options, ports Ports, lg *log.Logger) *Node {
 	n := &Node{
 		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
-		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{},
+		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{}, jobClient: jobClients(ports.Dial),
 	}
 	n.commit = logsvc.NewCommitter(ports.Log, logsvc.DefaultCommit())
 	n.ports.Log, ports.Log = n.commit, n.commit
@@ -99,13 +102,25 @@
 	for _, c := range opt.Cells {
 		co := cell.Options{
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
-			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures,
+			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
 		}
 		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
 	}
 	return n
 }
 
+// standBack is how long a candidate outside of a cell's data centre stands back from taking it.
+const standBack = 500 * time.Millisecond
+
+// takeDelay returns how long a node waits before it takes a cell. Candidates in the cell's data centre
+// come first, and which of the others comes first differs from cell to cell.
+func takeDelay(opt Options, cellName string) time.Duration {
+	if opt.DataCentre == cellName {
+		return 0
+	}
+	return standBack + time.Duration(xxhash.Sum64String(opt.ID+cellName)%uint64(standBack))
+}
+
 // maxFailures is how often a task may fail before it is failed for good.
 const maxFailures = 3
 
@@ -144,6 +159,7 @@
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(n.members))
+	mux.Handle(peerv1connect.NewJobServiceHandler(jobService{n}))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
