--- a/internal/dev/burst.go
+++ b/internal/dev/burst.go
@@ -12,7 +12,7 @@
 const (
 	burstJobs    = 300
 	burstCallers = 16
-	burstRun     = 20 * time.Second
+	burstRun     = 2 * time.Second
 )
 
 // burst submits many jobs, cancels all of them at once and returns how many cancellations were taken.
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -22,10 +22,13 @@
 	Seed uint64
 	// Guards starts one guard beside each target.
 	Guards bool
-	// Log bounds what the log service keeps and takes.
-	Log logstand.Options
+	// Retention is how long the log service keeps a record; 0 keeps all.
+	Retention time.Duration
 }
 
+// snapshotShare is how many times the age of a snapshot fits into the retention of the log.
+const snapshotShare = 8
+
 // Cluster is a running deployment. Use Start to make one.
 type Cluster struct {
 	Shape   Deployment
@@ -58,7 +61,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	g, ctx := errgroup.WithContext(ctx)
 	c := &Cluster{
-		Shape: shape, Record: history.NewRecorder(), Log: logstand.NewWith(opt.Log), opt: opt, lg: lg, group: g, ctx: ctx, cancel: cancel,
+		Shape: shape, Record: history.NewRecorder(), Log: logstand.NewWith(logstand.Options{KeepFor: opt.Retention}), opt: opt, lg: lg, group: g, ctx: ctx, cancel: cancel,
 		rng: rand.New(rand.NewPCG(opt.Seed, 3)), place: map[string]string{},
 		client: &http.Client{Transport: &http.Transport{}},
 	}
@@ -118,6 +121,7 @@
 	}
 	for _, p := range append(append([]*Process(nil), c.Entries...), c.Guards...) {
 		for _, e := range c.Entries {
+			p.opt.Entries = append(p.opt.Entries, e.Addr)
 			if e != p {
 				p.opt.Peers = append(p.opt.Peers, e.Addr)
 			}
@@ -137,6 +141,9 @@
 	opt := node.Defaults()
 	opt.Role, opt.ID, opt.DataCentre = role, name, dc
 	opt.Share, opt.Cells = c.Shape.Entries, c.Shape.DataCentres
+	if c.opt.Retention > 0 {
+		opt.SnapshotAge = c.opt.Retention / snapshotShare
+	}
 	return &Process{Name: name, Addr: held.addr, opt: opt, conns: c.Shape.Conns / c.Shape.Entries}, nil
 }
 
--- a/internal/dev/fault_log.go
+++ b/internal/dev/fault_log.go
@@ -10,8 +10,8 @@
 const (
 	outageHold = 3 * time.Second
 	lostHold   = time.Second
-	// expiryKeep is how many records of each stream an expiry leaves.
-	expiryKeep = 200
+	// shortRetention lets records expire within a short run.
+	shortRetention = 8 * time.Second
 	raceEvery  = 300 * time.Millisecond
 )
 
@@ -46,17 +46,20 @@
 	return err
 }
 
-// logExpiry drops old records and restarts a process that then can't read them. One event is one
-// restart after records were dropped.
+// logExpiry keeps records only for a short time and restarts entries that then can't read the old ones.
+// One event is one start after records had expired.
 func logExpiry() Fault {
 	return Fault{
-		Name: "log-expiry", About: "old records of every stream expire, and an entry starts with nothing; counts such starts",
+		Name: "log-expiry", About: "the log keeps records for 8 s, and an entry starts with nothing; counts starts after records had expired",
+		Prepare: func(o *Options) { o.Retention = shortRetention },
 		Run: func(ctx context.Context, in *Injector) error {
 			return in.cycle(ctx, downHold, func() (func() error, error) {
-				for stream, tail := range in.Log.Tails() {
-					in.Log.Expire(stream, tail-expiryKeep)
+				p := pick(in, in.Entries)
+				if in.Log.Oldest() <= 1 || !in.Kill(p) {
+					return nil, nil
 				}
-				return in.kill(pick(in, in.Entries))
+				in.happened(1)
+				return func() error { return in.Restart(p) }, nil
 			})
 		},
 	}
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -332,6 +332,18 @@
 			func(h *History) { h.Attempts = append(h.Attempts, attempt(28, "job-a", 2, "worker-02", 900, 1300)) },
 			func(r Report) int { return len(r.Violations) },
 		},
+		{
+			"cancelled but open", NoJobLost,
+			[]int{31, 21},
+			func(h *History) { h.Jobs[0].Final, h.Jobs[0].CancelTaken = JobOpen, at(600) },
+			func(r Report) int { return r.JobsOpen },
+		},
+		{
+			"an attempt never ends", Progress,
+			[]int{31},
+			func(h *History) { h.Jobs[0].Final, h.Attempts[0].End, h.End = JobOpen, time.Time{}, at(11_301) },
+			func(r Report) int { return r.JobsOpen },
+		},
 		{
 			"batch stands still", Progress,
 			[]int{31},
--- a/internal/history/events.go
+++ b/internal/history/events.go
@@ -126,6 +126,8 @@
 	Impossible bool
 	// Cancelled is when the caller asked for its cancellation; zero for never.
 	Cancelled time.Time
+	// CancelTaken is when the system had taken the cancellation; zero for never.
+	CancelTaken time.Time
 	// Final is what the system told of it at the end of the run.
 	Final JobState
 }
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -174,6 +174,11 @@
 	r.eachJob(id, func(j *Job) { j.Cancelled = at })
 }
 
+// CancelTaken notes that the system took the cancellation of a job.
+func (r *Recorder) CancelTaken(id string, at time.Time) {
+	r.eachJob(id, func(j *Job) { j.CancelTaken = at })
+}
+
 // JobFinal notes what the system tells of a job at the end.
 func (r *Recorder) JobFinal(id string, s JobState) {
 	r.eachJob(id, func(j *Job) { j.Final = s })
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -48,7 +48,11 @@
 	o.Record.JobCancelled(id, time.Now())
 	e := o.Balancer.Next("")
 	status, _, err := c.call(ctx, http.MethodDelete, "http://"+e.Addr+"/v1/jobs/"+id, workspace, nil, nil)
-	return err == nil && status < http.StatusMultipleChoices
+	if err != nil || status >= http.StatusMultipleChoices {
+		return false
+	}
+	o.Record.CancelTaken(id, time.Now())
+	return true
 }
 
 // job submits one job and returns what its caller saw; submitting it again under the same id is harmless.
