At most once: claims on the log, kept outcomes, GET of an outcome by key

Cause: a keyed request sent again through another entry ran twice. Failed try: folding an own release before it is on the log, since other processes would judge the next claim otherwise.

--- /dev/null
+++ b/internal/claimrun/keeper_test.go
@@ -0,0 +1,195 @@
+package claimrun
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
+	"github.com/crocusspring/crocusspring/internal/dispatch"
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/standin/logstand"
+	"github.com/crocusspring/crocusspring/internal/targetapi"
+)
+
+// group is keepers that reach each other directly.
+type group struct {
+	mu      sync.Mutex
+	keepers map[string]*Keeper
+}
+
+// CallOutcome implements Peers.
+func (g *group) CallOutcome(ctx context.Context, addr string, r *peerv1.OutcomeRequest) (*peerv1.OutcomeResponse, error) {
+	g.mu.Lock()
+	k := g.keepers[addr]
+	g.mu.Unlock()
+	if k == nil {
+		return nil, net.ErrClosed
+	}
+	return k.Outcome(ctx, r), nil
+}
+
+// remove forgets a keeper, as when its process dies.
+func (g *group) remove(addr string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.keepers, addr)
+}
+
+// start runs keepers on one log.
+func start(t *testing.T, names ...string) (*logstand.Server, *group) {
+	t.Helper()
+	log := logstand.New(0)
+	srv := httptest.NewServer(log.Handler())
+	g := &group{keepers: map[string]*Keeper{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, name := range names {
+		k := New(logsvc.NewHTTP(strings.TrimPrefix(srv.URL, "http://")), g, name, logs.Discard())
+		g.keepers[name] = k
+		wg.Go(func() { k.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		srv.CloseClientConnections()
+		wg.Wait()
+		srv.Close()
+	})
+	for _, k := range g.keepers {
+		for !read(k) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return log, g
+}
+
+// read reports whether a keeper has reached the tail.
+func read(k *Keeper) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.tail
+}
+
+// request is a request with a key.
+func request(key string, within time.Duration) Request {
+	return Request{Workspace: "w", Service: "enrol", Key: key, Body: []byte("pay"), Deadline: time.Now().Add(within)}
+}
+
+// answer is what the modelled target answers.
+func answer() dispatch.Reply {
+	return dispatch.Reply{Outcome: targetapi.Answered, Answer: targetapi.Answer{Status: 200, Body: []byte("paid")}}
+}
+
+// TestSameKeyEverywhere sends one key through every keeper at once and again later.
+func TestSameKeyEverywhere(t *testing.T) {
+	_, g := start(t, "a", "b", "c")
+	var runs atomic.Int64
+	run := func() dispatch.Reply {
+		runs.Add(1)
+		time.Sleep(5 * time.Millisecond)
+		return answer()
+	}
+	var wg sync.WaitGroup
+	for range 4 {
+		for _, k := range g.keepers {
+			wg.Go(func() {
+				r, err := k.Do(context.Background(), request("key", 10*time.Second), run)
+				if err != nil || r.Outcome != targetapi.Answered || string(r.Answer.Body) != "paid" {
+					t.Errorf("reply %+v, error %v", r, err)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	if n := runs.Load(); n != 1 {
+		t.Errorf("the request ran %d times", n)
+	}
+	other := request("key", time.Second)
+	other.Body = []byte("another")
+	if r, err := g.keepers["a"].Do(context.Background(), other, run); !errors.Is(err, ErrOtherRequest) || r.Outcome != targetapi.NotRun {
+		t.Errorf("another body under the same key: %+v, %v", r, err)
+	}
+}
+
+// TestOwnerDies checks that a key whose owner died is unknown and never run again.
+func TestOwnerDies(t *testing.T) {
+	_, g := start(t, "a", "b")
+	hang := make(chan struct{})
+	began := make(chan struct{})
+	go func() {
+		_, _ = g.keepers["a"].Do(context.Background(), request("key", 10*time.Second), func() dispatch.Reply {
+			close(began)
+			<-hang
+			return answer()
+		})
+	}()
+	<-began
+	b := g.keepers["b"]
+	g.remove("a")
+	for {
+		if _, known, _ := b.Lookup(context.Background(), "w", "enrol", "key"); known {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	r, err := b.Do(context.Background(), request("key", 10*time.Second), func() dispatch.Reply {
+		t.Error("the request ran again")
+		return answer()
+	})
+	if err != nil || r.Outcome != targetapi.Unknown {
+		t.Errorf("reply %+v, error %v", r, err)
+	}
+	close(hang)
+}
+
+// TestLogFaults checks claims while the log's answers are lost and while it is down.
+func TestLogFaults(t *testing.T) {
+	log, g := start(t, "a", "b")
+	runs := 0
+	run := func() dispatch.Reply { runs++; return answer() }
+	log.SetFaults(logstand.Faults{LoseAnswers: true})
+	if r, _ := g.keepers["a"].Do(context.Background(), request("lost answer", 10*time.Second), run); r.Outcome != targetapi.Answered || runs != 1 {
+		t.Errorf("with the log's answer lost: %+v after %d runs", r, runs)
+	}
+	log.SetFaults(logstand.Faults{Down: true})
+	r, _ := g.keepers["a"].Do(context.Background(), request("down", 10*time.Second), run)
+	if r.Outcome != targetapi.NotRun || r.RetryAfter == 0 || runs != 1 {
+		t.Errorf("with the log down: %+v after %d runs", r, runs)
+	}
+	log.SetFaults(logstand.Faults{})
+	for range 200 {
+		if r, _ = g.keepers["b"].Do(context.Background(), request("down", 10*time.Second), run); r.Outcome == targetapi.Answered {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if r.Outcome != targetapi.Answered || runs != 2 {
+		t.Errorf("after the outage: %+v after %d runs", r, runs)
+	}
+}
+
+// TestNotRunFreesKey checks that a request which did not run may be sent again with its key.
+func TestNotRunFreesKey(t *testing.T) {
+	_, g := start(t, "a", "b")
+	r, _ := g.keepers["a"].Do(context.Background(), request("key", 10*time.Second), func() dispatch.Reply { return refused("no slot", time.Second) })
+	if r.Outcome != targetapi.NotRun {
+		t.Fatalf("reply %+v", r)
+	}
+	for range 500 {
+		r, _ = g.keepers["b"].Do(context.Background(), request("key", 10*time.Second), answer)
+		if r.Outcome != targetapi.NotRun {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if r.Outcome != targetapi.Answered {
+		t.Errorf("reply %+v", r)
+	}
+}
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
@@ -8,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/claimrun"
 	"github.com/crocusspring/crocusspring/internal/dispatch"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/retry"
@@ -27,6 +29,7 @@
 // callRoutes adds the interface of latency-critical requests.
 func (n *Node) callRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("POST /v1/services/{service}/call", n.call)
+	mux.HandleFunc("GET /v1/services/{service}/outcomes/{key}", n.outcomeOf)
 }
 
 // call serves one latency-critical request of a caller.
@@ -52,9 +55,44 @@
 		return
 	}
 	w.Header().Set(targetapi.HeaderRequestID, q.ID)
+	if q.Kind == retry.Keyed {
+		n.keyed(w, r, q, c)
+		return
+	}
 	n.answer(w, n.requests.Do(r.Context(), q, c))
 }
 
+// keyed runs a request with an idempotency key at most once.
+func (n *Node) keyed(w http.ResponseWriter, r *http.Request, q dispatch.Request, c targetapi.Call) {
+	kr := claimrun.Request{
+		Workspace: q.Workspace, Service: q.Service, Key: r.Header.Get(targetapi.HeaderKey), Body: c.Body, Deadline: q.Deadline,
+	}
+	rep, err := n.claims.Do(r.Context(), kr, func() dispatch.Reply { return n.requests.Do(context.WithoutCancel(r.Context()), q, c) })
+	if err != nil {
+		refuse(w, http.StatusUnprocessableEntity, err)
+		return
+	}
+	n.answer(w, rep)
+}
+
+// outcomeOf tells the outcome of a request by its key.
+func (n *Node) outcomeOf(w http.ResponseWriter, r *http.Request) {
+	service, key, workspace := r.PathValue("service"), r.PathValue("key"), r.Header.Get(targetapi.HeaderWorkspace)
+	if err := checkNames(service, workspace); err != nil || !printable(key) || key == "" {
+		jsonhttp.Fail(w, http.StatusBadRequest, fmt.Errorf("key must be 1 to %d printable characters: %w", maxName, err))
+		return
+	}
+	rep, known, open := n.claims.Lookup(r.Context(), workspace, service, key)
+	switch {
+	case !known:
+		jsonhttp.Fail(w, http.StatusNotFound, fmt.Errorf("no request with key %q is known", key))
+	case open:
+		jsonhttp.Write(w, http.StatusAccepted, jsonhttp.Problem{Title: "in progress", Status: http.StatusAccepted})
+	default:
+		n.answer(w, rep)
+	}
+}
+
 // parse reads and checks a request.
 func (n *Node) parse(w http.ResponseWriter, r *http.Request, began time.Time) (dispatch.Request, targetapi.Call, error) {
 	var q dispatch.Request
@@ -114,6 +152,12 @@
 
 // kindOf reads how often a request may run.
 func kindOf(r *http.Request) (retry.Kind, error) {
+	if keys, ok := r.Header[targetapi.HeaderKey]; ok {
+		if len(keys) != 1 || keys[0] == "" || !printable(keys[0]) {
+			return retry.Once, bad(http.StatusBadRequest, "header %s: must be one word of 1 to %d printable characters", targetapi.HeaderKey, maxName)
+		}
+		return retry.Keyed, nil
+	}
 	switch text := r.Header.Get(targetapi.HeaderIdempotent); text {
 	case "", "false":
 		return retry.Once, nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/crocusspring/crocusspring/api/peer/v1/peerv1connect"
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/cellrun"
+	"github.com/crocusspring/crocusspring/internal/claimrun"
 	"github.com/crocusspring/crocusspring/internal/configrun"
 	"github.com/crocusspring/crocusspring/internal/dispatch"
 	"github.com/crocusspring/crocusspring/internal/logs"
@@ -90,6 +91,7 @@
 	cells   map[string]*cellrun.Driver
 
 	requests *dispatch.Dispatcher
+	claims   *claimrun.Keeper
 	intake   intake
 }
 
@@ -211,6 +213,7 @@
 		n.life.fire(eventDrainTimeout)
 	}
 	n.requests.Drain(ctx)
+	n.claims.Drain(ctx)
 	n.life.fire(eventDrained)
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/claimrun"
 	"github.com/crocusspring/crocusspring/internal/dispatch"
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/members"
@@ -22,7 +23,8 @@
 		Self: self, Homes: n.homes(self), DataCentre: n.opt.DataCentre, Incarnation: n.began.UnixNano(),
 	}
 	n.requests = dispatch.New(set, n.members, n.ports.Targets, logs.Part(n.lg, "request"))
-	n.members.Provide(members.Services{Borrow: n.requests.Lend})
+	n.claims = claimrun.New(n.ports.Log, n.members, self, logs.Part(n.lg, "claim"))
+	n.members.Provide(members.Services{Borrow: n.requests.Lend, Outcome: n.claims.Outcome})
 }
 
 // homes returns the addresses of all entries. Every entry must have the same ones in its settings,
@@ -47,6 +49,7 @@
 	if r, ok := n.ports.Targets.(runner); ok {
 		go r.Run(ctx)
 	}
+	go n.claims.Run(ctx)
 	n.requests.Run(ctx)
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -20,6 +20,10 @@
 	KindTaskState Kind = "task-state"
 	KindSnapshot  Kind = "snapshot"
 	KindProposal  Kind = "config"
+	KindClaim     Kind = "claim"
+	KindRelease   Kind = "claim-release"
+	KindOutcome   Kind = "claim-outcome"
+	KindClaims    Kind = "claim-snapshot"
 )
 
 // Envelope is what stands around the body of every record.
