Claims: the tail of a quiet stream is known at once

Cause: a keeper took 2 s to reach the tail of an empty stream, since the first read waited for entries. Change: one read without waiting first.

--- a/internal/claimrun/keeper.go
+++ b/internal/claimrun/keeper.go
@@ -32,6 +32,8 @@
 	maxPublished = 64 << 10
 	// snapshotEvery is how many records lie between two snapshots.
 	snapshotEvery = 5000
+	// firstRead is how many entries are read before new ones are waited for.
+	firstRead = 500
 	// expireEvery is the time between two looks for keys that are too old.
 	expireEvery = time.Minute
 )
@@ -65,7 +67,7 @@
 	grown chan struct{}
 	// rewind makes the reader start again at next.
 	rewind context.CancelFunc
-	local map[claim.Key]*local
+	local  map[claim.Key]*local
 	// given holds the claims of this process whose release is not folded yet. The fold itself changes
 	// by the log alone, so that every process judges the next claim of the key alike.
 	given map[string]bool
--- a/internal/claimrun/stream.go
+++ b/internal/claimrun/stream.go
@@ -21,11 +21,26 @@
 		k.rewind = rewind
 		from := k.next
 		k.mu.Unlock()
+		if first, ok := k.atOnce(reading, from); ok {
+			from = first
+		}
 		follow.Run(reading, k.log, claim.Stream, from, k, k.lg)
 		rewind()
 	}
 }
 
+// atOnce reads without waiting for new entries, so that the tail of a quiet stream is known at once.
+func (k *Keeper) atOnce(ctx context.Context, from logsvc.Offset) (logsvc.Offset, bool) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	b, err := k.log.Read(ctx, claim.Stream, from, firstRead, 0)
+	if err != nil {
+		return 0, false
+	}
+	k.Entries(b.Entries, b.Tail)
+	return b.Next, true
+}
+
 // expire forgets old keys until ctx ends.
 func (k *Keeper) expire(ctx context.Context) {
 	t := time.NewTicker(expireEvery)
