--- a/internal/dev/status.go
+++ b/internal/dev/status.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/node"
 )
 
 const (
@@ -33,16 +35,21 @@
 	return s, err == nil && code == http.StatusOK
 }
 
-// waitReady waits until every entry knows all targets and workers and every cell is owned.
+// ready reports whether a process says that it may be sent requests.
+func (c *Cluster) ready(ctx context.Context, p *Process) bool {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	code, err := getJSON(ctx, c.client, "http://"+p.Addr+"/readyz", nil)
+	return err == nil && code == http.StatusOK
+}
+
+// waitReady waits until every process is ready, every entry knows all targets and workers, and every
+// cell is owned. A start from nothing is no part of the load.
 func (c *Cluster) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for _, p := range c.Entries {
-		for {
-			s, ok := c.look(ctx, p)
-			if ok && len(s.Targets) == c.Shape.Targets && len(s.Workers) == c.Shape.Workers && len(s.owned()) == len(c.Shape.DataCentres) {
-				break
-			}
+	for _, p := range c.Processes() {
+		for !c.ready(ctx, p) || !c.knowsAll(ctx, p) {
 			select {
 			case <-ctx.Done():
 				return fmt.Errorf("%s did not become ready: %w", p.Name, ctx.Err())
@@ -53,6 +60,16 @@
 	return nil
 }
 
+// knowsAll reports whether a process knows all targets and workers and an owner of every cell; guards
+// need not.
+func (c *Cluster) knowsAll(ctx context.Context, p *Process) bool {
+	if p.opt.Role == node.RoleGuard {
+		return true
+	}
+	s, ok := c.look(ctx, p)
+	return ok && len(s.Targets) == c.Shape.Targets && len(s.Workers) == c.Shape.Workers && len(s.owned()) == len(c.Shape.DataCentres)
+}
+
 // owned returns the cells that some process owns.
 func (s status) owned() []string {
 	var out []string
