Operators' side: rights by workspace, TLS with reload, crocusctl, records API, audit trail

Cause: anyone could change any record, and the tool could only apply, list and tell the status. Found by the scripts: a refused attempt on a rival's record showed what was in it in the attempter's audit trail (rights.txtar); the line now belongs to the record's owner. Shell completion: the flag library has none, so there is none.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -65,20 +65,19 @@
 func (Nowhere) Note(Record) {}
 
 // FromChange returns the line of a judged configuration record. Its id follows from the record's
-// offset, so that two processes which report the same change write the same line.
+// offset, so that two processes which report the same change write the same line. The line belongs to
+// the workspace of the record in force, if any: it holds what was there before, which the operator of
+// another workspace must not learn by trying to replace it.
 func FromChange(c config.Change) Record {
 	r := Record{
 		ID: fmt.Sprintf("change-%d", c.Offset), Time: c.Proposal.At, Who: c.By, Action: ActionChange,
-		Name: c.Key.String(), Workspace: c.Proposal.Workspace, Verdict: Refused, Reason: c.Reason, Offset: c.Offset,
+		Name: c.Key.String(), Workspace: c.Proposal.Owner(), Verdict: Refused, Reason: c.Reason, Offset: c.Offset,
 	}
 	if c.Accepted {
 		r.Verdict, r.Reason = Accepted, fmt.Sprintf("version %d", c.Current)
 	}
 	if c.Before != nil {
-		r.Before = encode(*c.Before)
-		if r.Workspace == "" {
-			r.Workspace = c.Before.Workspace
-		}
+		r.Before, r.Workspace = encode(*c.Before), c.Before.Owner()
 	}
 	if !c.Proposal.Deleted {
 		r.After = encode(c.Proposal)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,15 @@
 	At time.Time `json:"at,omitzero"`
 }
 
+// Owner returns the workspace the record belongs to: a workspace's own record to itself, and empty for
+// the platform.
+func (p Proposal) Owner() string {
+	if p.Kind == KindWorkspace {
+		return p.Name
+	}
+	return p.Workspace
+}
+
 // Version is one accepted record.
 type Version struct {
 	Proposal
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -1,8 +1,10 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/record"
@@ -280,3 +282,16 @@
 	return fmt.Sprintf("expected version %d, but version %d by %s at offset %d is in force",
 		p.Expected, h.Number, h.By, h.Offset)
 }
+
+// ChangedSince returns the newest versions of the records that changed after an offset, in log order,
+// deleted ones too.
+func (s *State) ChangedSince(offset logsvc.Offset) []Version {
+	var out []Version
+	for _, h := range s.heads {
+		if h.Offset > offset && h.Number > 0 {
+			out = append(out, h.Version)
+		}
+	}
+	slices.SortFunc(out, func(a, b Version) int { return cmp.Compare(a.Offset, b.Offset) })
+	return out
+}
--- a/internal/configrun/configrun.go
+++ b/internal/configrun/configrun.go
@@ -191,3 +191,20 @@
 	defer d.mu.Unlock()
 	return d.ready
 }
+
+// Await waits until an offset is in force or ctx ends.
+func (d *Driver) Await(ctx context.Context, offset logsvc.Offset) {
+	for {
+		d.mu.Lock()
+		done, grown := d.state.Next() > offset, d.grown
+		d.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -1,99 +1,133 @@
 package ctl
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
+	"time"
 
 	"github.com/crocusspring/crocusspring/internal/config"
-	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/node"
 	"github.com/crocusspring/crocusspring/internal/record"
-	"github.com/goccy/go-yaml"
+	"github.com/crocusspring/crocusspring/internal/settings"
 	"github.com/peterbourgon/ff/v4"
 )
 
+// lagEvery is how often apply --wait asks for the offsets in force.
+const lagEvery = 100 * time.Millisecond
+
 // applyCommand publishes the records of files.
 func (t *tool) applyCommand() *ff.Command {
-	return &ff.Command{
-		Name: "apply", Usage: "crocusctl apply FILE...", ShortHelp: "publish configuration records",
-		Exec: t.apply,
-	}
+	var wait bool
+	flags := settings.New("apply")
+	flags.Bool(&wait, "wait", false, "wait until every live process has the records in force, or tell who lags")
+	return t.subcommand("apply", "apply [--wait] FILE...", "publish records", flags,
+		func(ctx context.Context, files []string) error {
+			docs, err := readFiles(files)
+			if err != nil {
+				return err
+			}
+			return t.applyAll(ctx, docs, wait)
+		})
 }
 
-// apply publishes every file in turn and stops at the first that is refused.
-func (t *tool) apply(ctx context.Context, files []string) error {
-	if len(files) == 0 {
-		return &usageError{"apply: name at least one file"}
-	}
-	if err := t.set.Check(); err != nil {
-		return &usageError{err.Error()}
-	}
-	for _, f := range files {
-		if err := t.applyFile(ctx, f); err != nil {
-			return fmt.Errorf("%s: %w", f, err)
+// applyAll publishes records in turn and stops at the first that is refused.
+func (t *tool) applyAll(ctx context.Context, docs []doc, wait bool) error {
+	ctx, cancel := t.bounded(ctx)
+	defer cancel()
+	var newest logsvc.Offset
+	for _, d := range docs {
+		v, err := t.publish(ctx, d.proposal, d.expects)
+		if err != nil {
+			return fmt.Errorf("%s: %w", d.file, err)
+		}
+		newest = max(newest, v.Offset)
+		if err := t.line(v, "%s version %d is accepted at offset %d", v.Key, v.Current, v.Offset); err != nil {
+			return err
 		}
 	}
-	return nil
+	if !wait {
+		return nil
+	}
+	return t.waitInForce(ctx, newest)
 }
 
-// applyFile publishes one record.
-func (t *tool) applyFile(ctx context.Context, file string) error {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	raw, err := yaml.YAMLToJSON(data)
-	if err != nil {
-		return err
+// publish publishes one proposal. One that does not say which version it expects replaces the one in
+// force at the time of the call.
+func (t *tool) publish(ctx context.Context, p config.Proposal, expects bool) (config.Verdict, error) {
+	if !expects {
+		n, err := t.inForce(ctx, p.Key)
+		if err != nil {
+			return config.Verdict{}, err
+		}
+		p.Expected = n
 	}
 	body := struct {
 		ID string `json:"id"`
 		By string `json:"by"`
 		config.Proposal
-	}{ID: record.NewID(), By: t.by}
-	if err := json.Unmarshal(raw, &body.Proposal); err != nil {
-		return err
-	}
+	}{ID: record.NewID(), By: t.by, Proposal: p}
 	var v config.Verdict
 	if err := t.call(ctx, http.MethodPost, "/v1/records", body, &v); err != nil {
-		return err
+		return v, err
 	}
 	if !v.Accepted {
-		return fmt.Errorf("%s refused: %s", v.Key, v.Reason)
+		return v, fail(ExitBeaten, "%s refused: %s", v.Key, v.Reason)
 	}
-	fmt.Fprintf(t.stdout, "%s version %d is in force\n", v.Key, v.Current)
-	return nil
+	return v, nil
 }
 
-// call does one JSON call to the node; a problem answer becomes an error.
-func (t *tool) call(ctx context.Context, method, path string, in, out any) error {
-	var body io.Reader
-	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
-			return err
-		}
-		body = bytes.NewReader(data)
+// inForce returns the newest version number of a key; 0 for none.
+func (t *tool) inForce(ctx context.Context, k config.Key) (int64, error) {
+	var v struct {
+		Newest int64 `json:"newest"`
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+t.node+path, body)
-	if err != nil {
-		return err
+	err := t.call(ctx, http.MethodGet, pathOf("records", k.Kind, k.Name)+"?newest=1", nil, &v)
+	return v.Newest, err
+}
+
+// waitInForce waits until every live process reports an offset in force.
+func (t *tool) waitInForce(ctx context.Context, offset logsvc.Offset) error {
+	for {
+		var s node.Status
+		err := t.call(ctx, http.MethodGet, "/v1/status", nil, &s)
+		lagging := laggards(s, offset)
+		if err == nil && len(lagging) == 0 {
+			return t.line(map[string]any{"in_force": offset, "processes": len(s.Processes)},
+				"offset %d is in force in %d processes", offset, len(s.Processes))
+		}
+		select {
+		case <-ctx.Done():
+			if err != nil {
+				return errors.Join(ctx.Err(), err)
+			}
+			return fail(ExitLagging, "accepted, but not in force in time: %s", describe(lagging))
+		case <-time.After(lagEvery):
+		}
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
+}
+
+// laggards returns the processes that don't have an offset in force yet.
+func laggards(s node.Status, offset logsvc.Offset) []node.ProcessStatus {
+	var out []node.ProcessStatus
+	for _, p := range s.Processes {
+		if p.ConfigOffset < int64(offset) {
+			out = append(out, p)
+		}
 	}
-	defer resp.Body.Close()
-	if resp.Header.Get("Content-Type") == "application/problem+json" {
-		var p jsonhttp.Problem
-		if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
-			return err
+	return out
+}
+
+// describe names processes and the offsets they have.
+func describe(ps []node.ProcessStatus) string {
+	text := ""
+	for i, p := range ps {
+		if i > 0 {
+			text += ", "
 		}
-		return fmt.Errorf("%s: %s", p.Title, p.Detail)
+		text += fmt.Sprintf("%s at offset %d", p.ID, p.ConfigOffset)
 	}
-	return json.NewDecoder(resp.Body).Decode(out)
+	return text
 }
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,158 @@
+package ctl_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/ctl"
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/node"
+	"github.com/crocusspring/crocusspring/internal/operator"
+	"github.com/crocusspring/crocusspring/internal/standin/logstand"
+	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/workerapi"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestMain makes crocusctl available to scripts.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"crocusctl": func() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// installation is a log and two entries that belong to one script.
+type installation struct {
+	log   *logstand.Server
+	gates []*logstand.Gate
+	addrs []string
+}
+
+// TestScripts runs every script against an installation of its own with three operators: amina of
+// centre-a, badrul of centre-b and the platform's. Their tokens are their names.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "../../testdata/script/config",
+		Setup: func(env *testscript.Env) error {
+			in, err := start(env)
+			if err != nil {
+				return err
+			}
+			env.Values["installation"] = in
+			env.Setenv("CROCUS_NODE", in.addrs[0])
+			env.Setenv("OTHER", in.addrs[1])
+			env.Setenv("CROCUS_TOKEN", "platform")
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "log": logCommand},
+	})
+}
+
+// operators is the settings text of the scripts' operators.
+func operators() string {
+	text := "operators:\n"
+	for _, o := range []struct{ name, rest string }{
+		{"amina", "workspaces: [centre-a], rights: [read, change]"},
+		{"badrul", "workspaces: [centre-b], rights: [read, change]"},
+		{"platform", "rights: [read, change, platform]"},
+	} {
+		text += fmt.Sprintf("  - {name: %s, token_sha256: %x, %s}\n", o.name, sha256.Sum256([]byte(o.name)), o.rest)
+	}
+	return text
+}
+
+// start runs a log and two entries until the script ends.
+func start(env *testscript.Env) (*installation, error) {
+	in := &installation{log: logstand.New(0)}
+	ops, err := operator.Open(operators())
+	if err != nil {
+		return nil, err
+	}
+	var ls []net.Listener
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		ls = append(ls, l)
+		in.addrs = append(in.addrs, l.Addr().String())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, len(ls))
+	for i, l := range ls {
+		gate := in.log.NewGate()
+		in.gates = append(in.gates, gate)
+		srv := httptest.NewServer(gate.Handler())
+		env.Defer(srv.Close)
+		opt := node.Defaults()
+		opt.Role, opt.ID, opt.DataCentre = node.RoleEntry, fmt.Sprintf("entry-%d", i+1), "petaling"
+		opt.Peers, opt.Cells, opt.Share, opt.Operators = []string{in.addrs[1-i]}, []string{"petaling"}, 2, ops
+		opt.Drain = time.Second
+		ports := node.Ports{
+			Log:     logsvc.NewHTTP(strings.TrimPrefix(srv.URL, "http://")),
+			Workers: workerapi.NewHTTP(), Targets: targetapi.NewHTTP(8),
+		}
+		n := node.New(opt, ports, logs.Discard())
+		go func() { done <- n.Serve(ctx, l) }()
+	}
+	env.Defer(func() {
+		cancel()
+		for range ls {
+			<-done
+		}
+	})
+	return in, nil
+}
+
+// exits runs a program and checks its exit code: exits CODE PROGRAM ARGS...
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE PROGRAM ARGS...")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	got := 0
+	var ee *exec.ExitError
+	if errors.As(err, &ee) {
+		got = ee.ExitCode()
+	} else {
+		ts.Check(err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+// logCommand changes the log: log down|up ENTRY, log expire, log garbage, log direct FILE.
+func logCommand(ts *testscript.TestScript, neg bool, args []string) {
+	in := ts.Value("installation").(*installation)
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: log down|up ENTRY, log expire, log garbage, log direct FILE")
+	}
+	switch args[0] {
+	case "down", "up":
+		i, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		in.gates[i-1].SetFaults(logstand.Faults{Down: args[0] == "down"})
+	case "expire":
+		in.log.ExpireAll()
+	case "garbage":
+		in.log.Put("config", []byte(`"garbled"`))
+	case "direct":
+		in.log.Put("config", []byte(ts.ReadFile(args[1])))
+	default:
+		ts.Fatalf("log: unknown word %s", args[0])
+	}
+}
--- /dev/null
+++ b/internal/ctl/output.go
@@ -0,0 +1,37 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+)
+
+// print writes v as JSON, or rows under a header as a table.
+func (t *tool) print(v any, header []string, rows [][]string) error {
+	if t.output == outputJSON {
+		return t.printJSON(v)
+	}
+	w := tabwriter.NewWriter(t.stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(header, "\t"))
+	for _, r := range rows {
+		fmt.Fprintln(w, strings.Join(r, "\t"))
+	}
+	return w.Flush()
+}
+
+// printJSON writes v as indented JSON.
+func (t *tool) printJSON(v any) error {
+	enc := json.NewEncoder(t.stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// line writes v as one line of JSON, or the text.
+func (t *tool) line(v any, format string, args ...any) error {
+	if t.output == outputJSON {
+		return json.NewEncoder(t.stdout).Encode(v)
+	}
+	_, err := fmt.Fprintf(t.stdout, format+"\n", args...)
+	return err
+}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/crocusspring/crocusspring/internal/node"
 	"github.com/peterbourgon/ff/v4"
@@ -13,26 +13,34 @@
 
 // statusCommand shows what the node knows of the system.
 func (t *tool) statusCommand() *ff.Command {
-	return &ff.Command{
-		Name: "status", Usage: "crocusctl status", ShortHelp: "show processes, cells, targets and workers",
-		Exec: t.status,
-	}
+	return t.subcommand("status", "status", "show processes, owners of cells, offsets in force, targets and workers", nil, t.status)
 }
 
-// status prints a table of processes and the counts of members.
+// status prints a table of processes, the counts of members and what is wrong with the configuration.
 func (t *tool) status(ctx context.Context, _ []string) error {
-	if err := t.set.Check(); err != nil {
-		return &usageError{err.Error()}
-	}
+	ctx, cancel := t.bounded(ctx)
+	defer cancel()
 	var s node.Status
 	if err := t.call(ctx, http.MethodGet, "/v1/status", nil, &s); err != nil {
 		return err
 	}
-	w := tabwriter.NewWriter(t.stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "PROCESS\tROLE\tADDRESS\tREADY\tCONFIG\tCELLS")
+	newest := int64(0)
+	for _, p := range s.Processes {
+		newest = max(newest, p.ConfigOffset)
+	}
+	rows := make([][]string, 0, len(s.Processes))
 	for _, p := range s.Processes {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%d\t%s\n", p.ID, p.Role, p.Address, p.Ready, p.ConfigOffset, strings.Join(p.Cells, ","))
+		rows = append(rows, []string{
+			p.ID, p.Role, p.Address, strconv.FormatBool(p.Ready), strconv.FormatInt(p.ConfigOffset, 10),
+			strconv.FormatInt(newest-p.ConfigOffset, 10), dash(strings.Join(p.Cells, ",")),
+		})
+	}
+	if err := t.print(s, []string{"PROCESS", "ROLE", "ADDRESS", "READY", "CONFIG", "LAG", "OWNS CELLS"}, rows); err != nil || t.output == outputJSON {
+		return err
+	}
+	fmt.Fprintf(t.stdout, "%d targets, %d workers\n", len(s.Targets), len(s.Workers))
+	for _, f := range s.ConfigFaults {
+		fmt.Fprintf(t.stdout, "config fault at %s\n", f)
 	}
-	fmt.Fprintf(w, "%d targets, %d workers\n", len(s.Targets), len(s.Workers))
-	return w.Flush()
+	return nil
 }
--- a/internal/follow/fold.go
+++ b/internal/follow/fold.go
@@ -53,8 +53,9 @@
 	if err := Resume(ctx, r, stream, f); err != nil {
 		return err
 	}
-	for {
-		b, err := read(ctx, r, stream, f.Next())
+	// The first read doesn't wait, so that a fold that is at the tail learns it at once.
+	for first := true; ; first = false {
+		b, err := next(ctx, r, stream, f.Next(), first)
 		var gone *logsvc.ExpiredError
 		if errors.As(err, &gone) {
 			err = Resume(ctx, r, stream, f)
@@ -70,6 +71,14 @@
 	}
 }
 
+// next does one read; the first of a fold does not wait for new entries.
+func next(ctx context.Context, r logsvc.Reader, stream string, from logsvc.Offset, first bool) (logsvc.Batch, error) {
+	if first {
+		return peek(ctx, r, stream, from, readLimit)
+	}
+	return read(ctx, r, stream, from)
+}
+
 // Resume moves a fold to the newest snapshot of its stream that covers more than the fold does and
 // after which every entry is still kept. It returns ErrGap when the fold can't go on from where it is
 // either.
@@ -78,11 +87,11 @@
 	if err != nil {
 		return err
 	}
-	next := f.Next()
-	if next >= first && tail-next <= readLimit {
+	from := f.Next()
+	if from >= first && tail-from <= readLimit {
 		return nil
 	}
-	for high := tail; high > max(first, next); {
+	for high := tail; high > max(first, from); {
 		low := max(first, high-readLimit)
 		b, err := peek(ctx, r, stream, low, int(high-low))
 		if err != nil {
@@ -93,8 +102,8 @@
 		}
 		high = low
 	}
-	if next < first {
-		return fmt.Errorf("%w: next is %d, the oldest kept is %d", ErrGap, next, first)
+	if from < first {
+		return fmt.Errorf("%w: next is %d, the oldest kept is %d", ErrGap, from, first)
 	}
 	return nil
 }
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -15,6 +15,7 @@
 	"github.com/crocusspring/crocusspring/internal/finding"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 )
@@ -122,6 +123,9 @@
 	if req.ID == "" {
 		req.ID = record.NewID()
 	}
+	if !n.jobAllowed(w, r, operator.Change, req.Workspace) {
+		return
+	}
 	name := n.cellOf(req)
 	if err := checkJob(req, name); err != nil {
 		w.Header().Set(targetapi.HeaderOutcome, string(targetapi.NotRun))
@@ -155,7 +159,9 @@
 		var ok bool
 		d.View(func(c *cell.Core) { t, ok = c.Task(id) })
 		if ok {
-			jsonhttp.Write(w, http.StatusOK, t)
+			if n.jobAllowed(w, r, operator.Read, t.Workspace) {
+				jsonhttp.Write(w, http.StatusOK, t)
+			}
 			return
 		}
 	}
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -8,10 +8,13 @@
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/app"
+	"github.com/crocusspring/crocusspring/internal/finding"
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/settings"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/tlsconf"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
 
@@ -23,6 +26,8 @@
 	conns   int64
 	share   int64
 	appends int64
+	ops     string
+	tls     tlsconf.Files
 	opt     Options
 }
 
@@ -38,6 +43,10 @@
 	s.Int(&f.share, "share", 1, 1, 64, "how many nodes send to the same targets")
 	s.Int(&f.appends, "log-appends", int64(d.LogAppends), 1, 1<<20, "budget of all processes together, in appends a second")
 	s.Duration(&f.opt.SnapshotAge, "snapshot-age", d.SnapshotAge, time.Second, 100*time.Hour, "how long a snapshot of the configuration counts; at most an eighth of the log's retention")
+	s.String(&f.ops, "operators", "", false, "who may drive the installation: a file or the YAML text itself; empty lets anyone")
+	s.String(&f.tls.Cert, "tls-cert", "", false, "PEM file of this process's certificate")
+	s.String(&f.tls.Key, "tls-key", "", false, "PEM file of this process's key")
+	s.String(&f.tls.CA, "tls-ca", "", false, "PEM file of the authority of all processes")
 	s.Int(&f.conns, "target-connections", 16, 1, 1024, "most connections to one target")
 	s.Duration(&f.opt.OwnerLease, "owner-lease", d.OwnerLease, time.Second, time.Minute, "how long a cell is owned without renewal")
 	s.Duration(&f.opt.TaskLease, "task-lease", d.TaskLease, time.Second, time.Minute, "how long a task runs without its owner")
@@ -56,6 +65,10 @@
 	}
 	f.opt.Share, f.opt.LogAppends = int(f.share), int(f.appends)
 	f.opt.Peers = slices.DeleteFunc(f.opt.Peers, func(p string) bool { return p == f.listen })
+	if err := f.secure(); err != nil {
+		fmt.Fprintln(stderr, err)
+		return app.ExitUsage
+	}
 	l, err := net.Listen("tcp", f.listen)
 	if err != nil {
 		fmt.Fprintln(stderr, settings.Place("listen")+":", err)
@@ -72,3 +85,19 @@
 	}
 	return app.ExitOK
 }
+
+// secure reads the operators and the certificates and reports all that is wrong with them together.
+func (f *flags) secure() error {
+	var l finding.List
+	ops, err := operator.Open(f.ops)
+	if err != nil {
+		l.Add(settings.Place("operators"), "", "%v", err)
+	}
+	f.opt.Operators = ops
+	if f.tls.Set() {
+		if f.opt.TLS, err = tlsconf.New(f.tls); err != nil {
+			l.Add(settings.Place("tls-cert"), "", "%v", err)
+		}
+	}
+	return l.Err()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -24,8 +25,10 @@
 	"github.com/crocusspring/crocusspring/internal/members"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/netdial"
+	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/route"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/tlsconf"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 	"golang.org/x/sync/errgroup"
 )
@@ -58,6 +61,10 @@
 	// SnapshotAge is how long a snapshot of the configuration counts; an eighth of the log's retention
 	// time or less.
 	SnapshotAge time.Duration
+	// Operators are who may drive the installation; nil lets anyone.
+	Operators *operator.Source `json:"-"`
+	// TLS secures the listener and the connections between nodes; nil for plain ones.
+	TLS *tlsconf.Reloader `json:"-"`
 	// Drain bounds how long a graceful stop waits for requests in progress.
 	Drain time.Duration
 }
@@ -97,6 +104,9 @@
 		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
 		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{},
 	}
+	if opt.TLS != nil {
+		ports.Dial = opt.TLS.Dial(ports.Dial)
+	}
 	n.commit = logsvc.NewCommitter(ports.Log, logsvc.DefaultCommit())
 	n.ports.Log, ports.Log = n.commit, n.commit
 	n.audit = audit.NewWriter(ports.Log, opt.ID, logs.Part(lg, "audit"))
@@ -154,7 +164,8 @@
 // Handler returns all HTTP interfaces of the node.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(n.members))
+	path, peers := peerv1connect.NewPeerServiceHandler(n.members)
+	mux.Handle(path, n.verifiedPeers(peers))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
@@ -164,6 +175,9 @@
 // Serve runs the node on a listener until ctx ends, then stops it gracefully.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	n.addr.Store(l.Addr().String())
+	if n.opt.TLS != nil {
+		l = tls.NewListener(l, n.opt.TLS.Server())
+	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -6,7 +6,9 @@
 	"slices"
 
 	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/config"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/operator"
 )
 
 // Status is the body of GET /v1/status.
@@ -14,6 +16,9 @@
 	Processes []ProcessStatus `json:"processes"`
 	Targets   []string        `json:"targets"`
 	Workers   []string        `json:"workers"`
+	// ConfigFaults are the entries and records of the configuration that this node can't read, for
+	// operators of the platform.
+	ConfigFaults []config.Fault `json:"config_faults,omitempty"`
 }
 
 // ProcessStatus is what a process reports of itself.
@@ -27,7 +32,7 @@
 }
 
 // status tells what this node knows of the system.
-func (n *Node) status(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) status(w http.ResponseWriter, r *http.Request) {
 	s := Status{Processes: n.processes()}
 	for _, t := range n.members.Live(announce.RoleTarget) {
 		s.Targets = append(s.Targets, t.Name)
@@ -37,6 +42,9 @@
 	}
 	slices.Sort(s.Targets)
 	slices.Sort(s.Workers)
+	if o, err := n.operators().Identify(r.Header.Get("Authorization")); err == nil && o.Has(operator.Platform) {
+		n.config.View(func(st *config.State) { s.ConfigFaults = st.Faults() })
+	}
 	jsonhttp.Write(w, http.StatusOK, s)
 }
 
