--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -5,7 +5,9 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -53,9 +55,11 @@
 			env.Setenv("CROCUS_NODE", in.addrs[0])
 			env.Setenv("OTHER", in.addrs[1])
 			env.Setenv("CROCUS_TOKEN", "platform")
+			// A program under the race detector would else sleep for a second when it ends.
+			env.Setenv("GORACE", "atexit_sleep_ms=0")
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "log": logCommand},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "log": logCommand, "job": jobCommand},
 	})
 }
 
@@ -156,3 +160,23 @@
 		ts.Fatalf("log: unknown word %s", args[0])
 	}
 }
+
+// jobCommand sends a request about jobs: job STATUS TOKEN METHOD PATH [FILE].
+func jobCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 4 {
+		ts.Fatalf("usage: job STATUS TOKEN METHOD PATH [FILE]")
+	}
+	body := ""
+	if len(args) > 4 {
+		body = ts.ReadFile(args[4])
+	}
+	req, err := http.NewRequest(args[2], "http://"+ts.Getenv("CROCUS_NODE")+args[3], strings.NewReader(body))
+	ts.Check(err)
+	req.Header.Set("Authorization", "Bearer "+args[1])
+	resp, err := http.DefaultClient.Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	if text, err := io.ReadAll(resp.Body); err != nil || strconv.Itoa(resp.StatusCode) != args[0] {
+		ts.Fatalf("status %d, want %s: %s", resp.StatusCode, args[0], text)
+	}
+}
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -22,7 +22,7 @@
 	ctx, cancel := t.bounded(ctx)
 	defer cancel()
 	var raw json.RawMessage
-	if err := t.call(ctx, http.MethodGet, pathOf("jobs", args[1]), nil, &raw); err != nil {
+	if err := t.call(ctx, http.MethodGet, pathOf("jobs", args[1], "explain"), nil, &raw); err != nil {
 		return err
 	}
 	if t.output == outputJSON {
--- a/internal/node/auth.go
+++ b/internal/node/auth.go
@@ -48,21 +48,6 @@
 	return cur == nil || o.May(operator.Change, cur.Owner())
 }
 
-// jobAllowed reports whether who sent a request may do something with jobs of a workspace, and answers
-// when not.
-func (n *Node) jobAllowed(w http.ResponseWriter, r *http.Request, right operator.Right, workspace string) bool {
-	o, err := n.operators().Identify(r.Header.Get("Authorization"))
-	if err != nil {
-		refuse(w, http.StatusUnauthorized, err)
-		return false
-	}
-	if !o.May(right, workspace) {
-		refuse(w, http.StatusForbidden, fmt.Errorf("operator %s may not %s jobs of workspace %s", o.Name, right, workspace))
-		return false
-	}
-	return true
-}
-
 // verifiedPeers lets only processes with a certificate of the installation through, when TLS is set.
 func (n *Node) verifiedPeers(h http.Handler) http.Handler {
 	if n.opt.TLS == nil {
--- a/internal/node/defaults.go
+++ b/internal/node/defaults.go
@@ -11,10 +11,11 @@
 	return Options{
 		Share:       1,
 		OwnerLease:  3 * time.Second,
-		TaskLease:   3 * time.Second,
+		TaskLease:   8 * time.Second,
 		SyncEvery:   500 * time.Millisecond,
 		SnapshotAge: time.Hour,
 		LogAppends:  logsvc.DefaultAppends,
 		Drain:       10 * time.Second,
+		ReadyLag:    time.Second,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
 	"github.com/crocusspring/crocusspring/api/peer/v1/peerv1connect"
@@ -20,13 +21,13 @@
 	"github.com/crocusspring/crocusspring/internal/cellrun"
 	"github.com/crocusspring/crocusspring/internal/config"
 	"github.com/crocusspring/crocusspring/internal/configrun"
+	"github.com/crocusspring/crocusspring/internal/dispatch"
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/members"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/netdial"
 	"github.com/crocusspring/crocusspring/internal/operator"
-	"github.com/crocusspring/crocusspring/internal/route"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 	"github.com/crocusspring/crocusspring/internal/tlsconf"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
@@ -51,8 +52,14 @@
 	Peers []string
 	// Cells are the cells this node is a candidate for.
 	Cells []string
+	// Advertise is the address others reach this node at; empty for the address it listens on.
+	Advertise string
+	// Entries are the addresses of all entries, the same at every node; empty for the peers and this one.
+	Entries []string
 	// Share is how many nodes send requests to the same targets.
-	Share      int
+	Share int
+	// ReadyLag is how long a stopping node serves on after readiness went down.
+	ReadyLag   time.Duration
 	OwnerLease time.Duration
 	TaskLease  time.Duration
 	SyncEvery  time.Duration
@@ -95,18 +102,22 @@
 	audit   *audit.Writer
 	members *members.Members
 	cells   map[string]*cellrun.Driver
-	router  *router
+
+	requests *dispatch.Dispatcher
+	intake   intake
+	// jobClient calls the owners of cells.
+	jobClient *http.Client
 }
 
 // New returns a node that has not started.
 func New(opt Options, ports Ports, lg *log.Logger) *Node {
-	n := &Node{
-		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
-		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{},
-	}
 	if opt.TLS != nil {
 		ports.Dial = opt.TLS.Dial(ports.Dial)
 	}
+	n := &Node{
+		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
+		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{}, jobClient: jobClients(ports.Dial),
+	}
 	n.commit = logsvc.NewCommitter(ports.Log, logsvc.DefaultCommit())
 	n.ports.Log, ports.Log = n.commit, n.commit
 	n.audit = audit.NewWriter(ports.Log, opt.ID, logs.Part(lg, "audit"))
@@ -116,17 +127,28 @@
 	}, logs.Part(lg, "config"))
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"), ports.Dial)
 	n.members.PassConfig(configPasser{n.config})
-	n.router = &router{table: route.New(opt.Share), members: n.members, caller: ports.Targets, dataCentre: opt.DataCentre}
 	for _, c := range opt.Cells {
 		co := cell.Options{
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
-			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures,
+			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
 		}
 		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
 	}
 	return n
 }
 
+// standBack is how long a candidate outside of a cell's data centre stands back from taking it.
+const standBack = 500 * time.Millisecond
+
+// takeDelay returns how long a node waits before it takes a cell. Candidates in the cell's data centre
+// come first, and which of the others comes first differs from cell to cell.
+func takeDelay(opt Options, cellName string) time.Duration {
+	if opt.DataCentre == cellName {
+		return 0
+	}
+	return standBack + time.Duration(xxhash.Sum64String(opt.ID+cellName)%uint64(standBack))
+}
+
 // maxFailures is how often a task may fail before it is failed for good.
 const maxFailures = 3
 
@@ -155,7 +177,7 @@
 
 // Ready reports whether the node may be sent requests.
 func (n *Node) Ready() bool {
-	if n.config.Ready() {
+	if n.config.Ready() && n.requests.Warm() {
 		n.life.fire(eventCaughtUp)
 	}
 	return n.life.State() == lifeReady
@@ -166,6 +188,8 @@
 	mux := http.NewServeMux()
 	path, peers := peerv1connect.NewPeerServiceHandler(n.members)
 	mux.Handle(path, n.verifiedPeers(peers))
+	path, jobs := peerv1connect.NewJobServiceHandler(jobService{n})
+	mux.Handle(path, n.verifiedPeers(jobs))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
@@ -174,17 +198,18 @@
 
 // Serve runs the node on a listener until ctx ends, then stops it gracefully.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
-	n.addr.Store(l.Addr().String())
+	n.newRequests(l.Addr())
 	if n.opt.TLS != nil {
 		l = tls.NewListener(l, n.opt.TLS.Server())
 	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
-	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 16 << 10}
+	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 4 * maxHeader, IdleTimeout: time.Minute}
 	g.Go(func() error { n.config.Run(run); return nil })
 	g.Go(func() error { n.audit.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
+	g.Go(func() error { n.runRequests(run); return nil })
 	g.Go(func() error { n.gauges(run); return nil })
 	g.Go(func() error { return n.keepShare(run) })
 	for _, d := range n.cells {
@@ -222,11 +247,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.opt.Drain)
 	defer cancel()
+	n.lag(ctx)
 	n.waitReleased(ctx)
 	if err := srv.Shutdown(ctx); err != nil {
 		n.lg.Error("Requests were cut off.", "err", err)
 		n.life.fire(eventDrainTimeout)
 	}
+	n.requests.Drain(ctx)
 	n.life.fire(eventDrained)
 }
 
