--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -14,6 +14,7 @@
 	c := chaos{
 		Seed: rapid.Uint64().Draw(t, "seed"), Kill: on("kill"), Pause: on("pause"), Double: on("double"),
 		LogDown: on("log down"), LogAnswers: on("log answers"), Cancel: on("cancel"), Expire: on("expire"),
+		CutLog: on("cut log"),
 	}
 	if on("unreachable workers") {
 		c.Crash, c.PauseWorker, c.Cut = on("crash"), on("pause worker"), on("cut")
@@ -47,6 +48,30 @@
 	})
 }
 
+// TestCutOwner checks that an owner which is cut from the log stops in time, also when it is the only
+// one that still reaches a worker, so that the next owner can't tell that worker so.
+func TestCutOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(chaos{Seed: rapid.Uint64().Draw(t, "seed"), Long: true}, 3)
+		for range int(4 * time.Second / modelTick) {
+			m.tick(true)
+		}
+		for _, mc := range m.cores {
+			if _, ok := mc.core.Owner(m.now); ok {
+				mc.noLog = m.now.Add(time.Minute)
+			} else {
+				mc.cut = "w0"
+			}
+		}
+		for range int(12 * time.Second / modelTick) {
+			m.tick(true)
+		}
+		if len(m.hist.wrong) > 0 {
+			t.Fatal(m.hist.wrong)
+		}
+	})
+}
+
 // open describes the jobs that have not ended.
 func (m *model) open() string {
 	out := ""
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -34,7 +34,9 @@
 	LogAnswers  bool // answers to appends are lost
 	Cancel      bool
 	Expire      bool // the log keeps little
-	Cut         bool // a core can't reach some of the workers
+	Cut         bool // a core can't reach one of the workers
+	Long        bool // jobs run for longer than the model does
+	CutLog      bool // a core can't reach the log, but workers
 }
 
 // model is a whole small cell: cores, a log, workers and the ways between them.
@@ -58,8 +60,9 @@
 	core   *Core
 	next   logsvc.Offset
 	paused time.Time
-	held   []func() // what the driver was about to do when it was paused
-	cut    string   // a worker it can't reach
+	held   []func()  // what the driver was about to do when it was paused
+	cut    string    // a worker it can't reach
+	noLog  time.Time // until when it can't reach the log
 }
 
 // modelWorker is one worker.
@@ -164,7 +167,7 @@
 func (m *model) append(mc *modelCore, a Append) {
 	raw, _ := a.Record.Encode()
 	done := func() { m.toCore(mc, AppendDone{Append: a}) }
-	if m.now.Before(m.down) {
+	if m.now.Before(m.down) || m.now.Before(mc.noLog) {
 		m.msgs = append(m.msgs, message{m.now.Add(10 * time.Millisecond), done})
 		return
 	}
@@ -268,7 +271,7 @@
 			continue
 		}
 		m.step(mc, Workers{Members: members})
-		if m.now.After(m.down) && m.chance(0.7) {
+		if m.now.After(m.down) && m.now.After(mc.noLog) && m.chance(0.7) {
 			m.read(mc)
 		}
 	}
@@ -299,6 +302,9 @@
 			mc.cut = ""
 		}
 	}
+	if m.CutLog && m.chance(0.006) {
+		mc.noLog = m.now.Add(m.after(time.Second, 12*time.Second))
+	}
 	if w.back.IsZero() && m.Crash && m.chance(0.006) {
 		w.w.Crash(m.now)
 		w.back = m.now.Add(m.after(20*time.Millisecond, 8*time.Second))
@@ -326,6 +332,9 @@
 		Urgent: m.chance(0.2), Declare: resource.Vector{MilliCPU: 500 + 500*m.rng.Int64N(5), MemoryMB: 300},
 		RunMS: 100 + m.rng.Int64N(4000),
 	}
+	if m.Long {
+		j.RunMS = time.Minute.Milliseconds()
+	}
 	if m.publish(record.KindJob, j) {
 		m.jobs = append(m.jobs, id)
 	}
