--- a/internal/node/explain.go
+++ b/internal/node/explain.go
@@ -66,7 +66,7 @@
 		Cells:    map[string]cell.Summary{},
 		Targets:  explainMembers(now, n.members.Live(announce.RoleTarget)),
 		Workers:  explainMembers(now, n.members.Live(announce.RoleWorker)),
-		Settings: n.opt, InProgress: n.router.inProgress(), Processes: n.processes(), GeneratedAt: now,
+		Settings: n.opt, InProgress: n.requests.Active(), Processes: n.processes(), GeneratedAt: now,
 	}
 	for name, d := range n.cells {
 		d.View(func(c *cell.Core) { e.Cells[name] = c.Summary(now) })
@@ -80,6 +80,9 @@
 	if !n.config.Ready() {
 		out = append(out, "the tail of the configuration stream has not been reached")
 	}
+	if !n.requests.Warm() {
+		out = append(out, "slots of targets rest after the start and no peer lends any")
+	}
 	if n.life.Leaving() {
 		out = append(out, "the node is leaving")
 	}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/cell"
@@ -27,7 +28,7 @@
 	// foldPoll is the time between two looks at whether a record has been folded.
 	foldPoll = 2 * time.Millisecond
 	// maxJobID bounds the length of a job's id.
-	maxJobID = 200
+	maxJobID = maxName
 	// maxAmount bounds each declared amount, and maxRunMS the declared run time (400 days).
 	maxAmount = 1 << 40
 	maxRunMS  = 400 * 24 * 3600 * 1000
@@ -49,7 +50,7 @@
 // check reports everything that is wrong with a submitted job.
 func (q *submitRequest) check() error {
 	var l finding.List
-	if len(q.ID) > maxJobID || !printable(q.ID) {
+	if len(q.ID) > maxJobID || !pathSafe(q.ID) {
 		l.Add("/id", "", "must be at most %d printable characters without spaces or slashes", maxJobID)
 	}
 	if q.Workspace == "" {
@@ -74,14 +75,9 @@
 	return l.Err()
 }
 
-// printable reports whether an id has only characters that need no quoting in a path.
-func printable(id string) bool {
-	for _, r := range id {
-		if r <= ' ' || r > '~' || r == '/' || r == '?' || r == '#' || r == '%' {
-			return false
-		}
-	}
-	return true
+// pathSafe reports whether an id has only characters that need no quoting in a path.
+func pathSafe(id string) bool {
+	return printable(id) && !strings.ContainsAny(id, "/?#%")
 }
 
 // submit accepts a job in a cell known here; it is accepted once it stands in the log.
