--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -96,10 +96,11 @@
 	faults   []error
 
 	// What was learned outlives an ownership.
-	model *interfere.Model
-	pipe  *place.Pipeline
-	track *probation.Tracker
-	sizes sizes
+	model   *interfere.Model
+	effects *effects
+	pipe    *place.Pipeline
+	track   *probation.Tracker
+	sizes   sizes
 }
 
 // New returns the core of a cell with an empty stream.
@@ -110,9 +111,10 @@
 		lease: lease.New(lease.Options{Self: opt.Self, Length: opt.OwnerLease, TaskLength: opt.TaskLease, Delay: opt.TakeDelay}),
 		model: interfere.New(), track: probation.New(probation.DefaultLimits()),
 	}
+	c.effects = newEffects(c.model)
 	c.pipe = opt.Pipeline
 	if c.pipe == nil {
-		c.pipe = place.Default(c.model)
+		c.pipe = place.Default(c.effects)
 	}
 	return c
 }
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -130,6 +130,12 @@
 // keep holds room on a worker.
 func (o *owner) keep(id string, h hold, open []*place.Worker) {
 	o.holds[id] = h
+	o.reserve(h, open)
+}
+
+// reserve counts held room as reserved for the rest of the round.
+func (o *owner) reserve(h hold, open []*place.Worker) {
+	o.worker(h.worker).stale = true
 	for _, w := range open {
 		if w.Name == h.worker {
 			w.Reserved = w.Reserved.Add(h.reserve)
@@ -167,32 +173,29 @@
 	}
 }
 
-// open returns the workers that can take a start. They are copies, so that a round may note in them
-// what it has decided; held room counts as reserved.
+// open returns the workers that can take a start. A round notes in them what it has decided; held room
+// counts as reserved.
 func (o *owner) open(now time.Time) []*place.Worker {
 	o.countRacks()
+	o.c.effects.renew(now)
+	for id, h := range o.holds {
+		o.worker(h.worker).stale = true
+		if t := o.c.state.tasks[id]; t == nil || !t.Waits() {
+			delete(o.holds, id)
+		}
+	}
 	out := make([]*place.Worker, 0, len(o.order))
 	for _, w := range o.order {
 		if !w.open() {
 			continue
 		}
-		v := *o.refresh(now, w)
-		v.Classes = append(v.Classes[:0:0], v.Classes...)
-		v.Draining = w.drained
-		v.Suspended = o.c.track.Refuse(now, w.name)
+		v := o.refresh(now, w)
+		v.Draining, v.Suspended = w.drained, o.c.track.Refuse(now, w.name)
 		v.RackServices = o.racks[v.Rack]
-		out = append(out, &v)
+		out = append(out, v)
 	}
-	for id, h := range o.holds {
-		if t := o.c.state.tasks[id]; t == nil || !t.Waits() {
-			delete(o.holds, id)
-			continue
-		}
-		for _, v := range out {
-			if v.Name == h.worker {
-				v.Reserved = v.Reserved.Add(h.reserve)
-			}
-		}
+	for _, h := range o.holds {
+		o.reserve(h, out)
 	}
 	return out
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -209,10 +209,10 @@
 
 // laneHead returns the head of the workspace's lane that has received less, and the workspace's key.
 func (q *Queue) laneHead(now time.Time, name string, lanes *[laneCount]*entryHeap) (*entry, float64) {
-	if q.shares.OverQuota(name) {
+	b, w := lanes[Builds].first(), lanes[Watchers].first()
+	if b == nil && w == nil || q.shares.OverQuota(name) {
 		return nil, 0
 	}
-	b, w := lanes[Builds].first(), lanes[Watchers].first()
 	e := b
 	if b == nil || w != nil && q.shares.laneKey(name, Watchers) < q.shares.laneKey(name, Builds) {
 		e = w
