--- a/internal/cell/options.go
+++ b/internal/cell/options.go
@@ -34,7 +34,7 @@
 
 const (
 	defaultSnapshotEvery = 200
-	defaultSlowdownLimit = 1.25
+	defaultSlowdownLimit = 1.8
 	defaultKeepDone      = 24 * time.Hour
 	defaultMaxDone       = 5000
 	// minKeepDone is how long an ended task is kept however many there are, so that a job submitted
--- a/internal/cell/protect.go
+++ b/internal/cell/protect.go
@@ -6,11 +6,14 @@
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/interfere"
+	"github.com/crocusspring/crocusspring/internal/place"
 )
 
 const (
 	// throttlePercent is the share of processor time a throttled task is left.
 	throttlePercent = 30
+	// throttlePart is the part of the worst neighbour's effect from which others are throttled with it.
+	throttlePart = 0.5
 	// reactIn is how long an action is given to show in usage, on top of the age of readings.
 	reactIn = 3 * time.Second
 	// calmFor is how long services must do well before a throttle is taken back.
@@ -24,6 +27,48 @@
 	hurry bool // a task is being checkpointed
 	acted time.Time
 	calm  time.Time
+	// bars are the classes that take no place beside the services for a while.
+	bars map[string]bar
+}
+
+// bar keeps a class off a worker. It is longer each time, so that what was learned too little of does
+// not come back and go again.
+type bar struct {
+	until time.Time
+	next  time.Duration
+}
+
+const (
+	firstBar = time.Minute
+	lastBar  = 16 * time.Minute
+)
+
+// bar keeps a class off the worker for a while.
+func (g *guard) bar(now time.Time, class string) {
+	if g.bars == nil {
+		g.bars = map[string]bar{}
+	}
+	b := g.bars[class]
+	length := max(firstBar, b.next)
+	g.bars[class] = bar{now.Add(length), min(2*length, lastBar)}
+}
+
+// barred reports whether a class is kept off the worker.
+func (g *guard) barred(now time.Time, class string) bool { return now.Before(g.bars[class].until) }
+
+// allowed splits off the workers that a class is kept off, with the reason.
+func (o *owner) allowed(now time.Time, pt *place.Task, open []*place.Worker) (out []*place.Worker, refused []place.Refusal) {
+	if pt.Service != "" {
+		return open, nil
+	}
+	for _, p := range open {
+		if o.workers[p.Name].guard.barred(now, pt.Class) {
+			refused = append(refused, place.Refusal{Worker: p.Name, Filter: "protection", Reason: "class has slowed down a service there"})
+		} else {
+			out = append(out, p)
+		}
+	}
+	return out, refused
 }
 
 // suffering is a service that is slowed down.
@@ -33,8 +78,8 @@
 	age      time.Duration
 }
 
-// protect holds back the neighbours of services that suffer: the one that slows the service most is
-// throttled first, and evicted when that didn't help.
+// protect holds back the neighbours of services that suffer: the ones that slow the service most are
+// throttled first, and evicted one by one when that didn't help.
 func (o *owner) protect(now time.Time) {
 	for _, w := range o.order {
 		if !w.fenced || len(o.c.state.held[w.name]) == 0 {
@@ -83,7 +128,8 @@
 	}
 }
 
-// holdBack acts on the neighbour that slows a service most.
+// holdBack throttles the neighbours that slow a service most, and when they all are throttled evicts
+// the worst.
 func (o *owner) holdBack(now time.Time, w *worker, s suffering) {
 	load := interfere.LoadOf(o.refresh(now, w).Busy())
 	vs := o.victims(w)
@@ -99,11 +145,17 @@
 		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(b.lost, a.lost))
 	})
 	w.guard.acted = now
-	if w.throttle[worst.task.key()] == 0 {
-		w.throttle[worst.task.key()] = throttlePercent
+	least, throttled := cost(worst)*throttlePart, false
+	for _, v := range vs {
+		if key := v.task.key(); w.throttle[key] == 0 && cost(v) >= least {
+			w.throttle[key], throttled = throttlePercent, true
+		}
+	}
+	if throttled {
 		w.urge = true
 		return
 	}
+	w.guard.bar(now, worst.task.Class)
 	o.evict(now, w, worst.task, "slowed down service class "+s.class)
 }
 
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -62,6 +62,7 @@
 	if held {
 		o.release(h, open)
 	}
+	open, barred := o.allowed(now, pt, open)
 	w, refusals := o.c.pipe.Select(pt, open)
 	if w != nil {
 		o.assign(now, t, pt, w)
@@ -72,7 +73,7 @@
 		o.out.add(Report{Task: t.ID, Event: string(EventReject), Reason: reason})
 		return
 	}
-	reason := summary(refusals)
+	reason := summary(append(refusals, barred...))
 	o.makeRoom(now, it, t, pt, open, h, held)
 	full[s] = reason
 	o.queue.Wait(now, t.ID, reason)
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -88,11 +88,13 @@
 	if !t.Waits() && t.State != StateUnschedulable {
 		return
 	}
-	open := o.open(now)
+	all := o.open(now)
+	pt := o.placeTask(t)
+	open, barred := o.allowed(now, pt, all)
 	e.Workers = len(o.order)
-	e.Refused = o.c.pipe.Refusals(o.placeTask(t), open)
+	e.Refused = append(o.c.pipe.Refusals(pt, open), barred...)
 	e.Filters = place.Counts(e.Refused)
-	if shut := len(o.order) - len(open); shut > 0 {
+	if shut := len(o.order) - len(all); shut > 0 {
 		e.Filters = append(e.Filters, place.ReasonCount{Filter: "fence", Reason: "worker has not answered under this epoch", Workers: shut})
 	}
 	e.HeldOn = o.holds[t.ID].worker
