--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/crocusspring/crocusspring/internal/audit"
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/cellrun"
+	"github.com/crocusspring/crocusspring/internal/claimrun"
 	"github.com/crocusspring/crocusspring/internal/config"
 	"github.com/crocusspring/crocusspring/internal/configrun"
 	"github.com/crocusspring/crocusspring/internal/dispatch"
@@ -97,6 +98,7 @@
 	cells   map[string]*cellrun.Driver
 
 	requests *dispatch.Dispatcher
+	claims   *claimrun.Keeper
 	intake   intake
 	// jobClient calls the owners of cells.
 	jobClient *http.Client
@@ -239,6 +241,7 @@
 		n.life.fire(eventDrainTimeout)
 	}
 	n.requests.Drain(ctx)
+	n.claims.Drain(ctx)
 	n.life.fire(eventDrained)
 }
 
