--- a/internal/config/kinds.go
+++ b/internal/config/kinds.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/crocusspring/crocusspring/api/records"
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -51,8 +52,8 @@
 	{KindDrain, 1}:           convert(drainV1),
 }
 
-// schemas are the compiled schema files by name.
-var schemas = mustCompile()
+// schemas returns the compiled schema files by name. They are compiled when first used.
+var schemas = sync.OnceValue(mustCompile)
 
 // mustCompile compiles every schema file.
 func mustCompile() map[string]*jsonschema.Schema {
