--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -14,6 +14,7 @@
 	c := chaos{
 		Seed: rapid.Uint64().Draw(t, "seed"), Kill: on("kill"), Pause: on("pause"), Double: on("double"),
 		LogDown: on("log down"), LogAnswers: on("log answers"), Cancel: on("cancel"), Expire: on("expire"),
+		CutLog: on("cut log"),
 	}
 	if on("unreachable workers") {
 		c.Crash, c.PauseWorker, c.Cut = on("crash"), on("pause worker"), on("cut")
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -68,7 +68,7 @@
 		return
 	}
 	var ve *jsonschema.ValidationError
-	if err := schemas[file].Validate(doc); errors.As(err, &ve) {
+	if err := schemas()[file].Validate(doc); errors.As(err, &ve) {
 		leaves(l, ve, k, base)
 	}
 }
