bad-worker meets the busiest worker

Cause: with a light load TestFaultsKeepPromises/bad-worker once met a worker that began nothing. Change: the fault picks the worker that has begun the most; small runs have six workers and 8 jobs a second.

--- a/internal/dev/cluster_test.go
+++ b/internal/dev/cluster_test.go
@@ -17,8 +17,8 @@
 // small returns a small shape of a deployment and a light load for it.
 func small(deployment string) (Deployment, workload.Mix) {
 	shape, mix := Deployments()[deployment], workload.Mixes()[deployment]
-	shape.Targets, shape.Workers = 4, 4
-	mix.RequestsPerSecond, mix.JobsPerSecond = 40, 4
+	shape.Targets, shape.Workers = 4, 6
+	mix.RequestsPerSecond, mix.JobsPerSecond = 40, 8
 	return shape, mix
 }
 
@@ -96,7 +96,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			check(t, runSmall(t, "klang", false, 3, name))
+			check(t, runSmall(t, "klang", false, 4, name))
 		})
 	}
 }
--- a/internal/dev/fault_worker.go
+++ b/internal/dev/fault_worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
@@ -33,11 +34,11 @@
 // badWorker makes a worker fail all it starts. One event is one failed attempt.
 func badWorker() Fault {
 	return Fault{
-		Name: "bad-worker", About: "one worker fails all it starts for a while; counts attempts that failed",
+		Name: "bad-worker", About: "the busiest worker fails all it starts for a while; counts attempts that failed",
 		Run: func(ctx context.Context, in *Injector) error {
 			before := in.Record.Failed()
 			err := in.cycle(ctx, badHold, func() (func() error, error) {
-				w := pick(in, in.Workers)
+				w := in.busiest()
 				w.SetFailAll(true)
 				return func() error { w.SetFailAll(false); return nil }, nil
 			})
@@ -47,6 +48,12 @@
 	}
 }
 
+// busiest returns the worker that has begun the most attempts.
+func (in *Injector) busiest() *Worker {
+	begun := in.Record.Begun()
+	return slices.MaxFunc(in.Workers, func(a, b *Worker) int { return begun[a.Name] - begun[b.Name] })
+}
+
 // noisyWave makes neighbours on some workers disturb each other. One event is one worker in a wave.
 func noisyWave() Fault {
 	return Fault{
--- a/internal/history/recorder.go
+++ b/internal/history/recorder.go
@@ -306,3 +306,14 @@
 	}
 	return n
 }
+
+// Begun returns how many attempts each worker has begun.
+func (r *Recorder) Begun() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]int{}
+	for _, a := range r.h.Attempts {
+		out[a.Worker]++
+	}
+	return out
+}
