Routing: two choices over near targets, credits follow the need within 100 ms

Change: near targets first, a far one only below 0.6 of the near cost; smoother latency; loans are sized by the peak of the last moments, shrink every 100 ms and grow by what waits, spread over targets.

--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -65,8 +65,9 @@
 	rests time.Time
 	inUse int
 	// peak is the recent largest use of all slots, own and borrowed.
-	peak     float64
-	starving bool
+	peak float64
+	// extra is how many more slots waiting requests ask for.
+	extra    int
 	lent     map[holder][]grant
 	borrowed map[string]*loan
 }
--- a/internal/credit/credit_test.go
+++ b/internal/credit/credit_test.go
@@ -102,7 +102,7 @@
 	case "tick":
 		b.Tick(m.now)
 	case "starve":
-		b.Starve(target)
+		b.Starve(target, 3)
 	}
 }
 
@@ -138,10 +138,10 @@
 func (m *model) trip(b *Book) {
 	lender := rapid.SampledFrom(b.Lenders()).Draw(m.t, "lender")
 	if rapid.Bool().Draw(m.t, "borrower starves") {
-		b.Starve("t1")
+		b.Starve("t1", 2)
 	}
 	if rapid.Bool().Draw(m.t, "lender starves") {
-		m.books[lender].Starve("t1")
+		m.books[lender].Starve("t1", 2)
 	}
 	if r, ok := b.Ask(m.now, lender); ok {
 		b.Granted(lender, r, m.books[lender].Lend(m.now, r))
@@ -246,7 +246,7 @@
 	now = now.Add(testLease + testMargin)
 	round := func(h string) {
 		books[h].Tick(now)
-		books[h].Starve("t")
+		books[h].Starve("t", 3)
 		for _, l := range books[h].Lenders() {
 			if r, ok := books[h].Ask(now, l); ok {
 				books[h].Granted(l, r, books[l].Lend(now, r))
--- a/internal/credit/loan.go
+++ b/internal/credit/loan.go
@@ -29,13 +29,13 @@
 }
 
 // decay is what is left of the recent peak of use after each Tick.
-const decay = 0.8
+const decay = 0.7
 
 // Tick lets recent peaks fade. It is called a few times a second.
 func (b *Book) Tick(now time.Time) {
 	for _, a := range b.targets {
 		a.peak = max(float64(a.total()), a.peak*decay)
-		a.starving = false
+		a.extra = 0
 		for h, gs := range a.lent {
 			if largest(now, gs) == 0 {
 				delete(a.lent, h)
@@ -44,23 +44,17 @@
 	}
 }
 
-// Starve notes that a request waits for a slot of a target, so that more is asked for and less lent.
-func (b *Book) Starve(target string) {
+// Starve notes that requests wait for so many more slots of a target, so that they are asked for and
+// none of this process's own are lent on.
+func (b *Book) Starve(target string, more int) {
 	if a := b.targets[target]; a != nil {
-		a.starving = true
+		a.extra = max(a.extra, more)
 	}
 }
 
 // wanted returns how many slots of a target this process wants to borrow in all.
 func (a *account) wanted(now time.Time) int {
-	spare := 0
-	if a.peak >= 0.5 {
-		spare = 1
-	}
-	if a.starving {
-		spare = 1 + max(1, a.slots/4)
-	}
-	own := a.own
+	spare, own := a.extra, a.own
 	if now.Before(a.rests) {
 		own, spare = 0, max(1, spare)
 	}
@@ -220,7 +214,7 @@
 	}
 	free := a.own - a.inUse - a.outstanding(now, h)
 	keep := int(math.Ceil(a.peak-0.5)) - a.total()
-	if a.starving {
+	if a.extra > 0 {
 		keep = a.own
 	}
 	return max(0, free-max(0, keep))
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -106,6 +106,8 @@
 	queue   *admit.Queue
 	health  *eject.Set
 	targets []*target
+	// turn spreads what is asked for over the targets.
+	turn int
 }
 
 // target is a live target.
@@ -247,13 +249,28 @@
 	return n
 }
 
-// starve tells the credits that requests wait.
+// starve tells the credits how many requests wait, spread over the usable targets in turn.
 func (c *Core) starve(s *service) {
-	for _, t := range s.targets {
-		c.credits.Starve(t.Name)
+	n := len(s.targets)
+	if n == 0 {
+		return
+	}
+	each, rest := s.queue.Len()/n, s.queue.Len()%n
+	s.turn++
+	for i, t := range s.targets {
+		more := each
+		if (i+s.turn)%n < rest {
+			more++
+		}
+		if more > 0 && !t.Leaving && s.health.State(t.Name) == eject.Serving {
+			c.credits.Starve(t.Name, min(more, mostExtra))
+		}
 	}
 }
 
+// mostExtra bounds how many more slots of a target are asked for at once.
+const mostExtra = 2
+
 // join puts two lists of actions together.
 func join(a, b Actions) Actions {
 	return Actions{append(a.Starts, b.Starts...), append(a.Finals, b.Finals...)}
@@ -290,6 +307,7 @@
 	var out Actions
 	for _, s := range c.services {
 		if s.queue.Len() > 0 {
+			c.starve(s)
 			out = join(out, c.pump(now, s))
 		}
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -24,12 +24,12 @@
 	// busyEvery is the same while requests wait.
 	busyEvery = 5 * time.Millisecond
 	// creditEvery is the time between two rounds of borrowing, starveEvery that while requests wait.
-	creditEvery = 250 * time.Millisecond
+	creditEvery = 100 * time.Millisecond
 	starveEvery = 10 * time.Millisecond
 	// MaxAttempt is the longest time one attempt may take.
 	MaxAttempt = 2 * time.Second
 	// CreditLease is how long a loan of slots holds.
-	CreditLease = MaxAttempt + creditEvery
+	CreditLease = MaxAttempt + 250*time.Millisecond
 	// creditMargin is added by a lender for clocks that run at different rates.
 	creditMargin = 100 * time.Millisecond
 	// maxWaiting and maxWaitingBytes bound the queue of each service.
--- a/internal/route/latency.go
+++ b/internal/route/latency.go
@@ -7,16 +7,15 @@
 
 const (
 	// fade is the time after which an old latency counts for 1/e.
-	fade = 2 * time.Second
-	// riseWeight is the least weight of a sample above the average.
-	riseWeight = 0.3
-	// fallWeight is the least weight of a sample below the average.
-	fallWeight = 0.05
+	fade = time.Second
+	// leastWeight is the least weight of a sample.
+	leastWeight = 0.08
+	// overdue is how many times the average a request must be without an answer to count itself.
+	overdue = 4
 )
 
-// Latency is the moving average of a target's latency. It rises fast and falls slowly, and since
-// samples come late, the age of the oldest request without an answer counts too. The zero value is
-// ready to use.
+// Latency is the moving average of a target's latency. Samples come late, so a request that is long
+// without an answer counts by its age. The zero value is ready to use.
 type Latency struct {
 	value time.Duration
 	at    time.Time
@@ -28,15 +27,15 @@
 		l.value, l.at = d, now
 		return
 	}
-	w := 1 - math.Exp(-float64(now.Sub(l.at))/float64(fade))
-	if d > l.value {
-		w = max(w, riseWeight)
-	} else {
-		w = max(w, fallWeight)
-	}
+	w := max(leastWeight, 1-math.Exp(-float64(now.Sub(l.at))/float64(fade)))
 	l.value += time.Duration(float64(d-l.value) * w)
 	l.at = now
 }
 
-// Value returns the average, but at least the age of the oldest request that has no answer yet.
-func (l *Latency) Value(oldest time.Duration) time.Duration { return max(l.value, oldest) }
+// Value returns the average, or the age of the oldest request without an answer when it is overdue.
+func (l *Latency) Value(oldest time.Duration) time.Duration {
+	if oldest > overdue*l.value {
+		return oldest
+	}
+	return l.value
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -74,9 +74,12 @@
 	return best
 }
 
-// twoChoices draws two near candidates and two far ones and takes the one with the least expected
-// time. Latency contains the way to another data centre, so a far target wins only when the near
-// ones are that much slower or fuller.
+// farGain is the part of the near cost that a far target must stay below to be taken. The way to
+// another data centre holds a slot without doing work, so noise alone must not send requests there.
+const farGain = 0.6
+
+// twoChoices draws two near candidates and takes the one with the least expected time, and does the
+// same for the far ones. A far one wins when the near ones are that much slower, or have no free slot.
 func (p *Picker) twoChoices(cs []Candidate) int {
 	p.near, p.far = p.near[:0], p.far[:0]
 	for i, c := range cs {
@@ -87,16 +90,24 @@
 		}
 	}
 	mean := meanLatency(cs)
-	best := -1
-	for _, side := range [][]int{p.near, p.far} {
-		for range min(2, len(side)) {
-			i := side[p.rng.IntN(len(side))]
-			if best < 0 || cost(cs[i], mean) < cost(cs[best], mean) {
-				best = i
-			}
-		}
+	near, far := p.better(cs, p.near, mean), p.better(cs, p.far, mean)
+	if near < 0 || far >= 0 && cost(cs[far], mean) < farGain*cost(cs[near], mean) {
+		return far
 	}
-	return best
+	return near
+}
+
+// better draws two of the candidates in a list and returns the better one, or -1 when there is none.
+func (p *Picker) better(cs []Candidate, list []int, mean time.Duration) int {
+	if len(list) == 0 {
+		return -1
+	}
+	a := list[p.rng.IntN(len(list))]
+	b := list[p.rng.IntN(len(list))]
+	if cost(cs[b], mean) < cost(cs[a], mean) {
+		return b
+	}
+	return a
 }
 
 // meanLatency is the latency assumed of a target that is not known yet.
@@ -121,5 +132,8 @@
 	if l == 0 {
 		l = time.Millisecond
 	}
-	return float64(l) * (1 + float64(c.InUse)/float64(max(1, c.Slots)))
+	return float64(l) * (1 + loadWeight*float64(c.InUse)/float64(max(1, c.Slots)))
 }
+
+// loadWeight is how much slower a target is taken to be when all its slots are in use.
+const loadWeight = 0.5
