Ready once slots of half of the targets can be used; benchmark of an entry's overhead

Cause: a restarted entry was ready with one borrowed slot and refused the first requests. Change: Warm asks for slots of half of the known targets. BenchmarkEntryOverhead sends 500 requests a second through an entry and straight to a target at once.

--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -227,19 +227,22 @@
 	return n
 }
 
-// Warm reports whether own slots no longer rest, or borrowed ones can be used meanwhile.
+// Warm reports whether own slots no longer rest, or borrowed ones of at least half of the targets can
+// be used meanwhile.
 func (b *Book) Warm(now time.Time) bool {
 	if !now.Before(b.began.Add(b.opt.rest())) {
 		return true
 	}
+	usable := 0
 	for _, a := range b.targets {
 		for _, l := range a.borrowed {
 			if l.free(now) > 0 {
-				return true
+				usable++
+				break
 			}
 		}
 	}
-	return false
+	return usable > 0 && 2*usable >= len(b.targets)
 }
 
 // InUse returns how many slots of a target this process uses.
--- /dev/null
+++ b/internal/node/overhead_test.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/standin/logstand"
+	"github.com/crocusspring/crocusspring/internal/standin/targetstand"
+	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/workerapi"
+)
+
+// bench is one entry over a log and targets on loopback.
+type bench struct {
+	entry, target string
+	client        *http.Client
+}
+
+// newBench starts everything and waits until the entry is ready.
+func newBench(b *testing.B) *bench {
+	b.Helper()
+	log := httptest.NewServer(logstand.New(0).Handler())
+	b.Cleanup(log.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	opt := Defaults()
+	opt.Role, opt.ID, opt.DataCentre, opt.ReadyLag = RoleEntry, "entry-1", "dc1", 0
+	n := New(opt, Ports{
+		Log: logsvc.NewHTTP(strings.TrimPrefix(log.URL, "http://")), Workers: workerapi.NewHTTP(), Targets: targetapi.NewHTTP(64),
+	}, logs.Discard())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- n.Serve(ctx, l) }()
+	b.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
+	})
+	t := &bench{entry: "http://" + l.Addr().String(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
+	for i := range 4 {
+		a := announce.Announcement{
+			Role: announce.RoleTarget, Name: "target-" + string(rune('a'+i)), DataCentre: "dc1", Service: "holds",
+			Slots: 8, Connections: 64, Incarnation: 1, Seq: 1, LeaseMS: time.Minute.Milliseconds(),
+		}
+		srv := httptest.NewUnstartedServer(nil)
+		a.Address = srv.Listener.Addr().String()
+		srv.Config.Handler = targetstand.New(a, func() time.Duration { return 2 * time.Millisecond }, nil).Handler()
+		srv.Start()
+		b.Cleanup(srv.Close)
+		n.members.Announce(a)
+		t.target = srv.URL
+	}
+	for !n.Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return t
+}
+
+// send sends one request and returns how long the whole answer took; 0 when it was not answered.
+func (t *bench) send(url string, hdr http.Header) time.Duration {
+	began := time.Now()
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte("seat")))
+	if err != nil {
+		return 0
+	}
+	req.Header = hdr
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		return 0
+	}
+	return time.Since(began)
+}
+
+// openLoop sends at a fixed rate for a time and returns the sorted latencies.
+func openLoop(every, length time.Duration, send func(i int) time.Duration) (took []time.Duration, lost int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	began := time.Now()
+	for i := range int(length / every) {
+		time.Sleep(time.Until(began.Add(time.Duration(i) * every)))
+		wg.Go(func() {
+			d := send(i)
+			mu.Lock()
+			defer mu.Unlock()
+			if d == 0 {
+				lost++
+				return
+			}
+			took = append(took, d)
+		})
+	}
+	wg.Wait()
+	slices.Sort(took)
+	return took, lost
+}
+
+// at returns a percentile in milliseconds.
+func at(sorted []time.Duration, p float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(p*float64(len(sorted))))].Seconds() * 1000
+}
+
+// BenchmarkEntryOverhead sends 500 requests a second through an entry and as many straight to a
+// target at the same time, and gives both latencies. Run it with -benchtime 1x.
+func BenchmarkEntryOverhead(b *testing.B) {
+	const every, length = 2 * time.Millisecond, 10 * time.Second
+	t := newBench(b)
+	direct := http.Header{targetapi.HeaderBudgetMS: {"500"}, targetapi.HeaderAttempt: {"1"}}
+	for b.Loop() {
+		var straight []time.Duration
+		var lostStraight int
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			straight, lostStraight = openLoop(every, length, func(i int) time.Duration {
+				h := direct.Clone()
+				h.Set(targetapi.HeaderRequestID, "direct-"+time.Now().Format(time.StampNano)+string(rune('a'+i%26)))
+				return t.send(t.target+"/v1/run", h)
+			})
+		})
+		through, lost := openLoop(every, length, func(int) time.Duration {
+			return t.send(t.entry+"/v1/services/holds/call", http.Header{targetapi.HeaderBudgetMS: {"500"}})
+		})
+		wg.Wait()
+		b.ReportMetric(at(straight, 0.5), "direct-p50-ms")
+		b.ReportMetric(at(straight, 0.99), "direct-p99-ms")
+		b.ReportMetric(at(through, 0.5), "entry-p50-ms")
+		b.ReportMetric(at(through, 0.99), "entry-p99-ms")
+		b.ReportMetric(at(through, 0.99)-at(straight, 0.99), "overhead-p99-ms")
+		b.ReportMetric(float64(lost), "lost")
+		b.ReportMetric(float64(lostStraight), "direct-lost")
+	}
+}
