--- a/internal/node/jobcancel.go
+++ b/internal/node/jobcancel.go
@@ -13,6 +13,7 @@
 	"github.com/crocusspring/crocusspring/internal/finding"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 )
@@ -100,7 +101,8 @@
 // locate returns the cell that knows a job; empty when none does.
 func (n *Node) locate(ctx context.Context, id string) string {
 	for _, c := range n.cellsFor(id) {
-		if n.doJob(ctx, jobOp{Verb: verbGet, Cell: c, ID: id}).status == http.StatusOK {
+		a := n.doJob(ctx, jobOp{Verb: verbGet, Cell: c, ID: id})
+		if visibleJob(ctx, a, operator.Change, id).status == http.StatusOK {
 			return c
 		}
 	}
--- a/internal/node/jobops.go
+++ b/internal/node/jobops.go
@@ -14,6 +14,7 @@
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/finding"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 )
 
@@ -197,7 +198,7 @@
 func (n *Node) askJob(ctx context.Context, verb jobVerb, id string) jobAnswer {
 	out := unknownJob(id)
 	for _, c := range n.cellsFor(id) {
-		a := n.doJob(ctx, jobOp{Verb: verb, Cell: c, ID: id})
+		a := visibleJob(ctx, n.doJob(ctx, jobOp{Verb: verb, Cell: c, ID: id}), operator.Read, id)
 		if a.status == http.StatusOK {
 			return a
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -27,7 +28,9 @@
 	"github.com/crocusspring/crocusspring/internal/members"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/netdial"
+	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/tlsconf"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 	"golang.org/x/sync/errgroup"
 )
@@ -66,6 +69,10 @@
 	// SnapshotAge is how long a snapshot of the configuration counts; an eighth of the log's retention
 	// time or less.
 	SnapshotAge time.Duration
+	// Operators are who may drive the installation; nil lets anyone.
+	Operators *operator.Source `json:"-"`
+	// TLS secures the listener and the connections between nodes; nil for plain ones.
+	TLS *tlsconf.Reloader `json:"-"`
 	// Drain bounds how long a graceful stop waits for requests in progress.
 	Drain time.Duration
 }
@@ -106,6 +113,9 @@
 
 // New returns a node that has not started.
 func New(opt Options, ports Ports, lg *log.Logger) *Node {
+	if opt.TLS != nil {
+		ports.Dial = opt.TLS.Dial(ports.Dial)
+	}
 	n := &Node{
 		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
 		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{}, jobClient: jobClients(ports.Dial),
@@ -178,8 +188,10 @@
 // Handler returns all HTTP interfaces of the node.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(n.members))
-	mux.Handle(peerv1connect.NewJobServiceHandler(jobService{n}))
+	path, peers := peerv1connect.NewPeerServiceHandler(n.members)
+	mux.Handle(path, n.verifiedPeers(peers))
+	path, jobs := peerv1connect.NewJobServiceHandler(jobService{n})
+	mux.Handle(path, n.verifiedPeers(jobs))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
@@ -189,6 +201,9 @@
 // Serve runs the node on a listener until ctx ends, then stops it gracefully.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	n.newRequests(l.Addr())
+	if n.opt.TLS != nil {
+		l = tls.NewListener(l, n.opt.TLS.Server())
+	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
