--- a/internal/node/overhead_test.go
+++ b/internal/node/overhead_test.go
@@ -2,75 +2,16 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/crocusspring/crocusspring/internal/announce"
-	"github.com/crocusspring/crocusspring/internal/logs"
-	"github.com/crocusspring/crocusspring/internal/logsvc"
-	"github.com/crocusspring/crocusspring/internal/standin/logstand"
-	"github.com/crocusspring/crocusspring/internal/standin/targetstand"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
-	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
 
-// bench is one entry over a log and targets on loopback.
-type bench struct {
-	entry, target string
-	client        *http.Client
-}
-
-// newBench starts everything and waits until the entry is ready.
-func newBench(b *testing.B) *bench {
-	b.Helper()
-	log := httptest.NewServer(logstand.New(0).Handler())
-	b.Cleanup(log.Close)
-	ctx, cancel := context.WithCancel(context.Background())
-	opt := Defaults()
-	opt.Role, opt.ID, opt.DataCentre, opt.ReadyLag = RoleEntry, "entry-1", "dc1", 0
-	n := New(opt, Ports{
-		Log: logsvc.NewHTTP(strings.TrimPrefix(log.URL, "http://")), Workers: workerapi.NewHTTP(), Targets: targetapi.NewHTTP(64),
-	}, logs.Discard())
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	done := make(chan error, 1)
-	go func() { done <- n.Serve(ctx, l) }()
-	b.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			b.Error(err)
-		}
-	})
-	t := &bench{entry: "http://" + l.Addr().String(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
-	for i := range 4 {
-		a := announce.Announcement{
-			Role: announce.RoleTarget, Name: "target-" + string(rune('a'+i)), DataCentre: "dc1", Service: "holds",
-			Slots: 8, Connections: 64, Incarnation: 1, Seq: 1, LeaseMS: time.Minute.Milliseconds(),
-		}
-		srv := httptest.NewUnstartedServer(nil)
-		a.Address = srv.Listener.Addr().String()
-		srv.Config.Handler = targetstand.New(a, func() time.Duration { return 2 * time.Millisecond }, nil).Handler()
-		srv.Start()
-		b.Cleanup(srv.Close)
-		n.members.Announce(a)
-		t.target = srv.URL
-	}
-	for !n.Ready() {
-		time.Sleep(10 * time.Millisecond)
-	}
-	return t
-}
-
 // send sends one request and returns how long the whole answer took; 0 when it was not answered.
 func (t *bench) send(url string, hdr http.Header) time.Duration {
 	began := time.Now()
@@ -126,6 +67,11 @@
 func BenchmarkEntryOverhead(b *testing.B) {
 	const every, length = 2 * time.Millisecond, 10 * time.Second
 	t := newBench(b)
+	n := t.start(b, RoleEntry, "entry-1", listen(b))
+	for _, name := range []string{"target-a", "target-b", "target-c", "target-d"} {
+		n.members.Announce(t.serveTarget(b, name, ""))
+	}
+	ready(n)
 	direct := http.Header{targetapi.HeaderBudgetMS: {"500"}, targetapi.HeaderAttempt: {"1"}}
 	for b.Loop() {
 		var straight []time.Duration
