Configuration reaches the scheduler; the owner's decisions reach the audit trail

Cause: weights, quotas, drains and budgets were in force but nothing read them; evictions, takeovers and probation left no line. Change: each node hands the typed view to its cells as it changes; a service's budget holds for requests that name none; a quota's zero of a new-schema record allows nothing (queue.Policy.Exact), that of other policies is still no bound; the cell core notes decisions, which the node writes to the trail.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -94,6 +94,7 @@
 	own      *owner
 	leaving  bool
 	faults   []error
+	notes    []Note
 
 	// What was learned outlives an ownership.
 	model *interfere.Model
@@ -227,6 +228,7 @@
 	}
 	if c.own == nil {
 		c.own = newOwner(c, now, held)
+		c.note(Note{Decision: DecisionTakeover, Subject: "cell " + c.opt.Cell, Reason: fmt.Sprintf("lease taken under epoch %d", held)})
 	}
 	return c.own.advance(now, out)
 }
--- a/internal/cell/evict.go
+++ b/internal/cell/evict.go
@@ -38,6 +38,7 @@
 	}
 	o.evicts[key] = &eviction{worker: w.name, reason: reason, since: now, before: savedMS(w.mirror[key])}
 	w.urge, w.guard.hurry = true, true
+	o.c.noteEviction(t, w.name, reason)
 	o.out.add(Report{Task: t.ID, Attempt: t.Attempt, Event: string(EventCheckpoint), Reason: reason})
 }
 
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -180,6 +180,7 @@
 		v.Classes = append(v.Classes[:0:0], v.Classes...)
 		v.Draining = w.drained
 		v.Suspended = o.c.track.Refuse(now, w.name)
+		o.c.noteProbation(w, v.Suspended)
 		v.RackServices = o.racks[v.Rack]
 		out = append(out, &v)
 	}
@@ -246,23 +247,12 @@
 	if reason := place.Never(pt, all); reason != "" {
 		return reason
 	}
-	if kind := t.Declare.Lacking(bound(o.c.policies.Workspaces[t.Workspace].Quota)); kind != "" {
+	if kind := t.Declare.Lacking(o.c.policies.Workspaces[t.Workspace].Bounds()); kind != "" {
 		return "larger than the workspace's quota of " + kind
 	}
 	return ""
 }
 
-// bound turns amounts of 0, which bound nothing, into very large ones.
-func bound(quota resource.Vector) resource.Vector {
-	const none = 1 << 60
-	for _, v := range []*int64{&quota.MilliCPU, &quota.MemoryMB, &quota.Accelerators} {
-		if *v == 0 {
-			*v = none
-		}
-	}
-	return quota
-}
-
 // summary is the most frequent reason of refusals, in words.
 func summary(refusals []place.Refusal) string {
 	if len(refusals) == 0 {
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -18,6 +18,8 @@
 	member  announce.Member
 	live    bool
 	drained bool
+	// suspended says that the worker was noted as under probation.
+	suspended bool
 
 	// seq is the number of the newest sync; polling says that it carried nothing and may be overtaken.
 	seq     int64
--- a/internal/cellrun/cellrun.go
+++ b/internal/cellrun/cellrun.go
@@ -46,13 +46,14 @@
 
 	mu    sync.Mutex
 	core  *cell.Core
+	noted func(cell.Note)
 	group *errgroup.Group
 	ctx   context.Context
 }
 
 // New returns a driver of the cell that opt names.
 func New(opt cell.Options, lc logsvc.Client, sy workerapi.Syncer, ws WorkerSource, lg *log.Logger) *Driver {
-	return &Driver{name: opt.Cell, log: lc, syncer: sy, workers: ws, lg: lg, core: cell.New(opt)}
+	return &Driver{name: opt.Cell, log: lc, syncer: sy, workers: ws, lg: lg, core: cell.New(opt), noted: func(cell.Note) {}}
 }
 
 // Run drives the cell until ctx ends.
@@ -84,6 +85,9 @@
 	}
 }
 
+// OnNote sets who is told of decisions that matter. Call it before Run; f must not block.
+func (d *Driver) OnNote(f func(cell.Note)) { d.noted = f }
+
 // SetPolicies hands the configuration to the core.
 func (d *Driver) SetPolicies(p cell.Policies) { d.step(p) }
 
@@ -104,7 +108,11 @@
 	d.mu.Lock()
 	actions := d.core.Step(time.Now(), ev)
 	faults := d.core.Faults()
+	notes := d.core.Notes()
 	d.mu.Unlock()
+	for _, n := range notes {
+		d.noted(n)
+	}
 	for _, f := range faults {
 		d.lg.Error("Entry is bad.", "err", f)
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -59,7 +60,7 @@
 			env.Setenv("GORACE", "atexit_sleep_ms=0")
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "log": logCommand, "job": jobCommand},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits, "log": logCommand, "job": jobCommand, "await": await},
 	})
 }
 
@@ -139,6 +140,22 @@
 	}
 }
 
+// await runs a program until its output matches: await PATTERN PROGRAM ARGS...
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: await PATTERN PROGRAM ARGS...")
+	}
+	want, err := regexp.Compile(args[0])
+	ts.Check(err)
+	for range 100 {
+		if ts.Exec(args[1], args[2:]...) == nil && want.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	ts.Fatalf("no output matched %s", args[0])
+}
+
 // logCommand changes the log: log down|up ENTRY, log expire, log garbage, log direct FILE.
 func logCommand(ts *testscript.TestScript, neg bool, args []string) {
 	in := ts.Value("installation").(*installation)
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -100,7 +100,7 @@
 	if size := headerBytes(r); size > maxHeader {
 		return q, c, bad(http.StatusRequestHeaderFieldsTooLarge, "headers have %d bytes, at most %d are taken", size, maxHeader)
 	}
-	budget, err := budgetOf(r)
+	budget, err := budgetOf(r, n.config.Current().Budget(r.PathValue("service"), defaultBudget))
 	if err != nil {
 		return q, c, err
 	}
@@ -191,11 +191,11 @@
 	}
 }
 
-// budgetOf reads the time the caller gives a request.
-func budgetOf(r *http.Request) (time.Duration, error) {
+// budgetOf reads the time the caller gives a request; def is that of the service.
+func budgetOf(r *http.Request, def time.Duration) (time.Duration, error) {
 	text := r.Header.Get(targetapi.HeaderBudgetMS)
 	if text == "" {
-		return defaultBudget, nil
+		return def, nil
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms <= 0 || ms > maxBudget.Milliseconds() {
--- /dev/null
+++ b/internal/node/decisions.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/audit"
+	"github.com/crocusspring/crocusspring/internal/cell"
+)
+
+// auditDecision writes a decision of a cell's owner to the audit trail. A takeover has the same id in
+// every process, so it is one line however often it is noted.
+func (n *Node) auditDecision(d cell.Note) {
+	r := audit.Record{
+		Time: time.Now().UTC(), Who: n.opt.ID, Action: string(d.Decision), Name: d.Subject, Workspace: d.Workspace,
+		Verdict: audit.Done, Reason: d.Reason, Offset: d.Epoch,
+	}
+	if d.Decision == cell.DecisionTakeover {
+		r.ID = fmt.Sprintf("takeover-%s-%d", d.Cell, d.Epoch)
+	}
+	n.audit.Note(r)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,6 +135,7 @@
 			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
 		}
 		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
+		n.cells[c].OnNote(n.auditDecision)
 	}
 	return n
 }
@@ -214,6 +215,7 @@
 	g.Go(func() error { n.runRequests(run); return nil })
 	g.Go(func() error { n.gauges(run); return nil })
 	g.Go(func() error { return n.keepShare(run) })
+	g.Go(func() error { return n.keepPolicies(run) })
 	for _, d := range n.cells {
 		g.Go(func() error { return d.Run(run) })
 	}
--- a/internal/queue/shares.go
+++ b/internal/queue/shares.go
@@ -18,8 +18,27 @@
 type Policy struct {
 	// Weight is the relative share; 0 counts as 1.
 	Weight float64
-	// Quota bounds what the workspace may use at once; a zero amount of a kind is no bound.
+	// Quota bounds what the workspace may use at once.
 	Quota resource.Vector
+	// Exact says that a zero amount of a kind allows nothing; else it is no bound.
+	Exact bool
+}
+
+// noBound stands for a kind that is not bounded.
+const noBound = 1 << 60
+
+// Bounds returns the quota with every amount exact.
+func (p Policy) Bounds() resource.Vector {
+	q := p.Quota
+	if p.Exact {
+		return q
+	}
+	for _, v := range []*int64{&q.MilliCPU, &q.MemoryMB, &q.Accelerators} {
+		if *v == 0 {
+			*v = noBound
+		}
+	}
+	return q
 }
 
 // account is what a workspace uses and has received.
@@ -123,17 +142,8 @@
 // Allows reports whether a demand keeps the workspace within its quota; if not, it names the kind.
 func (s *Shares) Allows(workspace string, demand resource.Vector) (bool, string) {
 	a := s.account(workspace)
-	after := a.used.Add(demand)
-	q := a.policy.Quota
-	switch {
-	case q.MilliCPU > 0 && after.MilliCPU > q.MilliCPU:
-		return false, "processors"
-	case q.MemoryMB > 0 && after.MemoryMB > q.MemoryMB:
-		return false, "memory"
-	case q.Accelerators > 0 && after.Accelerators > q.Accelerators:
-		return false, "accelerators"
-	}
-	return true, ""
+	kind := a.used.Add(demand).Lacking(a.policy.Bounds())
+	return kind == "", kind
 }
 
 // OverQuota reports whether the workspace can't be given anything more.
