Claims end with their node; callers say when a key is sent first; bad-worker always meets work

Cause: goleak found outcomes of a killed entry still being published (claimrun flush, up to its 30 s); bad-worker did not take place on a busy machine. Change: a keeper publishes nothing after its Run has returned (a planned stop drains before); Crocus-First-Send on the first send of a key; the fault submits jobs until one has failed.

--- a/internal/claimrun/keeper.go
+++ b/internal/claimrun/keeper.go
@@ -78,6 +78,8 @@
 	outbox []json.RawMessage
 	// publishing counts outcomes and releases that are not on the log yet.
 	publishing sync.WaitGroup
+	// ended is closed when Run has returned; nothing is published after it.
+	ended chan struct{}
 }
 
 // local is a request with a key that this process runs or waits for.
@@ -91,7 +93,7 @@
 func New(lc logsvc.Client, p Peers, self string, lg *log.Logger) *Keeper {
 	return &Keeper{
 		log: lc, peers: p, self: self, lg: lg, fold: claim.NewFold(), next: 1, first: 1,
-		grown: make(chan struct{}), local: map[claim.Key]*local{}, given: map[string]bool{},
+		grown: make(chan struct{}), ended: make(chan struct{}), local: map[claim.Key]*local{}, given: map[string]bool{},
 	}
 }
 
--- a/internal/claimrun/stream.go
+++ b/internal/claimrun/stream.go
@@ -14,6 +14,7 @@
 
 // Run follows the claims on the log until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	defer close(k.ended)
 	go k.expire(ctx)
 	for ctx.Err() == nil {
 		reading, rewind := context.WithCancel(ctx)
@@ -220,7 +221,11 @@
 		if err == nil {
 			return
 		}
-		time.Sleep(publishPause)
+		select {
+		case <-k.ended:
+			return
+		case <-time.After(publishPause):
+		}
 	}
 	k.lg.Warn("Outcomes were not published.", "records", len(raws))
 }
--- a/internal/dev/fault_worker.go
+++ b/internal/dev/fault_worker.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
+	"github.com/crocusspring/crocusspring/internal/workload"
 )
 
 const (
 	workerHold = 4 * time.Second
 	badHold    = 4 * time.Second
 	noisyHold  = 3 * time.Second
+	feedFor    = 10 * time.Second
+	feedEvery  = 100 * time.Millisecond
 	// noisyHosts and noise are how many workers a wave meets and how loud it is.
 	noisyHosts = 3
 	noise      = 3
@@ -40,6 +43,7 @@
 			err := in.cycle(ctx, badHold, func() (func() error, error) {
 				w := in.busiest()
 				w.SetFailAll(true)
+				in.feed(before)
 				return func() error { w.SetFailAll(false); return nil }, nil
 			})
 			in.happened(in.Record.Failed() - before)
@@ -48,6 +52,16 @@
 	}
 }
 
+// feed submits jobs until one more attempt than before has failed, so that the worker meets work even
+// under a light load.
+func (in *Injector) feed(failed int) {
+	m := in.plan.Mix
+	for end := time.Now().Add(feedFor); time.Now().Before(end) && in.Record.Failed() <= failed; {
+		workload.Submit(in.ctx, in.load, m.Workspaces[0], m.Jobs[0], m.Jobs[0].MinRun)
+		sleep(in.ctx, feedEvery)
+	}
+}
+
 // busiest returns the worker that has begun the most attempts.
 func (in *Injector) busiest() *Worker {
 	begun := in.Record.Begun()
--- /dev/null
+++ b/internal/history/counts.go
@@ -0,0 +1,51 @@
+package history
+
+// Counts are how far a run has come.
+type Counts struct{ Sent, Answered, Started, Finished, Applied int }
+
+// Counts returns how far the run has come.
+func (r *Recorder) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := Counts{Sent: len(r.h.Requests), Started: len(r.h.Attempts)}
+	for _, q := range r.h.Requests {
+		if q.Outcome == Answered {
+			c.Answered++
+		}
+	}
+	for _, a := range r.h.Attempts {
+		if a.State == StateFinished {
+			c.Finished++
+		}
+	}
+	for _, p := range r.h.Proposals {
+		if p.Outcome == Accepted {
+			c.Applied++
+		}
+	}
+	return c
+}
+
+// Failed returns how many attempts have failed at their worker.
+func (r *Recorder) Failed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, a := range r.h.Attempts {
+		if a.State == StateFailed {
+			n++
+		}
+	}
+	return n
+}
+
+// Begun returns how many attempts each worker has begun.
+func (r *Recorder) Begun() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]int{}
+	for _, a := range r.h.Attempts {
+		out[a.Worker]++
+	}
+	return out
+}
--- /dev/null
+++ b/internal/history/planted_test.go
@@ -0,0 +1,127 @@
+package history
+
+// planted is one broken promise in an otherwise clean history.
+type planted struct {
+	name    string
+	promise Promise
+	// ops are the operations that the violation has to name.
+	ops   []int
+	plant func(*History)
+	count func(Report) int
+}
+
+// plantedRequests break promises on requests.
+func plantedRequests() []planted {
+	return []planted{
+		{
+			"lost without a cause", EveryOutcome,
+			[]int{2},
+			func(h *History) { h.Requests[1].Outcome = Lost },
+			func(r Report) int { return r.RequestsLost },
+		},
+		{
+			"answer ended early", OwnAnswer,
+			[]int{1, 11},
+			func(h *History) { h.Requests[0].Broken = true },
+			func(r Report) int { return r.WrongAnswers },
+		},
+		{
+			"part of an answer", OwnAnswer,
+			[]int{1, 11},
+			func(h *History) { h.Requests[0].Answer = "target-01 seat-1 fill" },
+			func(r Report) int { return r.WrongAnswers },
+		},
+		{
+			"answer of another caller", OwnAnswer,
+			[]int{1, 11},
+			func(h *History) { h.Requests[0].Answer = h.Requests[1].Answer },
+			func(r Report) int { return r.WrongAnswers },
+		},
+		{
+			"answer without a run", OwnAnswer,
+			[]int{1},
+			func(h *History) { h.Runs = h.Runs[1:] },
+			func(r Report) int { return r.WrongAnswers },
+		},
+		{
+			"refused but ran", TrueNotRun,
+			[]int{1, 11},
+			func(h *History) { h.Requests[0].Outcome = NotRun },
+			func(r Report) int { return r.FalseNotRun },
+		},
+		{
+			"second send refused although the first ran", TrueNotRun,
+			[]int{5, 13},
+			func(h *History) { h.Requests[3].Outcome = NotRun },
+			func(r Report) int { return r.FalseNotRun },
+		},
+		{
+			"two places at once", OnePlace,
+			[]int{11, 14},
+			func(h *History) { h.Runs = append(h.Runs, run(14, "seat-1", "target-02", 80, 120)) },
+			func(r Report) int { return r.DoubleRuns },
+		},
+		{
+			"charged twice", AtMostOnce,
+			[]int{13, 15},
+			func(h *History) { h.Runs = append(h.Runs, run(15, "pay", "target-01", 250, 300)) },
+			func(r Report) int { return r.DoubleRuns },
+		},
+		{
+			"two answers to one key", AtMostOnce,
+			[]int{4, 5, 13},
+			func(h *History) { h.Requests[3].Answer = "target-02 " + body("pay") },
+			func(r Report) int { return len(r.Violations) },
+		},
+		{
+			"more than the slots", Slots,
+			[]int{11, 12, 16},
+			func(h *History) {
+				h.Runs = append(h.Runs, &Run{Op: 16, Target: "target-01", Token: "seat-9", Arrived: at(70)})
+			},
+			func(r Report) int { return r.OverSlots },
+		},
+		{
+			"more than the connections", Slots,
+			[]int{18},
+			func(h *History) {
+				h.Opened = append(h.Opened, &Opened{Op: 18, Target: "target-01", Open: 65, At: at(70)})
+			},
+			func(r Report) int { return r.OverSlots },
+		},
+		{
+			"late to a leaving target", LeavingTarget,
+			[]int{17, 71},
+			func(h *History) {
+				h.Runs = append(h.Runs, &Run{Op: 17, Target: "target-02", Token: "seat-9", Arrived: at(2501)})
+			},
+			func(r Report) int { return r.LateToLeaving },
+		},
+		{
+			"stop cut a request", GracefulStop,
+			[]int{2, 72},
+			func(h *History) {
+				h.Requests[1].Outcome = Lost
+				h.Incidents = append(h.Incidents, &Incident{Op: 72, Kind: ProcessStop, Subject: "entry-1", Start: at(60), End: at(400)})
+			},
+			func(r Report) int { return r.CutRequests },
+		},
+		{
+			"stop cut a request it had let in", GracefulStop,
+			[]int{2, 72},
+			func(h *History) {
+				h.Requests[1].Outcome = Lost
+				h.Incidents = append(h.Incidents, &Incident{Op: 72, Kind: ProcessStop, Subject: "entry-1", Start: at(40), End: at(400)})
+			},
+			func(r Report) int { return r.CutRequests },
+		},
+		{
+			"stop failed", GracefulStop,
+			[]int{72},
+			func(h *History) {
+				h.Incidents = append(h.Incidents, &Incident{Op: 72, Kind: ProcessStop, Subject: "entry-1", Start: at(60), End: at(400), Err: "timeout"})
+			},
+			func(r Report) int { return len(r.Violations) },
+		},
+	}
+}
--- a/internal/workload/request.go
+++ b/internal/workload/request.go
@@ -24,6 +24,8 @@
 	headerKey       = "Idempotency-Key"
 	// headerIdempotent says that a request without a key may be run again.
 	headerIdempotent = "Crocus-Idempotent"
+	// headerFirstSend asserts that a key was never sent before.
+	headerFirstSend = "Crocus-First-Send"
 )
 
 const (
@@ -44,12 +46,12 @@
 		key = newKey()
 	}
 	seen := make(chan history.Request, c.Resends+1)
-	send := func(avoid string, due time.Time) string {
+	send := func(avoid string, due time.Time, first bool) string {
 		e := c.Balancer.Next(avoid)
-		go func() { seen <- c.sendOnce(ctx, a, key, e, due) }()
+		go func() { seen <- c.sendOnce(ctx, a, key, e, due, first) }()
 		return e.Name
 	}
-	last := send("", due)
+	last := send("", due, true)
 	for sent, ended := 1, 0; ended < sent; {
 		again := false
 		select {
@@ -61,14 +63,14 @@
 			again = true
 		}
 		if again && key != "" && sent <= c.Resends && ctx.Err() == nil {
-			last = send(last, time.Now())
+			last = send(last, time.Now(), false)
 			sent++
 		}
 	}
 }
 
 // sendOnce does one send and returns what the caller saw.
-func (c *callers) sendOnce(ctx context.Context, a Arrival, key string, e Entry, due time.Time) (q history.Request) {
+func (c *callers) sendOnce(ctx context.Context, a Arrival, key string, e Entry, due time.Time, first bool) (q history.Request) {
 	q = history.Request{
 		Token: a.Token, Key: key, Class: a.Request.Class, Workspace: a.Workspace, Entry: e.Name,
 		Idempotent: a.Request.Idempotent, Due: due, Budget: a.Request.Budget, Sent: a.body(),
@@ -85,7 +87,7 @@
 	}
 	// Without GetBody the transport never sends a keyed request a second time on its own.
 	req.GetBody = nil
-	c.headers(req, a, key)
+	c.headers(req, a, key, first)
 	resp, err := c.Client.Do(req)
 	if err != nil {
 		q.Outcome, q.Reason = failure(err), err.Error()
@@ -97,7 +99,7 @@
 }
 
 // headers sets the headers of a request.
-func (c *callers) headers(req *http.Request, a Arrival, key string) {
+func (c *callers) headers(req *http.Request, a Arrival, key string, first bool) {
 	for name, values := range c.Headers {
 		req.Header[name] = values
 	}
@@ -106,6 +108,9 @@
 	req.Header.Set(headerWorkspace, a.Workspace)
 	if key != "" {
 		req.Header.Set(headerKey, key)
+		if first {
+			req.Header.Set(headerFirstSend, "true")
+		}
 	}
 	if a.Request.Idempotent {
 		req.Header.Set(headerIdempotent, "true")
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -51,6 +51,9 @@
 		mu.Lock()
 		defer mu.Unlock()
 		key := r.Header.Get(headerKey)
+		if first := r.Header.Get(headerFirstSend) == "true"; first != (key != "" && keys[key] == 0) {
+			t.Errorf("send %d of key %q says first %v", keys[key]+1, key, first)
+		}
 		switch {
 		case r.Method == http.MethodGet:
 		case key == "":
