--- a/internal/dev/fault_log.go
+++ b/internal/dev/fault_log.go
@@ -46,20 +46,21 @@
 	return err
 }
 
-// logExpiry keeps records only for a short time and restarts entries that then can't read the old ones.
+// logExpiry keeps records only for a short time and restarts the entries in turn, which then can't read
+// the old ones.
 // One event is one start after records had expired.
 func logExpiry() Fault {
 	return Fault{
-		Name: "log-expiry", About: "the log keeps records for 6 s, and an entry starts with nothing; counts starts after records had expired",
+		Name: "log-expiry", About: "the log keeps records for 6 s, and the entries start with nothing in turn; counts starts after records had expired",
 		Prepare: func(o *Options) { o.Retention = shortRetention },
 		Run: func(ctx context.Context, in *Injector) error {
-			return in.cycle(ctx, downHold, func() (func() error, error) {
-				p := pick(in, in.Entries)
-				if in.Log.Oldest() <= 1 || !in.Kill(p) {
+			turn := in.rng.IntN(len(in.Entries))
+			return in.cycle(ctx, expiryDown, func() (func() error, error) {
+				if in.Log.Oldest() <= 1 {
 					return nil, nil
 				}
-				in.happened(1)
-				return func() error { return in.Restart(p) }, nil
+				turn++
+				return in.kill(in.Entries[turn%len(in.Entries)])
 			})
 		},
 	}
