--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -10,33 +10,28 @@
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/place"
 	"github.com/crocusspring/crocusspring/internal/probation"
-	"github.com/crocusspring/crocusspring/internal/queue"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
 
-// Event is what happens to a core: Entries, Gap, Workers, Policies, SyncDone, AppendDone or Tick.
+// Event is what happens to a core: Entries, Lost, Workers, Policies, SyncDone, AppendDone or Tick.
 type Event interface{ event() }
 
 // Entries are the next entries of the cell's stream.
 type Entries struct {
 	Entries []logsvc.Entry
-	Tail    logsvc.Offset
+	// First is the oldest entry that is still kept; 0 when it isn't known.
+	First logsvc.Offset
+	Tail  logsvc.Offset
 }
 
-// Gap says that entries before an offset have expired unread; reading goes on at First.
-type Gap struct{ First logsvc.Offset }
+// Lost says that all entries have expired and nothing is left to start from; the next entry will be
+// at Tail.
+type Lost struct{ Tail logsvc.Offset }
 
 // Workers are all workers of the cell whose announcement holds.
 type Workers struct{ Members []announce.Member }
 
-// Policies are what the configuration says of workspaces and workers.
-type Policies struct {
-	Workspaces map[string]queue.Policy
-	// Drained reports whether a worker is to take no new tasks.
-	Drained func(announce.Member) bool
-}
-
 // SyncDone is the answer to a Sync action.
 type SyncDone struct {
 	Sync Sync
@@ -51,7 +46,7 @@
 type Tick struct{}
 
 func (Entries) event()    {}
-func (Gap) event()        {}
+func (Lost) event()       {}
 func (Workers) event()    {}
 func (Policies) event()   {}
 func (SyncDone) event()   {}
@@ -85,8 +80,9 @@
 	lease *lease.Core
 	state state
 	// ready says that the fold has reached the tail of the stream once, with no gap since.
-	ready   bool
-	seek    seek
+	ready bool
+	// first is the oldest entry that was kept when entries were read last.
+	first   logsvc.Offset
 	members map[string]announce.Member
 	// joined counts changes of the set of workers.
 	joined   int
@@ -123,9 +119,9 @@
 func (c *Core) Step(now time.Time, ev Event) []Action {
 	switch ev := ev.(type) {
 	case Entries:
-		c.read(now, ev)
-	case Gap:
-		c.gap(ev.First)
+		c.fold(now, ev)
+	case Lost:
+		c.lost(now, ev.Tail)
 	case Workers:
 		c.announced(ev.Members)
 	case Policies:
@@ -146,22 +142,13 @@
 	return c.advance(now)
 }
 
-// read takes entries of the stream.
-func (c *Core) read(now time.Time, ev Entries) {
-	if c.seek.active {
-		c.find(now, ev)
-		return
-	}
-	c.fold(now, ev)
-}
-
 // fold folds entries. It never folds across a gap.
 func (c *Core) fold(now time.Time, ev Entries) {
-	for i, e := range ev.Entries {
+	c.first = max(c.first, ev.First)
+	for _, e := range ev.Entries {
 		if e.Offset > c.state.next {
-			c.fault(fmt.Errorf("offset %d follows %d", e.Offset, c.state.next-1))
-			c.gap(e.Offset)
-			c.find(now, Entries{Entries: ev.Entries[i:], Tail: ev.Tail})
+			c.fault(fmt.Errorf("%w: offset %d follows %d", ErrGap, e.Offset, c.state.next-1))
+			c.ready = false
 			return
 		}
 		env, err := c.state.fold(now, c.lease, e)
--- a/internal/cell/evict.go
+++ b/internal/cell/evict.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// move evicts what still runs on drained workers once its time is up.
+func (o *owner) move(now time.Time) {
+	for _, w := range o.order {
+		if !w.drained || !w.fenced || now.Before(w.moveAt) {
+			continue
+		}
+		for _, t := range sorted(o.c.state.held[w.name]) {
+			if t.State == StateRunning {
+				o.evict(now, w, t, "worker is drained")
+			}
+		}
+	}
+}
+
 // victim is an attempt that could give way.
 type victim struct {
 	task *Task
@@ -92,7 +106,7 @@
 	var out []victim
 	for _, t := range o.c.state.held[w.name] {
 		key := t.key()
-		if t.State != StateRunning || t.Service != "" || t.Urgent || o.out.ending[key] || o.evicts[key] != nil {
+		if t.State != StateRunning || o.c.fixed(t) || o.out.ending[key] || o.evicts[key] != nil {
 			continue
 		}
 		a := w.mirror[key]
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/follow"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/resource"
@@ -58,7 +60,6 @@
 // modelCore is one candidate with its driver.
 type modelCore struct {
 	core   *Core
-	next   logsvc.Offset
 	paused time.Time
 	held   []func()  // what the driver was about to do when it was paused
 	cut    string    // a worker it can't reach
@@ -100,7 +101,7 @@
 // newCore returns a fresh start of a candidate.
 func (m *model) newCore() *modelCore {
 	m.starts++
-	return &modelCore{next: 1, core: New(Options{
+	return &modelCore{core: New(Options{
 		Cell: "dc", Self: fmt.Sprintf("p%d", m.starts), OwnerLease: 2 * time.Second, TaskLease: 4 * time.Second,
 		SyncEvery: 200 * time.Millisecond, MaxFailures: 3, SnapshotEvery: 40,
 	})}
@@ -226,18 +227,48 @@
 	m.step(mc, ev)
 }
 
-// read lets a core read the log.
+// read lets a core read the log as its driver does.
 func (m *model) read(mc *modelCore) {
-	if mc.next < m.first {
-		mc.next = m.first
-		m.step(mc, Gap{First: m.first})
+	err := follow.Resume(context.Background(), modelLog{m}, "cell-dc", modelFold{m, mc})
+	b, errRead := modelLog{m}.Read(context.Background(), "cell-dc", mc.core.Next(), 50, 0)
+	if err != nil || errRead != nil {
+		m.hist.wrong = append(m.hist.wrong, fmt.Sprint("log can't be read: ", err, errRead))
+		return
+	}
+	m.step(mc, Entries{Entries: b.Entries, First: b.First, Tail: b.Tail})
+}
+
+// modelFold is the fold of one core.
+type modelFold struct {
+	m  *model
+	mc *modelCore
+}
+
+func (f modelFold) Next() logsvc.Offset { return f.mc.core.Next() }
+
+func (f modelFold) Fold(logsvc.Batch) {}
+
+func (f modelFold) Restore(s follow.Snapshot) error {
+	snap := Snapshot{Next: s.Next, Schema: s.Schema}
+	if err := json.Unmarshal(s.State, &snap.State); err != nil {
+		return err
+	}
+	return f.mc.core.Restore(f.m.now, snap)
+}
+
+// modelLog reads the model's log.
+type modelLog struct{ *model }
+
+// Read implements logsvc.Reader without waiting.
+func (m modelLog) Read(_ context.Context, stream string, from logsvc.Offset, limit int, _ time.Duration) (logsvc.Batch, error) {
+	if from < m.first {
+		return logsvc.Batch{}, &logsvc.ExpiredError{Stream: stream, From: from, First: m.first}
 	}
-	tail := m.first + logsvc.Offset(len(m.log))
-	var es []logsvc.Entry
-	for ; mc.next < tail && len(es) < 50; mc.next++ {
-		es = append(es, logsvc.Entry{Offset: mc.next, Data: m.log[mc.next-m.first]})
+	b := logsvc.Batch{First: m.first, Next: from, Tail: m.first + logsvc.Offset(len(m.log))}
+	for ; b.Next < b.Tail && len(b.Entries) < limit; b.Next++ {
+		b.Entries = append(b.Entries, logsvc.Entry{Offset: b.Next, Data: m.log[b.Next-m.first]})
 	}
-	m.step(mc, Entries{Entries: es, Tail: tail})
+	return b, nil
 }
 
 // tick lets time pass; with faults when chaotic.
@@ -372,7 +403,7 @@
 // allDone reports whether every core knows that every job has ended.
 func (m *model) allDone() bool {
 	for _, mc := range m.cores {
-		if !mc.paused.IsZero() || !mc.core.Ready() || mc.next != m.first+logsvc.Offset(len(m.log)) {
+		if !mc.paused.IsZero() || !mc.core.Ready() || mc.core.Next() != m.first+logsvc.Offset(len(m.log)) {
 			return false
 		}
 		for _, id := range m.jobs {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -18,7 +18,9 @@
 	// workers have been heard of.
 	settleIn = 5 * time.Second
 	// snapshotRetry is the least time between two attempts at a snapshot.
-	snapshotRetry = 5 * time.Second
+	snapshotRetry = 3 * time.Second
+	// snapshotAge is how long a snapshot counts when little is added.
+	snapshotAge = 5 * time.Minute
 	// pauseFrom is the time between two rounds from which the owner was paused or without its lease.
 	pauseFrom = time.Second
 	// leaseMargin is added to a task lease for clocks that run at different rates.
@@ -40,7 +42,9 @@
 
 	queue  *queue.Queue
 	shares *queue.Shares
-	out    outbox
+	// named are the workspaces that the configuration names.
+	named map[string]queue.Policy
+	out   outbox
 	// assumed are assignments that are decided and not yet folded, by task.
 	assumed map[string]Assign
 	holds   map[string]hold
@@ -78,7 +82,11 @@
 
 // applyPolicies hands the configuration on.
 func (o *owner) applyPolicies() {
-	for name, p := range o.c.policies.Workspaces {
+	for name := range o.named {
+		o.shares.SetPolicy(name, queue.Policy{})
+	}
+	o.named = o.c.policies.Workspaces
+	for name, p := range o.named {
 		o.shares.SetPolicy(name, p)
 	}
 	o.joined = -1
@@ -102,13 +110,14 @@
 		o.watching = now
 	}
 	o.rounded = now
-	o.roster()
+	o.roster(now)
 	o.absorb(now)
 	if now.Sub(o.swept) >= sweepEvery {
 		o.swept = now
 		o.lapse(now)
 		if !o.out.stuck(now) {
 			o.protect(now)
+			o.move(now)
 		}
 		o.compact(now)
 		o.reconsider(now)
@@ -139,7 +148,7 @@
 }
 
 // roster takes over which workers are announced.
-func (o *owner) roster() {
+func (o *owner) roster(now time.Time) {
 	if o.joined == o.c.joined {
 		return
 	}
@@ -151,7 +160,7 @@
 	for name, m := range o.c.members {
 		w := o.worker(name)
 		w.member, w.live, w.stale = m, true, true
-		w.drained = m.Leaving || o.c.policies.Drained != nil && o.c.policies.Drained(m)
+		o.drain(now, w)
 		total = total.Add(m.Capacity)
 	}
 	o.order = slices.DeleteFunc(o.order, func(w *worker) bool {
@@ -166,12 +175,21 @@
 	o.queue.Wake()
 }
 
+// drain takes over whether a worker is drained.
+func (o *owner) drain(now time.Time, w *worker) {
+	after, drained := o.c.drained(w.member)
+	if drained && !w.drained {
+		w.drainedAt = now
+	}
+	w.drained, w.moveAt = drained, w.drainedAt.Add(after)
+}
+
 // absorb takes over what the fold changed since the last round.
 func (o *owner) absorb(now time.Time) {
 	for _, ch := range o.c.state.changes {
 		t := ch.task
 		if a, ok := o.assumed[t.ID]; ok && (!t.Waits() || t.Attempt >= a.Attempt) {
-			o.unassume(a)
+			o.unassume(now, a)
 		}
 		switch {
 		case ch.after && !ch.before:
@@ -231,12 +249,15 @@
 	}
 }
 
-// unassume drops an assumed assignment.
-func (o *owner) unassume(a Assign) {
+// unassume drops an assumed assignment and what it was charged.
+func (o *owner) unassume(now time.Time, a Assign) {
 	delete(o.assumed, a.Task)
 	w := o.worker(a.Worker)
 	delete(w.assumed, a.Task)
 	w.stale = true
+	if t := o.c.state.tasks[a.Task]; t != nil {
+		o.shares.Refund(now, t.Workspace, t.lane(), a.Reserve)
+	}
 }
 
 // enqueue puts a waiting task into the queue.
@@ -245,7 +266,7 @@
 		return
 	}
 	o.queue.Add(queue.Item{
-		ID: t.ID, Workspace: t.Workspace, Lane: t.lane(), Urgent: t.Urgent || t.Service != "",
+		ID: t.ID, Workspace: t.Workspace, Lane: t.lane(), Urgent: o.c.urgent(t),
 		Demand: o.c.size(t), Order: int64(t.Accepted), Since: now,
 	})
 }
@@ -299,10 +320,10 @@
 	}
 }
 
-// snapshot writes the fold to the stream when enough was added since the newest one there.
+// snapshot writes the fold to the stream when it is due.
 func (o *owner) snapshot(now time.Time, out []Action) []Action {
 	s := &o.c.state
-	if s.sinceSnapshot < max(o.c.opt.SnapshotEvery, len(s.tasks)) || now.Sub(o.snapshotAt) < snapshotRetry {
+	if !o.snapshotDue(now) {
 		return out
 	}
 	o.snapshotAt = now
@@ -314,6 +335,19 @@
 	return append(out, Append{Record: env})
 }
 
+// snapshotDue reports whether enough was added since the newest snapshot, or that is old, or stands in
+// the older half of what the log still keeps.
+func (o *owner) snapshotDue(now time.Time) bool {
+	s := &o.c.state
+	since := int(s.next - s.snapshotAt)
+	if since <= 1 || now.Sub(o.snapshotAt) < snapshotRetry {
+		return false
+	}
+	half := o.c.first + (s.next-o.c.first)/2
+	return since >= max(o.c.opt.SnapshotEvery, len(s.tasks)) || now.Sub(o.snapshotAt) >= snapshotAge ||
+		o.c.first > 1 && s.snapshotAt < half
+}
+
 // reconsider brings back tasks that a worker could hold now.
 func (o *owner) reconsider(now time.Time) {
 	if now.Sub(o.since) < settleIn {
--- a/internal/cell/protect.go
+++ b/internal/cell/protect.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// throttlePercent is the share of processor time a throttled task is left.
-	throttlePercent = 30
+	// defaultThrottlePercent is the share of processor time a throttled task is left.
+	defaultThrottlePercent = 30
 	// throttlePart is the part of the worst neighbour's effect from which others are throttled with it.
 	throttlePart = 0.5
 	// reactIn is how long an action is given to show in usage, on top of the age of readings.
@@ -114,7 +114,7 @@
 
 // guard takes at most one action, and waits until usage can show its effect before the next.
 func (o *owner) guard(now time.Time, w *worker, s suffering) {
-	limit := o.c.opt.SlowdownLimit
+	limit := o.c.slowdownLimit()
 	if s.slowdown > calmPart*limit {
 		w.guard.calm = time.Time{}
 	} else if w.guard.calm.IsZero() {
@@ -148,7 +148,7 @@
 	least, throttled := cost(worst)*throttlePart, false
 	for _, v := range vs {
 		if key := v.task.key(); w.throttle[key] == 0 && cost(v) >= least {
-			w.throttle[key], throttled = throttlePercent, true
+			w.throttle[key], throttled = o.c.throttlePercent(), true
 		}
 	}
 	if throttled {
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/queue"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/resource"
 	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
@@ -235,3 +237,57 @@
 		}
 	})
 }
+
+// TestPolicies checks that quotas bound what runs at once, that tasks move off a drained worker and
+// resume elsewhere, and that fixed classes never give way.
+func TestPolicies(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		m := newQuiet(t, seed, 2)
+		drained := ""
+		p := Policies{
+			Workspaces: map[string]queue.Policy{"small": {Weight: 1, Quota: resource.Vector{MilliCPU: 2000, MemoryMB: 1 << 40}}},
+			Classes:    map[string]ClassPolicy{"roster": {Fixed: true}},
+			Drained:    func(w announce.Member) (time.Duration, bool) { return time.Second, w.Name == drained },
+		}
+		for _, mc := range m.cores {
+			m.step(mc, p)
+		}
+		for range 4 {
+			m.job(Job{Workspace: "small", Class: "build", Declare: one, RunMS: 2000})
+		}
+		never := m.job(Job{Workspace: "small", Class: "build", Declare: resource.Vector{MilliCPU: 1000, Accelerators: 1}, RunMS: 1})
+		most := 0
+		m.run(t, "jobs of the small workspace end", 30*time.Second, func() bool {
+			most = max(most, len(m.hist.where))
+			return m.task(m.jobs[3]).State == "finished" && m.task(never).State == StateUnschedulable
+		})
+		if most != 2 {
+			t.Fatalf("%d jobs of a workspace with room for 2 ran at once", most)
+		}
+		id := m.job(Job{Class: "build", Declare: one, RunMS: 20_000})
+		m.run(t, "build starts", 5*time.Second, m.runs(id))
+		drained = m.hist.where[id]
+		for _, mc := range m.cores {
+			m.step(mc, p)
+		}
+		m.run(t, "build moves", 6*time.Second, func() bool { return m.hist.where[id] != "" && m.hist.where[id] != drained })
+		if len(m.hist.resumed) != 1 {
+			t.Fatalf("%d resumes", len(m.hist.resumed))
+		}
+		drained = ""
+		for _, mc := range m.cores {
+			m.step(mc, p)
+		}
+		for range 7 {
+			m.job(Job{Class: "roster", Declare: one})
+		}
+		m.run(t, "cell is full", 10*time.Second, func() bool { return len(m.hist.where) == 8 })
+		urgent := m.job(Job{Class: "seat", Urgent: true, Declare: one, RunMS: 100})
+		m.run(t, "urgent job starts", 2600*time.Millisecond, m.runs(urgent))
+		for _, r := range m.jobs[len(m.jobs)-8 : len(m.jobs)-1] {
+			if n := m.task(r).Evictions; n != 0 {
+				t.Fatalf("fixed task %s was evicted", r)
+			}
+		}
+	})
+}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -59,6 +59,14 @@
 		o.queue.Wait(now, t.ID, reason)
 		return
 	}
+	if reason := o.c.beyondQuota(t); reason != "" {
+		o.park(t, reason)
+		return
+	}
+	if ok, kind := o.shares.Allows(t.Workspace, pt.Reserve); !ok {
+		o.queue.Wait(now, t.ID, "workspace has used up its quota of "+kind)
+		return
+	}
 	if held {
 		o.release(h, open)
 	}
@@ -69,8 +77,7 @@
 		return
 	}
 	if reason := o.never(t); reason != "" && now.Sub(o.since) >= settleIn {
-		o.queue.Park(t.ID, reason)
-		o.out.add(Report{Task: t.ID, Event: string(EventReject), Reason: reason})
+		o.park(t, reason)
 		return
 	}
 	reason := summary(append(refusals, barred...))
@@ -79,6 +86,13 @@
 	o.queue.Wait(now, t.ID, reason)
 }
 
+// park sets a task aside that can't run.
+func (o *owner) park(t *Task, reason string) {
+	delete(o.holds, t.ID)
+	o.queue.Park(t.ID, reason)
+	o.out.add(Report{Task: t.ID, Event: string(EventReject), Reason: reason})
+}
+
 // makeRoom lets an urgent task push others out, and an old one hold room.
 func (o *owner) makeRoom(now time.Time, it queue.Item, t *Task, pt *place.Task, open []*place.Worker, h hold, held bool) {
 	if held && now.Before(h.until) {
@@ -161,6 +175,7 @@
 		Task: t.ID, Attempt: t.Attempt + 1, Worker: w.name, Incarnation: w.incarnation, Reserve: pt.Reserve, Resume: t.Checkpoint,
 	}
 	o.assumed[t.ID], w.assumed[t.ID] = a, a
+	o.shares.Charge(now, t.Workspace, t.lane(), a.Reserve)
 	w.stale = true
 	delete(o.holds, t.ID)
 	o.out.assigns = append(o.out.assigns, a)
@@ -242,7 +257,7 @@
 	all := make([]*place.Worker, 0, len(o.order))
 	for _, w := range o.order {
 		if w.live {
-			all = append(all, &place.Worker{Name: w.name, DataCentre: w.member.DataCentre, Capacity: w.member.Capacity})
+			all = append(all, &place.Worker{Name: w.name, DataCentre: w.member.DataCentre, Capacity: w.member.Capacity.Sub(o.c.kept(w.member.Capacity))})
 		}
 	}
 	pt := o.placeTask(t)
@@ -250,21 +265,7 @@
 	if reason := place.Never(pt, all); reason != "" {
 		return reason
 	}
-	if kind := t.Declare.Lacking(bound(o.c.policies.Workspaces[t.Workspace].Quota)); kind != "" {
-		return "larger than the workspace's quota of " + kind
-	}
-	return ""
-}
-
-// bound turns amounts of 0, which bound nothing, into very large ones.
-func bound(quota resource.Vector) resource.Vector {
-	const none = 1 << 60
-	for _, v := range []*int64{&quota.MilliCPU, &quota.MemoryMB, &quota.Accelerators} {
-		if *v == 0 {
-			*v = none
-		}
-	}
-	return quota
+	return o.c.beyondQuota(t)
 }
 
 // summary is the most frequent reason of refusals, in words.
--- a/internal/cell/settle.go
+++ b/internal/cell/settle.go
@@ -105,12 +105,12 @@
 // different workers where there are some, so that a bad worker alone can't fail it.
 func (o *owner) failsForGood(w *worker, t *Task) bool {
 	n := t.Failures + 1
-	if n >= 2*o.c.opt.MaxFailures {
+	if n >= 2*o.c.maxFailures(t) {
 		return true
 	}
 	places := len(t.FailedOn)
 	if !slices.Contains(t.FailedOn, w.name) {
 		places++
 	}
-	return n >= o.c.opt.MaxFailures && places >= min(2, len(o.c.members))
+	return n >= o.c.maxFailures(t) && places >= min(2, len(o.c.members))
 }
--- a/internal/cell/snapshot.go
+++ b/internal/cell/snapshot.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"compress/gzip"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -15,10 +16,17 @@
 	"github.com/crocusspring/crocusspring/internal/record"
 )
 
+var (
+	// ErrGap says that entries were left out.
+	ErrGap = errors.New("entries are missing")
+	// ErrAllExpired says that nothing at all is left of a stream that once had entries.
+	ErrAllExpired = errors.New("all entries have expired")
+)
+
 // maxSnapshot bounds the bytes of a decompressed snapshot.
 const maxSnapshot = 64 << 20
 
-// Snapshot is the body of a snapshot record: the fold of all entries before Next. The entries from
+// Snapshot is the body of a snapshot record, in the shape of package follow: the fold of all entries before Next. The entries from
 // Next to the snapshot's own offset still have to be folded by whoever starts from it. Since folding
 // is the same for every reader, it doesn't matter who wrote the snapshot or under which epoch.
 type Snapshot struct {
@@ -54,22 +62,25 @@
 	return record.New(record.NewID(), record.KindSnapshot, SchemaVersion, by, Snapshot{Next: s.next, Schema: SchemaVersion, State: buf.Bytes()})
 }
 
-// restore returns the fold that a snapshot holds, and gives the lease its part.
-func restore(now time.Time, l *lease.Core, snap Snapshot) (state, error) {
+// restored returns the fold that a snapshot holds, and the lease's part of it.
+func restored(now time.Time, snap Snapshot) (state, lease.Snapshot, error) {
+	if snap.Schema > SchemaVersion {
+		return state{}, lease.Snapshot{}, fmt.Errorf("snapshot has schema %d, newest known is %d", snap.Schema, SchemaVersion)
+	}
 	z, err := gzip.NewReader(bytes.NewReader(snap.State))
 	if err != nil {
-		return state{}, fmt.Errorf("decompress snapshot: %w", err)
+		return state{}, lease.Snapshot{}, fmt.Errorf("decompress snapshot: %w", err)
 	}
 	data, err := io.ReadAll(io.LimitReader(z, maxSnapshot))
 	if err != nil {
-		return state{}, fmt.Errorf("decompress snapshot: %w", err)
+		return state{}, lease.Snapshot{}, fmt.Errorf("decompress snapshot: %w", err)
 	}
 	var d snapshotData
 	if err := json.Unmarshal(data, &d); err != nil {
-		return state{}, fmt.Errorf("decode snapshot: %w", err)
+		return state{}, lease.Snapshot{}, fmt.Errorf("decode snapshot: %w", err)
 	}
 	s := newState()
-	s.next, s.epoch, s.batch = snap.Next, d.Epoch, d.Batch
+	s.next, s.epoch, s.batch, s.snapshotAt = snap.Next, d.Epoch, d.Batch, snap.Next
 	for _, t := range d.Tasks {
 		s.tasks[t.ID] = t
 		s.index(t)
@@ -77,19 +88,36 @@
 			s.done = append(s.done, doneTask{t.ID, now})
 		}
 	}
-	l.Restore(now, d.Lease)
-	return s, nil
+	return s, d.Lease, nil
 }
 
-// asSnapshot decodes an entry that is a snapshot.
-func asSnapshot(e logsvc.Entry) (Snapshot, bool) {
-	env, err := record.Decode(e.Data)
-	if err != nil || env.Kind != record.KindSnapshot || env.Schema > SchemaVersion {
-		return Snapshot{}, false
+// Restore replaces the fold by a snapshot when that covers more.
+func (c *Core) Restore(now time.Time, snap Snapshot) error {
+	if snap.Next <= c.state.next {
+		return nil
+	}
+	s, l, err := restored(now, snap)
+	if err != nil {
+		return err
 	}
-	var s Snapshot
-	if json.Unmarshal(env.Body, &s) != nil || s.Schema > SchemaVersion || s.Next < 1 || s.Next > e.Offset {
-		return Snapshot{}, false
+	c.begin(now, s, l)
+	return nil
+}
+
+// lost starts anew where nothing is left of the stream: nothing can be told about what was there.
+func (c *Core) lost(now time.Time, tail logsvc.Offset) {
+	if tail <= c.state.next {
+		return
 	}
-	return s, true
+	c.fault(ErrAllExpired)
+	s := newState()
+	s.next = tail
+	c.begin(now, s, lease.Snapshot{})
+	c.ready = true
+}
+
+// begin goes on from another fold. What was under way under the old one is given up.
+func (c *Core) begin(now time.Time, s state, l lease.Snapshot) {
+	c.state, c.own, c.ready = s, nil, false
+	c.lease.Restore(now, l)
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -23,8 +23,8 @@
 	// epoch and batch are the epoch and number of the newest batch that was folded.
 	epoch logsvc.Offset
 	batch int64
-	// sinceSnapshot counts the entries since the newest snapshot in the stream.
-	sinceSnapshot int
+	// snapshotAt is the offset of the newest snapshot in the stream.
+	snapshotAt logsvc.Offset
 
 	// The rest is worked out from the tasks.
 	waiting map[string]*Task
@@ -66,7 +66,6 @@
 		return record.Envelope{}, nil
 	}
 	s.next = e.Offset + 1
-	s.sinceSnapshot++
 	env, err := record.Decode(e.Data)
 	if err != nil {
 		return env, fmt.Errorf("offset %d: %w", e.Offset, err)
@@ -84,7 +83,7 @@
 	case KindBatch:
 		err = foldBody(env, func(b Batch) { s.take(now, l, b) })
 	case record.KindSnapshot:
-		s.sinceSnapshot = 0
+		s.snapshotAt = e.Offset
 	default:
 		err = fmt.Errorf("record %s: %w %q", env.ID, ErrUnknownKind, env.Kind)
 	}
--- a/internal/cell/sync.go
+++ b/internal/cell/sync.go
@@ -45,7 +45,7 @@
 		LeaseMS: o.c.opt.TaskLease.Milliseconds(), Since: w.version,
 	}
 	if w.fenced {
-		req.Commands = o.commands(w)
+		req.Commands = o.commands(now, w)
 	}
 	w.polling = w.fenced && len(req.Commands) == 0 && !w.guard.hurry
 	if w.polling {
@@ -55,10 +55,10 @@
 }
 
 // commands works out what a worker is to be told from the fold and its inventory.
-func (o *owner) commands(w *worker) []workerapi.Command {
+func (o *owner) commands(now time.Time, w *worker) []workerapi.Command {
 	var out []workerapi.Command
 	for _, t := range sorted(o.c.state.held[w.name]) {
-		out = o.command(out, w, t)
+		out = o.command(now, out, w, t)
 	}
 	for key, a := range w.mirror {
 		if o.current(w, key) != nil {
@@ -77,7 +77,7 @@
 }
 
 // command adds what a worker is to be told about a task that it may hold.
-func (o *owner) command(out []workerapi.Command, w *worker, t *Task) []workerapi.Command {
+func (o *owner) command(now time.Time, out []workerapi.Command, w *worker, t *Task) []workerapi.Command {
 	key := t.key()
 	if o.out.ending[key] {
 		return out
@@ -103,8 +103,7 @@
 		cmd.Op = workerapi.OpCheckpoint
 		return append(out, cmd)
 	}
-	if t.Resumed != nil && a.Checkpoint == nil {
-		// The checkpoint it came from is consumed; a new one keeps its work from being lost.
+	if o.checkpointDue(now, w, t) {
 		cmd.Op = workerapi.OpCheckpoint
 		return append(out, cmd)
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -18,6 +18,9 @@
 	member  announce.Member
 	live    bool
 	drained bool
+	// drainedAt is when the drain was seen, and moveAt when tasks that still run are moved.
+	drainedAt time.Time
+	moveAt    time.Time
 
 	// seq is the number of the newest sync; polling says that it carried nothing and may be overtaken.
 	seq     int64
@@ -44,6 +47,8 @@
 	residents []workerapi.Resident
 	// readings are when the newest reading of each attempt was made.
 	readings map[attemptKey]time.Time
+	// saves are when attempts were last asked for a checkpoint from time to time.
+	saves map[attemptKey]time.Time
 	// throttle are the shares of processor time that attempts are held to.
 	throttle map[attemptKey]int
 	guard    guard
@@ -73,6 +78,7 @@
 	w.refused = map[attemptKey]string{}
 	w.readings = map[attemptKey]time.Time{}
 	w.throttle = map[attemptKey]int{}
+	w.saves = map[attemptKey]time.Time{}
 }
 
 // drop forgets what was kept about an attempt that is over.
@@ -80,6 +86,7 @@
 	delete(w.startSeq, key)
 	delete(w.readings, key)
 	delete(w.throttle, key)
+	delete(w.saves, key)
 }
 
 // open reports whether the worker can take a start.
@@ -93,6 +100,7 @@
 	w.stale = false
 	v := &place.Worker{
 		Name: w.name, DataCentre: w.member.DataCentre, Rack: w.member.Rack, Capacity: w.member.Capacity,
+		Reserved: o.c.kept(w.member.Capacity),
 	}
 	for _, t := range o.c.state.held[w.name] {
 		v.Add(&place.Task{Class: t.Class, Reserve: t.Reserve.Add(w.excess(t))})
--- a/internal/cellrun/cellrun.go
+++ b/internal/cellrun/cellrun.go
@@ -43,6 +43,10 @@
 	syncer  workerapi.Syncer
 	workers WorkerSource
 	lg      *log.Logger
+	// Policies returns the configuration in force; the same pointer as long as it stays the same. It may
+	// be nil, and is set before Run.
+	Policies func() *cell.Policies
+	policy   *cell.Policies
 
 	mu    sync.Mutex
 	core  *cell.Core
@@ -59,9 +63,10 @@
 func (d *Driver) Run(ctx context.Context) error {
 	d.group, d.ctx = errgroup.WithContext(ctx)
 	d.group.Go(func() error {
-		follow.Run(d.ctx, d.log, cell.Stream(d.name), 1, d, d.lg)
+		follow.Fold(d.ctx, d.log, cell.Stream(d.name), d, d.lg)
 		return nil
 	})
+	d.group.Go(d.rescue)
 	d.group.Go(d.tick)
 	return d.group.Wait()
 }
@@ -73,6 +78,7 @@
 	for n := 0; ; n++ {
 		if n%rosterTicks == 0 {
 			d.step(cell.Workers{Members: d.workers.Workers(d.name)})
+			d.policies()
 		} else {
 			d.step(cell.Tick{})
 		}
@@ -84,19 +90,15 @@
 	}
 }
 
-// SetPolicies hands the configuration to the core.
-func (d *Driver) SetPolicies(p cell.Policies) { d.step(p) }
-
-// Entries implements follow.Handler.
-func (d *Driver) Entries(entries []logsvc.Entry, tail logsvc.Offset) {
-	d.step(cell.Entries{Entries: entries, Tail: tail})
-}
-
-// Expired implements follow.Handler.
-func (d *Driver) Expired(first logsvc.Offset) logsvc.Offset {
-	d.lg.Warn("Entries have expired, a snapshot is sought.", "stream", cell.Stream(d.name), "first", first)
-	d.step(cell.Gap{First: first})
-	return first
+// policies hands the configuration to the core when it has changed.
+func (d *Driver) policies() {
+	if d.Policies == nil {
+		return
+	}
+	if p := d.Policies(); p != nil && p != d.policy {
+		d.policy = p
+		d.step(*p)
+	}
 }
 
 // step gives the core one event and does what it asks for.
--- a/internal/node/jobhttp.go
+++ b/internal/node/jobhttp.go
@@ -30,6 +30,7 @@
 	mux.HandleFunc("GET /v1/jobs", n.asOperator(n.serveList))
 	mux.HandleFunc("POST /v1/jobs/cancel", n.asOperator(n.serveCancel))
 	mux.HandleFunc("POST /v1/jobs/{id}/cancel", n.asOperator(n.serveCancelOne))
+	mux.HandleFunc("DELETE /v1/jobs/{id}", n.asOperator(n.serveCancelOne))
 	mux.HandleFunc("GET /v1/jobs/{id}", n.asOperator(func(w http.ResponseWriter, r *http.Request) {
 		n.askJob(r.Context(), verbGet, r.PathValue("id")).write(w)
 	}))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,6 +107,7 @@
 	requests *dispatch.Dispatcher
 	claims   *claimrun.Keeper
 	intake   intake
+	policies policies
 	// jobClient calls the owners of cells.
 	jobClient *http.Client
 }
@@ -134,7 +135,9 @@
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
 			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
 		}
-		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
+		d := cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
+		d.Policies = func() *cell.Policies { return n.policies.of(n.config.Current()) }
+		n.cells[c] = d
 	}
 	return n
 }
