--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -140,14 +140,16 @@
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		m := newQuiet(t, seed, 1)
 		w := m.workers[0].w
-		w.SetTruth(workerstand.Truth{Seed: m.Seed, Strength: 8})
+		// A neighbour that filled the worker would slow the service by this much; throttled ones are still
+		// too much for odd seeds.
+		harm := 4 + 16*float64(seed%2)
+		truth := workerstand.Truth{Seed: seed, Strength: 1}
+		truth.Strength = harm / truth.Pair("seat-check", "rebuild", 1)
+		w.SetTruth(truth)
 		w.SetResidents([]workerapi.Resident{{Name: "enrolment", Class: "seat-check", Reserve: one}})
 		for range 3 {
 			m.job(Job{Class: "rebuild", Declare: one, RunMS: 600_000})
 		}
-		if slow := (workerstand.Truth{Seed: m.Seed, Strength: 8}).Pair("seat-check", "rebuild", 1) * 0.75; slow < 1 {
-			t.Skip("classes get on well")
-		}
 		began := false
 		m.run(t, "neighbours run", 10*time.Second, func() bool { began = began || len(m.hist.where) == 3; return began })
 		m.run(t, "service does well", 90*time.Second, func() bool {
@@ -155,8 +157,12 @@
 			return err == nil && resp.Residents[0].Slowdown < defaultSlowdownLimit
 		})
 		m.run(t, "a minute passes", 2*time.Minute, func() bool { return m.now.Sub(time.Unix(1000, 0)) > time.Minute })
-		if n := len(m.hist.started); n > 3+4 {
-			t.Fatalf("3 neighbours were started %d times", n)
+		evicted := 0
+		for _, id := range m.jobs {
+			evicted += m.task(id).Evictions
+		}
+		if (evicted > 0) != (seed%2 == 1) || evicted > 3 {
+			t.Fatalf("%d evictions where neighbours do %v harm", evicted, harm)
 		}
 	})
 }
--- a/internal/node/jobcancel.go
+++ b/internal/node/jobcancel.go
@@ -13,7 +13,6 @@
 	"github.com/crocusspring/crocusspring/internal/finding"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
-	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 )
@@ -70,11 +69,9 @@
 
 // cancelAll cancels jobs of any cells. Jobs that are not known here are looked for at other cells.
 func (n *Node) cancelAll(ctx context.Context, ids []string) jobAnswer {
-	byCell := map[string][]string{}
-	for _, id := range ids {
-		if c := n.locate(ctx, id); c != "" {
-			byCell[c] = append(byCell[c], id)
-		}
+	byCell, err := n.locate(ctx, ids)
+	if err != nil {
+		return *err
 	}
 	states := map[string]chart.State{}
 	for c, part := range byCell {
@@ -98,17 +95,6 @@
 	return answer(http.StatusOK, out)
 }
 
-// locate returns the cell that knows a job; empty when none does.
-func (n *Node) locate(ctx context.Context, id string) string {
-	for _, c := range n.cellsFor(id) {
-		a := n.doJob(ctx, jobOp{Verb: verbGet, Cell: c, ID: id})
-		if visibleJob(ctx, a, operator.Change, id).status == http.StatusOK {
-			return c
-		}
-	}
-	return ""
-}
-
 // cancel cancels jobs of one cell; it is answered once the cancellation has been folded. Many ids go
 // into one record, and records that are under way at once into one append.
 func (n *Node) cancel(ctx context.Context, cellName string, ids []string) jobAnswer {
--- a/internal/node/jobops.go
+++ b/internal/node/jobops.go
@@ -28,13 +28,14 @@
 	verbList    jobVerb = "list"
 	verbExplain jobVerb = "explain"
 	verbCancel  jobVerb = "cancel"
+	verbFind    jobVerb = "find"
 )
 
 // jobOp is one operation on the jobs of one cell, as it is passed between processes.
 type jobOp struct {
 	Verb jobVerb `json:"verb"`
 	Cell string  `json:"cell"`
-	// ID is the job that get and explain ask for, IDs are those to cancel.
+	// ID is the job that get and explain ask for, IDs are those to find or cancel.
 	ID     string         `json:"id,omitempty"`
 	IDs    []string       `json:"ids,omitempty"`
 	Query  cell.Query     `json:"query,omitzero"`
@@ -108,10 +109,18 @@
 		return n.submit(ctx, *op.Submit, op.Cell, op.Given)
 	case verbCancel:
 		return n.cancel(ctx, op.Cell, op.IDs)
+	case verbFind:
+		return n.find(ctx, op.Cell, op.IDs)
 	case verbGet:
 		var t cell.Task
 		var ok bool
-		d.View(func(c *cell.Core) { t, ok = c.Task(op.ID) })
+		get := func() { d.View(func(c *cell.Core) { t, ok = c.Task(op.ID) }) }
+		if get(); !ok {
+			if err := n.catchUp(ctx, op.Cell); err != nil {
+				return failed(http.StatusServiceUnavailable, "", err)
+			}
+			get()
+		}
 		if !ok {
 			return unknownJob(op.ID)
 		}
