--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -46,6 +46,10 @@
 	TaskLeaseMS int64 `json:"task_lease_ms,omitempty"`
 	// Seq tells the appends of one holder apart, so that a lease is counted from its own append.
 	Seq int64 `json:"seq"`
+	// Voters are the candidates by whose word the holder may stretch its lease, up to StretchMS after
+	// the record was appended.
+	Voters    []string `json:"voters,omitempty"`
+	StretchMS int64    `json:"stretch_ms,omitempty"`
 }
 
 // Options are the fixed parameters of a lease.
@@ -57,6 +61,8 @@
 	TaskLength time.Duration
 	// Delay is waited before a take on top of the old lease, so that a preferred candidate comes first.
 	Delay time.Duration
+	// Stretch bounds how long a holder goes on by the word of voters while the log is down; 0 for not.
+	Stretch time.Duration
 }
 
 // Core is the lease of one cell as one process sees it. Use New to make one.
@@ -70,8 +76,18 @@
 	tasks  time.Duration // longest task lease any record has named
 	seen   time.Time     // when last was seen here; zero when nothing was seen
 
-	sent     map[int64]time.Time // when each unsettled append began, by sequence number
-	sentAt   time.Time           // when the newest of them began; zero when none
+	voters  []string      // of the newest accepted record
+	stretch time.Duration // likewise
+	peers   []string      // candidates that the next record names as voters
+
+	words map[string]time.Time // when each voter was asked that gave its word under the newest record
+	base  time.Time            // when the append of the newest record began, if it was this process's
+
+	bound    Ask       // whom this process has promised not to take the cell
+	boundTil time.Time // until when
+
+	sent     map[int64]sending // unsettled appends by sequence number
+	sentAt   time.Time         // when the newest of them began; zero when none
 	seq      int64
 	validTil time.Time // until when this process may act as the owner
 	leaving  bool
@@ -80,7 +96,13 @@
 
 // New returns the lease of a cell that no one holds yet.
 func New(opt Options) *Core {
-	return &Core{opt: opt, sent: map[int64]time.Time{}}
+	return &Core{opt: opt, sent: map[int64]sending{}, words: map[string]time.Time{}}
+}
+
+// sending is an append whose outcome is not known.
+type sending struct {
+	began    time.Time
+	replaces logsvc.Offset
 }
 
 // Seen folds one lease record of the stream at an offset and reports whether it was accepted.
@@ -103,6 +125,8 @@
 	c.last, c.seen = at, now
 	c.held = time.Duration(b.LeaseMS) * time.Millisecond
 	c.tasks = max(c.tasks, time.Duration(b.TaskLeaseMS)*time.Millisecond)
+	c.voters, c.stretch = b.Voters, time.Duration(b.StretchMS)*time.Millisecond
+	c.words, c.base = map[string]time.Time{}, time.Time{}
 	switch b.Op {
 	case OpTake:
 		c.holder, c.epoch, c.restored = b.Holder, at, false
@@ -114,8 +138,8 @@
 		return
 	}
 	// The lease runs from before this very append was made; an append nobody remembers gives nothing.
-	if began, ok := c.sent[b.Seq]; ok {
-		c.validTil = began.Add(c.held)
+	if s, ok := c.sent[b.Seq]; ok {
+		c.base, c.validTil = s.began, s.began.Add(c.held)
 	}
 }
 
@@ -143,11 +167,15 @@
 		return Body{}, false
 	}
 	c.seq++
-	c.sentAt, c.sent[c.seq] = now, now
-	return Body{
+	c.sentAt, c.sent[c.seq] = now, sending{now, c.last}
+	b := Body{
 		Op: op, Holder: c.opt.Self, Replaces: c.last, LeaseMS: c.opt.Length.Milliseconds(),
 		TaskLeaseMS: c.opt.TaskLength.Milliseconds(), Seq: c.seq,
-	}, true
+	}
+	if op != OpRelease && len(c.peers) > 0 && c.opt.Stretch > 0 {
+		b.Voters, b.StretchMS = c.peers, c.opt.Stretch.Milliseconds()
+	}
+	return b, true
 }
 
 // want says which record the state calls for.
@@ -167,11 +195,11 @@
 	if c.seen.IsZero() {
 		c.seen = now
 	}
-	wait := c.opt.Delay
-	if c.holder != "" {
-		wait += c.held + Margin
+	wait := c.standing()
+	if c.holder == "" {
+		return OpTake, now.Sub(c.seen) >= wait
 	}
-	return OpTake, now.Sub(c.seen) >= wait && (c.holder == "" || now.Sub(c.seen) > wait)
+	return OpTake, now.Sub(c.seen) > wait && c.free(now)
 }
 
 // Leave makes the core give the lease back and never take it again.
@@ -179,7 +207,10 @@
 
 // Owner reports whether this process may act as the owner now, and under which epoch.
 func (c *Core) Owner(now time.Time) (logsvc.Offset, bool) {
-	return c.epoch, c.holder == c.opt.Self && now.Before(c.validTil)
+	if c.holder != c.opt.Self || c.base.IsZero() {
+		return c.epoch, false
+	}
+	return c.epoch, now.Before(c.validTil) || now.Before(c.stretched())
 }
 
 // Holder returns the holder in log order and its epoch; empty when released.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -13,20 +14,40 @@
 	return New(Options{Self: self, Length: length, TaskLength: 2 * length})
 }
 
-// TestOneOwner checks that two candidates never own the cell at once, however their appends are
-// delayed, lost or doubled.
+// word is a promise on its way: the request to a voter, or its answer.
+type word struct {
+	from, to int
+	ask      Ask
+	asked    time.Time
+	given    bool
+}
+
+// TestOneOwner checks that two candidates never own the cell at once, however their appends and
+// promises are delayed, lost or doubled, and also when a candidate joins that nobody knows of.
 func TestOneOwner(t *testing.T) {
+	stretched := 0
 	rapid.Check(t, func(t *rapid.T) {
 		const length = 2 * time.Second
 		now := time.Unix(0, 0)
-		cores := []*Core{newCore("a", length), newCore("b", length), newCore("c", length)}
+		names := []string{"a", "b", "c", "d"}
+		var cores []*Core
+		for i, n := range names {
+			c := New(Options{Self: n, Length: length, TaskLength: 2 * length, Stretch: 10 * time.Second})
+			if i < 3 {
+				c.SetVoters(slices.DeleteFunc(slices.Clone(names[:3]), func(o string) bool { return o == n }))
+			}
+			cores = append(cores, c)
+		}
 		read := make([]int, len(cores))
 		var log, delayed []Body
-		owned := 0
-		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+		var words []word
+		down := rapid.Bool().Draw(t, "log goes down")
+		steps := rapid.IntRange(10, 200).Draw(t, "steps")
+		for step := range steps {
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, len(cores)-1).Draw(t, "core")
-			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			j := rapid.IntRange(0, len(cores)-1).Draw(t, "other")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0, 1:
 				for read[i] < len(log) {
 					cores[i].Seen(now, logsvc.Offset(read[i]+1), log[read[i]])
@@ -36,26 +57,44 @@
 				if b, ok := cores[i].Tick(now); ok {
 					delayed = append(delayed, b)
 				}
+			default:
+				if a, ok := cores[i].Ask(); ok && i != j {
+					words = append(words, word{from: i, to: j, ask: a, asked: now})
+				}
 			}
-			if len(delayed) > 0 && rapid.Bool().Draw(t, "land") {
+			if up := !down || step < steps/3; up && len(delayed) > 0 && rapid.Bool().Draw(t, "land") {
 				k := rapid.IntRange(0, len(delayed)-1).Draw(t, "which")
 				log = append(log, delayed[k])
 				if !rapid.Bool().Draw(t, "again") {
 					delayed = append(delayed[:k], delayed[k+1:]...)
 				}
 			}
+			if len(words) > 0 && rapid.IntRange(0, 3).Draw(t, "word") > 0 {
+				k := rapid.IntRange(0, len(words)-1).Draw(t, "which word")
+				if w := &words[k]; w.given {
+					cores[w.from].Promised(names[w.to], w.ask, w.asked)
+					words = append(words[:k], words[k+1:]...)
+				} else if w.given = cores[w.to].Promise(now, w.ask); !w.given {
+					words = append(words[:k], words[k+1:]...)
+				}
+			}
 			owners := 0
 			for _, c := range cores {
 				if _, ok := c.Owner(now); ok {
 					owners++
+					if !now.Before(c.validTil) {
+						stretched++
+					}
 				}
 			}
-			owned += owners
 			if owners > 1 {
 				t.Fatalf("%d owners at %v", owners, now)
 			}
 		}
 	})
+	if stretched == 0 {
+		t.Error("no lease was ever stretched")
+	}
 }
 
 // TestTakeover checks that a silent owner is replaced once its lease was waited out.
--- a/internal/lease/snapshot.go
+++ b/internal/lease/snapshot.go
@@ -13,12 +13,15 @@
 	Last        logsvc.Offset `json:"last"`
 	HeldMS      int64         `json:"held_ms"`
 	TaskLeaseMS int64         `json:"task_lease_ms"`
+	Voters      []string      `json:"voters,omitempty"`
+	StretchMS   int64         `json:"stretch_ms,omitempty"`
 }
 
 // Snapshot returns the folded part.
 func (c *Core) Snapshot() Snapshot {
 	return Snapshot{
 		Holder: c.holder, Epoch: c.epoch, Last: c.last, HeldMS: c.held.Milliseconds(), TaskLeaseMS: c.tasks.Milliseconds(),
+		Voters: c.voters, StretchMS: c.stretch.Milliseconds(),
 	}
 }
 
@@ -30,6 +33,8 @@
 	c.held = time.Duration(s.HeldMS) * time.Millisecond
 	c.tasks = time.Duration(s.TaskLeaseMS) * time.Millisecond
 	c.seen, c.validTil = now, time.Time{}
-	c.sent, c.sentAt = map[int64]time.Time{}, time.Time{}
+	c.voters, c.stretch = s.Voters, time.Duration(s.StretchMS)*time.Millisecond
+	c.words, c.base = map[string]time.Time{}, time.Time{}
+	c.sent, c.sentAt = map[int64]sending{}, time.Time{}
 	c.restored = true
 }
