--- a/internal/cell/policy.go
+++ b/internal/cell/policy.go
@@ -10,7 +10,7 @@
 
 // Policies are what the configuration says of workspaces, classes and workers.
 type Policies struct {
-	// Workspaces are weights and quotas; of a kind of which a quota has nothing, nothing may run.
+	// Workspaces are weights and quotas.
 	Workspaces map[string]queue.Policy
 	Classes    map[string]ClassPolicy
 	// Drained reports whether a worker is to take no new tasks, and after what time those that still
@@ -87,7 +87,7 @@
 	if !ok {
 		return ""
 	}
-	if kind := t.Declare.Lacking(p.Quota); kind != "" {
+	if kind := t.Declare.Lacking(p.Bounds()); kind != "" {
 		return "larger than the workspace's quota of " + kind
 	}
 	return ""
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -207,6 +207,7 @@
 		}
 		v := o.refresh(now, w)
 		v.Draining, v.Suspended = w.drained, o.c.track.Refuse(now, w.name)
+		o.c.noteProbation(w, v.Suspended)
 		v.RackServices = o.racks[v.Rack]
 		out = append(out, v)
 	}
--- a/internal/cell/worker.go
+++ b/internal/cell/worker.go
@@ -21,6 +21,8 @@
 	// drainedAt is when the drain was seen, and moveAt when tasks that still run are moved.
 	drainedAt time.Time
 	moveAt    time.Time
+	// suspended says that the worker was noted as under probation.
+	suspended bool
 
 	// seq is the number of the newest sync; polling says that it carried nothing and may be overtaken.
 	seq     int64
--- a/internal/cellrun/cellrun.go
+++ b/internal/cellrun/cellrun.go
@@ -43,20 +43,17 @@
 	syncer  workerapi.Syncer
 	workers WorkerSource
 	lg      *log.Logger
-	// Policies returns the configuration in force; the same pointer as long as it stays the same. It may
-	// be nil, and is set before Run.
-	Policies func() *cell.Policies
-	policy   *cell.Policies
 
 	mu    sync.Mutex
 	core  *cell.Core
+	noted func(cell.Note)
 	group *errgroup.Group
 	ctx   context.Context
 }
 
 // New returns a driver of the cell that opt names.
 func New(opt cell.Options, lc logsvc.Client, sy workerapi.Syncer, ws WorkerSource, lg *log.Logger) *Driver {
-	return &Driver{name: opt.Cell, log: lc, syncer: sy, workers: ws, lg: lg, core: cell.New(opt)}
+	return &Driver{name: opt.Cell, log: lc, syncer: sy, workers: ws, lg: lg, core: cell.New(opt), noted: func(cell.Note) {}}
 }
 
 // Run drives the cell until ctx ends.
@@ -78,7 +75,6 @@
 	for n := 0; ; n++ {
 		if n%rosterTicks == 0 {
 			d.step(cell.Workers{Members: d.workers.Workers(d.name)})
-			d.policies()
 		} else {
 			d.step(cell.Tick{})
 		}
@@ -90,23 +86,22 @@
 	}
 }
 
-// policies hands the configuration to the core when it has changed.
-func (d *Driver) policies() {
-	if d.Policies == nil {
-		return
-	}
-	if p := d.Policies(); p != nil && p != d.policy {
-		d.policy = p
-		d.step(*p)
-	}
-}
+// OnNote sets who is told of decisions that matter. Call it before Run; f must not block.
+func (d *Driver) OnNote(f func(cell.Note)) { d.noted = f }
+
+// SetPolicies hands the configuration to the core.
+func (d *Driver) SetPolicies(p cell.Policies) { d.step(p) }
 
 // step gives the core one event and does what it asks for.
 func (d *Driver) step(ev cell.Event) {
 	d.mu.Lock()
 	actions := d.core.Step(time.Now(), ev)
 	faults := d.core.Faults()
+	notes := d.core.Notes()
 	d.mu.Unlock()
+	for _, n := range notes {
+		d.noted(n)
+	}
 	for _, f := range faults {
 		d.lg.Error("Entry is bad.", "err", f)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,6 @@
 	requests *dispatch.Dispatcher
 	claims   *claimrun.Keeper
 	intake   intake
-	policies policies
 	// jobClient calls the owners of cells.
 	jobClient *http.Client
 }
@@ -135,9 +134,8 @@
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
 			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
 		}
-		d := cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
-		d.Policies = func() *cell.Policies { return n.policies.of(n.config.Current()) }
-		n.cells[c] = d
+		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
+		n.cells[c].OnNote(n.auditDecision)
 	}
 	return n
 }
@@ -217,6 +215,7 @@
 	g.Go(func() error { n.runRequests(run); return nil })
 	g.Go(func() error { n.gauges(run); return nil })
 	g.Go(func() error { return n.keepShare(run) })
+	g.Go(func() error { return n.keepPolicies(run) })
 	for _, d := range n.cells {
 		g.Go(func() error { return d.Run(run) })
 	}
--- a/internal/node/policies.go
+++ b/internal/node/policies.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"sync"
+	"context"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/announce"
@@ -13,28 +13,31 @@
 // defaultPolicy is the name of the throttle and placement policies that are in force for all cells.
 const defaultPolicy = "default"
 
-// policies turns the configuration in force into what cells need, once for each view.
-type policies struct {
-	mu   sync.Mutex
-	view *config.View
-	last *cell.Policies
-}
-
-// of returns the policies of a view.
-func (p *policies) of(v *config.View) *cell.Policies {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.view != v {
-		p.view, p.last = v, cellPolicies(v)
+// keepPolicies gives every cell the policies in force as they change.
+func (n *Node) keepPolicies(ctx context.Context) error {
+	sent := map[string]queue.Policy{}
+	for ctx.Err() == nil {
+		v := n.config.Current()
+		p := policiesOf(v)
+		for name := range sent {
+			if _, ok := p.Workspaces[name]; !ok {
+				p.Workspaces[name] = queue.Policy{}
+			}
+		}
+		for _, d := range n.cells {
+			d.SetPolicies(p)
+		}
+		sent = p.Workspaces
+		n.config.Await(ctx, v.Offset+1)
 	}
-	return p.last
+	return nil
 }
 
-// cellPolicies converts a view.
-func cellPolicies(v *config.View) *cell.Policies {
-	out := &cell.Policies{Workspaces: map[string]queue.Policy{}, Classes: map[string]cell.ClassPolicy{}}
+// policiesOf is what the configuration says of workspaces, classes and workers.
+func policiesOf(v *config.View) cell.Policies {
+	out := cell.Policies{Workspaces: map[string]queue.Policy{}, Classes: map[string]cell.ClassPolicy{}}
 	for name, w := range v.Workspaces {
-		out.Workspaces[name] = queue.Policy{Weight: w.Weight, Quota: w.Quota}
+		out.Workspaces[name] = queue.Policy{Weight: w.Weight, Quota: w.Quota, Exact: true}
 	}
 	for name, c := range v.Classes {
 		out.Classes[name] = cell.ClassPolicy{
