cell: owners go on while the log is down, by the word of the other candidates

Cause: an owner could not renew in an outage of the log, stopped after its lease of 3 s, and running work lapsed after another task lease and was started again. Change: the newest lease record names up to 4 voters; while a renewal is late the owner asks them each half second for their word not to take the cell for a lease length, and goes on while all have given it, 3 minutes at the most. Candidates that are no voters wait that long. A voter that reads the log gives no word once the renewal is overdue, so an owner that is cut off alone loses the cell within 10 s.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -14,7 +14,7 @@
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
 
-// Event is what happens to a core: Entries, Lost, Workers, Policies, SyncDone, AppendDone or Tick.
+// Event is what happens to a core: Entries, Lost, Workers, Policies, Words, SyncDone, AppendDone or Tick.
 type Event interface{ event() }
 
 // Entries are the next entries of the cell's stream.
@@ -53,7 +53,7 @@
 func (AppendDone) event() {}
 func (Tick) event()       {}
 
-// Action is what a core asks its driver to do: Append or Sync.
+// Action is what a core asks its driver to do: Append, Sync or Canvass.
 type Action interface{ action() }
 
 // Append asks for a record to be appended to the cell's stream.
@@ -81,12 +81,15 @@
 	state state
 	// ready says that the fold has reached the tail of the stream once, with no gap since.
 	ready bool
+	// read is when entries were read last, if only none.
+	read time.Time
 	// first is the oldest entry that was kept when entries were read last.
 	first   logsvc.Offset
 	members map[string]announce.Member
 	// joined counts changes of the set of workers.
 	joined   int
 	policies Policies
+	canvass  canvass
 	own      *owner
 	leaving  bool
 	faults   []error
@@ -104,8 +107,8 @@
 func New(opt Options) *Core {
 	opt = opt.withDefaults()
 	c := &Core{
-		opt: opt, state: newState(), members: map[string]announce.Member{}, sizes: sizes{},
-		lease: lease.New(lease.Options{Self: opt.Self, Length: opt.OwnerLease, TaskLength: opt.TaskLease, Delay: opt.TakeDelay}),
+		opt: opt, state: newState(), canvass: canvass{heard: map[string]time.Time{}}, members: map[string]announce.Member{}, sizes: sizes{},
+		lease: lease.New(lease.Options{Self: opt.Self, Length: opt.OwnerLease, TaskLength: opt.TaskLease, Delay: opt.TakeDelay, Stretch: opt.Stretch}),
 		model: interfere.New(), track: probation.New(probation.DefaultLimits()),
 	}
 	c.effects = newEffects(c.model)
@@ -130,6 +133,8 @@
 		if c.own != nil {
 			c.own.applyPolicies()
 		}
+	case Words:
+		c.words(now, ev)
 	case SyncDone:
 		if c.own != nil {
 			c.own.synced(now, ev)
@@ -145,7 +150,7 @@
 
 // fold folds entries. It never folds across a gap.
 func (c *Core) fold(now time.Time, ev Entries) {
-	c.first = max(c.first, ev.First)
+	c.first, c.read = max(c.first, ev.First), now
 	for _, e := range ev.Entries {
 		if e.Offset > c.state.next {
 			c.fault(fmt.Errorf("%w: offset %d follows %d", ErrGap, e.Offset, c.state.next-1))
@@ -196,6 +201,7 @@
 			out = append(out, Append{Record: env})
 		}
 	}
+	out = c.poll(now, out)
 	out = c.serve(now, out)
 	c.state.changes = c.state.changes[:0]
 	return out
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -103,7 +103,7 @@
 	m.starts++
 	return &modelCore{core: New(Options{
 		Cell: "dc", Self: fmt.Sprintf("p%d", m.starts), OwnerLease: 2 * time.Second, TaskLease: 4 * time.Second,
-		SyncEvery: 200 * time.Millisecond, MaxFailures: 3, SnapshotEvery: 40,
+		SyncEvery: 200 * time.Millisecond, MaxFailures: 3, SnapshotEvery: 40, Stretch: 20 * time.Second,
 	})}
 }
 
@@ -148,6 +148,8 @@
 			m.drive(mc, func() { m.append(mc, a) })
 		case Sync:
 			m.drive(mc, func() { m.sync(mc, a) })
+		case Canvass:
+			m.drive(mc, func() { m.canvass(mc, a) })
 		}
 	}
 }
@@ -218,6 +220,29 @@
 	})
 }
 
+// canvass asks the other cores for their word, each over its own way.
+func (m *model) canvass(mc *modelCore, a Canvass) {
+	w := Words{Ask: a.Ask, Asked: m.now}
+	for _, other := range m.cores {
+		if other == mc {
+			continue
+		}
+		m.send(true, func() {
+			if !other.paused.IsZero() {
+				return
+			}
+			name, given := other.core.Promise(m.now, a.Ask)
+			m.send(true, func() {
+				part := Words{Ask: w.Ask, Asked: w.Asked, Heard: []string{name}}
+				if given {
+					part.Given = []string{name}
+				}
+				m.toCore(mc, part)
+			})
+		})
+	}
+}
+
 // toCore hands an event to a core unless it is paused; then the event waits.
 func (m *model) toCore(mc *modelCore, ev Event) {
 	if !mc.paused.IsZero() {
--- a/internal/cell/options.go
+++ b/internal/cell/options.go
@@ -18,6 +18,9 @@
 	SyncEvery time.Duration
 	// TakeDelay is waited before taking the cell, so that a preferred candidate comes first.
 	TakeDelay time.Duration
+	// Stretch bounds how long an owner goes on by the word of the other candidates while the log is
+	// down; 0 for not.
+	Stretch time.Duration
 	// MaxFailures is how often a task may fail before it is failed for good.
 	MaxFailures int
 	// SnapshotEvery is the least number of entries between two snapshots; 0 means the default. Large
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -134,6 +134,25 @@
 	})
 }
 
+// TestLogDown checks that an owner goes on while the log is down for longer than any lease: what runs
+// goes on and ends, and nothing is run twice.
+func TestLogDown(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		m := newQuiet(t, seed, 2)
+		for range 4 {
+			m.job(Job{Class: "build", Declare: one, RunMS: 14_000})
+		}
+		m.run(t, "builds start", 5*time.Second, func() bool { return len(m.hist.where) == 4 })
+		m.run(t, "voters are named", 10*time.Second, func() bool { return m.now.Sub(time.Unix(1000, 0)) > 8*time.Second })
+		m.down = m.now.Add(15 * time.Second)
+		m.run(t, "builds end while the log is down", 12*time.Second, func() bool { return len(m.hist.where) == 0 })
+		m.run(t, "log knows", 10*time.Second, m.allDone)
+		if len(m.hist.started) != 4 {
+			t.Fatalf("4 builds were started %d times", len(m.hist.started))
+		}
+	})
+}
+
 // TestServiceProtected checks that the neighbours of a suffering service are throttled and then
 // evicted until it does well, and that the service itself is left alone.
 func TestServiceProtected(t *testing.T) {
@@ -241,6 +260,9 @@
 		if len(m.hist.wrong) > 0 {
 			t.Fatal(m.hist.wrong)
 		}
+		if mc := m.owner(); mc == nil || m.now.Before(mc.noLog) {
+			t.Fatal("cell was not taken from an owner that is cut from the log")
+		}
 	})
 }
 
--- a/internal/cellrun/cellrun.go
+++ b/internal/cellrun/cellrun.go
@@ -42,7 +42,9 @@
 	log     logsvc.Client
 	syncer  workerapi.Syncer
 	workers WorkerSource
-	lg      *log.Logger
+	// Peers asks the other candidates; nil when there are none. It is set before Run.
+	Peers Peers
+	lg    *log.Logger
 
 	mu    sync.Mutex
 	core  *cell.Core
@@ -109,6 +111,8 @@
 		switch a := a.(type) {
 		case cell.Append:
 			d.group.Go(func() error { return d.append(a) })
+		case cell.Canvass:
+			d.group.Go(func() error { d.canvass(a); return nil })
 		case cell.Sync:
 			d.group.Go(func() error { return d.sync(a) })
 		}
--- a/internal/lease/promise.go
+++ b/internal/lease/promise.go
@@ -25,6 +25,9 @@
 	return Ask{c.opt.Self, c.epoch, c.last}, c.holder == c.opt.Self && !c.leaving && !c.restored
 }
 
+// Newest returns when the newest accepted record was seen.
+func (c *Core) Newest() time.Time { return c.seen }
+
 // Late reports whether the newest renewal is overdue, so that promises are needed soon.
 func (c *Core) Late(now time.Time) bool {
 	return c.holder == c.opt.Self && now.After(c.validTil.Add(-c.opt.Length/2))
--- a/internal/node/defaults.go
+++ b/internal/node/defaults.go
@@ -9,13 +9,14 @@
 // Defaults returns the settings a node has when none are given.
 func Defaults() Options {
 	return Options{
-		Share:       1,
-		OwnerLease:  3 * time.Second,
-		TaskLease:   8 * time.Second,
-		SyncEvery:   500 * time.Millisecond,
-		SnapshotAge: time.Hour,
-		LogAppends:  logsvc.DefaultAppends,
-		Drain:       10 * time.Second,
-		ReadyLag:    time.Second,
+		Share:        1,
+		OwnerLease:   3 * time.Second,
+		OwnerStretch: 3 * time.Minute,
+		TaskLease:    8 * time.Second,
+		SyncEvery:    500 * time.Millisecond,
+		SnapshotAge:  time.Hour,
+		LogAppends:   logsvc.DefaultAppends,
+		Drain:        10 * time.Second,
+		ReadyLag:     time.Second,
 	}
 }
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -52,6 +52,7 @@
 	s.String(&f.tls.CA, "tls-ca", "", false, "PEM file of the authority of all processes")
 	s.Int(&f.conns, "target-connections", 16, 1, 1024, "most connections to one target")
 	s.Duration(&f.opt.OwnerLease, "owner-lease", d.OwnerLease, time.Second, time.Minute, "how long a cell is owned without renewal")
+	s.Duration(&f.opt.OwnerStretch, "owner-stretch", d.OwnerStretch, 0, time.Hour, "how long an owner goes on while the log is down, by the word of the other candidates; 0 for not")
 	s.Duration(&f.opt.TaskLease, "task-lease", d.TaskLease, time.Second, time.Minute, "how long a task runs without its owner")
 	s.Duration(&f.opt.SyncEvery, "sync-every", d.SyncEvery, 10*time.Millisecond, time.Minute, "time between two syncs with a worker")
 	s.Duration(&f.opt.Drain, "drain", d.Drain, 0, 10*time.Minute, "how long a graceful stop waits for requests in progress")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,10 @@
 	ReadyLag   time.Duration
 	OwnerLease time.Duration
 	TaskLease  time.Duration
-	SyncEvery  time.Duration
+	// OwnerStretch bounds how long an owner goes on by the word of the other candidates while the log is
+	// down; 0 for not.
+	OwnerStretch time.Duration
+	SyncEvery    time.Duration
 	// LogAppends is the budget of all processes together, in appends a second.
 	LogAppends int
 	// SnapshotAge is how long a snapshot of the configuration counts; an eighth of the log's retention
@@ -133,9 +136,11 @@
 		co := cell.Options{
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
 			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
+			Stretch: opt.OwnerStretch,
 		}
 		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
 		n.cells[c].OnNote(n.auditDecision)
+		n.cells[c].Peers = n
 	}
 	return n
 }
@@ -193,6 +198,8 @@
 	mux.Handle(path, n.verifiedPeers(peers))
 	path, jobs := peerv1connect.NewJobServiceHandler(jobService{n})
 	mux.Handle(path, n.verifiedPeers(jobs))
+	path, cells := peerv1connect.NewCellServiceHandler(cellService{n})
+	mux.Handle(path, n.verifiedPeers(cells))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
