A refused key is told as not run only when no other entry can have run it

Under a load average of 37 probes at 25 ms fenced attempts that were only slow to arrive, and TestFaultsOfTarget depended on the machine's speed.

--- a/internal/claimrun/attach.go
+++ b/internal/claimrun/attach.go
@@ -83,9 +83,13 @@
 		cur, _ := k.fold.Get(s.Key)
 		released, grown := k.fold.GivenUp(s.ID), k.grown
 		k.mu.Unlock()
-		if released {
+		if released && cur.ID == "" {
 			return refused(errReleased, releaseRetry)
 		}
+		if released {
+			// Another claim has taken the key since; its outcome is the one to tell.
+			s = cur
+		}
 		if cur.ID == s.ID && cur.Outcome != "" {
 			return k.replyOf(cur)
 		}
@@ -119,11 +123,12 @@
 	}
 	k.mu.Lock()
 	s, ok := k.fold.Get(key)
+	given, sure := k.given[s.ID], k.tail && k.fold.Whole()
 	k.mu.Unlock()
-	k.mu.Lock()
-	given := k.given[s.ID]
-	k.mu.Unlock()
-	if !ok || s.Outcome == "" && !given {
+	if !ok {
+		return &peerv1.OutcomeResponse{Sure: sure}
+	}
+	if s.Outcome == "" && !given {
 		return &peerv1.OutcomeResponse{}
 	}
 	return response(k.replyOf(s))
--- a/internal/claimrun/keeper.go
+++ b/internal/claimrun/keeper.go
@@ -58,7 +58,9 @@
 	log   logsvc.Client
 	peers Peers
 	self  string
-	lg    *log.Logger
+	// others are the addresses of all other processes that claim keys.
+	others []string
+	lg     *log.Logger
 
 	mu    sync.Mutex
 	fold  *claim.Fold
@@ -87,10 +89,10 @@
 	reply       dispatch.Reply
 }
 
-// New returns a keeper; self is the address of this process.
-func New(lc logsvc.Client, p Peers, self string, lg *log.Logger) *Keeper {
+// New returns a keeper; self is the address of this process, others those of all that claim keys.
+func New(lc logsvc.Client, p Peers, self string, others []string, lg *log.Logger) *Keeper {
 	return &Keeper{
-		log: lc, peers: p, self: self, lg: lg, fold: claim.NewFold(), next: 1, first: 1,
+		log: lc, peers: p, self: self, others: others, lg: lg, fold: claim.NewFold(), next: 1, first: 1,
 		grown: make(chan struct{}), local: map[claim.Key]*local{}, given: map[string]bool{},
 	}
 }
@@ -133,7 +135,9 @@
 	}
 	if !k.tail || !k.fold.Covers(q.Key) {
 		k.mu.Unlock()
-		return refused("the claims on the log have not been read yet", notReadRetry), nil
+		r := unknown("the claims on the log have not been read yet")
+		r.RetryAfter = notReadRetry
+		return r, nil
 	}
 	l = &local{fingerprint: print, done: make(chan struct{})}
 	k.local[key] = l
@@ -157,12 +161,12 @@
 	defer k.forget(c.ID)
 	err := k.append(wait, c.ID, record.KindClaim, c)
 	if errors.Is(err, logsvc.ErrRefused) {
-		return refused("the log takes no claims now", logRetry)
+		return k.refuse(key, "the log takes no claims now")
 	}
 	switch k.verdict(wait, c.ID) {
 	case claim.Open, claim.Void:
 		k.giveUp(c)
-		return refused("the claim was not settled in time", logRetry)
+		return k.refuse(key, "the claim was not settled in time")
 	case claim.Lost:
 		return k.attachLost(ctx, q, key, print)
 	}
@@ -185,7 +189,7 @@
 	k.mu.Unlock()
 	switch {
 	case !ok:
-		return refused("the claim of this request lost and will not run", logRetry)
+		return k.refuse(key, "the claim of this request lost")
 	case s.Fingerprint != print:
 		return refused(ErrOtherRequest.Error(), 0)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -79,6 +79,8 @@
 	life   context.Context
 	finish context.CancelFunc
 	hungry chan struct{}
+	// suspect is the least time until an attempt is probed.
+	suspect time.Duration
 	// asking holds the lenders to which a request is on its way.
 	asking sync.Map
 }
@@ -102,7 +104,7 @@
 	life, finish := context.WithCancel(context.Background())
 	return &Dispatcher{
 		life: life, finish: finish, members: m, caller: c, lg: lg, core: NewCore(o, book), credits: book,
-		pending: map[string]*pending{}, hungry: make(chan struct{}, 1),
+		pending: map[string]*pending{}, hungry: make(chan struct{}, 1), suspect: suspectLeast,
 	}
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -14,8 +14,9 @@
 const (
 	// suspectFactor is how many times its expected time an attempt may take before it is probed.
 	suspectFactor = 4
-	// suspectLeast and suspectMost bound the time until the first probe.
-	suspectLeast = 25 * time.Millisecond
+	// suspectLeast and suspectMost bound the time until the first probe. A probe fences an attempt that
+	// is merely slow to arrive, so it must not come too soon.
+	suspectLeast = 60 * time.Millisecond
 	suspectMost  = 200 * time.Millisecond
 	// probeTimeout is the deadline of one probe, on a new connection.
 	probeTimeout = 300 * time.Millisecond
@@ -38,7 +39,7 @@
 	defer cancel()
 	c.Attempt, c.Budget = st.Attempt, time.Until(st.Until)
 	w := &watch{d: d, st: st, request: c.RequestID, ctx: ctx, cancel: cancel}
-	w.arm(min(max(suspectFactor*st.Expected, suspectLeast), suspectMost))
+	w.arm(min(max(suspectFactor*st.Expected, d.suspect), suspectMost+d.suspect))
 	ans, err := d.caller.Call(ctx, st.Address, c)
 	f := w.stop()
 	switch {
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -23,7 +23,8 @@
 		Self: self, Homes: n.homes(self), DataCentre: n.opt.DataCentre, Incarnation: n.began.UnixNano(),
 	}
 	n.requests = dispatch.New(set, n.members, n.ports.Targets, logs.Part(n.lg, "request"))
-	n.claims = claimrun.New(n.ports.Log, n.members, self, logs.Part(n.lg, "claim"))
+	others := slices.DeleteFunc(slices.Clone(set.Homes), func(addr string) bool { return addr == self })
+	n.claims = claimrun.New(n.ports.Log, n.members, self, others, logs.Part(n.lg, "claim"))
 	n.members.Provide(members.Services{Borrow: n.requests.Lend, Outcome: n.claims.Outcome})
 }
 
