--- a/internal/cellrun/cellrun.go
+++ b/internal/cellrun/cellrun.go
@@ -42,7 +42,9 @@
 	log     logsvc.Client
 	syncer  workerapi.Syncer
 	workers WorkerSource
-	lg      *log.Logger
+	// Peers asks the other candidates; nil when there are none. It is set before Run.
+	Peers Peers
+	lg    *log.Logger
 
 	mu    sync.Mutex
 	core  *cell.Core
@@ -60,9 +62,10 @@
 func (d *Driver) Run(ctx context.Context) error {
 	d.group, d.ctx = errgroup.WithContext(ctx)
 	d.group.Go(func() error {
-		follow.Run(d.ctx, d.log, cell.Stream(d.name), 1, d, d.lg)
+		follow.Fold(d.ctx, d.log, cell.Stream(d.name), d, d.lg)
 		return nil
 	})
+	d.group.Go(d.rescue)
 	d.group.Go(d.tick)
 	return d.group.Wait()
 }
@@ -91,18 +94,6 @@
 // SetPolicies hands the configuration to the core.
 func (d *Driver) SetPolicies(p cell.Policies) { d.step(p) }
 
-// Entries implements follow.Handler.
-func (d *Driver) Entries(entries []logsvc.Entry, tail logsvc.Offset) {
-	d.step(cell.Entries{Entries: entries, Tail: tail})
-}
-
-// Expired implements follow.Handler.
-func (d *Driver) Expired(first logsvc.Offset) logsvc.Offset {
-	d.lg.Warn("Entries have expired, a snapshot is sought.", "stream", cell.Stream(d.name), "first", first)
-	d.step(cell.Gap{First: first})
-	return first
-}
-
 // step gives the core one event and does what it asks for.
 func (d *Driver) step(ev cell.Event) {
 	d.mu.Lock()
@@ -120,6 +111,8 @@
 		switch a := a.(type) {
 		case cell.Append:
 			d.group.Go(func() error { return d.append(a) })
+		case cell.Canvass:
+			d.group.Go(func() error { d.canvass(a); return nil })
 		case cell.Sync:
 			d.group.Go(func() error { return d.sync(a) })
 		}
