--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -169,9 +169,12 @@
 	}
 }
 
-// announceTo returns the addresses a stand-in announces to.
-func (c *Cluster) announceTo() []string {
+// announceTo returns the addresses a stand-in announces to: all entries, and the guard beside it.
+func (c *Cluster) announceTo(guard string) []string {
 	var out []string
+	if guard != "" {
+		out = append(out, guard)
+	}
 	for _, p := range c.Entries {
 		out = append(out, p.Addr)
 	}
--- a/internal/dev/cluster_test.go
+++ b/internal/dev/cluster_test.go
@@ -91,7 +91,7 @@
 // TestFaultsKeepPromises runs one fault at a time under load.
 func TestFaultsKeepPromises(t *testing.T) {
 	for _, name := range []string{
-		"target-leave", "target-crash", "slow-target", "silent-connection", "entry-kill", "entry-stop", "owner-kill",
+		"target-leave", "target-crash", "slow-target", "silent-connection", "entry-kill", "entry-stop", "owner-kill", "owner-pause",
 		"worker-crash", "bad-worker", "noisy-wave", "log-outage", "log-lost-answer", "config-race",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -100,3 +100,19 @@
 		})
 	}
 }
+
+// TestGuardKill runs guards that die beside their targets.
+func TestGuardKill(t *testing.T) {
+	t.Parallel()
+	check(t, runSmall(t, "hanoi", true, 4, "guard-kill"))
+}
+
+// TestTwoFaults runs faults in pairs.
+func TestTwoFaults(t *testing.T) {
+	for _, pair := range [][]string{{"entry-kill", "log-lost-answer"}, {"target-crash", "entry-stop"}} {
+		t.Run(pair[0]+"+"+pair[1], func(t *testing.T) {
+			t.Parallel()
+			check(t, runSmall(t, "klang", false, 4, pair...))
+		})
+	}
+}
--- a/internal/dev/fault.go
+++ b/internal/dev/fault.go
@@ -28,7 +28,7 @@
 func Faults() []Fault {
 	all := []Fault{
 		targetLeave(), targetCrash(), slowTarget(), silentConnection(),
-		entryKill(), entryStop(), ownerKill(), ownerPause(),
+		entryKill(), entryStop(), guardKill(), ownerKill(), ownerPause(),
 		workerCrash(), badWorker(), noisyWave(), cancelBurst(),
 		logOutage(), logLostAnswer(), logExpiry(), configRace(),
 	}
--- a/internal/dev/fault_log.go
+++ b/internal/dev/fault_log.go
@@ -12,7 +12,9 @@
 	lostHold   = time.Second
 	// shortRetention lets records expire within a short run.
 	shortRetention = 6 * time.Second
-	raceEvery      = 300 * time.Millisecond
+	// expiryDown is how long an entry is down, short enough that soon none remembers what has expired.
+	expiryDown = 500 * time.Millisecond
+	raceEvery  = 300 * time.Millisecond
 )
 
 // logOutage takes the log down. One event is one call it refused.
--- a/internal/dev/fault_process.go
+++ b/internal/dev/fault_process.go
@@ -23,6 +23,21 @@
 	}
 }
 
+// guardKill kills guards. One event is one kill.
+func guardKill() Fault {
+	return Fault{
+		Name: "guard-kill", About: "with --guards, a guard ends abruptly and starts again with nothing; counts kills",
+		Run: func(ctx context.Context, in *Injector) error {
+			return in.cycle(ctx, downHold, func() (func() error, error) {
+				if len(in.Guards) == 0 {
+					return nil, nil
+				}
+				return in.kill(pick(in, in.Guards))
+			})
+		},
+	}
+}
+
 // kill kills a process and returns how to start it again; nothing when it is down already.
 func (in *Injector) kill(p *Process) (func() error, error) {
 	if p == nil || !in.Kill(p) {
--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -51,6 +51,9 @@
 		Role: announce.RoleTarget, Name: fmt.Sprintf("target-%02d", i+1), DataCentre: c.dataCentre(i), Address: l.Addr().String(),
 		Service: c.Shape.Service, Slots: c.Shape.Slots, Connections: c.Shape.Conns, Incarnation: time.Now().UnixNano(),
 	}
+	if c.opt.Guards {
+		a.Guard = c.Guards[i].Addr
+	}
 	c.locate(a.Address, a.DataCentre)
 	c.Record.Target(a.Name, a.Slots, a.Connections)
 	seen := targetObserver{c.Record}
@@ -64,7 +67,7 @@
 // announceTarget announces a target until it is silenced or the cluster stops.
 func (c *Cluster) announceTarget(t *Target) {
 	t.body.Incarnation = time.Now().UnixNano()
-	t.announcer = standin.NewAnnouncer(t.body, c.announceTo())
+	t.announcer = standin.NewAnnouncer(t.body, c.announceTo(t.body.Guard))
 	t.silence = c.run(t.announcer.Run)
 }
 
@@ -133,7 +136,7 @@
 // announceWorker announces a worker until it is silenced or the cluster stops.
 func (c *Cluster) announceWorker(w *Worker) {
 	w.body.Incarnation = w.Incarnation()
-	w.silence = c.run(standin.NewAnnouncer(w.body, c.announceTo()).Run)
+	w.silence = c.run(standin.NewAnnouncer(w.body, c.announceTo("")).Run)
 }
 
 // CrashWorker ends a worker abruptly and returns the function that starts it again.
