crocus-load slopes: bytes on the wire and processor time by size

Nodes run among stand-ins behind counting listeners; profile labels tell the nodes' processor time apart.

--- /dev/null
+++ b/internal/slope/core.go
@@ -0,0 +1,3 @@
+package slope
+
+func coreAxes() []Axis { return nil }
--- /dev/null
+++ b/internal/slope/rig.go
@@ -0,0 +1,248 @@
+package slope
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/pprof"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/netcount"
+	"github.com/crocusspring/crocusspring/internal/node"
+	"github.com/crocusspring/crocusspring/internal/resource"
+	"github.com/crocusspring/crocusspring/internal/standin"
+	"github.com/crocusspring/crocusspring/internal/standin/logstand"
+	"github.com/crocusspring/crocusspring/internal/standin/targetstand"
+	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
+	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/workerapi"
+	"golang.org/x/sync/errgroup"
+)
+
+// cellName is the one cell of a rig.
+const cellName = "dc-1"
+
+// service is what the targets of a rig answer for.
+const service = "booking"
+
+// shape is the size of one rig.
+type shape struct {
+	nodes   int
+	workers int
+	targets int
+	role    node.Role
+}
+
+// rig is the real code of a few nodes among stand-ins, with every byte on the wire counted.
+type rig struct {
+	shape shape
+	log   *logstand.Server
+	// nodeAddrs are the addresses of the nodes; node 0 owns the cell.
+	nodeAddrs []string
+	// logWire counts the log traffic of each node, nodeWire what arrives at each node.
+	logWire    []*netcount.Counter
+	nodeWire   []*netcount.Counter
+	workerWire *netcount.Counter
+	targetWire *netcount.Counter
+
+	group  *errgroup.Group
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// startRig brings up a rig and waits until it is ready and node 0 has fenced every worker.
+func startRig(ctx context.Context, s shape) (*rig, error) {
+	if s.role == "" {
+		s.role = node.RoleEntry
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	g, ctx := errgroup.WithContext(ctx)
+	r := &rig{
+		shape: s, log: logstand.New(0), workerWire: &netcount.Counter{}, targetWire: &netcount.Counter{},
+		group: g, ctx: ctx, cancel: cancel,
+	}
+	if err := r.start(); err != nil {
+		return nil, errors.Join(err, r.stop())
+	}
+	return r, nil
+}
+
+// start brings everything up.
+func (r *rig) start() error {
+	if err := r.startNodes(); err != nil {
+		return err
+	}
+	for i := range r.shape.workers {
+		if err := r.startWorker(i); err != nil {
+			return err
+		}
+	}
+	for i := range r.shape.targets {
+		if err := r.startTarget(i); err != nil {
+			return err
+		}
+	}
+	return r.waitReady()
+}
+
+// labelled runs f and everything it starts under a profile label.
+func (r *rig) labelled(part string, f func(context.Context) error) {
+	r.group.Go(func() error {
+		var err error
+		pprof.Do(r.ctx, pprof.Labels(partLabel, part), func(ctx context.Context) { err = f(ctx) })
+		return err
+	})
+}
+
+// startNodes runs the nodes, each knowing the others and each with its own way to the log.
+func (r *rig) startNodes() error {
+	var ls []net.Listener
+	for range r.shape.nodes {
+		l, c, err := listen()
+		if err != nil {
+			return err
+		}
+		ls = append(ls, l)
+		r.nodeAddrs = append(r.nodeAddrs, l.Addr().String())
+		r.nodeWire = append(r.nodeWire, c)
+	}
+	for i, l := range ls {
+		logListener, c, err := listen()
+		if err != nil {
+			return err
+		}
+		r.logWire = append(r.logWire, c)
+		r.serve("stand-in", logListener, r.log.Handler())
+		n := node.New(r.nodeOptions(i), node.Ports{
+			Log: logsvc.NewHTTP(logListener.Addr().String()), Workers: workerapi.NewHTTP(), Targets: targetapi.NewHTTP(64),
+		}, logs.Discard())
+		r.labelled(nodePart(i), func(ctx context.Context) error { return n.Serve(ctx, l) })
+		if i == 0 && r.shape.workers > 0 {
+			time.Sleep(ownerHeadStart)
+		}
+	}
+	return nil
+}
+
+// ownerHeadStart lets node 0 take the cell before the others are there.
+const ownerHeadStart = 500 * time.Millisecond
+
+// nodePart names a node in profiles.
+func nodePart(i int) string { return fmt.Sprintf("node-%d", i) }
+
+// nodeOptions returns the settings of a node.
+func (r *rig) nodeOptions(i int) node.Options {
+	opt := node.Defaults()
+	opt.Role, opt.ID, opt.DataCentre, opt.Share = r.shape.role, nodePart(i), cellName, r.shape.nodes
+	for j, a := range r.nodeAddrs {
+		if j != i {
+			opt.Peers = append(opt.Peers, a)
+		}
+	}
+	if r.shape.workers > 0 {
+		opt.Cells = []string{cellName}
+	}
+	opt.Drain = time.Second
+	return opt
+}
+
+// startWorker runs one worker.
+func (r *rig) startWorker(i int) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	a := announce.Announcement{
+		Role: announce.RoleWorker, Name: fmt.Sprintf("worker-%04d", i), Address: l.Addr().String(), DataCentre: cellName,
+		Rack: fmt.Sprintf("rack-%02d", i/3), Incarnation: time.Now().UnixNano(),
+		Capacity: resource.Vector{MilliCPU: 16000, MemoryMB: 62500},
+	}
+	w := workerstand.New(a, nil)
+	r.labelled("stand-in", func(ctx context.Context) error { w.Run(ctx.Done()); return nil })
+	r.serve("stand-in", r.workerWire.Listen(l), w.Handler())
+	r.announce(a)
+	return nil
+}
+
+// startTarget runs one target.
+func (r *rig) startTarget(i int) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	a := announce.Announcement{
+		Role: announce.RoleTarget, Name: fmt.Sprintf("target-%04d", i), Address: l.Addr().String(), DataCentre: cellName,
+		Service: service, Slots: 8, Connections: 64, Incarnation: time.Now().UnixNano(),
+	}
+	t := targetstand.New(a, func() time.Duration { return 2 * time.Millisecond }, nil)
+	r.serve("stand-in", r.targetWire.Listen(l), t.Handler())
+	r.announce(a)
+	return nil
+}
+
+// announce announces a target or worker until the rig stops.
+func (r *rig) announce(a announce.Announcement) {
+	an := standin.NewAnnouncer(a, r.nodeAddrs)
+	r.labelled("stand-in", func(ctx context.Context) error { an.Run(ctx); return nil })
+}
+
+// listen opens a counted listener on a free loopback port.
+func listen() (net.Listener, *netcount.Counter, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen: %w", err)
+	}
+	c := &netcount.Counter{}
+	return c.Listen(l), c, nil
+}
+
+// serve serves a handler until the rig stops.
+func (r *rig) serve(part string, l net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
+	r.labelled(part, func(context.Context) error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	r.group.Go(func() error {
+		<-r.ctx.Done()
+		return srv.Close()
+	})
+}
+
+// waitReady waits until every node knows all members and all workers answer the owner.
+func (r *rig) waitReady() error {
+	ctx, cancel := context.WithTimeout(r.ctx, 30*time.Second)
+	defer cancel()
+	for _, a := range r.nodeAddrs {
+		for !r.knowsAll(ctx, a) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("node %s did not become ready: %w", a, ctx.Err())
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// knowsAll asks a node for its status.
+func (r *rig) knowsAll(ctx context.Context, addr string) bool {
+	var s node.Status
+	if err := callJSON(ctx, http.MethodGet, addr, "/v1/status", nil, &s); err != nil {
+		return false
+	}
+	return len(s.Targets) == r.shape.targets && len(s.Workers) == r.shape.workers
+}
+
+// stop ends everything and returns the first error.
+func (r *rig) stop() error {
+	r.cancel()
+	return r.group.Wait()
+}
