--- /dev/null
+++ b/internal/slope/cell.go
@@ -0,0 +1,261 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/cell"
+	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/node"
+	"github.com/crocusspring/crocusspring/internal/record"
+	"github.com/crocusspring/crocusspring/internal/resource"
+	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
+	"github.com/crocusspring/crocusspring/internal/workerapi"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// coreTick is the time between two ticks of a core, as its driver has it.
+	coreTick = 50 * time.Millisecond
+	// coreSpan is the core's time over which steps are timed.
+	coreSpan = 10 * time.Second
+	// maxRounds bounds how long a state of the core is waited for.
+	maxRounds = 4000
+)
+
+// coreRig steps one cell core by hand: the stream is a slice and the workers are stand-ins.
+type coreRig struct {
+	core    *cell.Core
+	now     time.Time
+	entries []logsvc.Entry
+	sent    int
+	members []announce.Member
+	syncer  workerapi.Syncer
+	// busy is the time spent in steps.
+	busy time.Duration
+	// steps counts them.
+	steps int
+}
+
+// withCore runs f on a core whose workers are stand-ins.
+func withCore(ctx context.Context, f func(context.Context, *coreRig) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	g, ctx := errgroup.WithContext(ctx)
+	r := &coreRig{core: newCore(), now: time.Unix(1, 0), syncer: workerapi.NewHTTP()}
+	err := r.startWorkers(ctx, g)
+	if err == nil {
+		err = f(ctx, r)
+	}
+	cancel()
+	if werr := g.Wait(); err == nil {
+		err = werr
+	}
+	return err
+}
+
+// newCore returns a core with the settings a node gives it.
+func newCore() *cell.Core {
+	d := node.Defaults()
+	return cell.New(cell.Options{
+		Cell: cellName, Self: "owner@1", OwnerLease: d.OwnerLease, TaskLease: d.TaskLease,
+		SyncEvery: d.SyncEvery, MaxFailures: 3,
+	})
+}
+
+// startWorkers brings up the stand-ins.
+func (r *coreRig) startWorkers(ctx context.Context, g *errgroup.Group) error {
+	for i := range cellWorkers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		a := announce.Announcement{
+			Role: announce.RoleWorker, Name: fmt.Sprintf("worker-%04d", i), Address: l.Addr().String(), DataCentre: cellName,
+			Rack: fmt.Sprintf("rack-%02d", i/3), Incarnation: 1, Capacity: resource.Vector{MilliCPU: 64000, MemoryMB: 250000},
+		}
+		w := workerstand.New(a, nil)
+		srv := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: 2 * time.Second}
+		g.Go(func() error { w.Run(ctx.Done()); return nil })
+		g.Go(func() error { _ = srv.Serve(l); return nil })
+		g.Go(func() error { <-ctx.Done(); return srv.Close() })
+		r.members = append(r.members, announce.Member{Announcement: a, Expires: r.now.Add(time.Hour)})
+	}
+	return nil
+}
+
+// step gives the core one event, books its time and does what it asks for.
+func (r *coreRig) step(ctx context.Context, ev cell.Event) error {
+	began := time.Now()
+	actions := r.core.Step(r.now, ev)
+	r.busy += time.Since(began)
+	r.steps++
+	for _, a := range actions {
+		if err := r.do(ctx, a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// do does one action at once.
+func (r *coreRig) do(ctx context.Context, a cell.Action) error {
+	switch a := a.(type) {
+	case cell.Append:
+		for _, env := range a.Records {
+			if err := r.append(env); err != nil {
+				return err
+			}
+		}
+		return r.step(ctx, cell.AppendDone{Append: a})
+	case cell.Sync:
+		resp, err := r.syncer.Sync(ctx, a.Addr, a.Req)
+		return r.step(ctx, cell.SyncDone{Sync: a, Resp: resp, Err: err})
+	}
+	return nil
+}
+
+// append adds a record to the stream.
+func (r *coreRig) append(env record.Envelope) error {
+	raw, err := env.Encode()
+	if err != nil {
+		return err
+	}
+	r.entries = append(r.entries, logsvc.Entry{Offset: logsvc.Offset(len(r.entries) + 1), Data: raw})
+	return nil
+}
+
+// round lets one tick pass and hands over what was appended.
+func (r *coreRig) round(ctx context.Context) error {
+	r.now = r.now.Add(coreTick)
+	fresh := r.entries[r.sent:]
+	r.sent = len(r.entries)
+	if err := r.step(ctx, cell.Entries{Entries: fresh, Tail: logsvc.Offset(r.sent + 1)}); err != nil {
+		return err
+	}
+	return r.step(ctx, cell.Workers{Members: r.members})
+}
+
+// until runs rounds until a condition holds.
+func (r *coreRig) until(ctx context.Context, what string, done func() bool) error {
+	for range maxRounds {
+		if done() {
+			return nil
+		}
+		if err := r.round(ctx); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("%s: not reached in %d rounds", what, maxRounds)
+}
+
+// jobs submits n jobs.
+func (r *coreRig) jobs(first, n int, runMS int64) error {
+	for i := range n {
+		j := cell.Job{
+			ID: fmt.Sprintf("job-%06d", first+i), Workspace: "centre-a", Class: "timetable-rebuild", RunMS: runMS,
+			Declare: resource.Vector{MilliCPU: 500, MemoryMB: 1000},
+		}
+		env, err := record.New("job-"+j.ID, record.KindJob, cell.SchemaVersion, "load", j)
+		if err != nil {
+			return err
+		}
+		if err := r.append(env); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// count counts the tasks for which f holds.
+func (r *coreRig) count(f func(*cell.Task) bool) int {
+	n := 0
+	for _, t := range r.allTasks() {
+		if f(&t) {
+			n++
+		}
+	}
+	return n
+}
+
+// span times the steps of coreSpan and returns their share of it in percent of a core.
+func (r *coreRig) span(ctx context.Context) (share, micros float64, err error) {
+	r.busy, r.steps = 0, 0
+	for end := r.now.Add(coreSpan); r.now.Before(end); {
+		if err := r.round(ctx); err != nil {
+			return 0, 0, err
+		}
+	}
+	return 100 * r.busy.Seconds() / coreSpan.Seconds(), r.busy.Seconds() * 1e6 / float64(r.steps), nil
+}
+
+// drop returns the heap that the core alone kept alive.
+func (r *coreRig) drop() float64 {
+	before := heap()
+	r.core = nil
+	return before - heap()
+}
+
+// allTasks returns every task the core knows.
+func (r *coreRig) allTasks() []cell.Task { return r.core.Tasks() }
+
+// runCellTasks steps a cell with tasks that run on.
+func runCellTasks(ctx context.Context, size float64, _ time.Duration) (Reading, error) {
+	var out Reading
+	err := withCore(ctx, func(ctx context.Context, r *coreRig) error {
+		if err := r.jobs(0, int(size), 0); err != nil {
+			return err
+		}
+		held := func() bool { return r.count((*cell.Task).Held) == int(size) }
+		if err := r.until(ctx, "all tasks run", held); err != nil {
+			return err
+		}
+		share, micros, err := r.span(ctx)
+		if err != nil {
+			return err
+		}
+		out = Reading{OwnerCPU: share, StepMicros: micros, HeapBytes: r.drop()}
+		return nil
+	})
+	return out, err
+}
+
+// runCellDone steps a cell whose tasks have ended and lets a new owner fold its stream.
+func runCellDone(ctx context.Context, size float64, _ time.Duration) (Reading, error) {
+	var out Reading
+	err := withCore(ctx, func(ctx context.Context, r *coreRig) error {
+		if err := r.jobs(0, int(size), 1); err != nil {
+			return err
+		}
+		open := func() int { return r.count(func(t *cell.Task) bool { return !t.Done() }) }
+		began := func() bool { return r.sent > 0 && open() == 0 }
+		if err := r.until(ctx, "all tasks ended", began); err != nil {
+			return err
+		}
+		share, _, err := r.span(ctx)
+		if err != nil {
+			return err
+		}
+		fold, bytes := r.replay()
+		out = Reading{OwnerCPU: share, HeapBytes: r.drop(), FoldMicros: fold, ReplayBytes: bytes}
+		return nil
+	})
+	return out, err
+}
+
+// replay folds the whole stream into a fresh core and returns the time a record and the bytes.
+func (r *coreRig) replay() (micros, bytes float64) {
+	fresh := newCore()
+	began := time.Now()
+	fresh.Step(r.now, cell.Entries{Entries: r.entries, Tail: logsvc.Offset(len(r.entries) + 1)})
+	took := time.Since(began)
+	for _, e := range r.entries {
+		bytes += float64(len(e.Data))
+	}
+	runtime.KeepAlive(fresh)
+	return took.Seconds() * 1e6 / float64(len(r.entries)), bytes
+}
