--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -25,9 +25,6 @@
 // Error says what is wrong.
 func (e *usageError) Error() string { return e.problem }
 
-// errVerdict says that a run broke a promise; the details are printed already.
-var errVerdict = errors.New("the run broke a promise")
-
 // Main is the main function of crocus-load; it returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	t := &tool{stdout: stdout, stderr: stderr}
--- /dev/null
+++ b/internal/slope/days.go
@@ -0,0 +1,84 @@
+package slope
+
+import (
+	"fmt"
+	"strings"
+)
+
+// day is one kind of failure worked through.
+type day struct {
+	name   string
+	counts string
+	costs  string
+}
+
+// writeDays writes the table of failures.
+func writeDays(b *strings.Builder, series map[string]Series, s Size) {
+	fmt.Fprintf(b, "\n## Days of failure\n\n| failure | what it touches | what it costs the nodes that repair it |\n|---|---|---|\n")
+	for _, d := range days(series, s) {
+		fmt.Fprintf(b, "| %s | %s | %s |\n", d.name, d.counts, d.costs)
+	}
+}
+
+// days works the failures through with the measured slopes.
+func days(series map[string]Series, s Size) []day {
+	perStart := series["starts"].Fit(OwnerLogBytes).Slope + series["starts"].Fit(SyncBytes).Slope
+	appends := series["starts"].Fit(Appends).Slope
+	configBytes := series["config-records"].Fit(ReplayBytes).Slope
+	endedBytes := series["cell-done"].Fit(ReplayBytes).Slope
+	fold := mean(series["cell-done"].Points(FoldMicros))
+	// again describes the second start of a number of tasks by some owners.
+	again := func(tasks, owners float64) string {
+		each := tasks / owners
+		return fmt.Sprintf("%s tasks again at each of %s owners: %s appends, %s KB; at 5 KB/s it alone takes %s s",
+			round(each), round(owners), round(each*appends), round(each*perStart/1e3), round(each*perStart/limitBytes))
+	}
+	perDC := s.Workers / s.DataCentres
+	perRegion := s.Workers / s.Regions
+	rackTasks := s.WorkersPerRack * s.TasksPerWorker()
+	dayOfCell := s.JobsPerDay / s.Cells()
+	ownerRestarts := s.RestartsPerDay * s.Cells() / s.Nodes()
+	hourStarts := s.StartsPerSecond / s.Regions * 3600
+	return []day{
+		{
+			"19 hosts fail, one by one",
+			fmt.Sprintf("%s tasks each, %s a day", round(s.TasksPerWorker()), round(s.FailuresPerDay*s.TasksPerWorker())),
+			again(s.TasksPerWorker(), 1),
+		},
+		{
+			"290 processes or hosts are restarted",
+			fmt.Sprintf("one every %s minutes; %s a day hit the owner of a cell", round(24*60/s.RestartsPerDay), round(ownerRestarts)),
+			fmt.Sprintf("a day of configuration is %s KB of log for each start; a new owner folds a day of its cell in %s ms (%s KB)",
+				round(s.ChangesPerDay*configBytes/1e3), round(dayOfCell*fold*recordsPerTask/1e3), round(dayOfCell*endedBytes/1e3)),
+		},
+		{
+			fmt.Sprintf("a rack of %g workers", s.WorkersPerRack),
+			fmt.Sprintf("%s tasks of one cell at once", round(rackTasks)),
+			again(rackTasks, 1),
+		},
+		{
+			"a data centre",
+			fmt.Sprintf("%s workers, %s cells, %s tasks, %s targets", round(perDC), round(perDC/s.WorkersPerCell),
+				round(perDC*s.TasksPerWorker()), round(s.Targets/s.DataCentres)),
+			again(perDC*s.TasksPerWorker(), s.Cells()*(1-1/s.DataCentres)),
+		},
+		{
+			"a region is cut off from the log for an hour",
+			fmt.Sprintf("%s workers; %s starts are held back while the owners go on under their epochs", round(perRegion), round(hourStarts)),
+			fmt.Sprintf("%s changes of configuration to read afterwards; %s appends are due when the log is back, %s minutes at half the log's rate",
+				round(s.ChangesPerDay/24), round(hourStarts*appends), round(hourStarts*appends/(limitAppends/2)/60)),
+		},
+	}
+}
+
+// recordsPerTask is how many records a task leaves on its cell's stream: job, assign and end.
+const recordsPerTask = 3
+
+// mean returns the mean of points.
+func mean(points []Point) float64 {
+	sum := 0.0
+	for _, p := range points {
+		sum += p.Y
+	}
+	return sum / float64(max(1, len(points)))
+}
--- /dev/null
+++ b/internal/slope/project.go
@@ -0,0 +1,174 @@
+package slope
+
+import "math"
+
+// Size is an installation to project to.
+type Size struct {
+	Workers         float64
+	WorkersPerCell  float64
+	BatchTasks      float64
+	StartsPerSecond float64
+	Targets         float64
+	Entries         float64
+	ChangesPerDay   float64
+	JobsPerDay      float64
+	DataCentres     float64
+	Regions         float64
+	WorkersPerRack  float64
+	RestartsPerDay  float64
+	FailuresPerDay  float64
+	// Peers is how many other nodes a node is configured to exchange with.
+	Peers float64
+}
+
+// TwoYears returns the size to design for. Each target has a guard; entries, racks and peers are
+// choices of this projection.
+func TwoYears() Size {
+	return Size{
+		Workers: 1700, WorkersPerCell: 48, BatchTasks: 35000, StartsPerSecond: 87, Targets: 5800, Entries: 36,
+		ChangesPerDay: 1600, JobsPerDay: 24000, DataCentres: 12, Regions: 3, WorkersPerRack: 20,
+		RestartsPerDay: 290, FailuresPerDay: 19, Peers: 2,
+	}
+}
+
+const secondsPerDay = 86400
+
+// Cells returns how many cells the workers make.
+func (s Size) Cells() float64 { return math.Ceil(s.Workers / s.WorkersPerCell) }
+
+// Members returns how many targets and workers announce themselves.
+func (s Size) Members() float64 { return s.Targets + s.Workers }
+
+// Nodes returns how many entries and guards there are.
+func (s Size) Nodes() float64 { return s.Targets + s.Entries }
+
+// TasksPerCell returns the running batch tasks of a cell.
+func (s Size) TasksPerCell() float64 { return s.BatchTasks / s.Cells() }
+
+// TasksPerWorker returns the running batch tasks of a worker.
+func (s Size) TasksPerWorker() float64 { return s.BatchTasks / s.Workers }
+
+// StartsPerCell returns the starts a second of a cell.
+func (s Size) StartsPerCell() float64 { return s.StartsPerSecond / s.Cells() }
+
+// Changes returns the changes of configuration a second.
+func (s Size) Changes() float64 { return s.ChangesPerDay / secondsPerDay }
+
+// Part is one contribution to a projected quantity.
+type Part struct {
+	// What names the contribution and the mechanism that carries it.
+	What   string
+	Axis   string
+	Metric Metric
+	// X is the size on the axis.
+	X float64
+	// Times is how often the contribution counts; 0 means once.
+	Times float64
+	// Slope leaves the intercept out, where another part has it already.
+	Slope bool
+}
+
+// Quantity is something a role spends, with its limit.
+type Quantity struct {
+	Role  string
+	Name  string
+	Unit  string
+	Limit float64
+	Parts []Part
+}
+
+// Projected is a part with its value and the size at which it alone reaches the limit.
+type Projected struct {
+	Part
+	Value float64
+	// HoldsTo is the size on the part's axis at which the part alone fills the limit; infinite when never.
+	HoldsTo float64
+}
+
+// Project returns the parts of a quantity at its sizes and their sum.
+func (q Quantity) Project(series map[string]Series) ([]Projected, float64) {
+	var out []Projected
+	sum := 0.0
+	for _, p := range q.Parts {
+		f := series[p.Axis].Fit(p.Metric)
+		if p.Slope {
+			f.Intercept = 0
+		}
+		times := p.Times
+		if times == 0 {
+			times = 1
+		}
+		v := Projected{Part: p, Value: math.Max(0, times*f.At(p.X)), HoldsTo: math.Inf(1)}
+		if q.Limit > 0 && f.Slope > 0 {
+			v.HoldsTo = math.Max(0, (q.Limit/times-f.Intercept)/f.Slope)
+		}
+		out = append(out, v)
+		sum += v.Value
+	}
+	return out, sum
+}
+
+// Limits of what a node spends on control.
+const (
+	limitBytes = 5000
+	limitCPU   = 1.3
+	limitHeap  = 64e6
+	// limitAppends stands for the several hundred appends a second that the log takes.
+	limitAppends = 300
+)
+
+// Quantities returns what each role spends at a size.
+func Quantities(s Size) []Quantity {
+	shared := []Part{
+		{What: "announcements to and from peers (members.Members)", Axis: "members", Metric: PeerBytes, X: s.Members(), Times: s.Peers},
+		{What: "announcements taken directly, shared by all nodes", Axis: "members", Metric: AnnounceBytes, X: s.Members(), Times: 1 / s.Nodes()},
+		{What: "configuration stream (configrun)", Axis: "config", Metric: OtherLogBytes, X: s.Changes()},
+	}
+	owner := append([]Part{
+		{What: "syncs with idle workers (cell.Core)", Axis: "workers", Metric: SyncBytes, X: s.WorkersPerCell},
+		{What: "inventories of running tasks", Axis: "tasks", Metric: SyncBytes, X: s.TasksPerCell(), Slope: true},
+		{What: "commands and ends of starts", Axis: "starts", Metric: SyncBytes, X: s.StartsPerCell(), Slope: true},
+		{What: "cell's stream, written and read back", Axis: "starts", Metric: OwnerLogBytes, X: s.StartsPerCell()},
+	}, shared...)
+	candidate := append([]Part{
+		{What: "stream of one cell it may take over", Axis: "starts", Metric: OtherLogBytes, X: s.StartsPerCell()},
+	}, shared...)
+	ended := s.JobsPerDay / s.Cells()
+	return []Quantity{
+		{Role: "entry or guard, no cell", Name: "bytes on the wire", Unit: "B/s", Limit: limitBytes, Parts: shared},
+		{Role: "guard, candidate of one cell", Name: "bytes on the wire", Unit: "B/s", Limit: limitBytes, Parts: candidate},
+		{Role: "guard that owns a cell", Name: "bytes on the wire", Unit: "B/s", Limit: limitBytes, Parts: owner},
+		{Role: "entry or guard, no cell", Name: "processor time", Unit: "% of a core", Limit: limitCPU, Parts: []Part{
+			{What: "exchanges with peers", Axis: "members", Metric: OtherCPU, X: s.Members(), Times: s.Peers},
+		}},
+		{Role: "guard that owns a cell", Name: "processor time", Unit: "% of a core", Limit: limitCPU, Parts: []Part{
+			{What: "steps of the decision core over running tasks", Axis: "cell-tasks", Metric: OwnerCPU, X: s.TasksPerCell()},
+			{What: "syncs on the wire", Axis: "syncs", Metric: OwnerCPU, X: 2 * s.WorkersPerCell, Slope: true},
+			{What: "starts", Axis: "starts", Metric: OwnerCPU, X: s.StartsPerCell(), Slope: true},
+			{What: "exchanges with peers", Axis: "members", Metric: OtherCPU, X: s.Members(), Times: s.Peers},
+		}},
+		{Role: "entry or guard, no cell", Name: "heap", Unit: "B", Limit: limitHeap, Parts: []Part{
+			{What: "table of members", Axis: "table", Metric: HeapBytes, X: s.Members()},
+			{What: "configuration of 30 days", Axis: "config-records", Metric: HeapBytes, X: 30 * s.ChangesPerDay},
+		}},
+		{Role: "guard that owns a cell", Name: "heap", Unit: "B", Limit: limitHeap, Parts: []Part{
+			{What: "running tasks", Axis: "cell-tasks", Metric: HeapBytes, X: s.TasksPerCell()},
+			{What: "ended tasks of 30 days", Axis: "cell-done", Metric: HeapBytes, X: 30 * ended},
+			{What: "table of members", Axis: "table", Metric: HeapBytes, X: s.Members()},
+			{What: "configuration of 30 days", Axis: "config-records", Metric: HeapBytes, X: 30 * s.ChangesPerDay},
+		}},
+		{Role: "log service", Name: "appends", Unit: "/s", Limit: limitAppends, Parts: []Part{
+			{What: "jobs, assigns, ends and lease renewals of all cells", Axis: "starts", Metric: Appends, X: s.StartsPerCell(), Times: s.Cells()},
+			{What: "configuration", Axis: "config", Metric: Appends, X: s.Changes()},
+		}},
+		{Role: "log service", Name: "reads", Unit: "/s", Parts: []Part{
+			{What: "long polls of the configuration stream by every node", Axis: "nodes", Metric: LogReads, X: s.Nodes()},
+		}},
+		{Role: "worker", Name: "syncs asked of it", Unit: "/s", Parts: []Part{
+			{What: "syncs of its owner", Axis: "workers", Metric: SyncMessages, X: 1, Slope: true},
+		}},
+		{Role: "operator's tool", Name: "log reads a change", Unit: "", Parts: []Part{
+			{What: "one proposal, one verdict over HTTP; every reader is woken once", Axis: "config", Metric: LogReads, X: 1, Slope: true},
+		}},
+	}
+}
--- a/internal/slope/wire.go
+++ b/internal/slope/wire.go
@@ -37,6 +37,10 @@
 			ID: "workers", Unit: "idle workers in the cell", Sizes: []float64{6, 12, 24, 36, 48},
 			Mechanism: "cell.Core syncs with each worker", run: runWorkers,
 		},
+		{
+			ID: "syncs", Unit: "syncs a second with 24 idle workers", Sizes: []float64{48, 120, 240, 480},
+			Mechanism: "a sync on the wire and its step", run: runSyncs,
+		},
 		{
 			ID: "tasks", Unit: "running tasks on 12 workers", Sizes: []float64{0, 60, 120, 180, 288},
 			Mechanism: "a sync lists the worker's inventory", run: runTasks,
@@ -58,10 +62,10 @@
 
 // traffic is a reading of all counters of a rig.
 type traffic struct {
-	at                    time.Time
-	peer, announce, sync  netcount.Count
-	ownerLog, otherLog    netcount.Count
-	appends, reads, calls netcount.Count
+	at                   time.Time
+	peer, announce, sync netcount.Count
+	ownerLog, otherLog   netcount.Count
+	appends, reads       netcount.Count
 }
 
 // traffic reads the counters.
@@ -185,6 +189,16 @@
 	return only(r, err, SyncBytes, SyncMessages, OwnerLogBytes, OtherLogBytes, Appends, OwnerCPU, OtherCPU)
 }
 
+// syncWorkers is how many workers share the syncs of the axis syncs.
+const syncWorkers = 24
+
+// runSyncs measures what the number of syncs costs the owner.
+func runSyncs(ctx context.Context, size float64, window time.Duration) (Reading, error) {
+	every := time.Duration(syncWorkers / size * float64(time.Second))
+	r, err := with(ctx, shape{nodes: 1, workers: syncWorkers, syncEvery: every}, window, idle)
+	return only(r, err, SyncBytes, SyncMessages, OwnerCPU)
+}
+
 // runTasks measures what running tasks cost the owner.
 func runTasks(ctx context.Context, size float64, window time.Duration) (Reading, error) {
 	r, err := with(ctx, shape{nodes: 2, workers: 12}, window, func(ctx context.Context, r *rig) error {
