--- a/internal/node/defaults.go
+++ b/internal/node/defaults.go
@@ -15,5 +15,6 @@
 		SyncEvery:  500 * time.Millisecond,
 		LogAppends: logsvc.DefaultAppends,
 		Drain:      10 * time.Second,
+		ReadyLag:   time.Second,
 	}
 }
