--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -46,6 +46,7 @@
 	lg        *log.Logger
 	news      chan struct{}
 	services  Services
+	config    ConfigPasser
 }
 
 // heard is the newest status of a process and when it came.
@@ -58,7 +59,7 @@
 func New(self Self, peers []string, lg *log.Logger, dial ...netdial.Func) *Members {
 	m := &Members{
 		table: announce.NewTable(), processes: map[string]heard{}, byAddr: map[string]*peer{},
-		self: self, lg: lg, news: make(chan struct{}, 1),
+		self: self, lg: lg, news: make(chan struct{}, 1), config: noConfig{},
 	}
 	m.client = &http.Client{Transport: &http.Transport{
 		DialContext:         netdial.First(exchangeTimeout, dial...),
@@ -119,12 +120,14 @@
 		return
 	}
 	m.take(resp.Msg.Sender, resp.Msg.Announcements)
+	m.config.Offer(resp.Msg.Sender, resp.Msg.Config)
 }
 
 // Exchange implements the peer service.
 func (m *Members) Exchange(_ context.Context, r *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
 	m.take(r.Msg.Sender, r.Msg.Announcements)
 	resp := &peerv1.ExchangeResponse{Sender: m.self.Process()}
+	resp.Config = m.config.Since(r.Msg.Sender.GetConfigOffset())
 	if r.Msg.Full || !m.isPeer(r.Msg.Sender.GetAddress()) {
 		resp.Announcements = m.export()
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,11 +11,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	peerv1 "github.com/crocusspring/crocusspring/api/peer/v1"
 	"github.com/crocusspring/crocusspring/api/peer/v1/peerv1connect"
+	"github.com/crocusspring/crocusspring/internal/audit"
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/cellrun"
+	"github.com/crocusspring/crocusspring/internal/config"
 	"github.com/crocusspring/crocusspring/internal/configrun"
 	"github.com/crocusspring/crocusspring/internal/dispatch"
 	"github.com/crocusspring/crocusspring/internal/logs"
@@ -59,6 +62,9 @@
 	SyncEvery  time.Duration
 	// LogAppends is the budget of all processes together, in appends a second.
 	LogAppends int
+	// SnapshotAge is how long a snapshot of the configuration counts; an eighth of the log's retention
+	// time or less.
+	SnapshotAge time.Duration
 	// Drain bounds how long a graceful stop waits for requests in progress.
 	Drain time.Duration
 }
@@ -86,33 +92,53 @@
 
 	commit  *logsvc.Committer
 	config  *configrun.Driver
+	audit   *audit.Writer
 	members *members.Members
 	cells   map[string]*cellrun.Driver
 
 	requests *dispatch.Dispatcher
 	intake   intake
+	// jobClient calls the owners of cells.
+	jobClient *http.Client
 }
 
 // New returns a node that has not started.
 func New(opt Options, ports Ports, lg *log.Logger) *Node {
 	n := &Node{
 		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
-		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{},
+		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{}, jobClient: jobClients(ports.Dial),
 	}
 	n.commit = logsvc.NewCommitter(ports.Log, logsvc.DefaultCommit())
 	n.ports.Log, ports.Log = n.commit, n.commit
-	n.config = configrun.New(ports.Log, opt.ID, logs.Part(lg, "config"))
+	n.audit = audit.NewWriter(ports.Log, opt.ID, logs.Part(lg, "audit"))
+	n.config = configrun.New(ports.Log, configrun.Options{
+		Self: opt.ID, SnapshotAge: opt.SnapshotAge, Rank: n.rank,
+		Changed: func(c config.Change) { n.audit.Note(audit.FromChange(c)) },
+	}, logs.Part(lg, "config"))
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"), ports.Dial)
+	n.members.PassConfig(configPasser{n.config})
 	for _, c := range opt.Cells {
 		co := cell.Options{
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
-			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures,
+			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
 		}
 		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
 	}
 	return n
 }
 
+// standBack is how long a candidate outside of a cell's data centre stands back from taking it.
+const standBack = 500 * time.Millisecond
+
+// takeDelay returns how long a node waits before it takes a cell. Candidates in the cell's data centre
+// come first, and which of the others comes first differs from cell to cell.
+func takeDelay(opt Options, cellName string) time.Duration {
+	if opt.DataCentre == cellName {
+		return 0
+	}
+	return standBack + time.Duration(xxhash.Sum64String(opt.ID+cellName)%uint64(standBack))
+}
+
 // maxFailures is how often a task may fail before it is failed for good.
 const maxFailures = 3
 
@@ -151,6 +177,7 @@
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(n.members))
+	mux.Handle(peerv1connect.NewJobServiceHandler(jobService{n}))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
@@ -165,6 +192,7 @@
 	g, run := errgroup.WithContext(run)
 	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 4 * maxHeader, IdleTimeout: time.Minute}
 	g.Go(func() error { n.config.Run(run); return nil })
+	g.Go(func() error { n.audit.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
 	g.Go(func() error { n.runRequests(run); return nil })
 	g.Go(func() error { n.gauges(run); return nil })
--- a/internal/slope/cell.go
+++ b/internal/slope/cell.go
@@ -106,10 +106,8 @@
 func (r *coreRig) do(ctx context.Context, a cell.Action) error {
 	switch a := a.(type) {
 	case cell.Append:
-		for _, env := range a.Records {
-			if err := r.append(env); err != nil {
-				return err
-			}
+		if err := r.append(a.Record); err != nil {
+			return err
 		}
 		return r.step(ctx, cell.AppendDone{Append: a})
 	case cell.Sync:
@@ -201,7 +199,7 @@
 }
 
 // allTasks returns every task the core knows.
-func (r *coreRig) allTasks() []cell.Task { return r.core.Tasks() }
+func (r *coreRig) allTasks() []cell.Task { return r.core.Tasks(cell.Query{}) }
 
 // runCellTasks steps a cell with tasks that run on.
 func runCellTasks(ctx context.Context, size float64, _ time.Duration) (Reading, error) {
