--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -30,7 +30,7 @@
 	t := &tool{stdout: stdout, stderr: stderr}
 	root := &ff.Command{
 		Name: "crocus-load", Usage: "crocus-load SUBCOMMAND ...", ShortHelp: "load and experiments",
-		Subcommands: []*ff.Command{t.runCommand(), t.compareCommand(), t.reportCommand(), t.slopesCommand()},
+		Subcommands: []*ff.Command{t.runCommand(), t.compareCommand(), t.reportCommand(), t.soakCommand(), t.slopesCommand()},
 	}
 	ctx, cancel := app.Signals()
 	defer cancel()
--- a/internal/slope/cell.go
+++ b/internal/slope/cell.go
@@ -25,7 +25,7 @@
 	// coreSpan is the core's time over which steps are timed.
 	coreSpan = 10 * time.Second
 	// maxRounds bounds how long a state of the core is waited for.
-	maxRounds = 4000
+	maxRounds = 400
 )
 
 // coreRig steps one cell core by hand: the stream is a slice and the workers are stand-ins.
@@ -34,6 +34,8 @@
 	now     time.Time
 	entries []logsvc.Entry
 	sent    int
+	// due are answers that the core gets in the next round.
+	due []cell.Event
 	members []announce.Member
 	syncer  workerapi.Syncer
 	// busy is the time spent in steps.
@@ -102,17 +104,17 @@
 	return nil
 }
 
-// do does one action at once.
+// do does one action; its answer comes in the next round.
 func (r *coreRig) do(ctx context.Context, a cell.Action) error {
 	switch a := a.(type) {
 	case cell.Append:
 		if err := r.append(a.Record); err != nil {
 			return err
 		}
-		return r.step(ctx, cell.AppendDone{Append: a})
+		r.due = append(r.due, cell.AppendDone{Append: a})
 	case cell.Sync:
 		resp, err := r.syncer.Sync(ctx, a.Addr, a.Req)
-		return r.step(ctx, cell.SyncDone{Sync: a, Resp: resp, Err: err})
+		r.due = append(r.due, cell.SyncDone{Sync: a, Resp: resp, Err: err})
 	}
 	return nil
 }
@@ -127,9 +129,16 @@
 	return nil
 }
 
-// round lets one tick pass and hands over what was appended.
+// round lets one tick pass and hands over what was answered and appended.
 func (r *coreRig) round(ctx context.Context) error {
 	r.now = r.now.Add(coreTick)
+	due := r.due
+	r.due = nil
+	for _, ev := range due {
+		if err := r.step(ctx, ev); err != nil {
+			return err
+		}
+	}
 	fresh := r.entries[r.sent:]
 	r.sent = len(r.entries)
 	if err := r.step(ctx, cell.Entries{Entries: fresh, Tail: logsvc.Offset(r.sent + 1)}); err != nil {
