--- a/internal/slope/cell.go
+++ b/internal/slope/cell.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"net/http"
 	"runtime"
 	"time"
 
@@ -15,8 +13,6 @@
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/resource"
 	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
-	"github.com/crocusspring/crocusspring/internal/workerapi"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -25,7 +21,7 @@
 	// coreSpan is the core's time over which steps are timed.
 	coreSpan = 10 * time.Second
 	// maxRounds bounds how long a state of the core is waited for.
-	maxRounds = 400
+	maxRounds = 2000
 )
 
 // coreRig steps one cell core by hand: the stream is a slice and the workers are stand-ins.
@@ -35,29 +31,28 @@
 	entries []logsvc.Entry
 	sent    int
 	// due are answers that the core gets in the next round.
-	due []cell.Event
+	due     []cell.Event
 	members []announce.Member
-	syncer  workerapi.Syncer
+	workers map[string]*workerstand.Worker
+	// polls are the syncs that wait at a worker, by its name; a newer sync takes the place of an older.
+	polls map[string]poll
 	// busy is the time spent in steps.
 	busy time.Duration
 	// steps counts them.
 	steps int
 }
 
+// poll is a sync that its worker answers when its time is up.
+type poll struct {
+	sync cell.Sync
+	due  time.Time
+}
+
 // withCore runs f on a core whose workers are stand-ins.
 func withCore(ctx context.Context, f func(context.Context, *coreRig) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	g, ctx := errgroup.WithContext(ctx)
-	r := &coreRig{core: newCore(), now: time.Unix(1, 0), syncer: workerapi.NewHTTP()}
-	err := r.startWorkers(ctx, g)
-	if err == nil {
-		err = f(ctx, r)
-	}
-	cancel()
-	if werr := g.Wait(); err == nil {
-		err = werr
-	}
-	return err
+	r := &coreRig{core: newCore(), now: time.Now(), workers: map[string]*workerstand.Worker{}, polls: map[string]poll{}}
+	r.startWorkers()
+	return f(ctx, r)
 }
 
 // newCore returns a core with the settings a node gives it.
@@ -69,43 +64,34 @@
 	})
 }
 
-// startWorkers brings up the stand-ins.
-func (r *coreRig) startWorkers(ctx context.Context, g *errgroup.Group) error {
+// startWorkers makes the stand-ins; they run on the core's clock.
+func (r *coreRig) startWorkers() {
 	for i := range cellWorkers {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
 		a := announce.Announcement{
-			Role: announce.RoleWorker, Name: fmt.Sprintf("worker-%04d", i), Address: l.Addr().String(), DataCentre: cellName,
+			Role: announce.RoleWorker, Name: fmt.Sprintf("worker-%04d", i), Address: fmt.Sprintf("10.0.0.%d:8600", i+1), DataCentre: cellName,
 			Rack: fmt.Sprintf("rack-%02d", i/3), Incarnation: 1, Capacity: resource.Vector{MilliCPU: 64000, MemoryMB: 250000},
 		}
-		w := workerstand.New(a, nil)
-		srv := &http.Server{Handler: w.Handler(), ReadHeaderTimeout: 2 * time.Second}
-		g.Go(func() error { w.Run(ctx.Done()); return nil })
-		g.Go(func() error { _ = srv.Serve(l); return nil })
-		g.Go(func() error { <-ctx.Done(); return srv.Close() })
+		r.workers[a.Name] = workerstand.New(a, nil)
 		r.members = append(r.members, announce.Member{Announcement: a, Expires: r.now.Add(time.Hour)})
 	}
-	return nil
 }
 
 // step gives the core one event, books its time and does what it asks for.
-func (r *coreRig) step(ctx context.Context, ev cell.Event) error {
+func (r *coreRig) step(ev cell.Event) error {
 	began := time.Now()
 	actions := r.core.Step(r.now, ev)
 	r.busy += time.Since(began)
 	r.steps++
 	for _, a := range actions {
-		if err := r.do(ctx, a); err != nil {
+		if err := r.do(a); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// do does one action; its answer comes in the next round.
-func (r *coreRig) do(ctx context.Context, a cell.Action) error {
+// do does one action; its answer comes in a later round.
+func (r *coreRig) do(a cell.Action) error {
 	switch a := a.(type) {
 	case cell.Append:
 		if err := r.append(a.Record); err != nil {
@@ -113,12 +99,25 @@
 		}
 		r.due = append(r.due, cell.AppendDone{Append: a})
 	case cell.Sync:
-		resp, err := r.syncer.Sync(ctx, a.Addr, a.Req)
-		r.due = append(r.due, cell.SyncDone{Sync: a, Resp: resp, Err: err})
+		wait := time.Duration(a.Req.WaitMS) * time.Millisecond
+		r.polls[a.Worker] = poll{a, r.now.Add(wait)}
 	}
 	return nil
 }
 
+// answer lets every worker answer the sync whose time is up.
+func (r *coreRig) answer() {
+	for _, m := range r.members {
+		p, ok := r.polls[m.Name]
+		if !ok || r.now.Before(p.due) {
+			continue
+		}
+		delete(r.polls, m.Name)
+		resp, err := r.workers[m.Name].Sync(r.now, p.sync.Req)
+		r.due = append(r.due, cell.SyncDone{Sync: p.sync, Resp: resp, Err: err})
+	}
+}
+
 // append adds a record to the stream.
 func (r *coreRig) append(env record.Envelope) error {
 	raw, err := env.Encode()
@@ -131,20 +130,24 @@
 
 // round lets one tick pass and hands over what was answered and appended.
 func (r *coreRig) round(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	r.now = r.now.Add(coreTick)
+	r.answer()
 	due := r.due
 	r.due = nil
 	for _, ev := range due {
-		if err := r.step(ctx, ev); err != nil {
+		if err := r.step(ev); err != nil {
 			return err
 		}
 	}
 	fresh := r.entries[r.sent:]
 	r.sent = len(r.entries)
-	if err := r.step(ctx, cell.Entries{Entries: fresh, Tail: logsvc.Offset(r.sent + 1)}); err != nil {
+	if err := r.step(cell.Entries{Entries: fresh, Tail: logsvc.Offset(r.sent + 1)}); err != nil {
 		return err
 	}
-	return r.step(ctx, cell.Workers{Members: r.members})
+	return r.step(cell.Workers{Members: r.members})
 }
 
 // until runs rounds until a condition holds.
--- a/internal/slope/days.go
+++ b/internal/slope/days.go
@@ -33,6 +33,7 @@
 		return fmt.Sprintf("%s tasks again at each of %s owners: %s appends, %s KB; at 5 KB/s it alone takes %s s",
 			round(each), round(owners), round(each*appends), round(each*perStart/1e3), round(each*perStart/limitBytes))
 	}
+	perHost := series["failures"].Fit(RepairBytes).Slope
 	perDC := s.Workers / s.DataCentres
 	perRegion := s.Workers / s.Regions
 	rackTasks := s.WorkersPerRack * s.TasksPerWorker()
@@ -43,7 +44,8 @@
 		{
 			"19 hosts fail, one by one",
 			fmt.Sprintf("%s tasks each, %s a day", round(s.TasksPerWorker()), round(s.FailuresPerDay*s.TasksPerWorker())),
-			again(s.TasksPerWorker(), 1),
+			fmt.Sprintf("measured: %s KB and %s appends a host with %d tasks; %s", round(perHost/1e3),
+				round(series["failures"].Fit(RepairAppends).Slope), tasksOfWorker, again(s.TasksPerWorker(), 1)),
 		},
 		{
 			"290 processes or hosts are restarted",
--- a/internal/slope/project.go
+++ b/internal/slope/project.go
@@ -147,13 +147,15 @@
 			{What: "starts", Axis: "starts", Metric: OwnerCPU, X: s.StartsPerCell(), Slope: true},
 			{What: "exchanges with peers", Axis: "members", Metric: OtherCPU, X: s.Members(), Times: s.Peers},
 		}},
-		{Role: "entry or guard, no cell", Name: "heap", Unit: "B", Limit: limitHeap, Parts: []Part{
+		{Role: "entry or guard, no cell", Name: "memory", Unit: "B", Limit: limitHeap, Parts: []Part{
+			{What: "process with an idle node", Axis: "base", Metric: ResidentBytes, X: 1},
 			{What: "table of members", Axis: "table", Metric: HeapBytes, X: s.Members()},
 			{What: "configuration of 30 days", Axis: "config-records", Metric: HeapBytes, X: 30 * s.ChangesPerDay},
 		}},
-		{Role: "guard that owns a cell", Name: "heap", Unit: "B", Limit: limitHeap, Parts: []Part{
+		{Role: "guard that owns a cell", Name: "memory", Unit: "B", Limit: limitHeap, Parts: []Part{
+			{What: "process with an idle node", Axis: "base", Metric: ResidentBytes, X: 1},
 			{What: "running tasks", Axis: "cell-tasks", Metric: HeapBytes, X: s.TasksPerCell()},
-			{What: "ended tasks of 30 days", Axis: "cell-done", Metric: HeapBytes, X: 30 * ended},
+			{What: "ended tasks of a day", Axis: "cell-done", Metric: HeapBytes, X: ended},
 			{What: "table of members", Axis: "table", Metric: HeapBytes, X: s.Members()},
 			{What: "configuration of 30 days", Axis: "config-records", Metric: HeapBytes, X: 30 * s.ChangesPerDay},
 		}},
--- a/internal/slope/rig.go
+++ b/internal/slope/rig.go
@@ -52,6 +52,9 @@
 	workerWire *netcount.Counter
 	targetWire *netcount.Counter
 
+	// failWorker ends a worker as when its host fails, by number.
+	failWorker []context.CancelFunc
+
 	group  *errgroup.Group
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -119,7 +122,7 @@
 			return err
 		}
 		r.logWire = append(r.logWire, c)
-		r.serve("stand-in", logListener, r.log.Handler())
+		r.serve(r.ctx, "stand-in", logListener, r.log.Handler())
 		n := node.New(r.nodeOptions(i), node.Ports{
 			Log: logsvc.NewHTTP(logListener.Addr().String()), Workers: workerapi.NewHTTP(), Targets: targetapi.NewHTTP(64),
 		}, logs.Discard())
@@ -168,9 +171,11 @@
 		Capacity: resource.Vector{MilliCPU: 16000, MemoryMB: 62500},
 	}
 	w := workerstand.New(a, nil)
-	r.labelled("stand-in", func(ctx context.Context) error { w.Run(ctx.Done()); return nil })
-	r.serve("stand-in", r.workerWire.Listen(l), w.Handler())
-	r.announce(a)
+	ctx, fail := context.WithCancel(r.ctx)
+	r.failWorker = append(r.failWorker, fail)
+	r.labelled("stand-in", func(context.Context) error { w.Run(ctx.Done()); return nil })
+	r.serve(ctx, "stand-in", r.workerWire.Listen(l), w.Handler())
+	r.announce(ctx, a)
 	return nil
 }
 
@@ -185,15 +190,15 @@
 		Service: service, Slots: 8, Connections: 64, Incarnation: time.Now().UnixNano(),
 	}
 	t := targetstand.New(a, func() time.Duration { return 2 * time.Millisecond }, nil)
-	r.serve("stand-in", r.targetWire.Listen(l), t.Handler())
-	r.announce(a)
+	r.serve(r.ctx, "stand-in", r.targetWire.Listen(l), t.Handler())
+	r.announce(r.ctx, a)
 	return nil
 }
 
-// announce announces a target or worker until the rig stops.
-func (r *rig) announce(a announce.Announcement) {
+// announce announces a target or worker until ctx ends.
+func (r *rig) announce(ctx context.Context, a announce.Announcement) {
 	an := standin.NewAnnouncer(a, r.nodeAddrs)
-	r.labelled("stand-in", func(ctx context.Context) error { an.Run(ctx); return nil })
+	r.labelled("stand-in", func(context.Context) error { an.Run(ctx); return nil })
 }
 
 // listen opens a counted listener on a free loopback port.
@@ -206,8 +211,8 @@
 	return c.Listen(l), c, nil
 }
 
-// serve serves a handler until the rig stops.
-func (r *rig) serve(part string, l net.Listener, h http.Handler) {
+// serve serves a handler until ctx ends.
+func (r *rig) serve(ctx context.Context, part string, l net.Listener, h http.Handler) {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 2 * time.Second}
 	r.labelled(part, func(context.Context) error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -216,7 +221,7 @@
 		return nil
 	})
 	r.group.Go(func() error {
-		<-r.ctx.Done()
+		<-ctx.Done()
 		return srv.Close()
 	})
 }
--- a/internal/slope/wire.go
+++ b/internal/slope/wire.go
@@ -25,6 +25,14 @@
 // wireAxes are measured on running nodes.
 func wireAxes() []Axis {
 	return []Axis{
+		{
+			ID: "base", Unit: "idle nodes in one process", Sizes: []float64{1, 2, 4, 8},
+			Mechanism: "the runtime, the binary and an idle node", run: runBase,
+		},
+		{
+			ID: "failures", Unit: "of 12 workers with 10 tasks each that fail at once", Sizes: []float64{0, 1, 2, 3, 4},
+			Mechanism: "cell.Core gives up silent workers and places their tasks again", run: runFailures,
+		},
 		{
 			ID: "members", Unit: "announced targets and workers", Sizes: []float64{8, 16, 32, 64, 96},
 			Mechanism: "members.Members exchanges announcements between nodes", run: runMembers,
