--- a/internal/node/jobhttp.go
+++ b/internal/node/jobhttp.go
@@ -12,6 +12,7 @@
 	"github.com/crocusspring/crocusspring/internal/chart"
 	"github.com/crocusspring/crocusspring/internal/finding"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/record"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 )
@@ -25,16 +26,16 @@
 
 // jobRoutes adds the interface of batch jobs.
 func (n *Node) jobRoutes(mux *http.ServeMux) {
-	mux.HandleFunc("POST /v1/jobs", n.serveSubmit)
-	mux.HandleFunc("GET /v1/jobs", n.serveList)
-	mux.HandleFunc("POST /v1/jobs/cancel", n.serveCancel)
-	mux.HandleFunc("POST /v1/jobs/{id}/cancel", n.serveCancelOne)
-	mux.HandleFunc("GET /v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST /v1/jobs", n.asOperator(n.serveSubmit))
+	mux.HandleFunc("GET /v1/jobs", n.asOperator(n.serveList))
+	mux.HandleFunc("POST /v1/jobs/cancel", n.asOperator(n.serveCancel))
+	mux.HandleFunc("POST /v1/jobs/{id}/cancel", n.asOperator(n.serveCancelOne))
+	mux.HandleFunc("GET /v1/jobs/{id}", n.asOperator(func(w http.ResponseWriter, r *http.Request) {
 		n.askJob(r.Context(), verbGet, r.PathValue("id")).write(w)
-	})
-	mux.HandleFunc("GET /v1/jobs/{id}/explain", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("GET /v1/jobs/{id}/explain", n.asOperator(func(w http.ResponseWriter, r *http.Request) {
 		n.askJob(r.Context(), verbExplain, r.PathValue("id")).write(w)
-	})
+	}))
 }
 
 // write answers a caller.
@@ -61,6 +62,10 @@
 		failed(http.StatusBadRequest, targetapi.NotRun, err).write(w)
 		return
 	}
+	if !mayJobs(r.Context(), operator.Change, q.Workspace) {
+		notYours(operator.Change, q.Workspace).write(w)
+		return
+	}
 	op := jobOp{Verb: verbSubmit, Cell: q.DataCentre, Submit: &q, Given: q.ID != ""}
 	if !op.Given {
 		q.ID = record.NewID()
@@ -115,6 +120,7 @@
 		}
 		all = append(all, part...)
 	}
+	all = slices.DeleteFunc(all, func(s jobStatus) bool { return !mayJobs(r.Context(), operator.Read, s.Workspace) })
 	slices.SortFunc(all, func(a, b jobStatus) int { return cmp.Compare(a.ID, b.ID) })
 	answer(http.StatusOK, all[:min(len(all), q.Limit)]).write(w)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/crocusspring/crocusspring/internal/audit"
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/cellrun"
+	"github.com/crocusspring/crocusspring/internal/claimrun"
 	"github.com/crocusspring/crocusspring/internal/config"
 	"github.com/crocusspring/crocusspring/internal/configrun"
 	"github.com/crocusspring/crocusspring/internal/dispatch"
@@ -26,7 +28,9 @@
 	"github.com/crocusspring/crocusspring/internal/members"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/netdial"
+	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/tlsconf"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 	"golang.org/x/sync/errgroup"
 )
@@ -65,6 +69,10 @@
 	// SnapshotAge is how long a snapshot of the configuration counts; an eighth of the log's retention
 	// time or less.
 	SnapshotAge time.Duration
+	// Operators are who may drive the installation; nil lets anyone.
+	Operators *operator.Source `json:"-"`
+	// TLS secures the listener and the connections between nodes; nil for plain ones.
+	TLS *tlsconf.Reloader `json:"-"`
 	// Drain bounds how long a graceful stop waits for requests in progress.
 	Drain time.Duration
 }
@@ -97,6 +105,7 @@
 	cells   map[string]*cellrun.Driver
 
 	requests *dispatch.Dispatcher
+	claims   *claimrun.Keeper
 	intake   intake
 	// jobClient calls the owners of cells.
 	jobClient *http.Client
@@ -104,6 +113,9 @@
 
 // New returns a node that has not started.
 func New(opt Options, ports Ports, lg *log.Logger) *Node {
+	if opt.TLS != nil {
+		ports.Dial = opt.TLS.Dial(ports.Dial)
+	}
 	n := &Node{
 		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
 		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{}, jobClient: jobClients(ports.Dial),
@@ -123,6 +135,7 @@
 			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
 		}
 		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
+		n.cells[c].OnNote(n.auditDecision)
 	}
 	return n
 }
@@ -176,8 +189,10 @@
 // Handler returns all HTTP interfaces of the node.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewPeerServiceHandler(n.members))
-	mux.Handle(peerv1connect.NewJobServiceHandler(jobService{n}))
+	path, peers := peerv1connect.NewPeerServiceHandler(n.members)
+	mux.Handle(path, n.verifiedPeers(peers))
+	path, jobs := peerv1connect.NewJobServiceHandler(jobService{n})
+	mux.Handle(path, n.verifiedPeers(jobs))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
@@ -187,6 +202,9 @@
 // Serve runs the node on a listener until ctx ends, then stops it gracefully.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	n.newRequests(l.Addr())
+	if n.opt.TLS != nil {
+		l = tls.NewListener(l, n.opt.TLS.Server())
+	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
@@ -197,6 +215,7 @@
 	g.Go(func() error { n.runRequests(run); return nil })
 	g.Go(func() error { n.gauges(run); return nil })
 	g.Go(func() error { return n.keepShare(run) })
+	g.Go(func() error { return n.keepPolicies(run) })
 	for _, d := range n.cells {
 		g.Go(func() error { return d.Run(run) })
 	}
@@ -239,6 +258,7 @@
 		n.life.fire(eventDrainTimeout)
 	}
 	n.requests.Drain(ctx)
+	n.claims.Drain(ctx)
 	n.life.fire(eventDrained)
 }
 
