--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -57,7 +57,8 @@
 		fmt.Fprintln(t.stdout, path("tail"))
 	}
 	for _, m := range metrics {
-		if !drawn(m) {
+		// Bars compare; a single variant has nothing to be compared with.
+		if len(s.Variants()) < 2 || !drawn(m) {
 			continue
 		}
 		if err := plots.Bars(s, m, path(plots.FileName(m))); err != nil {
--- a/internal/slope/axis.go
+++ b/internal/slope/axis.go
@@ -34,6 +34,7 @@
 	StepMicros    Metric = "one decision step, us"
 	FoldMicros    Metric = "one record folded, us"
 	ReplayBytes   Metric = "log read at a start, B"
+	SnapshotBytes Metric = "newest snapshot, B"
 	ResidentBytes Metric = "resident memory of the process, B"
 	RepairAppends Metric = "appends in 14 s"
 	RepairBytes   Metric = "log traffic and syncs of the owner in 14 s, B"
--- a/internal/slope/cell.go
+++ b/internal/slope/cell.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime"
+	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/announce"
@@ -213,6 +214,16 @@
 // allTasks returns every task the core knows.
 func (r *coreRig) allTasks() []cell.Task { return r.core.Tasks(cell.Query{}) }
 
+// snapshotBytes returns the size of the newest snapshot in the stream; 0 when there is none.
+func (r *coreRig) snapshotBytes() float64 {
+	for _, e := range slices.Backward(r.entries) {
+		if env, err := record.Decode(e.Data); err == nil && env.Kind == record.KindSnapshot {
+			return float64(len(e.Data))
+		}
+	}
+	return 0
+}
+
 // runCellTasks steps a cell with tasks that run on.
 func runCellTasks(ctx context.Context, size float64, _ time.Duration) (Reading, error) {
 	var out Reading
@@ -228,7 +239,7 @@
 		if err != nil {
 			return err
 		}
-		out = Reading{OwnerCPU: share, StepMicros: micros, HeapBytes: r.drop()}
+		out = Reading{OwnerCPU: share, StepMicros: micros, SnapshotBytes: r.snapshotBytes(), HeapBytes: r.drop()}
 		return nil
 	})
 	return out, err
--- a/internal/slope/wire.go
+++ b/internal/slope/wire.go
@@ -13,6 +13,10 @@
 // settle is how long a rig runs before it is measured.
 const settle = 2 * time.Second
 
+// roundWindow is at least how long axes are measured whose cost comes in rounds: peers ask for the
+// whole table every ten seconds.
+const roundWindow = 10 * time.Second
+
 // Request lines that the counters tell apart.
 const (
 	lineExchange = "POST /crocusspring.peer.v1.PeerService/"
@@ -181,13 +185,13 @@
 
 // runMembers measures what announcements cost between two nodes.
 func runMembers(ctx context.Context, size float64, window time.Duration) (Reading, error) {
-	r, err := with(ctx, shape{nodes: 2, targets: int(size)}, window, idle)
+	r, err := with(ctx, shape{nodes: 2, targets: int(size)}, max(window, roundWindow), idle)
 	return only(r, err, PeerBytes, PeerMessages, AnnounceBytes, OtherCPU)
 }
 
 // runNodes measures what more nodes cost each node.
 func runNodes(ctx context.Context, size float64, window time.Duration) (Reading, error) {
-	r, err := with(ctx, shape{nodes: int(size), targets: 24}, window, idle)
+	r, err := with(ctx, shape{nodes: int(size), targets: 24}, max(window, roundWindow), idle)
 	return only(r, err, PeerBytes, PeerMessages, LogReads, OtherCPU)
 }
 
@@ -222,7 +226,7 @@
 
 // runStarts measures what starts cost the owner and the other candidates.
 func runStarts(ctx context.Context, size float64, window time.Duration) (Reading, error) {
-	r, err := with(ctx, shape{nodes: 2, workers: 12}, window, func(ctx context.Context, r *rig) error {
+	r, err := with(ctx, shape{nodes: 2, workers: 12}, max(window, roundWindow), func(ctx context.Context, r *rig) error {
 		return r.pace(ctx, size, func(ctx context.Context, i int) error { return r.submit(ctx, i, 1000) })
 	})
 	return only(r, err, SyncBytes, SyncMessages, OwnerLogBytes, OtherLogBytes, Appends, OwnerCPU, OtherCPU)
