--- a/internal/slope/page.go
+++ b/internal/slope/page.go
@@ -34,13 +34,14 @@
 	return b.Bytes(), nil
 }
 
-// Tables returns the tables of a page: projections first, then failure days, then the readings.
+// Tables returns the tables of a page: what breaks first, projections, failure days, and the readings.
 func Tables(all []Series, s Size) string {
 	var b strings.Builder
 	series := map[string]Series{}
 	for _, x := range all {
 		series[x.Axis.ID] = x
 	}
+	writeFirst(&b, series, s)
 	writeProjection(&b, series, s)
 	writeDays(&b, series, s)
 	writeReadings(&b, all)
