Three processes follow the configuration on the log; the others get it from peers

Cause: every process long-polled the stream: 5,800 processes are 2,900 reads a second. Change: the first three in order whose log works follow it (Process.log_ok); others take entries from the exchange and look at the log every 2 s (entry) or 30 s (guard), in case no peer has any. Found by TestFewFollow: a fold went on reading after its context had ended when the reader did not mind.

--- a/internal/configrun/configrun.go
+++ b/internal/configrun/configrun.go
@@ -30,6 +30,10 @@
 	// Rank returns the place of this process among those that are ready, from 0. The one at 0 writes
 	// snapshots and reports changes; others stand in the later the higher their rank.
 	Rank func() int
+	// Follows reports whether this process is to follow the log itself; nil for always. One that does
+	// not gets entries from its peers and looks at the log every Look, in case none of them has any.
+	Follows func() bool
+	Look    time.Duration
 	// Changed is told of each change while this process is at rank 0; nil for nobody. It must not block.
 	Changed func(config.Change)
 }
@@ -38,6 +42,7 @@
 	snapshotRecords = 200
 	snapshotAge     = time.Hour
 	snapshotRetry   = 3 * time.Second
+	look            = 2 * time.Second
 	// rankDelay is how much longer each rank waits before it writes a snapshot that is due.
 	rankDelay = 2 * time.Second
 	// houseEvery is how often the driver looks whether a snapshot is due.
@@ -61,6 +66,7 @@
 	ready    bool
 	grown    chan struct{}
 	changes  changes
+	logOK    atomic.Bool
 }
 
 // New returns a driver that has folded nothing yet.
@@ -74,6 +80,12 @@
 	if opt.Rank == nil {
 		opt.Rank = func() int { return 0 }
 	}
+	if opt.Follows == nil {
+		opt.Follows = func() bool { return true }
+	}
+	if opt.Look <= 0 {
+		opt.Look = look
+	}
 	d := &Driver{opt: opt, log: lc, lg: lg, state: config.NewState(), grown: make(chan struct{}), first: 1}
 	d.schedule = follow.Schedule{Records: opt.SnapshotRecords, Age: opt.SnapshotAge, Retry: snapshotRetry}
 	d.view.Store(d.state.View())
@@ -87,7 +99,7 @@
 		defer close(done)
 		d.house(ctx)
 	}()
-	follow.Fold(ctx, d.log, config.Stream, d, d.lg)
+	follow.Fold(ctx, watched{d}, config.Stream, d, d.lg)
 	<-done
 }
 
--- a/internal/follow/fold.go
+++ b/internal/follow/fold.go
@@ -22,6 +22,12 @@
 	Restore(s Snapshot) error
 }
 
+// Pacer is a Folder that decides when the stream is read next.
+type Pacer interface {
+	// Pace returns when the next read is due or ctx has ended.
+	Pace(ctx context.Context)
+}
+
 // ErrGap says that entries were lost to retention and no snapshot on the stream bridges the gap.
 var ErrGap = errors.New("entries have expired and no snapshot covers them")
 
@@ -54,7 +60,10 @@
 		return err
 	}
 	// The first read doesn't wait, so that a fold that is at the tail learns it at once.
-	for first := true; ; first = false {
+	for first := true; ctx.Err() == nil; first = false {
+		if p, ok := f.(Pacer); ok && !first {
+			p.Pace(ctx)
+		}
 		b, err := next(ctx, r, stream, f.Next(), first)
 		var gone *logsvc.ExpiredError
 		if errors.As(err, &gone) {
@@ -69,6 +78,7 @@
 		sound()
 		f.Fold(b)
 	}
+	return ctx.Err()
 }
 
 // next does one read; the first of a fold does not wait for new entries.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,7 @@
 	n.audit = audit.NewWriter(ports.Log, opt.ID, logs.Part(lg, "audit"))
 	n.config = configrun.New(ports.Log, configrun.Options{
 		Self: opt.ID, SnapshotAge: opt.SnapshotAge, Rank: n.rank,
+		Follows: n.follows, Look: lookOf(opt.Role),
 		Changed: func(c config.Change) { n.audit.Note(audit.FromChange(c)) },
 	}, logs.Part(lg, "config"))
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"), ports.Dial)
@@ -161,7 +162,7 @@
 	return &peerv1.Process{
 		Id: n.opt.ID, Role: string(n.opt.Role), DataCentre: n.opt.DataCentre, Address: addr,
 		ConfigOffset: int64(n.config.Offset()), Incarnation: n.began.UnixNano(), Seq: n.seq.Add(1),
-		Ready: n.Ready(), Cells: n.owned(),
+		Ready: n.Ready(), Cells: n.owned(), LogOk: n.config.LogOK(),
 	}
 }
 
