--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -24,6 +24,7 @@
 	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/standin/logstand"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
+	"github.com/crocusspring/crocusspring/internal/tlsconf"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -48,7 +49,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "../../testdata/script/config",
 		Setup: func(env *testscript.Env) error {
-			in, err := start(env)
+			in, err := start(env.Defer, nil)
 			if err != nil {
 				return err
 			}
@@ -77,8 +78,8 @@
 	return text
 }
 
-// start runs a log and two entries until the script ends.
-func start(env *testscript.Env) (*installation, error) {
+// start runs a log and two entries and hands later what ends them. Given secure they use TLS.
+func start(later func(func()), secure *tlsconf.Reloader) (*installation, error) {
 	in := &installation{log: logstand.New(0)}
 	ops, err := operator.Open(operators())
 	if err != nil {
@@ -99,11 +100,11 @@
 		gate := in.log.NewGate()
 		in.gates = append(in.gates, gate)
 		srv := httptest.NewServer(gate.Handler())
-		env.Defer(srv.Close)
+		later(srv.Close)
 		opt := node.Defaults()
 		opt.Role, opt.ID, opt.DataCentre = node.RoleEntry, fmt.Sprintf("entry-%d", i+1), "petaling"
 		opt.Peers, opt.Cells, opt.Share, opt.Operators = []string{in.addrs[1-i]}, []string{"petaling"}, 2, ops
-		opt.Drain = time.Second
+		opt.Drain, opt.TLS = time.Second, secure
 		ports := node.Ports{
 			Log:     logsvc.NewHTTP(strings.TrimPrefix(srv.URL, "http://")),
 			Workers: workerapi.NewHTTP(), Targets: targetapi.NewHTTP(8),
@@ -111,7 +112,7 @@
 		n := node.New(opt, ports, logs.Discard())
 		go func() { done <- n.Serve(ctx, l) }()
 	}
-	env.Defer(func() {
+	later(func() {
 		cancel()
 		for range ls {
 			<-done
