cell: that an attempt runs goes to the log with the next decision; less head on syncs

A start cost the log three appends besides the job's (assignment, run, end). The report of a run may wait a second for an assignment or an end to go with. Syncs are sent without headers that workers don't need.

--- a/internal/cell/evict.go
+++ b/internal/cell/evict.go
@@ -107,7 +107,9 @@
 	var out []victim
 	for _, t := range o.c.state.held[w.name] {
 		key := t.key()
-		if t.State != StateRunning || o.c.fixed(t) || o.out.ending[key] || o.evicts[key] != nil {
+		// That it runs may not stand in the log yet.
+		runs := w.mirror[key].State == workerapi.StateRunning && (t.State == StateRunning || t.State == StateAssigned)
+		if !runs || o.c.fixed(t) || o.out.ending[key] || o.evicts[key] != nil {
 			continue
 		}
 		a := w.mirror[key]
--- a/internal/cell/outbox.go
+++ b/internal/cell/outbox.go
@@ -14,6 +14,8 @@
 	// firstRetry doubles up to lastRetry while a batch does not show up in the stream.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 2 * time.Second
+	// lazyFor is how long a report that nothing waits for may wait for others to go with.
+	lazyFor = time.Second
 )
 
 // outbox collects decisions and has one batch of them on its way to the stream at a time. The same
@@ -26,6 +28,9 @@
 	open   map[reportKey]bool
 	ending map[attemptKey]bool
 
+	// lazy is since when only reports are queued that nothing waits for; zero when there are others.
+	lazy time.Time
+
 	flight *record.Envelope
 	body   Batch
 	calls  bool
@@ -66,6 +71,9 @@
 	if o.calls {
 		return nil
 	}
+	if o.flight == nil && o.idle(now) {
+		return nil
+	}
 	if o.flight == nil && !o.pack(now, by, epoch, folded+1) {
 		return nil
 	}
@@ -78,6 +86,27 @@
 	return o.flight
 }
 
+// idle reports whether nothing is queued that can't wait: that an attempt runs is also told by its
+// worker, so it goes with the next assignment or end.
+func (o *outbox) idle(now time.Time) bool {
+	if len(o.assigns)+len(o.forget) > 0 {
+		return false
+	}
+	for _, r := range o.reports {
+		if chart.Event(r.Event) != EventRun {
+			return false
+		}
+	}
+	if len(o.reports) == 0 {
+		o.lazy = time.Time{}
+		return true
+	}
+	if o.lazy.IsZero() {
+		o.lazy = now
+	}
+	return now.Sub(o.lazy) < lazyFor
+}
+
 // pack makes the next batch of what is queued and reports whether there is one.
 func (o *outbox) pack(now time.Time, by string, epoch logsvc.Offset, seq int64) bool {
 	b := Batch{Epoch: epoch, Seq: seq}
@@ -92,6 +121,7 @@
 		return false
 	}
 	o.flight, o.body, o.tries, o.due, o.since = &env, b, 0, now, now
+	o.lazy = time.Time{}
 	return true
 }
 
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -157,6 +157,7 @@
 	t := &http.Transport{
 		DialContext:         netdial.First(time.Second, dial...),
 		MaxIdleConnsPerHost: 2,
+		DisableCompression:  true,
 	}
 	return &HTTP{client: &http.Client{Transport: t}}
 }
@@ -175,6 +176,8 @@
 	if err != nil {
 		return out, fmt.Errorf("sync with %s: %w", addr, err)
 	}
+	// Nothing is sent that the worker does not need: syncs are most of an owner's traffic.
+	r.Header.Set("User-Agent", "")
 	resp, err := h.client.Do(r)
 	if err != nil {
 		return out, fmt.Errorf("sync with %s: %w", addr, err)
