--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -51,6 +51,9 @@
 		Role: announce.RoleTarget, Name: fmt.Sprintf("target-%02d", i+1), DataCentre: c.dataCentre(i), Address: l.Addr().String(),
 		Service: c.Shape.Service, Slots: c.Shape.Slots, Connections: c.Shape.Conns, Incarnation: time.Now().UnixNano(),
 	}
+	if c.opt.Guards {
+		a.Guard = c.Guards[i].Addr
+	}
 	c.locate(a.Address, a.DataCentre)
 	c.Record.Target(a.Name, a.Slots, a.Connections)
 	seen := targetObserver{c.Record}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -108,16 +108,20 @@
 	}
 }
 
-// Do runs one request and returns its final outcome as soon as that is known. The request itself may
-// go on at its target after ctx has ended.
+// Do runs one request and returns its final outcome as soon as that is known. An attempt that can start
+// at once runs on the caller's goroutine; the request may go on at its target after ctx has ended.
 func (d *Dispatcher) Do(ctx context.Context, q Request, c targetapi.Call) Reply {
 	p := &pending{call: c, reply: make(chan Reply, 1)}
 	d.mu.Lock()
 	d.pending[q.ID] = p
 	acts := d.core.Arrive(time.Now(), q)
-	waits := len(acts.Starts) == 0 && len(acts.Finals) == 0
+	own := d.own(&acts, q.ID)
+	waits := own == nil && len(acts.Finals) == 0
 	d.apply(acts)
 	d.mu.Unlock()
+	if own != nil {
+		d.run(*own, c)
+	}
 	if waits {
 		d.wake()
 	}
@@ -125,11 +129,22 @@
 	case r := <-p.reply:
 		return r
 	case <-ctx.Done():
-		d.step(func(now time.Time) Actions { return d.core.Cancel(q.ID) })
+		d.step(func(time.Time) Actions { return d.core.Cancel(q.ID) })
 		return <-p.reply
 	}
 }
 
+// own takes the start of a request out of the actions. The caller holds the lock and runs it.
+func (d *Dispatcher) own(a *Actions, id string) *Start {
+	if len(a.Starts) != 1 || a.Starts[0].Request != id || d.life.Err() != nil {
+		return nil
+	}
+	st := a.Starts[0]
+	a.Starts = nil
+	d.attempts.Add(1)
+	return &st
+}
+
 // wake asks for a round of borrowing.
 func (d *Dispatcher) wake() {
 	select {
