Exchange: leases are renewed by a few bytes, news goes at once

Cause: each member cost 343 B/s for each peer, mostly the whole announcement with every lease. Change: a renewal names start, sequence and time left alone; a peer that started anew is told everything.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -111,6 +111,17 @@
 	return ChangeNews
 }
 
+// Renew folds a longer lease of a member whose announcement of the same start is known.
+func (t *Table) Renew(now time.Time, id ID, incarnation, seq, leaseMS int64) Change {
+	old, ok := t.members[id]
+	if !ok || old.Incarnation != incarnation {
+		return ChangeNone
+	}
+	a := old.Announcement
+	a.Seq, a.LeaseMS = seq, leaseMS
+	return t.Step(now, a)
+}
+
 // newer reports whether a should replace b.
 func newer(a, b Announcement) bool {
 	if a.Incarnation != b.Incarnation {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -23,7 +23,7 @@
 	// silent for this long is closed and the next exchange opens a new one.
 	exchangeTimeout = 700 * time.Millisecond
 	// fullEvery is how many exchanges pass between two that ask for the whole table.
-	fullEvery = 20
+	fullEvery = 120
 	// deadAfter is how long a process is not heard of before it counts as gone.
 	deadAfter = 3 * time.Second
 )
@@ -106,13 +106,13 @@
 	p.rounds++
 	full := !p.known || p.rounds%fullEvery == 0
 	m.mu.Unlock()
-	req := &peerv1.ExchangeRequest{Sender: m.self.Process(), Announcements: told.list, Full: full}
+	req := &peerv1.ExchangeRequest{Sender: m.self.Process(), Announcements: told.list, Renewals: told.renewals, Full: full}
 	resp, err := p.client.Exchange(ctx, connect.NewRequest(req))
 	m.mu.Lock()
 	p.busy = false
 	p.known = err == nil
 	if err == nil {
-		p.remember(told.sent)
+		p.remember(time.Now(), resp.Msg.Sender.GetIncarnation(), told.sent)
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -126,6 +126,7 @@
 // Exchange implements the peer service.
 func (m *Members) Exchange(_ context.Context, r *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
 	m.take(r.Msg.Sender, r.Msg.Announcements)
+	m.renew(r.Msg.Renewals)
 	resp := &peerv1.ExchangeResponse{Sender: m.self.Process()}
 	resp.Config = m.config.Since(r.Msg.Sender.GetConfigOffset())
 	if r.Msg.Full || !m.isPeer(r.Msg.Sender.GetAddress()) {
@@ -224,6 +225,16 @@
 	}
 }
 
+// renew folds longer leases of members that are known; one that is not known is told in full later.
+func (m *Members) renew(rs []*peerv1.Renewal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	for _, r := range rs {
+		m.table.Renew(now, announce.ID{Role: announce.Role(r.Role), Name: r.Name}, r.Incarnation, r.Seq, r.LeaseMs)
+	}
+}
+
 // newerStatus reports whether a is newer than b; a status that is nil is the oldest.
 func newerStatus(a, b *peerv1.Process) bool {
 	if a.GetIncarnation() != b.GetIncarnation() {
--- a/internal/members/peer.go
+++ b/internal/members/peer.go
@@ -16,6 +16,8 @@
 	known  bool
 	rounds int
 	told   map[announce.ID]told
+	// incarnation is the start of the peer that was told.
+	incarnation int64
 }
 
 // told is what a peer knows of a member from this process.
@@ -27,9 +29,10 @@
 
 // batch is what to tell a peer.
 type batch struct {
-	list []*peerv1.Announcement
-	sent map[announce.ID]told
-	news bool
+	list     []*peerv1.Announcement
+	renewals []*peerv1.Renewal
+	sent     map[announce.ID]told
+	news     bool
 }
 
 // untold returns the members the peer has not been told of, or whose lease it will soon see end.
@@ -44,7 +47,11 @@
 			continue
 		}
 		b.news = b.news || news
-		b.list = append(b.list, encode(m.Announcement, left))
+		if news {
+			b.list = append(b.list, encode(m.Announcement, left))
+		} else {
+			b.renewals = append(b.renewals, encodeRenewal(m.Announcement, left))
+		}
 		b.sent[id] = told{m.Incarnation, m.Leaving, m.Expires}
 	}
 	return b
@@ -56,19 +63,24 @@
 	return m.Expires.After(expires) && expires.Sub(now) < lease*3/4
 }
 
-// remember notes what the peer was told and forgets members that are long gone.
-func (p *peer) remember(sent map[announce.ID]told) {
-	if p.told == nil {
-		p.told = map[announce.ID]told{}
+// remember notes what the peer was told, and forgets all of it when the peer has started anew.
+func (p *peer) remember(now time.Time, incarnation int64, sent map[announce.ID]told) {
+	if p.told == nil || p.incarnation != incarnation {
+		p.told, p.incarnation = map[announce.ID]told{}, incarnation
 	}
 	for id, t := range sent {
 		p.told[id] = t
 	}
-	if p.rounds%fullEvery == 0 {
-		p.told = sent
+	for id, t := range p.told {
+		if now.Sub(t.expires) > forgetAfter {
+			delete(p.told, id)
+		}
 	}
 }
 
+// forgetAfter is how long it is remembered that a peer was told of a member whose lease has ended.
+const forgetAfter = time.Minute
+
 // peer returns the peer at an address. The caller holds the lock or is the only user.
 func (m *Members) peer(addr string) *peer {
 	p := m.byAddr[addr]
--- a/internal/members/wire.go
+++ b/internal/members/wire.go
@@ -27,3 +27,10 @@
 		Incarnation: p.Incarnation, Seq: p.Seq, Leaving: p.Leaving, LeaseMS: p.LeaseMs,
 	}
 }
+
+// encodeRenewal returns the wire form of a longer lease.
+func encodeRenewal(a announce.Announcement, left time.Duration) *peerv1.Renewal {
+	return &peerv1.Renewal{
+		Role: string(a.Role), Name: a.Name, Incarnation: a.Incarnation, Seq: a.Seq, LeaseMs: max(1, left.Milliseconds()),
+	}
+}
