Claims: publishing ends with the node

Cause: goleak in internal/dev found an outcome that was still being published after its node had ended (log outage). Change: a keeper's life ends with Run.

--- a/internal/claimrun/keeper.go
+++ b/internal/claimrun/keeper.go
@@ -76,6 +76,9 @@
 	// given holds the claims of this process whose release is not folded yet. The fold itself changes
 	// by the log alone, so that every process judges the next claim of the key alike.
 	given map[string]bool
+	// life ends when Run does; then nothing is published any more.
+	life   context.Context
+	finish context.CancelFunc
 	// outbox holds records that wait to be published together.
 	outbox []json.RawMessage
 	// publishing counts outcomes and releases that are not on the log yet.
@@ -91,8 +94,9 @@
 
 // New returns a keeper; self is the address of this process, others those of all that claim keys.
 func New(lc logsvc.Client, p Peers, self string, others []string, lg *log.Logger) *Keeper {
+	life, finish := context.WithCancel(context.Background())
 	return &Keeper{
-		log: lc, peers: p, self: self, others: others, lg: lg, fold: claim.NewFold(), next: 1, first: 1,
+		life: life, finish: finish, log: lc, peers: p, self: self, others: others, lg: lg, fold: claim.NewFold(), next: 1, first: 1,
 		grown: make(chan struct{}), local: map[claim.Key]*local{}, given: map[string]bool{},
 	}
 }
--- a/internal/claimrun/stream.go
+++ b/internal/claimrun/stream.go
@@ -14,6 +14,7 @@
 
 // Run follows the claims on the log until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	defer k.finish()
 	go k.expire(ctx)
 	for ctx.Err() == nil {
 		reading, rewind := context.WithCancel(ctx)
@@ -213,14 +214,17 @@
 	k.outbox = nil
 	k.mu.Unlock()
 	end := time.Now().Add(publishFor)
-	for time.Now().Before(end) {
-		ctx, cancel := context.WithTimeout(logsvc.WithClass(context.Background(), logsvc.ClassClaim), publishTimeout)
+	for time.Now().Before(end) && k.life.Err() == nil {
+		ctx, cancel := context.WithTimeout(logsvc.WithClass(k.life, logsvc.ClassClaim), publishTimeout)
 		_, err := k.log.Append(ctx, claim.Stream, raws)
 		cancel()
 		if err == nil {
 			return
 		}
-		time.Sleep(publishPause)
+		select {
+		case <-k.life.Done():
+		case <-time.After(publishPause):
+		}
 	}
 	k.lg.Warn("Outcomes were not published.", "records", len(raws))
 }
