A change that an operator has begun gets its verdict

Cause: on a machine with load 44 a run of 2 s ended before the operator's first proposal was answered (TestWholePath: no record was applied). Change: the end of the load ends no call that is under way.

--- a/internal/dev/operator.go
+++ b/internal/dev/operator.go
@@ -50,13 +50,13 @@
 	return &operator{c: c, name: name, client: client, known: map[string]int64{}}
 }
 
-// run publishes changes until ctx ends.
+// run publishes changes until ctx ends; one that was begun is brought to its verdict.
 func (o *operator) run(ctx context.Context) {
 	t := time.NewTicker(changeEvery)
 	defer t.Stop()
 	records := []string{o.c.Shape.Service, o.c.Shape.Service + "-archive"}
 	for i := 0; ; i++ {
-		o.change(ctx, records[i%len(records)], int64(900+i%100))
+		o.change(o.c.ctx, records[i%len(records)], int64(900+i%100))
 		select {
 		case <-ctx.Done():
 			return
