--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -17,6 +17,8 @@
 	settleTimeout = 45 * time.Second
 	// callersConns is how many idle connections the callers keep to one entry.
 	callersConns = 256
+	// callersIdle is how long callers keep an unused connection; entries keep it longer.
+	callersIdle  = 5 * time.Second
 	progressStep = time.Second
 	resends      = 2
 )
@@ -40,7 +42,7 @@
 	}
 	callers := newHost(func(string) time.Duration { return c.Shape.Client })
 	defer callers.kill()
-	client := &http.Client{Transport: &http.Transport{DialContext: callers.dial, MaxIdleConnsPerHost: callersConns, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: callers.dial, MaxIdleConnsPerHost: callersConns, IdleConnTimeout: callersIdle, DisableCompression: true}}
 	o := workload.Options{
 		Mix: p.Mix, Seed: p.Seed, Length: p.Length, Client: client, Record: c.Record, Resends: resends,
 		Balancer: workload.NewBalancer(client, c.entries()),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,14 @@
 	return standBack + time.Duration(xxhash.Sum64String(opt.ID+cellName)%uint64(standBack))
 }
 
+const (
+	// headerTimeout bounds how long a connection may take to bring a request's headers. It runs from the
+	// start of a connection, so callers must close connections that they opened and never used sooner.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a used connection is kept without a request.
+	idleTimeout = time.Minute
+)
+
 // maxFailures is how often a task may fail before it is failed for good.
 const maxFailures = 3
 
@@ -216,7 +224,7 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
-	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: 2 * time.Second, MaxHeaderBytes: 4 * maxHeader, IdleTimeout: time.Minute}
+	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 4 * maxHeader, IdleTimeout: idleTimeout}
 	g.Go(func() error { n.config.Run(run); return nil })
 	g.Go(func() error { n.audit.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
