--- a/internal/claimrun/stream.go
+++ b/internal/claimrun/stream.go
@@ -14,7 +14,7 @@
 
 // Run follows the claims on the log until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	defer close(k.ended)
+	defer k.finish()
 	go k.expire(ctx)
 	for ctx.Err() == nil {
 		reading, rewind := context.WithCancel(ctx)
@@ -214,16 +214,15 @@
 	k.outbox = nil
 	k.mu.Unlock()
 	end := time.Now().Add(publishFor)
-	for time.Now().Before(end) {
-		ctx, cancel := context.WithTimeout(logsvc.WithClass(context.Background(), logsvc.ClassClaim), publishTimeout)
+	for time.Now().Before(end) && k.life.Err() == nil {
+		ctx, cancel := context.WithTimeout(logsvc.WithClass(k.life, logsvc.ClassClaim), publishTimeout)
 		_, err := k.log.Append(ctx, claim.Stream, raws)
 		cancel()
 		if err == nil {
 			return
 		}
 		select {
-		case <-k.ended:
-			return
+		case <-k.life.Done():
 		case <-time.After(publishPause):
 		}
 	}
