--- a/internal/load/slopes.go
+++ b/internal/load/slopes.go
@@ -28,7 +28,7 @@
 	set := settings.New("slopes")
 	set.List(&s.axes, "axes", "", "axes to measure, comma-separated; all when empty")
 	set.Duration(&s.window, "window", 4*time.Second, time.Second, time.Minute, "how long each size is measured")
-	set.String(&s.from, "from", "", false, "CSV file of earlier readings to use in place of measuring")
+	set.String(&s.from, "from", "", false, "CSV file of earlier readings to use in place of measuring; with --axes these are measured anew")
 	set.String(&s.csv, "csv", "", false, "CSV file to write the readings to")
 	set.String(&s.page, "page", "", false, "page whose tables are written anew, such as docs/CAPACITY.md")
 	return command("slopes", "[flags]", "measure how the cost of control grows with size", set, s.run)
@@ -54,18 +54,22 @@
 
 // readings returns earlier readings or new ones.
 func (s *slopes) readings(ctx context.Context) ([]slope.Series, error) {
+	var kept []slope.Series
 	if s.from != "" {
 		f, err := os.Open(s.from)
 		if err != nil {
 			return nil, err
 		}
 		defer f.Close()
-		return slope.ReadCSV(f)
+		if kept, err = slope.ReadCSV(f); err != nil || len(s.axes) == 0 {
+			return kept, err
+		}
 	}
 	chosen := slices.DeleteFunc(slope.Axes(), func(a slope.Axis) bool {
 		return len(s.axes) > 0 && !slices.Contains(s.axes, a.ID)
 	})
-	return slope.Measure(ctx, chosen, s.window, s.tool.stderr)
+	fresh, err := slope.Measure(ctx, chosen, s.window, s.tool.stderr)
+	return slope.Renew(kept, fresh), err
 }
 
 // writeCSV writes the readings to a file.
--- a/internal/slope/csv.go
+++ b/internal/slope/csv.go
@@ -4,6 +4,7 @@
 	"encoding/csv"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -65,5 +66,20 @@
 	return out, nil
 }
 
+// Renew returns the kept series with the fresh ones in their place, in the order of the axes.
+func Renew(kept, fresh []Series) []Series {
+	byID := map[string]Series{}
+	for _, s := range append(slices.Clone(kept), fresh...) {
+		byID[s.Axis.ID] = s
+	}
+	var out []Series
+	for _, a := range Axes() {
+		if s, ok := byID[a.ID]; ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // number formats a size.
 func number(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
--- a/internal/slope/days.go
+++ b/internal/slope/days.go
@@ -33,7 +33,6 @@
 		return fmt.Sprintf("%s tasks again at each of %s owners: %s appends, %s KB; at 5 KB/s it alone takes %s s",
 			round(each), round(owners), round(each*appends), round(each*perStart/1e3), round(each*perStart/limitBytes))
 	}
-	perHost := series["failures"].Fit(RepairBytes).Slope
 	perDC := s.Workers / s.DataCentres
 	perRegion := s.Workers / s.Regions
 	rackTasks := s.WorkersPerRack * s.TasksPerWorker()
@@ -44,8 +43,8 @@
 		{
 			"19 hosts fail, one by one",
 			fmt.Sprintf("%s tasks each, %s a day", round(s.TasksPerWorker()), round(s.FailuresPerDay*s.TasksPerWorker())),
-			fmt.Sprintf("measured: %s KB and %s appends a host with %d tasks; %s", round(perHost/1e3),
-				round(series["failures"].Fit(RepairAppends).Slope), tasksOfWorker, again(s.TasksPerWorker(), 1)),
+			fmt.Sprintf("measured with %d tasks a host: %s appends, %s B of log and syncs; %s", tasksOfWorker,
+				perUnit(series["failures"].Fit(RepairAppends)), perUnit(series["failures"].Fit(RepairBytes)), again(s.TasksPerWorker(), 1)),
 		},
 		{
 			"290 processes or hosts are restarted",
@@ -73,6 +72,17 @@
 	}
 }
 
+// clearFit is the least part of the spread that a line has to explain before its slope is told.
+const clearFit = 0.5
+
+// perUnit formats a slope, or says that the readings don't show one.
+func perUnit(f Fit) string {
+	if f.R2 < clearFit {
+		return "within the noise: no"
+	}
+	return round(f.Slope)
+}
+
 // recordsPerTask is how many records a task leaves on its cell's stream: job, assign and end.
 const recordsPerTask = 3
 
--- a/internal/slope/project.go
+++ b/internal/slope/project.go
@@ -1,6 +1,10 @@
 package slope
 
-import "math"
+import (
+	"math"
+
+	"github.com/crocusspring/crocusspring/internal/node"
+)
 
 // Size is an installation to project to.
 type Size struct {
@@ -91,6 +95,10 @@
 	sum := 0.0
 	for _, p := range q.Parts {
 		f := series[p.Axis].Fit(p.Metric)
+		if f.Slope < 0 {
+			// Nothing gets cheaper for ever: a falling line is taken for a level one.
+			f = Fit{Intercept: mean(series[p.Axis].Points(p.Metric))}
+		}
 		if p.Slope {
 			f.Intercept = 0
 		}
@@ -143,7 +151,7 @@
 		}},
 		{Role: "guard that owns a cell", Name: "processor time", Unit: "% of a core", Limit: limitCPU, Parts: []Part{
 			{What: "steps of the decision core over running tasks", Axis: "cell-tasks", Metric: OwnerCPU, X: s.TasksPerCell()},
-			{What: "syncs on the wire", Axis: "syncs", Metric: OwnerCPU, X: 2 * s.WorkersPerCell, Slope: true},
+			{What: "syncs on the wire", Axis: "syncs", Metric: OwnerCPU, X: syncsInLease * s.WorkersPerCell / node.Defaults().TaskLease.Seconds(), Slope: true},
 			{What: "starts", Axis: "starts", Metric: OwnerCPU, X: s.StartsPerCell(), Slope: true},
 			{What: "exchanges with peers", Axis: "members", Metric: OtherCPU, X: s.Members(), Times: s.Peers},
 		}},
--- a/internal/slope/rig.go
+++ b/internal/slope/rig.go
@@ -36,8 +36,8 @@
 	workers int
 	targets int
 	role    node.Role
-	// syncEvery is the time between two syncs with a worker; 0 for the default.
-	syncEvery time.Duration
+	// taskLease is the lease of tasks; 0 for the default.
+	taskLease time.Duration
 }
 
 // rig is the real code of a few nodes among stand-ins, with every byte on the wire counted.
@@ -152,8 +152,8 @@
 	if r.shape.workers > 0 {
 		opt.Cells = []string{cellName}
 	}
-	if r.shape.syncEvery > 0 {
-		opt.SyncEvery = r.shape.syncEvery
+	if r.shape.taskLease > 0 {
+		opt.TaskLease = r.shape.taskLease
 	}
 	opt.Drain = time.Second
 	return opt
--- a/internal/slope/slope_test.go
+++ b/internal/slope/slope_test.go
@@ -113,6 +113,9 @@
 	if d := cmp.Diff(kept, got, cmpopts.IgnoreUnexported(Axis{})); d != "" {
 		t.Fatal(d)
 	}
+	if d := cmp.Diff(got, Renew(got[:3], got[2:]), cmpopts.IgnoreUnexported(Axis{})); d != "" {
+		t.Error(d)
+	}
 	page := "# Capacity\n\n" + pageBegin + "\nold figures\n" + pageEnd + "\nend\n"
 	once, err := UpdatePage([]byte(page), got, TwoYears())
 	if err != nil {
--- a/internal/slope/wire.go
+++ b/internal/slope/wire.go
@@ -50,7 +50,7 @@
 			Mechanism: "cell.Core syncs with each worker", run: runWorkers,
 		},
 		{
-			ID: "syncs", Unit: "syncs a second with 24 idle workers", Sizes: []float64{48, 120, 240, 480},
+			ID: "syncs", Unit: "syncs a second with 24 idle workers", Sizes: []float64{8, 16, 32, 64},
 			Mechanism: "a sync on the wire and its step", run: runSyncs,
 		},
 		{
@@ -201,13 +201,20 @@
 	return only(r, err, SyncBytes, SyncMessages, OwnerLogBytes, OtherLogBytes, Appends, OwnerCPU, OtherCPU)
 }
 
-// syncWorkers is how many workers share the syncs of the axis syncs.
-const syncWorkers = 24
+const (
+	// syncWorkers is how many workers share the syncs of the axis syncs.
+	syncWorkers = 24
+	// syncsInLease is how many syncs a worker without news answers in the time of a task lease.
+	syncsInLease = 3
+)
 
-// runSyncs measures what the number of syncs costs the owner.
+// runSyncs measures what the number of syncs costs the owner; the task lease sets their pace.
 func runSyncs(ctx context.Context, size float64, window time.Duration) (Reading, error) {
-	every := time.Duration(syncWorkers / size * float64(time.Second))
-	r, err := with(ctx, shape{nodes: 1, workers: syncWorkers, syncEvery: every}, window, idle)
+	lease := time.Duration(syncsInLease * syncWorkers / size * float64(time.Second))
+	r, err := with(ctx, shape{nodes: 1, workers: syncWorkers, taskLease: lease}, max(window, roundWindow), idle)
+	if err == nil && (r[SyncMessages] < size/2 || r[SyncMessages] > size*2) {
+		err = fmt.Errorf("%.1f syncs a second", r[SyncMessages])
+	}
 	return only(r, err, SyncBytes, SyncMessages, OwnerCPU)
 }
 
