--- a/internal/dev/fault_worker.go
+++ b/internal/dev/fault_worker.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
+	"github.com/crocusspring/crocusspring/internal/workload"
 )
 
 const (
 	workerHold = 4 * time.Second
 	badHold    = 4 * time.Second
 	noisyHold  = 3 * time.Second
+	feedFor    = 10 * time.Second
+	feedEvery  = 100 * time.Millisecond
 	// noisyHosts and noise are how many workers a wave meets and how loud it is.
 	noisyHosts = 3
 	noise      = 3
@@ -33,12 +37,13 @@
 // badWorker makes a worker fail all it starts. One event is one failed attempt.
 func badWorker() Fault {
 	return Fault{
-		Name: "bad-worker", About: "one worker fails all it starts for a while; counts attempts that failed",
+		Name: "bad-worker", About: "the busiest worker fails all it starts for a while; counts attempts that failed",
 		Run: func(ctx context.Context, in *Injector) error {
 			before := in.Record.Failed()
 			err := in.cycle(ctx, badHold, func() (func() error, error) {
-				w := pick(in, in.Workers)
+				w := in.busiest()
 				w.SetFailAll(true)
+				in.feed(before)
 				return func() error { w.SetFailAll(false); return nil }, nil
 			})
 			in.happened(in.Record.Failed() - before)
@@ -47,6 +52,22 @@
 	}
 }
 
+// feed submits jobs until one more attempt than before has failed, so that the worker meets work even
+// under a light load.
+func (in *Injector) feed(failed int) {
+	m := in.plan.Mix
+	for end := time.Now().Add(feedFor); time.Now().Before(end) && in.Record.Failed() <= failed; {
+		workload.Submit(in.ctx, in.load, m.Workspaces[0], m.Jobs[0], m.Jobs[0].MinRun)
+		sleep(in.ctx, feedEvery)
+	}
+}
+
+// busiest returns the worker that has begun the most attempts.
+func (in *Injector) busiest() *Worker {
+	begun := in.Record.Begun()
+	return slices.MaxFunc(in.Workers, func(a, b *Worker) int { return begun[a.Name] - begun[b.Name] })
+}
+
 // noisyWave makes neighbours on some workers disturb each other. One event is one worker in a wave.
 func noisyWave() Fault {
 	return Fault{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,10 @@
 	ReadyLag   time.Duration
 	OwnerLease time.Duration
 	TaskLease  time.Duration
-	SyncEvery  time.Duration
+	// OwnerStretch bounds how long an owner goes on by the word of the other candidates while the log is
+	// down; 0 for not.
+	OwnerStretch time.Duration
+	SyncEvery    time.Duration
 	// LogAppends is the budget of all processes together, in appends a second.
 	LogAppends int
 	// SnapshotAge is how long a snapshot of the configuration counts; an eighth of the log's retention
@@ -125,6 +128,7 @@
 	n.audit = audit.NewWriter(ports.Log, opt.ID, logs.Part(lg, "audit"))
 	n.config = configrun.New(ports.Log, configrun.Options{
 		Self: opt.ID, SnapshotAge: opt.SnapshotAge, Rank: n.rank,
+		Follows: n.follows, Look: lookOf(opt.Role),
 		Changed: func(c config.Change) { n.audit.Note(audit.FromChange(c)) },
 	}, logs.Part(lg, "config"))
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"), ports.Dial)
@@ -133,9 +137,11 @@
 		co := cell.Options{
 			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
 			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
+			Stretch: opt.OwnerStretch,
 		}
 		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
 		n.cells[c].OnNote(n.auditDecision)
+		n.cells[c].Peers = n
 	}
 	return n
 }
@@ -161,7 +167,7 @@
 	return &peerv1.Process{
 		Id: n.opt.ID, Role: string(n.opt.Role), DataCentre: n.opt.DataCentre, Address: addr,
 		ConfigOffset: int64(n.config.Offset()), Incarnation: n.began.UnixNano(), Seq: n.seq.Add(1),
-		Ready: n.Ready(), Cells: n.owned(),
+		Ready: n.Ready(), Cells: n.owned(), LogOk: n.config.LogOK(),
 	}
 }
 
@@ -193,6 +199,8 @@
 	mux.Handle(path, n.verifiedPeers(peers))
 	path, jobs := peerv1connect.NewJobServiceHandler(jobService{n})
 	mux.Handle(path, n.verifiedPeers(jobs))
+	path, cells := peerv1connect.NewCellServiceHandler(cellService{n})
+	mux.Handle(path, n.verifiedPeers(cells))
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/explain", n.explain)
 	n.routes(mux)
--- a/internal/node/policies.go
+++ b/internal/node/policies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/crocusspring/crocusspring/internal/announce"
 	"github.com/crocusspring/crocusspring/internal/cell"
@@ -9,7 +10,10 @@
 	"github.com/crocusspring/crocusspring/internal/queue"
 )
 
-// keepPolicies gives every cell the weights, quotas and drains in force as they change.
+// defaultPolicy is the name of the throttle and placement policies that are in force for all cells.
+const defaultPolicy = "default"
+
+// keepPolicies gives every cell the policies in force as they change.
 func (n *Node) keepPolicies(ctx context.Context) error {
 	sent := map[string]queue.Policy{}
 	for ctx.Err() == nil {
@@ -29,15 +33,26 @@
 	return nil
 }
 
-// policiesOf is what the configuration says of workspaces and workers.
+// policiesOf is what the configuration says of workspaces, classes and workers.
 func policiesOf(v *config.View) cell.Policies {
-	p := cell.Policies{Workspaces: map[string]queue.Policy{}}
+	out := cell.Policies{Workspaces: map[string]queue.Policy{}, Classes: map[string]cell.ClassPolicy{}}
 	for name, w := range v.Workspaces {
-		p.Workspaces[name] = queue.Policy{Weight: w.Weight, Quota: w.Quota, Exact: true}
+		out.Workspaces[name] = queue.Policy{Weight: w.Weight, Quota: w.Quota, Exact: true}
+	}
+	for name, c := range v.Classes {
+		out.Classes[name] = cell.ClassPolicy{
+			Urgent: c.Urgent, Fixed: !c.Evictable, MaxFailures: c.MaxFailures, CheckpointEvery: c.CheckpointEvery,
+		}
+	}
+	if t, ok := v.Throttle[defaultPolicy]; ok {
+		out.SlowdownLimit, out.ThrottlePercent = t.MaxSlowdown, max(1, int(t.Least*100))
+	}
+	if p, ok := v.Placement[defaultPolicy]; ok {
+		out.KeepFree = p.KeepFree
 	}
-	p.Drained = func(m announce.Member) bool {
-		_, ok := v.Drained(m.Name, m.Rack, m.DataCentre)
-		return ok
+	out.Drained = func(m announce.Member) (time.Duration, bool) {
+		d, drained := v.Drained(m.Name, m.Rack, m.DataCentre)
+		return d.EvictAfter, drained
 	}
-	return p
+	return out
 }
--- a/internal/node/policies_test.go
+++ b/internal/node/policies_test.go
@@ -55,8 +55,8 @@
 	}
 	for _, w := range []string{"w1", "w2"} {
 		m := announce.Member{Announcement: announce.Announcement{Name: w}}
-		if p.Drained(m) != (w == "w1") {
-			t.Errorf("%s drained: %v", w, p.Drained(m))
+		if _, drained := p.Drained(m); drained != (w == "w1") {
+			t.Errorf("%s drained: %v", w, drained)
 		}
 	}
 }
