--- a/internal/claimrun/keeper.go
+++ b/internal/claimrun/keeper.go
@@ -39,6 +39,8 @@
 	firstRead = 500
 	// expireEvery is the time between two looks for keys that are too old.
 	expireEvery = time.Minute
+	// leastSnapshotAge bounds how often snapshots are written.
+	leastSnapshotAge = 500 * time.Millisecond
 )
 
 // Peers asks the owner of a claim for its outcome.
@@ -68,8 +70,11 @@
 	first logsvc.Offset
 	tail  bool
 	since int
-	parts []claim.Snapshot
-	grown chan struct{}
+	// snapshots is how old the newest snapshot may become while keys are kept, seen when that was read.
+	snapshots time.Duration
+	seen      time.Time
+	parts     []claim.Snapshot
+	grown     chan struct{}
 	// rewind makes the reader start again at next.
 	rewind context.CancelFunc
 	local  map[claim.Key]*local
@@ -92,11 +97,21 @@
 	reply       dispatch.Reply
 }
 
-// New returns a keeper; self is the address of this process, others those of all that claim keys.
-func New(lc logsvc.Client, p Peers, self string, others []string, lg *log.Logger) *Keeper {
+// Options are the settings of a keeper.
+type Options struct {
+	// Self is the address of this process, Others those of all others that claim keys.
+	Self   string
+	Others []string
+	// SnapshotAge is how old the newest snapshot on the log may become; it lies well inside the time the
+	// log keeps records.
+	SnapshotAge time.Duration
+}
+
+// New returns a keeper.
+func New(lc logsvc.Client, p Peers, o Options, lg *log.Logger) *Keeper {
 	life, finish := context.WithCancel(context.Background())
 	return &Keeper{
-		life: life, finish: finish, log: lc, peers: p, self: self, others: others, lg: lg, fold: claim.NewFold(), next: 1, first: 1,
+		life: life, finish: finish, log: lc, peers: p, self: o.Self, others: o.Others, snapshots: o.SnapshotAge, lg: lg, fold: claim.NewFold(), next: 1, first: 1,
 		grown: make(chan struct{}), local: map[claim.Key]*local{}, given: map[string]bool{},
 	}
 }
--- a/internal/claimrun/keeper_test.go
+++ b/internal/claimrun/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http/httptest"
 	"slices"
@@ -54,7 +55,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for _, name := range names {
-		k := New(logsvc.NewHTTP(strings.TrimPrefix(srv.URL, "http://")), g, name, without(names, name), logs.Discard())
+		k := New(logsvc.NewHTTP(strings.TrimPrefix(srv.URL, "http://")), g, Options{Self: name, Others: without(names, name), SnapshotAge: time.Minute}, logs.Discard())
 		g.keepers[name] = k
 		wg.Go(func() { k.Run(ctx) })
 	}
@@ -237,3 +238,62 @@
 	close(hang)
 	<-done
 }
+
+// TestRestartAfterRetention checks that a process that starts when the log has dropped a claim still
+// knows its key, by a snapshot.
+func TestRestartAfterRetention(t *testing.T) {
+	const keep, keyed = 60, 60
+	log := logstand.New(keep)
+	srv := httptest.NewServer(log.Handler())
+	t.Cleanup(srv.Close)
+	g := &group{keepers: map[string]*Keeper{}}
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	run := func(name string) func() {
+		k := New(logsvc.NewHTTP(addr), g, Options{Self: name, SnapshotAge: time.Millisecond}, logs.Discard())
+		g.keepers[name] = k
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { k.Run(ctx); close(done) }()
+		for !read(k) {
+			time.Sleep(time.Millisecond)
+		}
+		return func() { cancel(); srv.CloseClientConnections(); <-done }
+	}
+	stopA := run("a")
+	var keys []string
+	for i := range keyed {
+		keys = append(keys, fmt.Sprint("key-", i))
+	}
+	for _, key := range keys {
+		if r, _ := g.keepers["a"].Do(context.Background(), request(key, 10*time.Second), answer); r.Outcome != targetapi.Answered {
+			t.Fatalf("key %s: %+v", key, r)
+		}
+	}
+	stopB := run("b")
+	b := g.keepers["b"]
+	whole := false
+	for range 10000 {
+		b.mu.Lock()
+		whole = b.fold.Whole() && b.fold.Len() == len(keys)
+		b.mu.Unlock()
+		if whole {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if !whole {
+		t.Fatal("no snapshot made the fold whole")
+	}
+	r, _ := b.Do(context.Background(), request("key-0", 10*time.Second), func() dispatch.Reply {
+		t.Error("the request ran again")
+		return answer()
+	})
+	if r.Outcome == targetapi.NotRun {
+		t.Errorf("reply %+v", r)
+	}
+	if r, _ = b.Do(context.Background(), request("eleven", 10*time.Second), answer); r.Outcome != targetapi.Answered {
+		t.Errorf("a fresh key: %+v", r)
+	}
+	stopB()
+	stopA()
+}
--- a/internal/claimrun/stream.go
+++ b/internal/claimrun/stream.go
@@ -16,6 +16,7 @@
 func (k *Keeper) Run(ctx context.Context) {
 	defer k.finish()
 	go k.expire(ctx)
+	go k.keepSnapshot(ctx)
 	for ctx.Err() == nil {
 		reading, rewind := context.WithCancel(ctx)
 		k.mu.Lock()
@@ -58,6 +59,29 @@
 	}
 }
 
+// keepSnapshot writes a snapshot whenever the newest one has become too old, until ctx ends. Any process
+// may write it; another one just says the same.
+func (k *Keeper) keepSnapshot(ctx context.Context) {
+	age := max(k.snapshots, leastSnapshotAge)
+	t := time.NewTicker(age / 4)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			k.mu.Lock()
+			var parts []claim.Snapshot
+			if k.tail && k.fold.Len() > 0 && now.Sub(k.seen) > age {
+				k.seen = now
+				parts = k.fold.Snapshot(now, k.next)
+			}
+			k.mu.Unlock()
+			k.snapshot(parts)
+		}
+	}
+}
+
 // Entries implements follow.Handler.
 func (k *Keeper) Entries(entries []logsvc.Entry, tail logsvc.Offset) {
 	k.mu.Lock()
@@ -121,7 +145,7 @@
 // part collects one part of a snapshot and restores from it when it is whole. Parts of one snapshot
 // are appended together, so they follow each other. The caller holds the lock.
 func (k *Keeper) part(now time.Time, s claim.Snapshot) {
-	k.since = 0
+	k.since, k.seen = 0, now
 	if s.Part != len(k.parts) || s.Part > 0 && k.parts[0].Next != s.Next {
 		k.parts = nil
 	}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -24,7 +24,8 @@
 	}
 	n.requests = dispatch.New(set, n.members, n.ports.Targets, logs.Part(n.lg, "request"))
 	others := slices.DeleteFunc(slices.Clone(set.Homes), func(addr string) bool { return addr == self })
-	n.claims = claimrun.New(n.ports.Log, n.members, self, others, logs.Part(n.lg, "claim"))
+	keep := claimrun.Options{Self: self, Others: others, SnapshotAge: n.opt.SnapshotAge}
+	n.claims = claimrun.New(n.ports.Log, n.members, keep, logs.Part(n.lg, "claim"))
 	n.members.Provide(members.Services{Borrow: n.requests.Lend, Outcome: n.claims.Outcome})
 }
 
