crocus-dev applies its first record before the load

Change: the first change is published before the load starts and the rest go on during it. Conclusion: the verdict no longer depends on how fast the first seconds are.

--- a/internal/dev/operator.go
+++ b/internal/dev/operator.go
@@ -54,17 +54,22 @@
 func (o *operator) run(ctx context.Context) {
 	t := time.NewTicker(changeEvery)
 	defer t.Stop()
-	records := []string{o.c.Shape.Service, o.c.Shape.Service + "-archive"}
-	for i := 0; ; i++ {
-		o.change(ctx, records[i%len(records)], int64(900+i%100))
+	for i := 1; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		o.step(ctx, i)
 	}
 }
 
+// step publishes the operator's change of a number; run goes on from the first.
+func (o *operator) step(ctx context.Context, i int) {
+	records := []string{o.c.Shape.Service, o.c.Shape.Service + "-archive"}
+	o.change(ctx, records[i%len(records)], int64(900+i%100))
+}
+
 // change publishes one change of a service record and reports whether it was accepted. A call whose
 // outcome is open is repeated under the same id at another process.
 func (o *operator) change(ctx context.Context, service string, budget int64) bool {
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -79,6 +79,8 @@
 
 // load sends the load beside an operator and the faults, and returns when all of them are over.
 func (c *Cluster) load(ctx context.Context, o workload.Options, p Plan, events map[string]int) error {
+	op := c.newOperator("operator-1", o.Client)
+	op.step(ctx, 0)
 	during, cancel := context.WithTimeout(ctx, p.Length)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -96,7 +98,7 @@
 			}
 		})
 	}
-	wg.Go(func() { c.newOperator("operator-1", o.Client).run(during) })
+	wg.Go(func() { op.run(during) })
 	err := workload.Run(ctx, o)
 	wg.Wait()
 	if err != nil {
