--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -64,6 +64,7 @@
 	held   []func()  // what the driver was about to do when it was paused
 	cut    string    // a worker it can't reach
 	noLog  time.Time // until when it can't reach the log
+	deaf   bool      // it is too busy to answer others
 }
 
 // modelWorker is one worker.
@@ -222,22 +223,22 @@
 
 // canvass asks the other cores for their word, each over its own way.
 func (m *model) canvass(mc *modelCore, a Canvass) {
-	w := Words{Ask: a.Ask, Asked: m.now}
+	w := Words{Ask: a.Ask, Asked: m.now, Others: len(m.cores) - 1}
 	for _, other := range m.cores {
 		if other == mc {
 			continue
 		}
 		m.send(true, func() {
-			if !other.paused.IsZero() {
+			if !other.paused.IsZero() || other.deaf {
 				return
 			}
 			name, given := other.core.Promise(m.now, a.Ask)
 			m.send(true, func() {
-				part := Words{Ask: w.Ask, Asked: w.Asked, Heard: []string{name}}
+				w.Heard = append(slices.Clone(w.Heard), name)
 				if given {
-					part.Given = []string{name}
+					w.Given = append(slices.Clone(w.Given), name)
 				}
-				m.toCore(mc, part)
+				m.toCore(mc, w)
 			})
 		})
 	}
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -134,6 +135,22 @@
 	})
 }
 
+// TestTwoKills checks that a candidate which was too busy to answer the owner takes the cell within 10 s
+// when the owner and the other candidate are killed together.
+func TestTwoKills(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		m := newQuiet(t, seed, 2)
+		owner := m.owner()
+		others := slices.DeleteFunc(slices.Clone(m.cores), func(c *modelCore) bool { return c == owner })
+		others[1].deaf = true
+		began := m.now
+		m.run(t, "the lease is renewed", 5*time.Second, func() bool { return m.now.Sub(began) > 2*time.Second })
+		*owner, *others[0] = *m.newCore(), *m.newCore()
+		id := m.job(Job{Class: "build", Declare: one, RunMS: 1000})
+		m.run(t, "job starts under a new owner", 10*time.Second, m.runs(id))
+	})
+}
+
 // TestLogDown checks that an owner goes on while the log is down for longer than any lease: what runs
 // goes on and ends, and nothing is run twice.
 func TestLogDown(t *testing.T) {
