--- a/internal/dev/operator.go
+++ b/internal/dev/operator.go
@@ -50,21 +50,26 @@
 	return &operator{c: c, name: name, client: client, known: map[string]int64{}}
 }
 
-// run publishes changes until ctx ends; one that was begun is brought to its verdict.
+// run publishes changes until ctx ends.
 func (o *operator) run(ctx context.Context) {
 	t := time.NewTicker(changeEvery)
 	defer t.Stop()
-	records := []string{o.c.Shape.Service, o.c.Shape.Service + "-archive"}
-	for i := 0; ; i++ {
-		o.change(o.c.ctx, records[i%len(records)], int64(900+i%100))
+	for i := 1; ; i++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		o.step(ctx, i)
 	}
 }
 
+// step publishes the operator's change of a number; run goes on from the first.
+func (o *operator) step(ctx context.Context, i int) {
+	records := []string{o.c.Shape.Service, o.c.Shape.Service + "-archive"}
+	o.change(ctx, records[i%len(records)], int64(900+i%100))
+}
+
 // change publishes one change of a service record and reports whether it was accepted. A call whose
 // outcome is open is repeated under the same id at another process.
 func (o *operator) change(ctx context.Context, service string, budget int64) bool {
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -17,6 +17,8 @@
 	settleTimeout = 45 * time.Second
 	// callersConns is how many idle connections the callers keep to one entry.
 	callersConns = 256
+	// callersIdle is how long callers keep an unused connection; entries keep it longer.
+	callersIdle  = 5 * time.Second
 	progressStep = time.Second
 	resends      = 2
 )
@@ -40,7 +42,7 @@
 	}
 	callers := newHost(func(string) time.Duration { return c.Shape.Client })
 	defer callers.kill()
-	client := &http.Client{Transport: &http.Transport{DialContext: callers.dial, MaxIdleConnsPerHost: callersConns, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: callers.dial, MaxIdleConnsPerHost: callersConns, IdleConnTimeout: callersIdle, DisableCompression: true}}
 	o := workload.Options{
 		Mix: p.Mix, Seed: p.Seed, Length: p.Length, Client: client, Record: c.Record, Resends: resends,
 		Balancer: workload.NewBalancer(client, c.entries()),
@@ -77,6 +79,8 @@
 
 // load sends the load beside an operator and the faults, and returns when all of them are over.
 func (c *Cluster) load(ctx context.Context, o workload.Options, p Plan, events map[string]int) error {
+	op := c.newOperator("operator-1", o.Client)
+	op.step(ctx, 0)
 	during, cancel := context.WithTimeout(ctx, p.Length)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -94,7 +98,7 @@
 			}
 		})
 	}
-	wg.Go(func() { c.newOperator("operator-1", o.Client).run(during) })
+	wg.Go(func() { op.run(during) })
 	err := workload.Run(ctx, o)
 	wg.Wait()
 	if err != nil {
