--- a/internal/audit/writer.go
+++ b/internal/audit/writer.go
@@ -71,6 +71,13 @@
 	return w.dropped
 }
 
+// Waiting returns how many lines are not written yet.
+func (w *Writer) Waiting() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.waiting)
+}
+
 // Run writes lines until ctx ends; then it tries once more to write what waits.
 func (w *Writer) Run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
@@ -87,7 +94,7 @@
 		select {
 		case <-ctx.Done():
 			if err := w.write(context.WithoutCancel(ctx)); err != nil {
-				w.lg.Error("Audit lines are lost.", "lines", len(w.waiting), "err", err)
+				w.lg.Error("Audit lines are lost.", "lines", w.Waiting(), "err", err)
 			}
 			return
 		case <-again:
