--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -71,8 +71,13 @@
 			f    Filter
 			want int
 		}{
-			{Filter{}, maxWaiting}, {Filter{Who: "op1"}, maxWaiting / 2}, {Filter{Name: "service/y"}, 0}, {Filter{Name: "service/"}, maxWaiting},
-			{Filter{Workspaces: []string{"ws0"}}, maxWaiting / 2}, {Filter{Workspaces: []string{}}, 0}, {Filter{Since: time.Now()}, 0},
+			{Filter{}, maxWaiting},
+			{Filter{Who: "op1"}, maxWaiting / 2},
+			{Filter{Name: "service/y"}, 0},
+			{Filter{Name: "service/"}, maxWaiting},
+			{Filter{Workspaces: []string{"ws0"}}, maxWaiting / 2},
+			{Filter{Workspaces: []string{}}, 0},
+			{Filter{Since: time.Now()}, 0},
 		} {
 			got, err := Search(t.Context(), f, c.f, 2*lines)
 			if err != nil || len(got) != c.want {
