A candidate that is no voter takes a cell after the plain lease

Ruled out: a pending promise, a lost append. Change: they take the cell after the plain lease; the lease record carries for how long the earlier holder may still drive workers (ghost_ms), and tasks on workers that do not answer the new owner are given up only after that. The rule that an incomplete list of voters is not named is reverted, it is no longer needed. Conclusion: what the stretch endangers is only work on unreachable workers, so only that waits.

--- a/internal/cell/canvass.go
+++ b/internal/cell/canvass.go
@@ -27,10 +27,8 @@
 type Words struct {
 	Ask   lease.Ask
 	Asked time.Time
-	// Others is how many processes were asked.
-	Others int
-	Heard  []string
-	Given  []string
+	Heard []string
+	Given []string
 }
 
 func (Canvass) action() {}
@@ -40,8 +38,6 @@
 type canvass struct {
 	at    time.Time
 	heard map[string]time.Time
-	// partial is since when some process that was asked has not answered; zero when all have.
-	partial time.Time
 }
 
 // poll asks for words when that is due.
@@ -67,32 +63,16 @@
 	for _, v := range ev.Heard {
 		c.canvass.heard[v] = now
 	}
-	c.lease.SetVoters(c.voters(now, ev))
-}
-
-// voters returns the candidates that the next lease record names. A candidate that is left out has to
-// wait for as long as the holder may stretch its lease, so nobody is named until those that do not
-// answer have been silent for long enough to be taken for gone.
-func (c *Core) voters(now time.Time, ev Words) []string {
-	var out []string
+	var voters []string
 	for v, at := range c.canvass.heard {
 		if now.Sub(at) > heardFor {
 			delete(c.canvass.heard, v)
 			continue
 		}
-		out = append(out, v)
-	}
-	switch {
-	case len(ev.Heard) >= ev.Others:
-		c.canvass.partial = time.Time{}
-	case c.canvass.partial.IsZero():
-		c.canvass.partial = now
-	}
-	if !c.canvass.partial.IsZero() && now.Sub(c.canvass.partial) < heardFor {
-		return nil
+		voters = append(voters, v)
 	}
-	slices.Sort(out)
-	return out[:min(len(out), maxVoters)]
+	slices.Sort(voters)
+	c.lease.SetVoters(voters[:min(len(voters), maxVoters)])
 }
 
 // Promise answers another candidate's request for this one's word, and names this candidate. When the
--- a/internal/cell/housekeep.go
+++ b/internal/cell/housekeep.go
@@ -4,15 +4,17 @@
 
 // lapse gives up the attempts of workers whose task lease has surely ended: a worker was heard of
 // last, or an earlier owner renewed last, longer ago than any lease they were given. After a pause of
-// the owner the wait begins anew, so that a worker can still tell what it has finished.
+// the owner the wait begins anew, so that a worker can still tell what it has finished. A worker that has
+// not answered this owner may have been driven by an earlier one until its ghost has passed.
 func (o *owner) lapse(now time.Time) {
 	wait := o.c.lease.TaskLease() + leaseMargin
 	for name, tasks := range o.c.state.held {
 		w := o.worker(name)
 		from := o.watching
-		if w.heard.After(from) {
-			from = w.heard
+		if w.heard.IsZero() {
+			from = later(from, o.c.lease.Ghost())
 		}
+		from = later(from, w.heard)
 		if now.Sub(from) <= wait {
 			continue
 		}
@@ -26,6 +28,14 @@
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // compact drops ended tasks that are old, or too many.
 func (o *owner) compact(now time.Time) {
 	if len(o.out.forget) > 0 {
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -151,6 +151,68 @@
 	})
 }
 
+// TestAllKilled checks that the cell is taken within 10 s when all its candidates are killed one after
+// the other, so that no voter of the last holder is left.
+func TestAllKilled(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		m := newQuiet(t, seed, 2)
+		began := m.now
+		m.run(t, "voters are named", 10*time.Second, func() bool { return m.now.Sub(began) > 8*time.Second })
+		for _, mc := range m.cores {
+			at := m.now
+			*mc = *m.newCore()
+			m.run(t, "a second passes", 2*time.Second, func() bool { return m.now.Sub(at) > time.Second })
+		}
+		id := m.job(Job{Class: "build", Declare: one, RunMS: 1000})
+		m.run(t, "job starts under a new owner", 10*time.Second, m.runs(id))
+	})
+}
+
+// TestGhost checks that nothing runs twice when the owner and all its voters are cut off from the log
+// together with a worker, and a candidate that is no voter takes the cell: what the worker runs is left
+// alone for as long as the old owner may renew it, and starts elsewhere after that.
+func TestGhost(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		m := newQuiet(t, seed, 2)
+		for range 4 {
+			m.job(Job{Class: "build", Declare: one, RunMS: 300_000})
+		}
+		m.run(t, "builds start", 10*time.Second, func() bool { return len(m.hist.where) == 4 })
+		began := m.now
+		m.run(t, "voters are named", 10*time.Second, func() bool { return m.now.Sub(began) > 8*time.Second })
+		old := m.owner()
+		for _, mc := range m.cores {
+			mc.noLog = m.now.Add(2 * time.Minute)
+		}
+		fresh := m.newCore()
+		fresh.cut = "w0"
+		m.cores = append(m.cores, fresh)
+		cutAt, taken := m.now, time.Time{}
+		ghosted := false
+		m.run(t, "builds of the cut worker go on elsewhere", time.Minute, func() bool {
+			_, owns := fresh.core.Owner(m.now)
+			if owns && taken.IsZero() {
+				taken = m.now
+			}
+			_, still := old.core.Owner(m.now)
+			ghosted = ghosted || owns && still
+			moved := 0
+			for _, id := range m.jobs {
+				if t, _ := fresh.core.Task(id); t.Attempt > 1 && m.hist.where[id] == "w1" {
+					moved++
+				}
+			}
+			return owns && moved == 2
+		})
+		if len(m.hist.wrong) > 0 {
+			t.Fatal(m.hist.wrong)
+		}
+		if !ghosted || taken.Sub(cutAt) > 10*time.Second {
+			t.Fatalf("taken after %v, beside the old owner: %v", taken.Sub(cutAt), ghosted)
+		}
+	})
+}
+
 // TestLogDown checks that an owner goes on while the log is down for longer than any lease: what runs
 // goes on and ends, and nothing is run twice.
 func TestLogDown(t *testing.T) {
--- a/internal/cellrun/canvass.go
+++ b/internal/cellrun/canvass.go
@@ -13,8 +13,8 @@
 
 // Peers asks the other candidates for a cell for their word not to take it.
 type Peers interface {
-	// Words returns how many processes were asked, which candidates were there, and which gave their word.
-	Words(ctx context.Context, cellName string, a lease.Ask) (others int, heard, given []string)
+	// Words returns which candidates were there and which gave their word.
+	Words(ctx context.Context, cellName string, a lease.Ask) (heard, given []string)
 }
 
 // canvass does a Canvass action. The words count from before they were asked for.
@@ -25,6 +25,6 @@
 	asked := time.Now()
 	ctx, cancel := context.WithTimeout(d.ctx, canvassTimeout)
 	defer cancel()
-	others, heard, given := d.Peers.Words(ctx, d.name, a.Ask)
-	d.step(cell.Words{Ask: a.Ask, Asked: asked, Others: others, Heard: heard, Given: given})
+	heard, given := d.Peers.Words(ctx, d.name, a.Ask)
+	d.step(cell.Words{Ask: a.Ask, Asked: asked, Heard: heard, Given: given})
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -3,9 +3,10 @@
 // A record names the offset of the lease record it replaces; the first in log order that names the
 // newest one wins. The epoch is the offset of the take that began the ownership, so it only grows.
 //
-// No two holders overlap: the owner counts its lease from before it appended the record, a taker
-// counts the same time from when it saw that record, which is later, and adds Margin for clocks that
-// run at different rates.
+// The plain leases of two holders never overlap: the owner counts its lease from before it appended the
+// record, a taker counts the same time from when it saw that record, which is later, and adds Margin for
+// clocks that run at different rates. While the log is down a holder may go on by the word of voters; a
+// taker that is no voter may meet such a holder, and Ghost tells it until when.
 package lease
 
 import (
@@ -50,6 +51,8 @@
 	// the record was appended.
 	Voters    []string `json:"voters,omitempty"`
 	StretchMS int64    `json:"stretch_ms,omitempty"`
+	// GhostMS is for how long after the record an earlier holder may still drive workers; see Ghost.
+	GhostMS int64 `json:"ghost_ms,omitempty"`
 }
 
 // Options are the fixed parameters of a lease.
@@ -83,6 +86,9 @@
 	words map[string]time.Time // when each voter was asked that gave its word under the newest record
 	base  time.Time            // when the append of the newest record began, if it was this process's
 
+	ghostMS  int64     // of the newest accepted record
+	ghostTil time.Time // until when an earlier holder may still drive workers
+
 	bound    Ask       // whom this process has promised not to take the cell
 	boundTil time.Time // until when
 
@@ -127,6 +133,10 @@
 	c.tasks = max(c.tasks, time.Duration(b.TaskLeaseMS)*time.Millisecond)
 	c.voters, c.stretch = b.Voters, time.Duration(b.StretchMS)*time.Millisecond
 	c.words, c.base = map[string]time.Time{}, time.Time{}
+	c.ghostMS, c.ghostTil = b.GhostMS, time.Time{}
+	if b.GhostMS > 0 {
+		c.ghostTil = now.Add(time.Duration(b.GhostMS) * time.Millisecond)
+	}
 	switch b.Op {
 	case OpTake:
 		c.holder, c.epoch, c.restored = b.Holder, at, false
@@ -140,6 +150,9 @@
 	// The lease runs from before this very append was made; an append nobody remembers gives nothing.
 	if s, ok := c.sent[b.Seq]; ok {
 		c.base, c.validTil = s.began, s.began.Add(c.held)
+		if b.GhostMS > 0 {
+			c.ghostTil = s.began.Add(time.Duration(b.GhostMS) * time.Millisecond)
+		}
 	}
 }
 
@@ -172,6 +185,9 @@
 		Op: op, Holder: c.opt.Self, Replaces: c.last, LeaseMS: c.opt.Length.Milliseconds(),
 		TaskLeaseMS: c.opt.TaskLength.Milliseconds(), Seq: c.seq,
 	}
+	if ghost := c.ghost(op).Sub(now); ghost > 0 {
+		b.GhostMS = (ghost + time.Millisecond - 1).Milliseconds()
+	}
 	if op != OpRelease && len(c.peers) > 0 && c.opt.Stretch > 0 {
 		b.Voters, b.StretchMS = c.peers, c.opt.Stretch.Milliseconds()
 	}
--- a/internal/lease/promise.go
+++ b/internal/lease/promise.go
@@ -9,8 +9,7 @@
 
 // While the log is down nobody can renew, and nobody can take. An owner can't tell that from being cut
 // off alone, so it goes on past its lease only by the word of others: its newest record names voters,
-// and each of them promises not to take the cell for a lease length. Candidates that are no voters wait
-// for as long as the holder may stretch its lease in this way.
+// and each of them promises not to take the cell for a lease length.
 
 // Ask is a holder's request for a promise.
 type Ask struct {
@@ -91,9 +90,24 @@
 	if c.holder == "" {
 		return c.opt.Delay
 	}
-	held := c.held
-	if c.stretch > 0 && !slices.Contains(c.voters, c.opt.Self) {
-		held = max(held, c.stretch)
+	return c.opt.Delay + c.held + Margin
+}
+
+// Ghost returns until when an earlier holder may still drive workers that do not answer this one. The
+// voters of a holder keep their word, so they never take the cell beside it. A candidate that is no
+// voter takes it after the plain lease all the same, or nobody could when all voters have died; the log
+// and every worker it reaches refuse the earlier epoch from then on, and what other workers run is not
+// given up before Ghost has passed and their lease with it.
+func (c *Core) Ghost() time.Time { return c.ghostTil }
+
+// ghost returns until when an earlier holder may still act once a record of this process is accepted.
+func (c *Core) ghost(op Op) time.Time {
+	til := c.ghostTil
+	if op != OpTake || c.holder == "" || c.holder == c.opt.Self || c.stretch == 0 || slices.Contains(c.voters, c.opt.Self) {
+		return til
 	}
-	return c.opt.Delay + held + Margin
+	if t := c.seen.Add(c.stretch + Margin); t.After(til) {
+		return t
+	}
+	return til
 }
--- a/internal/lease/snapshot.go
+++ b/internal/lease/snapshot.go
@@ -15,13 +15,14 @@
 	TaskLeaseMS int64         `json:"task_lease_ms"`
 	Voters      []string      `json:"voters,omitempty"`
 	StretchMS   int64         `json:"stretch_ms,omitempty"`
+	GhostMS     int64         `json:"ghost_ms,omitempty"`
 }
 
 // Snapshot returns the folded part.
 func (c *Core) Snapshot() Snapshot {
 	return Snapshot{
 		Holder: c.holder, Epoch: c.epoch, Last: c.last, HeldMS: c.held.Milliseconds(), TaskLeaseMS: c.tasks.Milliseconds(),
-		Voters: c.voters, StretchMS: c.stretch.Milliseconds(),
+		Voters: c.voters, StretchMS: c.stretch.Milliseconds(), GhostMS: c.ghostMS,
 	}
 }
 
@@ -34,6 +35,10 @@
 	c.tasks = time.Duration(s.TaskLeaseMS) * time.Millisecond
 	c.seen, c.validTil = now, time.Time{}
 	c.voters, c.stretch = s.Voters, time.Duration(s.StretchMS)*time.Millisecond
+	c.ghostMS, c.ghostTil = s.GhostMS, time.Time{}
+	if s.GhostMS > 0 {
+		c.ghostTil = now.Add(time.Duration(s.GhostMS) * time.Millisecond)
+	}
 	c.words, c.base = map[string]time.Time{}, time.Time{}
 	c.sent, c.sentAt = map[int64]sending{}, time.Time{}
 	c.restored = true
--- a/internal/node/canvass.go
+++ b/internal/node/canvass.go
@@ -28,25 +28,18 @@
 }
 
 // Words implements cellrun.Peers: it asks every process that is known.
-func (n *Node) Words(ctx context.Context, cellName string, a lease.Ask) (others int, heard, given []string) {
+func (n *Node) Words(ctx context.Context, cellName string, a lease.Ask) (heard, given []string) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, p := range n.members.Processes() {
 		if p.Id == n.opt.ID || p.Address == "" {
 			continue
 		}
-		mu.Lock()
-		others++
-		mu.Unlock()
 		wg.Go(func() {
 			r, err := askWord(ctx, n.jobClient, "http://"+p.Address, cellName, a)
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
-				return
-			}
-			if r.Candidate == "" {
-				others--
+			if err != nil || r.Candidate == "" {
 				return
 			}
 			heard = append(heard, r.Candidate)
@@ -56,7 +49,7 @@
 		})
 	}
 	wg.Wait()
-	return others, heard, given
+	return heard, given
 }
 
 // askWord asks one process.
