A key that was refused stays refused

A refused claim was released, which freed the key, and a second send that was on its way then claimed it and ran. Change: a refusal is the outcome of its key like any other, kept and published; only claims given up before they were settled are released.

--- a/internal/claimrun/attach.go
+++ b/internal/claimrun/attach.go
@@ -52,6 +52,8 @@
 		return dispatch.Reply{Outcome: targetapi.Answered, Answer: *s.Answer}
 	case s.Outcome == targetapi.Answered:
 		return unknown("the request was answered, but the answer is no longer kept")
+	case s.Outcome == targetapi.NotRun:
+		return refused(errRefused, 0)
 	case s.Outcome == targetapi.Unknown:
 		return unknown("the outcome of the request with this key is unknown")
 	}
@@ -101,8 +103,12 @@
 	}
 }
 
-// errReleased says that the request of a claim did not run and won't.
-const errReleased = "the request with this key did not run"
+const (
+	// errReleased says that a claim was given up before anything was sent.
+	errReleased = "the request with this key did not run"
+	// errRefused says that the request of a key was refused, which is final for the key.
+	errRefused = "the request with this key was refused and did not run; come again with a new key"
+)
 
 // Outcome answers a peer that asks for the outcome of a claim of this process.
 func (k *Keeper) Outcome(ctx context.Context, r *peerv1.OutcomeRequest) *peerv1.OutcomeResponse {
--- a/internal/claimrun/keeper.go
+++ b/internal/claimrun/keeper.go
@@ -240,12 +240,9 @@
 	k.publish(c.ID+"-release", record.KindRelease, claim.Release{Key: c.Key, ID: c.ID})
 }
 
-// settle keeps the outcome of a claim of this process and publishes it.
+// settle keeps the outcome of a claim of this process and publishes it. A key that was refused stays
+// refused: another send of it may be on its way, and must not run once this one was told as not run.
 func (k *Keeper) settle(c claim.Claim, r dispatch.Reply) {
-	if r.Outcome == targetapi.NotRun {
-		k.giveUp(c)
-		return
-	}
 	o := claim.Outcome{Key: c.Key, ID: c.ID, Outcome: r.Outcome}
 	if r.Outcome == targetapi.Answered {
 		o.Answer = &r.Answer
