A chart for the lease of a cell, and every chart held against the code

Cause: the lease's transitions stood in code only, and just one chart was compared with what the code sends. Measured: the test found one state constant outside its chart (a job that no cell knows), which is a plain word now.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/chart"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 )
 
@@ -122,12 +123,16 @@
 	if b.Op != OpTake && b.Holder != c.holder {
 		return false
 	}
-	c.apply(now, at, b)
+	to, ok := c.next(b.Op)
+	if !ok {
+		return false
+	}
+	c.apply(now, at, b, to)
 	return true
 }
 
-// apply makes an accepted record the newest.
-func (c *Core) apply(now time.Time, at logsvc.Offset, b Body) {
+// apply makes an accepted record, which leads to a state of the chart, the newest.
+func (c *Core) apply(now time.Time, at logsvc.Offset, b Body, to chart.State) {
 	c.last, c.seen = at, now
 	c.held = time.Duration(b.LeaseMS) * time.Millisecond
 	c.tasks = max(c.tasks, time.Duration(b.TaskLeaseMS)*time.Millisecond)
@@ -137,10 +142,10 @@
 	if b.GhostMS > 0 {
 		c.ghostTil = now.Add(time.Duration(b.GhostMS) * time.Millisecond)
 	}
-	switch b.Op {
-	case OpTake:
+	if b.Op == OpTake {
 		c.holder, c.epoch, c.restored = b.Holder, at, false
-	case OpRelease:
+	}
+	if to == stateFree {
 		c.holder, c.held = "", 0
 	}
 	if c.holder != c.opt.Self {
--- a/internal/node/jobcancel.go
+++ b/internal/node/jobcancel.go
@@ -21,7 +21,7 @@
 const maxCancelRecord = 1000
 
 // stateUnknown stands for the state of a job that no cell knows.
-const stateUnknown chart.State = "unknown"
+const stateUnknown = "unknown"
 
 // cancelRequest is the body of POST /v1/jobs/cancel.
 type cancelRequest struct {
@@ -114,7 +114,7 @@
 	out := make([]cancelled, 0, len(ids))
 	n.cells[cellName].View(func(c *cell.Core) {
 		for _, id := range ids {
-			s := stateUnknown
+			s := chart.State(stateUnknown)
 			if t, ok := c.Task(id); ok {
 				s = t.State
 			}
