One way to wait for a time or a context

Cause: the same timer and select stood in follow, logsvc, the stand-in worker and crocus-dev under four names. Change: internal/pause. Conclusion: behaviour as before.

--- a/internal/dev/fault.go
+++ b/internal/dev/fault.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/workload"
 )
 
@@ -78,22 +79,10 @@
 // count returns how many events there were.
 func (in *Injector) count() int { return int(in.events.Load()) }
 
-// sleep waits for d or the end of ctx; it reports whether ctx still lasts.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // cycle strikes again and again while ctx lasts: a fifth of the run passes, the fault strikes, holds
 // for a time and is healed. A strike always holds its whole time.
 func (in *Injector) cycle(ctx context.Context, hold time.Duration, strike func() (heal func() error, err error)) error {
-	for sleep(ctx, in.plan.Length/5) {
+	for pause.For(ctx, in.plan.Length/5) {
 		heal, err := strike()
 		if err != nil {
 			return err
@@ -101,7 +90,7 @@
 		if heal == nil {
 			continue
 		}
-		sleep(in.ctx, hold)
+		pause.For(in.ctx, hold)
 		if err := heal(); err != nil {
 			return err
 		}
--- a/internal/dev/fault_log.go
+++ b/internal/dev/fault_log.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/standin/logstand"
 )
 
@@ -78,7 +79,7 @@
 			for _, o := range rivals {
 				go func() {
 					lost := 0
-					for sleep(ctx, raceEvery) {
+					for pause.For(ctx, raceEvery) {
 						if !o.change(ctx, in.Shape.Service+"-archive", 500) {
 							lost++
 						}
--- a/internal/dev/fault_worker.go
+++ b/internal/dev/fault_worker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/standin/workerstand"
 	"github.com/crocusspring/crocusspring/internal/workload"
 )
@@ -58,7 +59,7 @@
 	m := in.plan.Mix
 	for end := time.Now().Add(feedFor); time.Now().Before(end) && in.Record.Failed() <= failed; {
 		workload.Submit(in.ctx, in.load, m.Workspaces[0], m.Jobs[0], m.Jobs[0].MinRun)
-		sleep(in.ctx, feedEvery)
+		pause.For(in.ctx, feedEvery)
 	}
 }
 
--- a/internal/follow/fold.go
+++ b/internal/follow/fold.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/pause"
 )
 
 // Folder is the fold of one stream that can start from a snapshot. Its methods are called from one
@@ -39,9 +40,9 @@
 // Folder.Fold, but tell them to a Schedule; and let the one process that owns the stream ask
 // Schedule.Due after each batch and append NewSnapshot of its state when it is.
 func Fold(ctx context.Context, r logsvc.Reader, stream string, f Folder, lg *log.Logger) {
-	pause := newPause()
+	retry := newBackoff()
 	for ctx.Err() == nil {
-		err := foldFrom(ctx, r, stream, f, pause.Reset)
+		err := foldFrom(ctx, r, stream, f, retry.Reset)
 		if ctx.Err() != nil {
 			return
 		}
@@ -50,7 +51,7 @@
 		} else {
 			lg.Debug("Read failed.", "stream", stream, "err", err)
 		}
-		sleep(ctx, pause.NextBackOff())
+		pause.For(ctx, retry.NextBackOff())
 	}
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/charmbracelet/log"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
+	"github.com/crocusspring/crocusspring/internal/pause"
 )
 
 const (
@@ -29,11 +30,11 @@
 // Run reads the stream from an offset on until ctx ends. A fold that must outlive the retention of its
 // stream uses Fold in place of Run.
 func Run(ctx context.Context, r logsvc.Reader, stream string, from logsvc.Offset, h Handler, lg *log.Logger) {
-	pause := newPause()
+	retry := newBackoff()
 	for ctx.Err() == nil {
 		b, err := read(ctx, r, stream, from)
 		if err == nil {
-			pause.Reset()
+			retry.Reset()
 			h.Entries(b.Entries, b.Tail)
 			from = b.Next
 			continue
@@ -47,16 +48,16 @@
 			return
 		}
 		lg.Debug("Read failed.", "stream", stream, "err", err)
-		sleep(ctx, pause.NextBackOff())
+		pause.For(ctx, retry.NextBackOff())
 	}
 }
 
-// newPause returns the pauses between failed reads: doubling with jitter.
-func newPause() *backoff.ExponentialBackOff {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = 50 * time.Millisecond
-	pause.MaxInterval = maxBackoff
-	return pause
+// newBackoff returns the pauses between failed reads: doubling with jitter.
+func newBackoff() *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = 50 * time.Millisecond
+	retry.MaxInterval = maxBackoff
+	return retry
 }
 
 // read does one read under a timeout.
@@ -65,13 +66,3 @@
 	defer cancel()
 	return r.Read(ctx, stream, from, readLimit, readWait)
 }
-
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/logsvc/settle.go
+++ b/internal/logsvc/settle.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/pause"
 )
 
 // ErrUnsettled says that a record was not found in time. It may still take effect later.
@@ -36,7 +38,7 @@
 		case ctx.Err() != nil:
 			return found, fmt.Errorf("%w: %w", ErrUnsettled, ctx.Err())
 		case err != nil:
-			wait(ctx, firstPause)
+			pause.For(ctx, firstPause)
 			continue
 		}
 		for _, e := range b.Entries {
@@ -60,13 +62,3 @@
 	}
 	return env.ID
 }
-
-// wait sleeps for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/standin/workerstand/workerstand.go
+++ b/internal/standin/workerstand/workerstand.go
@@ -14,6 +14,7 @@
 
 	"github.com/crocusspring/crocusspring/internal/announce"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/workerapi"
 )
 
@@ -142,7 +143,7 @@
 	resp, err := w.Sync(time.Now(), req)
 	end := time.Now().Add(time.Duration(req.WaitMS) * time.Millisecond)
 	for err == nil && !resp.Full && ctx.Err() == nil && time.Now().Before(end) && !w.changed(req) {
-		wait(ctx, runEvery)
+		pause.For(ctx, runEvery)
 	}
 	if err != nil || req.WaitMS == 0 {
 		return resp, err
@@ -158,22 +159,9 @@
 	if f.Duplicate {
 		time.AfterFunc(f.SyncDelay+duplicateAfter, func() { _, _ = w.Sync(time.Now(), req) })
 	}
-	wait(ctx, f.SyncDelay)
+	pause.For(ctx, f.SyncDelay)
 	if paused != nil {
 		<-paused // a frozen host handles what reached it once it thaws, given up or not
 	}
 	return f
 }
-
-// wait waits for d or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
