--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,7 +121,8 @@
 	}
 	n := &Node{
 		opt: opt, ports: ports, lg: logs.Part(lg, string(opt.Role)), began: time.Now(),
-		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{}, jobClient: jobClients(ports.Dial),
+		life: newLife(), killed: make(chan struct{}), metrics: metrics.New(), cells: map[string]*cellrun.Driver{},
+		jobClient: jobClients(ports.Dial),
 	}
 	n.commit = logsvc.NewCommitter(ports.Log, logsvc.DefaultCommit())
 	n.ports.Log, ports.Log = n.commit, n.commit
@@ -134,18 +135,29 @@
 	n.members = members.New(n, opt.Peers, logs.Part(lg, "peer"), ports.Dial)
 	n.members.PassConfig(configPasser{n.config})
 	for _, c := range opt.Cells {
-		co := cell.Options{
-			Cell: c, Self: fmt.Sprintf("%s@%d", opt.ID, n.began.UnixNano()), OwnerLease: opt.OwnerLease,
-			TaskLease: opt.TaskLease, SyncEvery: opt.SyncEvery, MaxFailures: maxFailures, TakeDelay: takeDelay(opt, c),
-			Stretch: opt.OwnerStretch,
-		}
-		n.cells[c] = cellrun.New(co, ports.Log, ports.Workers, n.members, logs.Part(lg, "cell "+c))
-		n.cells[c].OnNote(n.auditDecision)
-		n.cells[c].Peers = n
+		n.cells[c] = n.newCell(c, lg)
 	}
 	return n
 }
 
+// newCell returns the driver of a cell that this node may own.
+func (n *Node) newCell(name string, lg *log.Logger) *cellrun.Driver {
+	o := cell.Options{
+		Cell:        name,
+		Self:        fmt.Sprintf("%s@%d", n.opt.ID, n.began.UnixNano()),
+		OwnerLease:  n.opt.OwnerLease,
+		TaskLease:   n.opt.TaskLease,
+		SyncEvery:   n.opt.SyncEvery,
+		MaxFailures: maxFailures,
+		TakeDelay:   takeDelay(n.opt, name),
+		Stretch:     n.opt.OwnerStretch,
+	}
+	d := cellrun.New(o, n.ports.Log, n.ports.Workers, n.members, logs.Part(lg, "cell "+name))
+	d.OnNote(n.auditDecision)
+	d.Peers = n
+	return d
+}
+
 // standBack is how long a candidate outside of a cell's data centre stands back from taking it.
 const standBack = 500 * time.Millisecond
 
