Placement strategies and the bound on open jobs are in force

Cause: operators could publish a placement strategy, the weight of interference and max_open_jobs of a workspace, and nothing read them. Change: the placement policy named default chooses the pipeline of every cell; a submission over the bound is refused with 429 and outcome not-run, while one that was accepted before is found as ever. Measured: TestByStrategy tells the strategies and weights apart on one set of workers; TestMaxOpenJobs goes through both an owner and a node that forwards.

--- a/internal/cell/core.go
+++ b/internal/cell/core.go
@@ -112,10 +112,7 @@
 		model: interfere.New(), track: probation.New(probation.DefaultLimits()),
 	}
 	c.effects = newEffects(c.model)
-	c.pipe = opt.Pipeline
-	if c.pipe == nil {
-		c.pipe = place.Default(c.effects)
-	}
+	c.pipe = c.choose()
 	return c
 }
 
@@ -130,6 +127,7 @@
 		c.announced(ev.Members)
 	case Policies:
 		c.policies = ev
+		c.pipe = c.choose()
 		if c.own != nil {
 			c.own.applyPolicies()
 		}
--- a/internal/cell/policy.go
+++ b/internal/cell/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/announce"
+	"github.com/crocusspring/crocusspring/internal/place"
 	"github.com/crocusspring/crocusspring/internal/queue"
 	"github.com/crocusspring/crocusspring/internal/resource"
 )
@@ -22,6 +23,10 @@
 	ThrottlePercent int
 	// KeepFree is the part of each worker that tasks leave free, from 0 to 1.
 	KeepFree float64
+	// Strategy scores workers, and InterferenceWeight is how much learned interference counts in it; an
+	// empty strategy is that of the product.
+	Strategy           place.Strategy
+	InterferenceWeight float64
 }
 
 // ClassPolicy is what the configuration says of a class.
@@ -122,3 +127,14 @@
 	w.saves[key] = now
 	return true
 }
+
+// choose returns the placement pipeline that the policies ask for; one given to the core stays.
+func (c *Core) choose() *place.Pipeline {
+	switch {
+	case c.opt.Pipeline != nil:
+		return c.opt.Pipeline
+	case c.policies.Strategy == "":
+		return place.Default(c.effects)
+	}
+	return place.ByStrategy(c.policies.Strategy, c.effects, c.policies.InterferenceWeight)
+}
--- a/internal/cell/summary.go
+++ b/internal/cell/summary.go
@@ -43,3 +43,14 @@
 	}
 	return c.own.out.size()
 }
+
+// Open counts the tasks of a workspace that have not ended.
+func (c *Core) Open(workspace string) int {
+	n := 0
+	for _, t := range c.state.tasks {
+		if t.Workspace == workspace && !t.Done() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/node/jobs.go
+++ b/internal/node/jobs.go
@@ -85,6 +85,9 @@
 	if at, t, ok := n.findJob(q.ID); ok {
 		return acceptedAs(q, at, t, http.StatusOK)
 	}
+	if err := n.roomFor(q.Workspace, cellName); err != nil {
+		return failed(http.StatusTooManyRequests, targetapi.NotRun, err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, configrun.WaitTimeout)
 	defer cancel()
 	answered, err := n.appendJob(ctx, cellName, q.Job)
@@ -105,6 +108,21 @@
 	return acceptedAs(q, cellName, t, http.StatusCreated)
 }
 
+// roomFor returns why a workspace may have no further open job in a cell. The bound holds in each cell
+// by itself, and submissions at the same time through several nodes may each see the last place.
+func (n *Node) roomFor(workspace, cellName string) error {
+	most := n.config.Current().Workspaces[workspace].MaxOpenJobs
+	if most <= 0 {
+		return nil
+	}
+	open := 0
+	n.cells[cellName].View(func(c *cell.Core) { open = c.Open(workspace) })
+	if open >= most {
+		return fmt.Errorf("workspace %s has %d open jobs in cell %s, at most %d are allowed", workspace, open, cellName, most)
+	}
+	return nil
+}
+
 // acceptedAs answers a submission under an id that stands in a cell.
 func acceptedAs(q submitRequest, at string, t cell.Task, status int) jobAnswer {
 	if t.Job != q.Job || q.DataCentre != "" && q.DataCentre != at {
--- a/internal/node/jobs_test.go
+++ b/internal/node/jobs_test.go
@@ -125,6 +125,38 @@
 	}
 }
 
+// TestMaxOpenJobs checks that a workspace gets no further job while it has as many open ones as its
+// record allows, through either node, that it may submit again once one has ended, and that a job that
+// was accepted is found again whatever the bound.
+func TestMaxOpenJobs(t *testing.T) {
+	b := newJobBed(t)
+	record := map[string]any{
+		"id": "bound", "by": "op", "kind": "workspace", "name": "small", "schema": 2,
+		"spec": map[string]any{"weight": 1, "max_open_jobs": 2, "quota": map[string]any{"cores": 1, "memory_gb": 1}},
+	}
+	if got := b.do(0, http.MethodPost, "/v1/records", record, nil); got != http.StatusOK {
+		t.Fatalf("record: status %d", got)
+	}
+	submit := func(node int, id string) int {
+		in := map[string]any{"id": id, "workspace": "small", "class": "c", "data_centre": "dc", "declare": map[string]any{"milli_cpu": 1}}
+		return b.do(node, http.MethodPost, "/v1/jobs", in, nil)
+	}
+	for i, want := range []int{http.StatusCreated, http.StatusCreated, http.StatusTooManyRequests, http.StatusTooManyRequests} {
+		if got := submit(i%2, fmt.Sprint("small-", i)); got != want {
+			t.Errorf("job %d: status %d, want %d", i, got, want)
+		}
+	}
+	if got := submit(1, "small-0"); got != http.StatusOK {
+		t.Errorf("accepted job submitted again: status %d", got)
+	}
+	if got := b.do(1, http.MethodPost, "/v1/jobs/small-1/cancel", nil, nil); got != http.StatusOK {
+		t.Fatalf("cancel: status %d", got)
+	}
+	if got := submit(0, "small-4"); got != http.StatusCreated {
+		t.Errorf("job after one has ended: status %d", got)
+	}
+}
+
 // TestCancelBurst checks that a thousand cancellations cost the log a bounded number of appends.
 func TestCancelBurst(t *testing.T) {
 	b := newJobBed(t)
--- a/internal/node/policies.go
+++ b/internal/node/policies.go
@@ -7,6 +7,7 @@
 	"github.com/crocusspring/crocusspring/internal/announce"
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/config"
+	"github.com/crocusspring/crocusspring/internal/place"
 	"github.com/crocusspring/crocusspring/internal/queue"
 )
 
@@ -49,6 +50,7 @@
 	}
 	if p, ok := v.Placement[defaultPolicy]; ok {
 		out.KeepFree = p.KeepFree
+		out.Strategy, out.InterferenceWeight = place.Strategy(p.Strategy), p.InterferenceWeight
 	}
 	out.Drained = func(m announce.Member) (time.Duration, bool) {
 		d, drained := v.Drained(m.Name, m.Rack, m.DataCentre)
--- a/internal/place/pipeline.go
+++ b/internal/place/pipeline.go
@@ -19,7 +19,32 @@
 	}
 	if model != nil {
 		p.Filters = append(p.Filters, Tolerance{Model: model})
-		p.Scorers = append(p.Scorers, Interference{Model: model})
+		p.Scorers = append(p.Scorers, Interference{Model: model, Weight: 1})
+	}
+	return p
+}
+
+// Strategy names a way to score workers that operators may choose.
+type Strategy string
+
+// Strategies of a placement policy.
+const (
+	StrategySpread       Strategy = "spread"
+	StrategyPack         Strategy = "pack"
+	StrategyInterference Strategy = "interference"
+)
+
+// ByStrategy returns the pipeline of a strategy; an empty or unknown one is that of the product. Weight
+// is how much the learned interference counts, 1 for as much as usual.
+func ByStrategy(s Strategy, model Model, weight float64) *Pipeline {
+	p := Default(nil)
+	switch s {
+	case StrategySpread:
+	case StrategyPack:
+		p.Scorers[0] = Pack{}
+	default:
+		p.Filters = append(p.Filters, Tolerance{Model: model})
+		p.Scorers = append(p.Scorers, Interference{Model: model, Weight: weight})
 	}
 	return p
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -89,6 +89,35 @@
 	}
 }
 
+// TestByStrategy checks that each strategy an operator may choose ranks workers its own way, and that
+// the weight of interference counts.
+func TestByStrategy(t *testing.T) {
+	m := interfere.New()
+	for range 50 {
+		m.Step(interfere.Report{Class: "seat-check", Neighbours: []interfere.Neighbour{{Class: "timetable", Count: 1}}, Slowdown: 1.2})
+	}
+	big := resource.Vector{MilliCPU: 16000}
+	empty := &Worker{Name: "empty", Capacity: big, Classes: []interfere.Neighbour{{Class: "seat-check", Count: 2}}}
+	half := &Worker{Name: "half", Capacity: big, Reserved: resource.Vector{MilliCPU: 6000}}
+	full := &Worker{Name: "full", Capacity: big, Reserved: resource.Vector{MilliCPU: 13000}, Classes: empty.Classes}
+	task := &Task{ID: "t", Class: "timetable", Reserve: resource.Vector{MilliCPU: 1000}}
+	for _, c := range []struct {
+		strategy Strategy
+		weight   float64
+		want     *Worker
+	}{
+		{StrategySpread, 1, empty},
+		{StrategyPack, 1, full},
+		{StrategyInterference, 1, half},
+		{StrategyInterference, 0, empty},
+		{"", 1, half},
+	} {
+		if w, _ := ByStrategy(c.strategy, m, c.weight).Select(task, []*Worker{empty, half, full}); w != c.want {
+			t.Errorf("strategy %q with weight %v chose %s, not %s", c.strategy, c.weight, w.Name, c.want.Name)
+		}
+	}
+}
+
 // BenchmarkSelect measures one placement in cells of several sizes, each with 20 tasks a worker.
 func BenchmarkSelect(b *testing.B) {
 	for _, size := range []int{12, 24, 48, 96} {
--- a/internal/place/score.go
+++ b/internal/place/score.go
@@ -55,7 +55,11 @@
 const interferenceWeight = 3
 
 // Interference prefers workers on which the task slows its neighbours, and they it, the least.
-type Interference struct{ Model Model }
+type Interference struct {
+	Model Model
+	// Weight is how much interference counts against a free worker; 1 is usual.
+	Weight float64
+}
 
 // Score implements Scorer.
 func (i Interference) Score(t *Task, w *Worker) float64 {
@@ -66,5 +70,5 @@
 		onTask, _ := i.Model.Effect(t.Class, n.Class, load)
 		sum += (onNeighbour + onTask) * float64(n.Count)
 	}
-	return -interferenceWeight * sum
+	return -interferenceWeight * i.Weight * sum
 }
