--- a/internal/cell/housekeep.go
+++ b/internal/cell/housekeep.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	half := o.c.first + (s.next-o.c.first)/2
-	return since >= max(o.c.opt.SnapshotEvery, len(s.tasks)) || now.Sub(o.snapshotAt) >= snapshotAge ||
+	return since >= max(o.c.opt.SnapshotEvery, len(s.tasks)) || now.Sub(o.snapshotAt) >= o.c.opt.SnapshotAge ||
 		o.c.first > 1 && s.snapshotAt < half
 }
 
--- a/internal/cell/model_test.go
+++ b/internal/cell/model_test.go
@@ -55,6 +55,8 @@
 	hist    *modelHistory
 	jobs    []string
 	starts  int
+	// snapshotAge is an option of every core; 0 means the default.
+	snapshotAge time.Duration
 }
 
 // modelCore is one candidate with its driver.
@@ -104,7 +106,7 @@
 	m.starts++
 	return &modelCore{core: New(Options{
 		Cell: "dc", Self: fmt.Sprintf("p%d", m.starts), OwnerLease: 2 * time.Second, TaskLease: 4 * time.Second,
-		SyncEvery: 200 * time.Millisecond, MaxFailures: 3, SnapshotEvery: 40, Stretch: 20 * time.Second,
+		SyncEvery: 200 * time.Millisecond, MaxFailures: 3, SnapshotEvery: 40, SnapshotAge: m.snapshotAge, Stretch: 20 * time.Second,
 	})}
 }
 
--- a/internal/cell/options.go
+++ b/internal/cell/options.go
@@ -26,6 +26,9 @@
 	// SnapshotEvery is the least number of entries between two snapshots; 0 means the default. Large
 	// folds are written less often, so that the cost for each entry stays bounded.
 	SnapshotEvery int
+	// SnapshotAge is how old the newest snapshot may become while entries come; it has to lie well inside
+	// the time the log keeps entries. 0 means the default.
+	SnapshotAge time.Duration
 	// SlowdownLimit is the slowdown of a service from which its neighbours are held back.
 	SlowdownLimit float64
 	// KeepDone is how long ended tasks are kept, and MaxDone how many at the most.
@@ -47,6 +50,9 @@
 
 // withDefaults fills in what is not set.
 func (o Options) withDefaults() Options {
+	if o.SnapshotAge == 0 {
+		o.SnapshotAge = snapshotAge
+	}
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = defaultSnapshotEvery
 	}
--- a/internal/cell/scenario_test.go
+++ b/internal/cell/scenario_test.go
@@ -213,6 +213,30 @@
 	})
 }
 
+// TestSnapshotAge checks that a cell with few entries writes snapshots as often as its setting says, so
+// that a log which keeps entries for a short time never loses the last one.
+func TestSnapshotAge(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		m := newModel(chaos{Seed: seed}, 1)
+		m.snapshotAge = 4 * time.Second
+		for _, mc := range m.cores {
+			*mc = *m.newCore()
+		}
+		m.run(t, "cell is owned", 2*time.Second, func() bool { return m.owner() != nil })
+		began := m.now
+		m.run(t, "time passes", 30*time.Second, func() bool { return m.now.Sub(began) > 25*time.Second })
+		snapshots := 0
+		for _, raw := range m.log {
+			if env, err := record.Decode(raw); err == nil && env.Kind == record.KindSnapshot {
+				snapshots++
+			}
+		}
+		if snapshots < 4 {
+			t.Fatalf("%d snapshots in 25 s", snapshots)
+		}
+	})
+}
+
 // TestLogDown checks that an owner goes on while the log is down for longer than any lease: what runs
 // goes on and ends, and nothing is run twice.
 func TestLogDown(t *testing.T) {
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -45,7 +45,7 @@
 	s.List(&f.opt.Cells, "cells", "", "cells this process may own, comma-separated")
 	s.Int(&f.share, "share", 1, 1, 64, "how many nodes send to the same targets")
 	s.Int(&f.appends, "log-appends", int64(d.LogAppends), 1, 1<<20, "budget of all processes together, in appends a second")
-	s.Duration(&f.opt.SnapshotAge, "snapshot-age", d.SnapshotAge, time.Second, 100*time.Hour, "how long a snapshot of the configuration counts; at most an eighth of the log's retention")
+	s.Duration(&f.opt.SnapshotAge, "snapshot-age", d.SnapshotAge, time.Second, 100*time.Hour, "how long a snapshot of the configuration, a cell or the claims counts; at most an eighth of the log's retention")
 	s.String(&f.ops, "operators", "", false, "who may drive the installation: a file or the YAML text itself; empty lets anyone")
 	s.String(&f.tls.Cert, "tls-cert", "", false, "PEM file of this process's certificate")
 	s.String(&f.tls.Key, "tls-key", "", false, "PEM file of this process's key")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,7 @@
 		MaxFailures: maxFailures,
 		TakeDelay:   takeDelay(n.opt, name),
 		Stretch:     n.opt.OwnerStretch,
+		SnapshotAge: n.opt.SnapshotAge,
 	}
 	d := cellrun.New(o, n.ports.Log, n.ports.Workers, n.members, logs.Part(lg, "cell "+name))
 	d.OnNote(n.auditDecision)
