--- a/cmd/crocus-guard/main.go
+++ b/cmd/crocus-guard/main.go
@@ -5,8 +5,12 @@
 	"os"
 
 	"github.com/crocusspring/crocusspring/internal/node"
+	"github.com/crocusspring/crocusspring/platform"
 )
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == platform.Command {
+		os.Exit(platform.Guard())
+	}
 	os.Exit(node.Main(node.RoleGuard, os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,357 @@
+package guard
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/pause"
+)
+
+const (
+	// lookWait is how long a look waits for a run to end; authority is renewed at each.
+	lookWait = 250 * time.Millisecond
+	// callTimeout bounds one order to the worker, and a look beyond its wait; the worker is on this
+	// machine.
+	callTimeout = 500 * time.Millisecond
+	// unforgottenPause is the time between looks while the worker lists ends that the owner has not
+	// stored, since such looks don't wait.
+	unforgottenPause = 50 * time.Millisecond
+	// retryPause is the time after a failed look, order or connection.
+	retryPause = 150 * time.Millisecond
+	// muteAfter is how many looks must fail in a row before the worker counts as not answering.
+	muteAfter = 2
+)
+
+// Owner tells where the owner of the cell serves; empty while it isn't known.
+type Owner interface {
+	OwnerAddr() string
+	// Unreachable says that the owner at an address could not be reached.
+	Unreachable(addr string)
+}
+
+// Guard drives a core. Use New to make one.
+type Guard struct {
+	exec  Executor
+	owner Owner
+	// clock reads milliseconds of a clock that counts while the machine is suspended.
+	clock func() int64
+	log   *log.Logger
+
+	mu      sync.Mutex
+	core    *Core
+	listing *Listing
+	full    bool // listing was asked for under the owner's epoch
+	changed chan struct{}
+	forgot  chan struct{}
+	heard   chan struct{}
+	tasks   sync.WaitGroup
+	ctx     context.Context
+	node    string
+}
+
+// New returns a guard.
+func New(opt Options, exec Executor, owner Owner, clock func() int64, l *log.Logger) *Guard {
+	return &Guard{
+		exec: exec, owner: owner, clock: clock, log: l, core: NewCore(opt), node: opt.Node,
+		changed: make(chan struct{}, 1), forgot: make(chan struct{}, 1),
+		heard: make(chan struct{}, 1),
+	}
+}
+
+// Describe takes the worker's announcement of itself.
+func (g *Guard) Describe(w link.Worker) {
+	g.mu.Lock()
+	draining := g.core.Draining()
+	g.core.Describe(w)
+	now := g.core.Draining()
+	g.mu.Unlock()
+	if now && !draining {
+		g.log.Info("worker drains", "worker", w.ID, "remaining_ms", w.RemainingMS)
+	}
+	signal(g.changed)
+	signal(g.heard)
+}
+
+// Run serves until the context ends.
+func (g *Guard) Run(ctx context.Context) error {
+	grp, ctx := errgroup.WithContext(ctx)
+	g.ctx = ctx
+	grp.Go(func() error { return g.look(ctx) })
+	grp.Go(func() error { return g.links(ctx) })
+	err := grp.Wait()
+	g.tasks.Wait()
+	return err
+}
+
+// signal wakes a loop without waiting for it.
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// look asks the worker again and again what it runs.
+func (g *Guard) look(ctx context.Context) error {
+	failed := 0
+	for ctx.Err() == nil {
+		g.mu.Lock()
+		q, ok := g.core.Looking(g.clock(), lookWait)
+		settled := g.core.Settled()
+		g.mu.Unlock()
+		if !ok {
+			g.wait(ctx, g.heard, lookWait)
+			continue
+		}
+		asked := g.clock()
+		call, cancel := context.WithTimeout(ctx, lookWait+callTimeout)
+		l, err := g.exec.Look(call, q)
+		cancel()
+		if err != nil {
+			failed++
+			g.lookFailed(q, failed, err)
+			pause.For(ctx, retryPause)
+			continue
+		}
+		if failed >= muteAfter {
+			g.log.Info("worker answers again", "worker", l.Life, "failed_looks", failed)
+		}
+		failed = 0
+		if g.listed(asked, q, settled, l) {
+			g.wait(ctx, g.forgot, unforgottenPause)
+		}
+	}
+	return nil
+}
+
+// lookFailed notes a look without an answer.
+func (g *Guard) lookFailed(q Look, failed int, err error) {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return
+	}
+	if errors.Is(err, ErrOtherLife) {
+		g.log.Warn("life of the worker is over", "worker", q.Life)
+		g.mu.Lock()
+		g.core.OtherLife(q.Life)
+		g.mu.Unlock()
+		signal(g.changed)
+		return
+	}
+	if failed == muteAfter {
+		g.log.Warn("worker doesn't answer", "failed_looks", failed, "err", err)
+	}
+	if failed >= muteAfter {
+		g.mu.Lock()
+		g.core.Silent()
+		g.mu.Unlock()
+	}
+}
+
+// listed takes an answer; it reports whether ends are listed that are not stored yet.
+func (g *Guard) listed(asked int64, q Look, settled map[link.RunRef]bool, l Listing) bool {
+	g.mu.Lock()
+	g.core.Listed(g.clock(), asked, settled, l)
+	g.listing, g.full = &l, q.Token == g.core.Epoch() && q.Token > 0
+	g.act()
+	pending := len(l.Ended) > 0
+	g.mu.Unlock()
+	signal(g.changed)
+	return pending
+}
+
+// wait waits for a signal or a time.
+func (g *Guard) wait(ctx context.Context, ch <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ch:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// act gives the orders that are due. The caller holds the lock.
+func (g *Guard) act() {
+	for _, o := range g.core.Stops() {
+		g.tasks.Go(func() { g.stop(o) })
+	}
+	for ref, percent := range g.core.Paces() {
+		o := g.core.OrderFor(ref)
+		g.tasks.Go(func() { g.setPace(o, percent) })
+	}
+}
+
+// call bounds one order.
+func (g *Guard) call(f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(g.ctx, callTimeout)
+	defer cancel()
+	return f(ctx)
+}
+
+// start gives the order to start.
+func (g *Guard) start(o Order) {
+	err := g.call(func(ctx context.Context) error { return g.exec.Start(ctx, o) })
+	refused, reason := refusal(err)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Began(o.Start.RunRef, err, refused, reason)
+	if err != nil {
+		g.log.Warn("start not done", "task", o.Start.Task.String(), "run", o.Start.Run, "refused", refused, "err", err)
+	}
+	g.act()
+	if refused {
+		signal(g.changed)
+	}
+}
+
+// refusal reports whether an error says that the worker has done nothing, and why.
+func refusal(err error) (bool, string) {
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return true, refused.Reason
+	case errors.Is(err, ErrOtherLife):
+		return true, "other life"
+	}
+	return false, ""
+}
+
+// stop gives the order to stop, and again until it is answered.
+func (g *Guard) stop(o Order) {
+	err := g.call(func(ctx context.Context) error { return g.exec.Stop(ctx, o) })
+	if refused, _ := refusal(err); err != nil && (!refused || g.ctx.Err() == nil) {
+		g.log.Debug("stop not answered", "task", o.Start.Task.String(), "run", o.Start.Run, "err", err)
+		pause.For(g.ctx, retryPause)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Halted(o.Start.RunRef, err)
+	g.act()
+}
+
+// setPace gives the order to change a filler's pace.
+func (g *Guard) setPace(o Order, percent int) {
+	err := g.call(func(ctx context.Context) error { return g.exec.Pace(ctx, o, percent) })
+	if err != nil {
+		g.log.Debug("pace not changed", "task", o.Start.Task.String(), "err", err)
+		pause.For(g.ctx, retryPause)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Paced(o.Start.RunRef, percent, err)
+	g.act()
+}
+
+// links keeps a link to the owner.
+func (g *Guard) links(ctx context.Context) error {
+	for ctx.Err() == nil {
+		addr := g.owner.OwnerAddr()
+		if addr == "" {
+			pause.For(ctx, retryPause)
+			continue
+		}
+		conn, err := link.Dial(ctx, addr)
+		if err == nil {
+			g.log.Info("linked to owner", "owner", addr)
+			err = g.serve(ctx, conn)
+		}
+		if ctx.Err() == nil {
+			g.log.Warn("no link to owner", "owner", addr, "err", err)
+		}
+		g.owner.Unreachable(addr)
+		pause.For(ctx, retryPause)
+	}
+	return nil
+}
+
+// serve exchanges messages until the link fails.
+func (g *Guard) serve(ctx context.Context, conn *link.Conn) error {
+	grp, ctx := errgroup.WithContext(ctx)
+	g.mu.Lock()
+	g.core.inventory = true
+	g.listing, g.full = nil, false
+	g.mu.Unlock()
+	grp.Go(func() error {
+		<-ctx.Done()
+		conn.Close()
+		return ctx.Err()
+	})
+	grp.Go(func() error { return g.receive(conn) })
+	grp.Go(func() error { return g.report(ctx, conn) })
+	return grp.Wait()
+}
+
+// errReplaced says that the owner at the other end was replaced.
+var errReplaced = errors.New("owner was replaced")
+
+// receive takes the owner's messages.
+func (g *Guard) receive(conn *link.Conn) error {
+	for {
+		var d link.Down
+		if err := conn.Receive(&d); err != nil {
+			return err
+		}
+		if err := g.take(d); err != nil {
+			return err
+		}
+	}
+}
+
+// take carries one message out.
+func (g *Guard) take(d link.Down) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.core.Vouch(d) {
+		return errReplaced
+	}
+	if d.Forget > 0 {
+		signal(g.forgot)
+	}
+	for _, s := range d.Start {
+		if o, ok := g.core.Begin(g.clock(), s); ok {
+			g.tasks.Go(func() { g.start(o) })
+		} else {
+			signal(g.changed)
+		}
+	}
+	for _, s := range d.Stop {
+		g.core.Halt(s)
+	}
+	g.act()
+	return nil
+}
+
+// report sends what has changed, and a beat when nothing has.
+func (g *Guard) report(ctx context.Context, conn *link.Conn) error {
+	if err := conn.Send(link.Up{Node: g.node, ClockMS: g.clock(), Pace: fullPace}); err != nil {
+		return err
+	}
+	complete := false
+	for ctx.Err() == nil {
+		g.wait(ctx, g.changed, link.Beat)
+		g.mu.Lock()
+		var up link.Up
+		switch {
+		case complete && !g.core.inventory:
+			up = g.core.Report(g.clock(), g.listing, false)
+			g.listing = nil
+		case g.full && g.listing != nil:
+			up = g.core.Report(g.clock(), g.listing, true)
+			g.core.inventory, g.listing, complete = false, nil, true
+		default:
+			up = link.Up{ClockMS: g.clock(), Pace: fullPace}
+		}
+		g.mu.Unlock()
+		if err := conn.Send(up); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/sched/place.go
@@ -0,0 +1,172 @@
+package sched
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// filter refuses workers that must not take a task of a step; it returns the reason or an empty string.
+type filter struct {
+	name   string
+	refuse func(c *Core, now time.Time, s *step, w *worker) string
+}
+
+// filters are asked in order; the first refusal counts.
+var filters = []filter{
+	{"service", func(_ *Core, _ time.Time, s *step, w *worker) string {
+		return when(w.info.Service != s.occ.job.spec.Policy.Service, "other service")
+	}},
+	{"attached", func(_ *Core, _ time.Time, _ *step, w *worker) string {
+		return when(!w.known || !w.attached, "guard not connected")
+	}},
+	{"draining", func(_ *Core, _ time.Time, _ *step, w *worker) string { return when(w.info.Draining, "draining") }},
+	{"mute", func(_ *Core, _ time.Time, _ *step, w *worker) string { return when(w.mute, "not answering") }},
+	{"health", func(c *Core, now time.Time, _ *step, w *worker) string { return c.health.refuse(now, w.id) }},
+	{"label", func(_ *Core, _ time.Time, s *step, w *worker) string {
+		need := s.spec.Requires
+		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks label "+need)
+	}},
+	{"capacity", func(_ *Core, _ time.Time, s *step, w *worker) string { return s.spec.Reserve().Lacking(w.free()) }},
+	{"filler", func(_ *Core, _ time.Time, s *step, w *worker) string {
+		return when(s.spec.Filler && !w.roomForFiller(s), "no processor time left over")
+	}},
+	{"anti-affinity", func(_ *Core, _ time.Time, s *step, w *worker) string {
+		limit := s.spec.AntiAffinity
+		return when(limit > 0 && s.on(w) >= limit, "has its share of the step")
+	}},
+	{"ticket", func(_ *Core, now time.Time, s *step, w *worker) string {
+		return when(s.occ.job.spec.Policy.Advice != nil && !s.approved(now, w.id), "not approved by the policy service")
+	}},
+}
+
+// when returns a reason if a condition holds.
+func when(refused bool, reason string) string {
+	if refused {
+		return reason
+	}
+	return ""
+}
+
+const (
+	// fillerShare is the least part of its demand that a filler must find unused on a worker.
+	fillerShare = 0.6
+	// fillerPace is the least pace, in percent, at which more fillers are placed on a worker.
+	fillerPace = 40
+)
+
+// roomForFiller reports whether a filler would find enough processor time.
+func (w *worker) roomForFiller(s *step) bool {
+	return w.pace >= fillerPace && float64(w.spare()) >= fillerShare*float64(s.spec.Demand.MilliCPU)
+}
+
+// on counts the tasks of a step that a worker may hold.
+func (s *step) on(w *worker) int {
+	n := 0
+	for _, t := range w.held {
+		if t.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// approved reports whether the policy service lets a worker run a step.
+func (s *step) approved(now time.Time, worker string) bool {
+	t, ok := s.tickets[worker]
+	return ok && now.Before(t.until)
+}
+
+// Weights of the score; the unit is the whole of a worker's processors.
+const (
+	// failedWeight keeps a task off workers on which it has failed, if any other is left.
+	failedWeight = 10.0
+	// rackWeight draws a task to its data or to the rest of its step; far tasks take far longer.
+	rackWeight = 2.0
+)
+
+// score ranks workers that may take a task; higher is better.
+func (c *Core) score(t *task, w *worker) float64 {
+	s := t.step.spec
+	capacity := max(1, float64(w.info.Capacity.MilliCPU))
+	var v float64
+	switch {
+	case s.Filler:
+		v = float64(w.spare()) / capacity * float64(w.pace) / 100
+	case s.TailTargetMS > 0:
+		v = 1 - float64(w.load.serving)/capacity
+	default:
+		v = float64(w.free().MilliCPU) / capacity
+	}
+	v -= c.health.penalty(w.id)
+	if slices.Contains(t.failedOn, w.id) {
+		v -= failedWeight
+	}
+	if s.DataRack != "" && s.DataRack == w.info.Rack || s.RackLocality && t.step.usesRack(c, w.info.Rack) {
+		v += rackWeight
+	}
+	return v
+}
+
+// usesRack reports whether a run of the step may be in a rack.
+func (s *step) usesRack(c *Core, rack string) bool {
+	for _, t := range s.tasks {
+		if w := c.workers[t.worker]; w != nil && t.held() && w.info.Rack == rack {
+			return true
+		}
+	}
+	return false
+}
+
+// feasible returns the workers that may take a task of a step, or why none may.
+func (c *Core) feasible(now time.Time, s *step) ([]*worker, string) {
+	var out []*worker
+	refused := map[string]int{}
+	for _, w := range c.workers {
+		if why := c.refuse(now, s, w); why != "" {
+			refused[why]++
+			continue
+		}
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b *worker) int { return strings.Compare(a.id, b.id) })
+	return out, summary(refused)
+}
+
+// refuse returns why a worker can't take a task of a step.
+func (c *Core) refuse(now time.Time, s *step, w *worker) string {
+	for _, f := range filters {
+		if why := f.refuse(c, now, s, w); why != "" {
+			return f.name + ": " + why
+		}
+	}
+	return ""
+}
+
+// summary lists reasons with their counts.
+func summary(refused map[string]int) string {
+	if len(refused) == 0 {
+		return "no workers"
+	}
+	var parts []string
+	for why, n := range refused {
+		parts = append(parts, why+" x"+itoa(n))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+// best returns the worker with the highest score among those that may still take a task.
+func (c *Core) best(now time.Time, t *task, among []*worker) *worker {
+	var best *worker
+	var top float64
+	for _, w := range among {
+		if c.refuse(now, t.step, w) != "" {
+			continue
+		}
+		if v := c.score(t, w); best == nil || v > top {
+			best, top = w, v
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/sched/restore.go
@@ -0,0 +1,207 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+)
+
+// jobRecord is the progress of a job as it stands in the store.
+type jobRecord struct {
+	State  State  `json:"s"`
+	Reason string `json:"why,omitempty"`
+	// Next is the first occurrence that has not come due, Finished how many are complete.
+	Next        int                `json:"n,omitempty"`
+	Finished    int                `json:"f,omitempty"`
+	Occurrences []occurrenceRecord `json:"o,omitempty"`
+}
+
+// occurrenceRecord is one open occurrence.
+type occurrenceRecord struct {
+	K     int            `json:"k,omitempty"`
+	Steps [][]taskRecord `json:"t"`
+}
+
+// taskRecord is one task; the zero value is a task that never ran.
+type taskRecord struct {
+	Done       bool   `json:"d,omitempty"`
+	Run        int    `json:"r,omitempty"`
+	Worker     string `json:"w,omitempty"`
+	Failures   int    `json:"f,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+// encode returns the record of a job. An ended job needs no more than its state once no run is left.
+func (j *jobState) encode() []byte {
+	r := jobRecord{State: j.state, Reason: j.reason, Next: j.next, Finished: j.finished}
+	if !j.state.Over() || j.held > 0 {
+		for k, o := range j.occurrences {
+			r.Occurrences = append(r.Occurrences, o.record(k))
+		}
+	}
+	out, err := json.Marshal(r)
+	if err != nil {
+		// A record is made of strings, numbers and slices only.
+		panic(fmt.Sprintf("encode job %s: %v", j.spec.ID, err))
+	}
+	return out
+}
+
+// record returns the record of an occurrence.
+func (o *occurrence) record(k int) occurrenceRecord {
+	r := occurrenceRecord{K: k}
+	for _, s := range o.steps {
+		tasks := make([]taskRecord, len(s.tasks))
+		for i, t := range s.tasks {
+			tasks[i] = taskRecord{
+				Done: t.state == stateDone, Run: t.run, Failures: t.failures, Checkpoint: t.checkpoint,
+			}
+			if t.held() {
+				tasks[i].Worker = t.worker
+			}
+		}
+		r.Steps = append(r.Steps, tasks)
+	}
+	return r
+}
+
+// Restore takes the stored progress of a job that was submitted before. Runs that may be on workers
+// are settled when their worker attaches, or when its lease has surely lapsed.
+func (c *Core) Restore(now time.Time, id string, value []byte) error {
+	j := c.jobs[id]
+	if j == nil {
+		return fmt.Errorf("progress of job %s: no such job", id)
+	}
+	var r jobRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return fmt.Errorf("progress of job %s: %w", id, err)
+	}
+	j.state, j.shown, j.reason, j.next, j.finished = r.State, r.State, r.Reason, r.Next, r.Finished
+	j.occurrences = map[int]*occurrence{}
+	for _, o := range r.Occurrences {
+		if len(o.Steps) != len(j.spec.Steps) {
+			return fmt.Errorf("progress of job %s: has %d steps, the job has %d", id, len(o.Steps), len(j.spec.Steps))
+		}
+		c.restoreOccurrence(now, j, o)
+	}
+	if j.state.Over() {
+		j.ended = now
+		c.close(j)
+		return nil
+	}
+	c.ripen(now, j)
+	return nil
+}
+
+// restoreOccurrence takes one open occurrence.
+func (c *Core) restoreOccurrence(now time.Time, j *jobState, r occurrenceRecord) {
+	o := newOccurrence(j, r.K)
+	j.occurrences[r.K] = o
+	for i, tasks := range r.Steps {
+		s := o.steps[i]
+		for n := range min(len(tasks), len(s.tasks)) {
+			c.restoreTask(now, s.tasks[n], tasks[n])
+		}
+		if s.left == 0 {
+			o.left--
+		}
+	}
+}
+
+// restoreTask takes one task.
+func (c *Core) restoreTask(now time.Time, t *task, r taskRecord) {
+	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	over := t.step.occ.job.state.Over()
+	switch {
+	case r.Done:
+		t.step.waiting--
+		t.step.left--
+		t.state = stateDone
+	case r.Worker != "":
+		t.worker, t.assigned = r.Worker, now
+		t.move(eventAssign)
+		c.hold(now, t)
+		if over {
+			c.stop(now, t, "job has ended")
+		}
+	case over:
+		t.move(eventDrop)
+	}
+}
+
+// close takes a job out of the open ones.
+func (c *Core) close(j *jobState) {
+	for i, o := range c.open {
+		if o == j {
+			c.open = append(c.open[:i:i], c.open[i+1:]...)
+			return
+		}
+	}
+}
+
+// View is what is told of a job.
+type View struct {
+	State  State  `json:"state"`
+	Reason string `json:"reason,omitempty"`
+	// Tasks and Done count the tasks of the occurrences that are open; Held those on workers.
+	Tasks int `json:"tasks"`
+	Done  int `json:"done"`
+	Held  int `json:"held"`
+	// Waits are the reasons why steps wait, by step.
+	Waits map[string]string `json:"waits,omitempty"`
+}
+
+// Job returns how a job stands, as it was last stored; false when it isn't known.
+func (c *Core) Job(id string) (View, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return View{}, false
+	}
+	v := View{State: j.shown, Reason: j.reason, Held: j.held}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			v.Tasks += len(s.tasks)
+			v.Done += len(s.tasks) - s.left
+			if s.reason != "" && s.waiting > 0 {
+				if v.Waits == nil {
+					v.Waits = map[string]string{}
+				}
+				v.Waits[s.place()] = s.reason
+			}
+		}
+	}
+	return v, true
+}
+
+// Waiting returns for each queue how many accepted jobs have not started a task.
+func (c *Core) Waiting() map[string]int {
+	out := map[string]int{}
+	for _, j := range c.open {
+		if j.state == Queued {
+			out[j.spec.Policy.Queue]++
+		}
+	}
+	return out
+}
+
+// Forgettable returns the ids of jobs whose end can no longer be asked for, and drops them.
+func (c *Core) Forgettable(now time.Time) []string {
+	var out []string
+	for id, j := range c.jobs {
+		if j.state.Over() && j.held == 0 && c.dirty[id] == nil && now.Sub(j.ended) > c.opt.Keep {
+			delete(c.jobs, id)
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Spec returns an accepted job; nil when it isn't known.
+func (c *Core) Spec(id string) *job.Spec {
+	if j := c.jobs[id]; j != nil {
+		return j.spec
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sched/runs.go
@@ -0,0 +1,182 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/resource"
+)
+
+// ref names the newest run of a task.
+func (t *task) ref() link.RunRef { return link.RunRef{Task: t.id, Run: t.run} }
+
+// Report takes what a worker lists. Running may be empty when only ends are reported.
+func (c *Core) Report(now time.Time, id string, running []link.RunStatus, ended []link.RunEnd) {
+	w := c.workers[id]
+	if w == nil || !w.attached {
+		return
+	}
+	clear(w.strangers)
+	for _, r := range running {
+		c.listed(now, w, r)
+	}
+	c.Ended(now, id, ended)
+}
+
+// Ended takes ends that a worker lists.
+func (c *Core) Ended(now time.Time, id string, ended []link.RunEnd) {
+	w := c.workers[id]
+	if w == nil || !w.attached {
+		return
+	}
+	for _, e := range ended {
+		delete(w.strangers, e.RunRef)
+		if t := w.held[e.Task]; t != nil && t.run == e.Run {
+			c.end(now, t, e)
+		}
+		if e.N > w.forget {
+			w.forget = e.N
+			c.order(c.gated, id).Forget = e.N
+		}
+	}
+}
+
+// listed takes one run that a worker has.
+func (c *Core) listed(now time.Time, w *worker, r link.RunStatus) {
+	t := w.held[r.Task]
+	if t == nil || t.run != r.Run {
+		c.stranger(w, r)
+		return
+	}
+	first := t.state == stateAssigned
+	t.move(eventAppear)
+	if t.appeared.IsZero() || first {
+		t.appeared, t.progress = now, now
+		c.order(c.ready, w.id).Known = append(c.order(c.ready, w.id).Known, t.traits())
+	}
+	if r.Percent > t.percent {
+		t.progress = now
+	}
+	if r.Percent >= 100 && t.step.spec.LongRunning {
+		t.atWork = now
+	}
+	t.percent, t.figure = r.Percent, r.Figure
+	if r.Checkpoint != "" {
+		t.checkpoint = r.Checkpoint
+	}
+}
+
+// stranger stops a run that no task accounts for; it takes room until it is gone.
+func (c *Core) stranger(w *worker, r link.RunStatus) {
+	var need resource.Vector
+	if t := c.task(r.Task); t != nil {
+		need = t.step.spec.Reserve()
+	}
+	w.strangers[r.RunRef] = need
+	d := c.order(c.ready, w.id)
+	d.Stop = append(d.Stop, r.RunRef)
+	c.note(DecisionStop, r.Task.String(), fmt.Sprintf("run=%d worker=%s reason=%q", r.Run, w.id, "not assigned there"))
+}
+
+// traits returns what local control has to know of the newest run.
+func (t *task) traits() link.Traits {
+	s := t.step.spec
+	return link.Traits{RunRef: t.ref(), Filler: s.Filler, TailTargetMS: s.TailTargetMS, Image: s.Image}
+}
+
+// end takes the end of the newest run of a task.
+func (c *Core) end(now time.Time, t *task, e link.RunEnd) {
+	id, j := t.worker, t.step.occ.job
+	c.note(DecisionEnd, t.id.String(), fmt.Sprintf("run=%d worker=%s outcome=%s percent=%.0f held=%s %s",
+		t.run, id, e.Outcome, t.percent, now.Sub(t.assigned).Round(time.Millisecond), e.Reason))
+	c.learn(now, t, e.Outcome)
+	wasStopping := t.state == stateStopping
+	if e.Outcome == link.Done {
+		t.move(eventFinish)
+	} else {
+		t.move(eventEnd)
+	}
+	c.drop(t)
+	c.touch(j)
+	if e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+	}
+	if e.Outcome == link.Failed {
+		t.failures++
+		if !slices.Contains(t.failedOn, id) {
+			t.failedOn = append(t.failedOn, id)
+		}
+	}
+	c.health.ended(now, id, t, e.Outcome, wasStopping)
+	if j.state.Over() {
+		t.move(eventDrop)
+		return
+	}
+	switch {
+	case e.Outcome == link.Done && t.step.spec.LongRunning:
+		// A lasting task is started again however it ends.
+		t.state = stateWaiting
+		t.step.waiting++
+	case e.Outcome == link.Done:
+		c.done(now, t)
+	case e.Outcome == link.Failed && !t.step.spec.LongRunning && t.failures >= j.spec.Policy.MaxAttempts:
+		c.note(DecisionFail, j.spec.ID, fmt.Sprintf("task=%s failures=%d on=%v", t.id, t.failures, t.failedOn))
+		c.finish(now, j, Failed, fmt.Sprintf("task %s has failed %d times", t.id, t.failures))
+	}
+}
+
+// done takes the success of a task and completes what it completes.
+func (c *Core) done(now time.Time, t *task) {
+	s := t.step
+	s.left--
+	if s.spec.Gang {
+		c.gangDone(s)
+	}
+	if s.left > 0 {
+		return
+	}
+	o := s.occ
+	o.left--
+	if o.left > 0 {
+		return
+	}
+	j := o.job
+	j.finished++
+	delete(j.occurrences, o.k)
+	if j.finished == j.spec.Occurrences() {
+		c.note(DecisionComplete, j.spec.ID, fmt.Sprintf("slack=%s", j.due.Sub(now).Round(time.Millisecond)))
+		c.finish(now, j, Completed, "")
+	}
+}
+
+// gangDone takes one member's success for all members.
+func (c *Core) gangDone(s *step) {
+	for _, t := range s.tasks {
+		if t.state == stateDone {
+			continue
+		}
+		if t.held() {
+			c.drop(t)
+		} else {
+			s.waiting--
+		}
+		t.state = stateDone
+		s.left--
+	}
+}
+
+// Refused takes runs that a guard says are not on its worker and never will be.
+func (c *Core) Refused(now time.Time, id string, refs []link.RunEnd) {
+	w := c.workers[id]
+	if w == nil || !w.attached {
+		return
+	}
+	for _, e := range refs {
+		delete(w.strangers, e.RunRef)
+		if t := w.held[e.Task]; t != nil && t.run == e.Run {
+			c.end(now, t, e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,198 @@
+// Package sched decides what runs where in one cell. It takes events with a time and returns records to
+// store and orders to guards; it does no I/O, reads no clock and starts no goroutine.
+//
+// Invariants:
+//   - A run is ordered only after a record that names its worker and number has been stored.
+//   - A task has a new run only once its last one has surely ended: its end was reported, its worker
+//     said that it is absent, the worker's life is over, or the worker's lease has surely lapsed.
+//   - A worker forgets an end only after a record with its effect has been stored.
+//   - What may be on a worker counts against its capacity until its end is known.
+package sched
+
+import (
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+// Options are the fixed parameters of a core.
+type Options struct {
+	// RunLease is how long runs outlive the last clock reading that was echoed to their guard.
+	RunLease time.Duration
+	// EchoStretch is how long an owner goes on echoing after its own lease has ended.
+	EchoStretch time.Duration
+	// Margin is added to every lapse for the granularity of clocks and timers.
+	Margin time.Duration
+	// Keep is how long the state of an ended job can be asked for.
+	Keep time.Duration
+}
+
+// clockDrift is by how much a worker's steady clock may be slow, as a divisor: 1/50 is 2%.
+const clockDrift = 50
+
+// lapse returns after what time without an echo the runs of a worker have surely ended.
+func (o Options) lapse() time.Duration { return o.RunLease + o.RunLease/clockDrift + o.Margin }
+
+// Batch is a set of records that are stored together.
+type Batch struct {
+	Seq     int64
+	Records []store.Record
+}
+
+// Orders are what is to be sent to the guard of one worker, by the worker's ID.
+type Orders map[string]*link.Down
+
+// Core is the state of one ownership of the cell. Use New to make one.
+type Core struct {
+	opt     Options
+	since   time.Time
+	jobs    map[string]*jobState
+	open    []*jobState
+	workers map[string]*worker
+	// dirty jobs have changed since their last record; gated is what may only be sent once they are stored.
+	dirty map[string]*jobState
+	gated Orders
+	// flying is the batch whose append has not been answered.
+	flying *flight
+	seq    int64
+	ready  Orders
+	notes  []Note
+	// durations holds what was learned about the duration of tasks.
+	durations durations
+	health    *health
+}
+
+// flight is a batch on its way to the store, with what waits for it.
+type flight struct {
+	seq    int64
+	orders Orders
+	shown  map[*jobState]State
+}
+
+// Note is one decision, for the log.
+type Note struct {
+	// Decision names the kind of decision, Subject the task, job or worker it is about.
+	Decision, Subject string
+	// Reason holds the inputs that decided it.
+	Reason string
+}
+
+// Decisions that a core notes.
+const (
+	DecisionAccept   = "accept"
+	DecisionPlace    = "place"
+	DecisionEnd      = "end"
+	DecisionLapse    = "lapse"
+	DecisionStop     = "stop"
+	DecisionComplete = "complete"
+	DecisionFail     = "fail"
+	DecisionCancel   = "cancel"
+	DecisionSuspect  = "suspect"
+	DecisionWorker   = "worker"
+)
+
+// New returns a core without jobs or workers.
+func New(now time.Time, opt Options) *Core {
+	return &Core{
+		opt: opt, since: now, jobs: map[string]*jobState{}, workers: map[string]*worker{},
+		dirty: map[string]*jobState{}, gated: Orders{}, ready: Orders{}, durations: durations{},
+		health: newHealth(),
+	}
+}
+
+// Flush returns the next batch to store, if anything has changed and none is on its way.
+func (c *Core) Flush() (Batch, bool) {
+	if c.flying != nil || len(c.dirty) == 0 && len(c.gated) == 0 {
+		return Batch{}, false
+	}
+	c.seq++
+	f := &flight{seq: c.seq, orders: c.gated, shown: map[*jobState]State{}}
+	b := Batch{Seq: c.seq}
+	for id, j := range c.dirty {
+		b.Records = append(b.Records, store.Record{Key: id, Value: j.encode()})
+		f.shown[j] = j.state
+	}
+	c.dirty, c.gated, c.flying = map[string]*jobState{}, Orders{}, f
+	return b, true
+}
+
+// Stored says that a batch stands in the store.
+func (c *Core) Stored(seq int64) {
+	f := c.flying
+	if f == nil || f.seq != seq {
+		return
+	}
+	c.flying = nil
+	for j, s := range f.shown {
+		j.shown = s
+	}
+	for id, d := range f.orders {
+		c.release(id, d)
+	}
+}
+
+// release hands gated orders on. Starts that were overtaken by a stop are not sent.
+func (c *Core) release(id string, d *link.Down) {
+	w := c.workers[id]
+	if w == nil || !w.attached {
+		return
+	}
+	out := c.order(c.ready, id)
+	for _, s := range d.Start {
+		if t := c.task(s.Task); t != nil && t.run == s.Run && t.state == stateAssigned {
+			out.Start = append(out.Start, s)
+		}
+	}
+	out.Stop = append(out.Stop, d.Stop...)
+	out.Forget = max(out.Forget, d.Forget)
+}
+
+// Orders returns what can be sent to guards now.
+func (c *Core) Orders() Orders {
+	if len(c.ready) == 0 {
+		return nil
+	}
+	out := c.ready
+	c.ready = Orders{}
+	return out
+}
+
+// Notes returns the decisions since the last call.
+func (c *Core) Notes() []Note {
+	out := c.notes
+	c.notes = nil
+	return out
+}
+
+// note keeps a decision for the log.
+func (c *Core) note(decision, subject, reason string) {
+	c.notes = append(c.notes, Note{decision, subject, reason})
+}
+
+// order returns the orders of a worker in a set.
+func (c *Core) order(set Orders, id string) *link.Down {
+	d := set[id]
+	if d == nil {
+		d = &link.Down{}
+		set[id] = d
+	}
+	return d
+}
+
+// touch marks a job as changed.
+func (c *Core) touch(j *jobState) { c.dirty[j.spec.ID] = j }
+
+// task finds a task; nil when its job isn't known or the id names none.
+func (c *Core) task(id job.TaskID) *task {
+	j := c.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	occ := j.occurrences[id.Occurrence]
+	if occ == nil || id.Step >= len(occ.steps) || id.Index >= len(occ.steps[id.Step].tasks) {
+		return nil
+	}
+	return occ.steps[id.Step].tasks[id.Index]
+}
--- /dev/null
+++ b/internal/sched/schedule.go
@@ -0,0 +1,223 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/link"
+)
+
+// itoa formats a count.
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// Schedule does what the time calls for: it ends lapsed runs, opens occurrences that have come due,
+// moves tasks off workers that don't do their work, and places what waits.
+func (c *Core) Schedule(now time.Time) {
+	c.lapse(now)
+	c.evacuate(now)
+	c.restart(now)
+	for _, j := range c.open {
+		if j.spec.Timed() {
+			c.ripen(now, j)
+		}
+	}
+	c.rank(now)
+	for _, j := range slices.Clone(c.open) {
+		for _, o := range j.inOrder() {
+			for _, s := range o.steps {
+				if s.waiting > 0 && s.ready() {
+					c.place(now, s)
+				}
+			}
+		}
+	}
+}
+
+// inOrder returns the open occurrences, earliest first.
+func (j *jobState) inOrder() []*occurrence {
+	out := make([]*occurrence, 0, len(j.occurrences))
+	for _, o := range j.occurrences {
+		out = append(out, o)
+	}
+	slices.SortFunc(out, func(a, b *occurrence) int { return cmp.Compare(a.k, b.k) })
+	return out
+}
+
+// lateFactor is after how many times its objective a job is worth nothing more.
+const lateFactor = 3
+
+// lateness ranks jobs by what can still be gained: 0 on time, 1 late, 2 past all use.
+func (j *jobState) lateness(now time.Time) int {
+	switch {
+	case j.spec.Timed() || j.spec.Lasts() || now.Before(j.due):
+		return 0
+	case now.Before(j.due.Add((lateFactor - 1) * j.spec.Objective())):
+		return 1
+	}
+	return 2
+}
+
+// rank orders the open jobs: by priority, lasting ones first, then those that can still be on time,
+// then by the time they are due.
+func (c *Core) rank(now time.Time) {
+	slices.SortStableFunc(c.open, func(a, b *jobState) int {
+		return cmp.Or(
+			cmp.Compare(a.spec.Policy.Priority, b.spec.Policy.Priority),
+			-cmp.Compare(toInt(a.spec.Lasts()), toInt(b.spec.Lasts())),
+			cmp.Compare(a.lateness(now), b.lateness(now)),
+			a.due.Compare(b.due),
+			strings.Compare(a.spec.ID, b.spec.ID),
+		)
+	})
+}
+
+// toInt returns 1 for true.
+func toInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// place places the waiting tasks of a step.
+func (c *Core) place(now time.Time, s *step) {
+	among, why := c.feasible(now, s)
+	if s.spec.Gang {
+		c.placeGang(now, s, among, why)
+		return
+	}
+	for _, t := range s.tasks {
+		if t.state != stateWaiting {
+			continue
+		}
+		w := c.best(now, t, among)
+		if w == nil {
+			s.reason = why
+			if len(among) == 0 && !s.spec.Filler {
+				c.preempt(now, t)
+			}
+			return
+		}
+		c.assign(now, t, w, 0)
+	}
+	s.reason = ""
+}
+
+// placeGang places all tasks of a gang together or none; they share one run number.
+func (c *Core) placeGang(now time.Time, s *step, among []*worker, why string) {
+	run := 0
+	for _, t := range s.tasks {
+		if t.state != stateWaiting {
+			s.reason = "members of the gang are still ending"
+			return
+		}
+		run = max(run, t.run)
+	}
+	var placed []*task
+	for _, t := range s.tasks {
+		w := c.best(now, t, among)
+		if w == nil {
+			for _, p := range placed {
+				c.unassign(p)
+			}
+			s.reason = "gang: " + why
+			return
+		}
+		// Taken for now, so that the next member sees the room gone.
+		t.worker = w.id
+		t.move(eventAssign)
+		c.hold(now, t)
+		placed = append(placed, t)
+	}
+	for _, t := range placed {
+		w := c.workers[t.worker]
+		c.unassign(t)
+		c.assign(now, t, w, run+1)
+	}
+	s.reason = ""
+}
+
+// unassign takes back an assignment that has not been recorded.
+func (c *Core) unassign(t *task) {
+	t.move(eventEnd)
+	c.drop(t)
+}
+
+// assign gives a task its next run; with a run number of 0 it gets its own next one.
+func (c *Core) assign(now time.Time, t *task, w *worker, run int) {
+	if run == 0 {
+		run = t.run + 1
+	}
+	t.run, t.worker, t.assigned = run, w.id, now
+	t.appeared, t.progress, t.atWork = time.Time{}, now, time.Time{}
+	t.percent = 0
+	t.move(eventAssign)
+	c.hold(now, t)
+	j := t.step.occ.job
+	if j.state == Queued {
+		j.state = Running
+	}
+	c.touch(j)
+	d := c.order(c.gated, w.id)
+	d.Start = append(d.Start, link.Start{
+		Traits: t.traits(), Payload: j.spec.Payload, Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.id].text,
+	})
+	c.health.started(now, w.id, t)
+	c.note(DecisionPlace, t.id.String(), fmt.Sprintf("run=%d worker=%s free=%d spare=%d pace=%d slack=%s",
+		run, w.id, w.free().MilliCPU, w.spare(), w.pace, j.due.Sub(now).Round(time.Millisecond)))
+}
+
+// preempt makes room for a task by stopping runs of less urgent jobs on one worker.
+func (c *Core) preempt(now time.Time, t *task) {
+	var best *worker
+	var victims []*task
+	for _, w := range c.workers {
+		got := c.victims(now, t, w)
+		if got != nil && (best == nil || len(got) < len(victims) || len(got) == len(victims) && w.id < best.id) {
+			best, victims = w, got
+		}
+	}
+	for _, v := range victims {
+		c.stop(now, v, "gives way to "+t.id.String())
+	}
+}
+
+// victims returns the runs to stop so that a task fits on a worker; nil when that doesn't help, or when
+// enough is ending already.
+func (c *Core) victims(now time.Time, t *task, w *worker) []*task {
+	for _, f := range filters {
+		if f.name != "capacity" && f.refuse(c, now, t.step, w) != "" {
+			return nil
+		}
+	}
+	free := w.free()
+	need := t.step.spec.Reserve()
+	var able []*task
+	for _, v := range w.held {
+		r := v.step.spec.Reserve()
+		switch {
+		case v.state == stateStopping:
+			free = free.Add(r)
+		case v.step.occ.job.spec.Policy.Priority > t.step.occ.job.spec.Policy.Priority && !v.step.spec.LongRunning:
+			able = append(able, v)
+		}
+	}
+	if need.Fits(free) {
+		return nil
+	}
+	// The runs that have done least are stopped first.
+	slices.SortFunc(able, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.percent, b.percent), strings.Compare(a.id.String(), b.id.String()))
+	})
+	for i, v := range able {
+		free = free.Add(v.step.spec.Reserve())
+		if need.Fits(free) {
+			return able[:i+1]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/memstore/memstore.go
@@ -0,0 +1,156 @@
+// Package memstore is a store in memory for tests and demonstrations, with faults.
+package memstore
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+// ErrLost is returned for a call whose answer was lost.
+var ErrLost = errors.New("no answer")
+
+// Store is the stand-in. Use New to make one.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	// Fate decides what becomes of a call; nil for a sound store. It is called under a lock.
+	Fate func(call, topic string) Fate
+}
+
+// Fate is what becomes of one call.
+type Fate struct {
+	// Refuse answers that nothing was done; Lose does the call and loses its answer.
+	Refuse, Lose bool
+}
+
+// topic holds the records of one topic.
+type topic struct {
+	first   store.Offset
+	records []store.Record
+	newest  map[string]store.Record
+	grown   chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{topics: map[string]*topic{}} }
+
+// topic returns a topic and makes it when it is new. The caller holds the lock.
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]store.Record{}, grown: make(chan struct{})}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// end returns the offset of the next record.
+func (t *topic) end() store.Offset { return t.first + store.Offset(len(t.records)) }
+
+// fate asks what becomes of a call. The caller holds the lock.
+func (s *Store) fate(call, topic string) Fate {
+	if s.Fate == nil {
+		return Fate{}
+	}
+	return s.Fate(call, topic)
+}
+
+// Append implements store.Store.
+func (s *Store) Append(_ context.Context, name string, at store.Offset, records []store.Record) (store.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.fate("append", name)
+	if f.Refuse {
+		return 0, store.ErrRefused
+	}
+	t := s.topic(name)
+	first := t.end()
+	if at != store.Anywhere && at != first {
+		return 0, &store.ConflictError{End: first}
+	}
+	for _, r := range records {
+		t.add(r)
+	}
+	close(t.grown)
+	t.grown = make(chan struct{})
+	if f.Lose {
+		return 0, ErrLost
+	}
+	return first, nil
+}
+
+// add appends one record.
+func (t *topic) add(r store.Record) {
+	r.Offset = t.end()
+	t.records = append(t.records, r)
+	if len(r.Value) == 0 {
+		delete(t.newest, r.Key)
+		return
+	}
+	t.newest[r.Key] = r
+}
+
+// Read implements store.Store.
+func (s *Store) Read(ctx context.Context, name string, from store.Offset, wait time.Duration) (store.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		b, grown, err := s.batch(name, from)
+		if err != nil || len(b.Records) > 0 {
+			return b, err
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return b, nil
+		case <-ctx.Done():
+			return b, ctx.Err()
+		}
+	}
+}
+
+// batch returns what is there now, and a channel that is closed when the topic grows.
+func (s *Store) batch(name string, from store.Offset) (store.Batch, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fate("read", name).Refuse {
+		return store.Batch{}, nil, store.ErrRefused
+	}
+	t := s.topic(name)
+	if from < t.first {
+		return store.Batch{}, nil, store.ErrForgotten
+	}
+	b := store.Batch{Next: from, End: t.end()}
+	if from < b.End {
+		b.Records = append(b.Records, t.records[from-t.first:]...)
+		b.Next = b.End
+	}
+	return b, t.grown, nil
+}
+
+// Newest implements store.Store.
+func (s *Store) Newest(_ context.Context, name string) (store.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fate("newest", name).Refuse {
+		return store.Snapshot{}, store.ErrRefused
+	}
+	t := s.topic(name)
+	out := store.Snapshot{End: t.end()}
+	for _, r := range t.newest {
+		out.Records = append(out.Records, r)
+	}
+	return out, nil
+}
+
+// Expire drops the history of a topic; the newest record of each key stays.
+func (s *Store) Expire(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first, t.records = t.end(), nil
+}
