Fillers are placed by learned effects on the tails of serving tasks

Cause: some filler images raise the tail of some serving images several times over, others not at all; slowing all fillers of a worker cost far more than it saved.

--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -251,7 +251,7 @@
 			delete(c.runs, ref)
 		}
 	}
-	c.pace.observe(c.runs)
+	c.pace.observe(nowMS, c.runs)
 }
 
 // Settled returns the runs about which a question asked now gives a final answer.
--- a/internal/guard/pace.go
+++ b/internal/guard/pace.go
@@ -5,35 +5,39 @@
 const (
 	// fullPace leaves a filler all that it can get, in percent.
 	fullPace = 100
-	// tailHigh and tailNear are parts of a serving task's target from which fillers are slowed down
-	// hard and gently; below tailLow they get more again. Tails are rough figures of the last half
-	// second, so the bounds lie well under the target.
+	// tailHigh is the part of a serving task's target above which it is in trouble, tailLow the part
+	// below which it is out of it.
 	tailHigh = 1.0
-	tailNear = 0.8
-	tailLow  = 0.65
-	// cutHard and cutGently are the factors by which fillers are slowed, risePercent what they get back
-	// at each look.
-	cutHard     = 0.5
-	cutGently   = 0.8
-	risePercent = 10
+	tailLow  = 0.8
+	// figureSpanMS is the span that one figure of a worker covers, in milliseconds; the pace changes at
+	// most once in it.
+	figureSpanMS = 500
+	// patienceMS is how long a task may be in trouble before fillers are slowed: the owner, which knows
+	// what disturbs what, moves the right ones away before.
+	patienceMS = 1200
+	// cut is the factor by which fillers are slowed, risePercent what they get back.
+	cut         = 0.3
+	risePercent = 25
 	// leastPace is the lowest pace but zero.
 	leastPace = 10
 )
 
-// pacer sets the pace of all fillers on a worker by the tails of the tasks that serve there.
-type pacer struct{ percent float64 }
+// pacer sets the pace of all fillers on a worker by the tails of the tasks that serve there. It is the
+// last resort, which works without an owner.
+type pacer struct {
+	percent float64
+	// changedMS is when the pace changed last, highMS since when a task is in trouble; 0 for not.
+	changedMS, highMS int64
+}
 
 // newPacer returns a pacer that leaves fillers alone.
 func newPacer() pacer { return pacer{percent: fullPace} }
 
-// share returns the pace in whole percent, in steps that are worth an order.
-func (p *pacer) share() int {
-	const grain = 5
-	return int(p.percent) / grain * grain
-}
+// share returns the pace in whole percent.
+func (p *pacer) share() int { return int(p.percent) }
 
 // observe takes the newest tails.
-func (p *pacer) observe(runs map[link.RunRef]*run) {
+func (p *pacer) observe(nowMS int64, runs map[link.RunRef]*run) {
 	worst, fillers := 0.0, false
 	for _, r := range runs {
 		if r.TailTargetMS > 0 && r.phase == listed {
@@ -42,16 +46,27 @@
 		fillers = fillers || r.Filler
 	}
 	switch {
-	case !fillers && worst < tailNear:
+	case worst < tailHigh:
+		p.highMS = 0
+	case p.highMS == 0:
+		p.highMS = nowMS
+	}
+	if nowMS-p.changedMS < figureSpanMS {
+		return
+	}
+	before := p.percent
+	switch {
+	case !fillers:
 		p.percent = fullPace
-	case worst >= tailHigh:
-		p.percent *= cutHard
-	case worst >= tailNear:
-		p.percent *= cutGently
+	case p.highMS > 0 && nowMS-p.highMS >= patienceMS:
+		p.percent *= cut
 	case worst < tailLow:
 		p.percent = min(fullPace, p.percent+risePercent)
 	}
 	if p.percent < leastPace {
 		p.percent = 0
 	}
+	if p.percent != before {
+		p.changedMS = nowMS
+	}
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -31,6 +31,12 @@
 	{"filler", func(_ *Core, _ time.Time, s *step, w *worker) string {
 		return when(s.spec.Filler && !w.roomForFiller(s), "no processor time left over")
 	}},
+	{"tails", func(c *Core, _ time.Time, s *step, w *worker) string {
+		if !s.spec.Filler {
+			return ""
+		}
+		return c.disturbs(s, w)
+	}},
 	{"anti-affinity", func(_ *Core, _ time.Time, s *step, w *worker) string {
 		limit := s.spec.AntiAffinity
 		return when(limit > 0 && s.on(w) >= limit, "has its share of the step")
@@ -83,6 +89,8 @@
 	failedWeight = 10.0
 	// rackWeight draws a task to its data or to the rest of its step; far tasks take far longer.
 	rackWeight = 2.0
+	// likenessWeight draws serving tasks to workers where others of their image are.
+	likenessWeight = 0.6
 )
 
 // score ranks workers that may take a task; higher is better.
@@ -94,7 +102,7 @@
 	case s.Filler:
 		v = float64(w.spare()) / capacity * float64(w.pace) / 100
 	case s.TailTargetMS > 0:
-		v = 1 - float64(w.load.serving)/capacity
+		v = 1 - float64(w.load.serving)/capacity + likenessWeight*w.likeness(s.Image)
 	default:
 		v = float64(w.free().MilliCPU) / capacity
 	}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -23,6 +23,7 @@
 		c.listed(now, w, r)
 	}
 	c.Ended(now, id, ended)
+	c.observe(now, w)
 }
 
 // Ended takes ends that a worker lists.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/interfere"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/store"
@@ -62,6 +63,7 @@
 	// durations holds what was learned about the duration of tasks.
 	durations durations
 	health    *health
+	tails     *interfere.Tails
 }
 
 // flight is a batch on its way to the store, with what waits for it.
@@ -98,7 +100,7 @@
 	return &Core{
 		opt: opt, since: now, jobs: map[string]*jobState{}, workers: map[string]*worker{},
 		dirty: map[string]*jobState{}, gated: Orders{}, ready: Orders{}, durations: durations{},
-		health: newHealth(),
+		health: newHealth(), tails: interfere.NewTails(),
 	}
 }
 
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -35,6 +35,8 @@
 	drainSeen time.Time
 	// load is kept by the scheduler; see tally.
 	load load
+	// tails is what the figures of its tasks said; see observe.
+	tails tails
 }
 
 // load sums what is on a worker.
