--- a/internal/interfere/tails.go
+++ b/internal/interfere/tails.go
@@ -1,6 +1,12 @@
 package interfere
 
-import "math"
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+)
 
 // Tails learns how much filler tasks raise the tail latency of serving tasks beside them. A reading is
 // the tail as a part of its target; it is taken to be the image's own level plus, for each filler image,
@@ -34,10 +40,11 @@
 	tailGrain = 0.1
 	// tailDrift is by how much an effect may change between two readings.
 	tailDrift = 0.001
-	// maxTail bounds what one reading may claim.
-	maxTail = 4.0
 )
 
+// MaxTail bounds what one reading may claim, in parts of the target.
+const MaxTail = 4.0
+
 // NewTails returns a model that has seen nothing.
 func NewTails() *Tails {
 	return &Tails{effects: map[tailPair]*tailEffect{}, levels: map[string]*tailEffect{}}
@@ -49,7 +56,7 @@
 	if math.IsNaN(tail) || tail <= 0 {
 		return
 	}
-	tail = min(tail, maxTail)
+	tail = min(tail, MaxTail)
 	level := m.level(serving)
 	guess := level.mean
 	spread := level.variance + tailNoise + tailGrain*tail*tail
@@ -101,3 +108,47 @@
 	}
 	return tailPrior, tailSpread
 }
+
+// tailRecord is one estimate as it is stored; Filler is empty for the level of an image alone.
+type tailRecord struct {
+	Serving  string  `json:"s"`
+	Filler   string  `json:"f,omitempty"`
+	Mean     float64 `json:"m"`
+	Variance float64 `json:"v"`
+}
+
+// Encode returns all estimates for a successor.
+func (m *Tails) Encode() ([]byte, error) {
+	var out []tailRecord
+	for k, e := range m.effects {
+		out = append(out, tailRecord{k.serving, k.filler, e.mean, e.variance})
+	}
+	for s, e := range m.levels {
+		out = append(out, tailRecord{s, "", e.mean, e.variance})
+	}
+	slices.SortFunc(out, func(a, b tailRecord) int {
+		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filler, b.Filler))
+	})
+	data, err := json.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("encode effects on tails: %w", err)
+	}
+	return data, nil
+}
+
+// Decode takes over what Encode returned.
+func (m *Tails) Decode(data []byte) error {
+	var records []tailRecord
+	if err := json.Unmarshal(data, &records); err != nil {
+		return fmt.Errorf("decode effects on tails: %w", err)
+	}
+	for _, r := range records {
+		e := &tailEffect{max(0, r.Mean), min(max(0, r.Variance), tailSpread)}
+		if r.Filler == "" {
+			m.levels[r.Serving] = e
+		} else {
+			m.effects[tailPair{r.Serving, r.Filler}] = e
+		}
+	}
+	return nil
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -269,7 +269,7 @@
 	}
 	c.mu.Lock()
 	c.core.Schedule(time.Now())
-	b, ok := c.core.Flush()
+	b, ok := c.core.Flush(time.Now())
 	at := c.end
 	c.explain()
 	c.send()
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -80,8 +80,9 @@
 	// tickets are the approvals of the policy service by worker; asked is when it was asked last.
 	tickets map[string]ticket
 	asked   time.Time
-	// reason says why no task could be placed last.
-	reason string
+	// reason says why no task could be placed last, refused since when; zero when one was placed.
+	reason  string
+	refused time.Time
 }
 
 // ticket is an approval to run a step on a worker.
@@ -109,6 +110,8 @@
 	progress time.Time // when percent last grew
 	assigned time.Time
 	stopped  time.Time
+	// pinned runs are not moved away for the tails of others; local control slows them down instead.
+	pinned bool
 	// atWork is since when a lasting task was last seen at work.
 	atWork time.Time
 }
@@ -219,8 +222,30 @@
 	if t.state == stateStopping || !t.move(eventStop) {
 		return
 	}
+	c.orderStop(now, t)
+	c.note(DecisionStop, t.id.String(), fmt.Sprintf("run=%d worker=%s reason=%q", t.run, t.worker, reason))
+}
+
+// stopRepeat is how long after an order to stop it is given again, if the run's end isn't known.
+const stopRepeat = 600 * time.Millisecond
+
+// repeatStops orders the end of runs again that should have ended. An order is lost when its link is.
+func (c *Core) repeatStops(now time.Time) {
+	for _, w := range c.workers {
+		if !w.attached {
+			continue
+		}
+		for _, t := range w.held {
+			if t.state == stateStopping && now.Sub(t.stopped) >= stopRepeat {
+				c.orderStop(now, t)
+			}
+		}
+	}
+}
+
+// orderStop tells a run's guard to stop it.
+func (c *Core) orderStop(now time.Time, t *task) {
 	t.stopped = now
 	d := c.order(c.ready, t.worker)
 	d.Stop = append(d.Stop, t.ref())
-	c.note(DecisionStop, t.id.String(), fmt.Sprintf("run=%d worker=%s reason=%q", t.run, t.worker, reason))
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -142,8 +142,14 @@
 }
 
 // refuse returns why a worker can't take a task of a step.
-func (c *Core) refuse(now time.Time, s *step, w *worker) string {
+func (c *Core) refuse(now time.Time, s *step, w *worker) string { return c.refuseBut(now, s, w) }
+
+// refuseBut does the same without the filters named.
+func (c *Core) refuseBut(now time.Time, s *step, w *worker, without ...string) string {
 	for _, f := range filters {
+		if slices.Contains(without, f.name) {
+			continue
+		}
 		if why := f.refuse(c, now, s, w); why != "" {
 			return f.name + ": " + why
 		}
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -70,6 +70,9 @@
 // Restore takes the stored progress of a job that was submitted before. Runs that may be on workers
 // are settled when their worker attaches, or when its lease has surely lapsed.
 func (c *Core) Restore(now time.Time, id string, value []byte) error {
+	if id == LearnedKey {
+		return c.tails.Decode(value)
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return fmt.Errorf("progress of job %s: no such job", id)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -64,6 +64,8 @@
 	durations durations
 	health    *health
 	tails     *interfere.Tails
+	// learnedAt is when what was learned was stored last.
+	learnedAt time.Time
 }
 
 // flight is a batch on its way to the store, with what waits for it.
@@ -93,6 +95,7 @@
 	DecisionCancel   = "cancel"
 	DecisionSuspect  = "suspect"
 	DecisionWorker   = "worker"
+	DecisionLearn    = "learn"
 )
 
 // New returns a core without jobs or workers.
@@ -104,8 +107,28 @@
 	}
 }
 
+// LearnedKey is the key of the record that holds what was learned about tasks, beside those of jobs.
+const LearnedKey = "learned"
+
+// learnedEvery is the time between two records of what was learned.
+const learnedEvery = 3 * time.Second
+
+// appendLearned adds what was learned to a batch that is stored anyway, now and then.
+func (c *Core) appendLearned(now time.Time, b *Batch) {
+	if now.Sub(c.learnedAt) < learnedEvery {
+		return
+	}
+	c.learnedAt = now
+	data, err := c.tails.Encode()
+	if err != nil {
+		c.note(DecisionLearn, "tails", err.Error())
+		return
+	}
+	b.Records = append(b.Records, store.Record{Key: LearnedKey, Value: data})
+}
+
 // Flush returns the next batch to store, if anything has changed and none is on its way.
-func (c *Core) Flush() (Batch, bool) {
+func (c *Core) Flush(now time.Time) (Batch, bool) {
 	if c.flying != nil || len(c.dirty) == 0 && len(c.gated) == 0 {
 		return Batch{}, false
 	}
@@ -116,6 +139,9 @@
 		b.Records = append(b.Records, store.Record{Key: id, Value: j.encode()})
 		f.shown[j] = j.state
 	}
+	if len(b.Records) > 0 {
+		c.appendLearned(now, &b)
+	}
 	c.dirty, c.gated, c.flying = map[string]*jobState{}, Orders{}, f
 	return b, true
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -20,6 +20,7 @@
 	c.lapse(now)
 	c.evacuate(now)
 	c.restart(now)
+	c.repeatStops(now)
 	for _, j := range c.open {
 		if j.spec.Timed() {
 			c.ripen(now, j)
@@ -96,15 +97,60 @@
 		}
 		w := c.best(now, t, among)
 		if w == nil {
-			s.reason = why
-			if len(among) == 0 && !s.spec.Filler {
-				c.preempt(now, t)
-			}
+			c.refused(now, t, among, why)
 			return
 		}
 		c.assign(now, t, w, 0)
 	}
-	s.reason = ""
+	s.reason, s.refused = "", time.Time{}
+}
+
+// starvedAfter is how long a job may have nothing running before a task is placed where it disturbs
+// others; local control slows it down there.
+const starvedAfter = 1500 * time.Millisecond
+
+// refused does what is left when no worker takes a task.
+func (c *Core) refused(now time.Time, t *task, among []*worker, why string) {
+	s := t.step
+	s.reason = why
+	if s.refused.IsZero() {
+		s.refused = now
+	}
+	if !s.spec.Filler {
+		if len(among) == 0 {
+			c.preempt(now, t)
+		}
+		return
+	}
+	if s.occ.job.held > 0 || now.Sub(s.refused) < starvedAfter {
+		return
+	}
+	if w := c.leastDisturbed(now, t); w != nil {
+		t.pinned = true
+		c.assign(now, t, w, 0)
+	}
+}
+
+// leastDisturbed returns the worker on which a filler raises the tails of others least, among those that
+// it fits on.
+func (c *Core) leastDisturbed(now time.Time, t *task) *worker {
+	var best *worker
+	var least float64
+	for _, w := range c.workers {
+		if c.refuseBut(now, t.step, w, "tails", "filler") != "" {
+			continue
+		}
+		worst := 0.0
+		for _, v := range w.held {
+			if v.step.spec.TailTargetMS > 0 {
+				worst = max(worst, v.tail()+c.effect(v.step.spec, t.step.spec))
+			}
+		}
+		if best == nil || worst < least || worst == least && w.id < best.id {
+			best, least = w, worst
+		}
+	}
+	return best
 }
 
 // placeGang places all tasks of a gang together or none; they share one run number.
@@ -155,6 +201,7 @@
 	t.run, t.worker, t.assigned = run, w.id, now
 	t.appeared, t.progress, t.atWork = time.Time{}, now, time.Time{}
 	t.percent = 0
+	t.step.refused = time.Time{}
 	t.move(eventAssign)
 	c.hold(now, t)
 	j := t.step.occ.job
@@ -189,10 +236,8 @@
 // victims returns the runs to stop so that a task fits on a worker; nil when that doesn't help, or when
 // enough is ending already.
 func (c *Core) victims(now time.Time, t *task, w *worker) []*task {
-	for _, f := range filters {
-		if f.name != "capacity" && f.refuse(c, now, t.step, w) != "" {
-			return nil
-		}
+	if c.refuseBut(now, t.step, w, "capacity") != "" {
+		return nil
 	}
 	free := w.free()
 	need := t.step.spec.Reserve()
--- a/internal/sched/tails.go
+++ b/internal/sched/tails.go
@@ -1,10 +1,14 @@
 package sched
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/interfere"
 	"github.com/crocusspring/crocusspring/internal/job"
 )
 
@@ -20,6 +24,10 @@
 	// tailMinor is the effect of a filler below which it is never kept away or moved, in parts of the
 	// target.
 	tailMinor = 0.08
+	// tailPart is the part of an excess that a filler must account for to be moved away.
+	tailPart = 0.15
+	// tailSettle is how long figures take to show that fillers were moved away.
+	tailSettle = 800 * time.Millisecond
 	// tailUnsure is the variance of an effect above which one filler of an image at a time is tried.
 	tailUnsure = 0.15
 )
@@ -30,6 +38,8 @@
 	// use is the recent use of processors by filler image, in cores, with what has ended fading out.
 	use   map[string]float64
 	usedT time.Time
+	// relieved is when fillers were moved away last.
+	relieved time.Time
 }
 
 // fade brings the recent use of processors up to a time.
@@ -80,15 +90,31 @@
 	return t.figure / float64(t.step.spec.TailTargetMS)
 }
 
-// relieve stops the fillers that raise the tail of a serving task.
+// relieve stops the fillers that raise the tail of a serving task, those that raise it most first, until
+// the tail should be well below its target.
 func (c *Core) relieve(now time.Time, w *worker, serving *task, tail float64) {
+	if now.Sub(w.tails.relieved) < tailSettle {
+		return
+	}
+	excess := min(tail, interfere.MaxTail) - tailRoom
+	var fillers []*task
 	for _, t := range w.held {
-		if !t.step.spec.Filler || t.state == stateStopping {
-			continue
+		if t.step.spec.Filler && t.state != stateStopping && !t.pinned {
+			fillers = append(fillers, t)
 		}
-		if effect := c.effect(serving.step.spec, t.step.spec); effect > tailMinor {
-			c.stop(now, t, fmt.Sprintf("disturbs %s, tail at %.2f of its target, effect %.2f", serving.id, tail, effect))
+	}
+	slices.SortFunc(fillers, func(a, b *task) int {
+		return cmp.Or(-cmp.Compare(c.effect(serving.step.spec, a.step.spec), c.effect(serving.step.spec, b.step.spec)),
+			strings.Compare(a.id.String(), b.id.String()))
+	})
+	for _, t := range fillers {
+		effect := c.effect(serving.step.spec, t.step.spec)
+		if excess <= 0 || effect < max(tailMinor, tailPart*excess) {
+			return
 		}
+		excess -= effect
+		w.tails.relieved = now
+		c.stop(now, t, fmt.Sprintf("disturbs %s, tail at %.2f of its target, effect %.2f", serving.id, tail, effect))
 	}
 }
 
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -132,9 +132,12 @@
 		listed[e.RunRef] = true
 	}
 	for _, t := range w.held {
-		if !listed[t.ref()] {
+		switch {
+		case t.state == stateStopping:
+			c.orderStop(now, t)
+		case !listed[t.ref()]:
 			// Its start may still be on its way to the worker.
-			c.settle(now, t)
+			c.stop(now, t, "start unanswered")
 		}
 	}
 	c.Report(now, info.ID, running, ended)
@@ -154,16 +157,6 @@
 // Jobs returns the number of jobs that are known.
 func (c *Core) Jobs() int { return len(c.jobs) }
 
-// settle makes sure that a run whose start was never answered doesn't begin.
-func (c *Core) settle(now time.Time, t *task) {
-	if t.state != stateStopping {
-		c.stop(now, t, "start unanswered")
-		return
-	}
-	d := c.order(c.ready, t.worker)
-	d.Stop = append(d.Stop, t.ref())
-}
-
 // Update takes a new description of an attached worker.
 func (c *Core) Update(now time.Time, info link.Worker) {
 	w := c.workers[info.ID]
