A successor knows which lives of workers are over; guards follow the lease; stops end in time

Cause: after a power cut of everything the runs of dead workers were waited for until their lease had surely lapsed (10 s); guards stayed linked to an owner that could not learn it was replaced; a stopping process waited for ever for its long polls.

--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,53 @@
+// Package directory keeps the addresses of all processes in the store, so that an owner can tell those of
+// its takeover that can't read the lease themselves.
+package directory
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/crocusspring/crocusspring/internal/pause"
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+const (
+	// callTimeout bounds one call to the store.
+	callTimeout = 900 * time.Millisecond
+	// retryPause is the time after a failed call.
+	retryPause = 500 * time.Millisecond
+)
+
+// Register stores the address of a process, again until it is stored.
+func Register(ctx context.Context, s store.Store, node, addr string, l *log.Logger) error {
+	records := []store.Record{{Key: node, Value: []byte(addr)}}
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := s.Append(call, store.TopicNodes, store.Anywhere, records)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		l.Warn("address not stored", "addr", addr, "err", err)
+		if !pause.For(ctx, retryPause) {
+			return nil
+		}
+	}
+}
+
+// Nodes returns the addresses of all processes by name. Some may be gone.
+func Nodes(ctx context.Context, s store.Store) (map[string]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	snap, err := s.Newest(ctx, store.TopicNodes)
+	if err != nil {
+		return nil, fmt.Errorf("read nodes: %w", err)
+	}
+	out := map[string]string{}
+	for _, r := range snap.Records {
+		out[r.Key] = string(r.Value)
+	}
+	return out, nil
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -29,11 +29,7 @@
 )
 
 // Owner tells where the owner of the cell serves; empty while it isn't known.
-type Owner interface {
-	OwnerAddr() string
-	// Unreachable says that the owner at an address could not be reached.
-	Unreachable(addr string)
-}
+type Owner interface{ OwnerAddr() string }
 
 // Guard drives a core. Use New to make one.
 type Guard struct {
@@ -260,19 +256,18 @@
 		conn, err := link.Dial(ctx, addr)
 		if err == nil {
 			g.log.Info("linked to owner", "owner", addr)
-			err = g.serve(ctx, conn)
+			err = g.serve(ctx, conn, addr)
 		}
 		if ctx.Err() == nil {
 			g.log.Warn("no link to owner", "owner", addr, "err", err)
 		}
-		g.owner.Unreachable(addr)
 		pause.For(ctx, retryPause)
 	}
 	return nil
 }
 
 // serve exchanges messages until the link fails.
-func (g *Guard) serve(ctx context.Context, conn *link.Conn) error {
+func (g *Guard) serve(ctx context.Context, conn *link.Conn, addr string) error {
 	grp, ctx := errgroup.WithContext(ctx)
 	g.mu.Lock()
 	g.core.inventory = true
@@ -284,7 +279,7 @@
 		return ctx.Err()
 	})
 	grp.Go(func() error { return g.receive(conn) })
-	grp.Go(func() error { return g.report(ctx, conn) })
+	grp.Go(func() error { return g.report(ctx, conn, addr) })
 	return grp.Wait()
 }
 
@@ -329,13 +324,16 @@
 }
 
 // report sends what has changed, and a beat when nothing has.
-func (g *Guard) report(ctx context.Context, conn *link.Conn) error {
+func (g *Guard) report(ctx context.Context, conn *link.Conn, addr string) error {
 	if err := conn.Send(link.Up{Node: g.node, ClockMS: g.clock(), Pace: fullPace}); err != nil {
 		return err
 	}
 	complete := false
 	for ctx.Err() == nil {
 		g.wait(ctx, g.changed, link.Beat)
+		if g.owner.OwnerAddr() != addr {
+			return errReplaced
+		}
 		g.mu.Lock()
 		var up link.Up
 		switch {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusspring/crocusspring/internal/directory"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/ownership"
 	"github.com/crocusspring/crocusspring/internal/pause"
@@ -44,10 +45,11 @@
 
 // Cell is what this process does as owner. Use New to make one.
 type Cell struct {
-	opt   sched.Options
-	store store.Store
-	lease *ownership.Runner
-	log   *log.Logger
+	opt    sched.Options
+	store  store.Store
+	lease  *ownership.Runner
+	client *Client
+	log    *log.Logger
 
 	mu sync.Mutex
 	// core is nil while this process doesn't own the cell, or hasn't loaded it yet.
@@ -62,7 +64,7 @@
 // New returns a cell.
 func New(opt sched.Options, s store.Store, lease *ownership.Runner, l *log.Logger) *Cell {
 	return &Cell{
-		opt: opt, store: s, lease: lease, log: l, links: map[string]*peer{}, kick: make(chan struct{}, 1),
+		opt: opt, store: s, lease: lease, client: NewClient(), log: l, links: map[string]*peer{}, kick: make(chan struct{}, 1),
 	}
 }
 
@@ -98,6 +100,7 @@
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.Go(func() error { return c.follow(ctx, jobs) })
 	grp.Go(func() error { return c.rounds(ctx) })
+	grp.Go(func() error { return c.announce(ctx) })
 	err = grp.Wait()
 	c.mu.Lock()
 	c.core = nil
@@ -110,6 +113,35 @@
 	c.log.Info("cell given up", "epoch", epoch, "reason", err)
 }
 
+// announceWidth is how many nodes are told of a takeover at the same time.
+const announceWidth = 16
+
+// announce tells all nodes of the takeover, since some may not be able to read the lease.
+func (c *Cell) announce(ctx context.Context) error {
+	nodes, err := directory.Nodes(ctx, c.store)
+	if err != nil {
+		c.log.Warn("takeover not announced", "err", err)
+		return nil
+	}
+	lease, ok := c.lease.Holder()
+	if !ok {
+		return nil
+	}
+	grp := errgroup.Group{}
+	grp.SetLimit(announceWidth)
+	for node, addr := range nodes {
+		grp.Go(func() error {
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			if err := c.client.Hint(call, addr, lease); err != nil {
+				c.log.Debug("takeover not announced", "node", node, "err", err)
+			}
+			return nil
+		})
+	}
+	return grp.Wait()
+}
+
 // load fences earlier owners and reads the cell. It returns the offsets from which jobs and runs go on.
 func (c *Cell) load(ctx context.Context, epoch int64) (*sched.Core, store.Offset, store.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
--- a/internal/ownership/runner.go
+++ b/internal/ownership/runner.go
@@ -154,7 +154,8 @@
 func (r *Runner) Owner() (int64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Owner(time.Now())
+	epoch, ok := r.core.Owner(time.Now())
+	return epoch, ok && (r.hint == nil || r.hint.Epoch <= epoch)
 }
 
 // Holds reports whether no other process is known to have taken the cell since this one did, the epoch,
@@ -163,15 +164,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	epoch, ok = r.core.Holds()
+	ok = ok && (r.hint == nil || r.hint.Epoch <= epoch)
 	return epoch, r.core.Lapsed(time.Now()), ok
 }
 
-// Hint takes a lease that another process told of. It tells where the owner is and grants nothing.
+// Hint takes a lease that another process told of. It tells where the owner is, ends an ownership of this
+// process under a lower epoch, and grants nothing.
 func (r *Runner) Hint(l Lease) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.hint == nil || l.Epoch > r.hint.Epoch {
 		r.hint = &l
+		r.signal()
 	}
 }
 
@@ -195,9 +199,6 @@
 	return l.Addr
 }
 
-// Unreachable implements guard.Owner; the lease itself tells when the owner has changed.
-func (r *Runner) Unreachable(string) {}
-
 // Changed is signalled when the lease may have changed.
 func (r *Runner) Changed() <-chan struct{} { return r.moved }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,6 +17,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusspring/crocusspring/internal/directory"
 	"github.com/crocusspring/crocusspring/internal/guard"
 	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/link"
@@ -117,10 +118,11 @@
 	e.Log.Info("start", "node", e.Node, "front", e.Front, "inner", e.Inner)
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.Go(func() error { return lease.Run(ctx) })
+	grp.Go(func() error { return directory.Register(ctx, e.Store, e.Node, e.Inner, e.Log.WithPrefix("directory")) })
 	grp.Go(func() error { return tables.Run(ctx) })
-	serve(grp, front, e.Front)
-	serve(grp, ready, e.Ready)
-	serve(grp, newServer(inner), e.Inner)
+	serve(ctx, grp, front, e.Front)
+	serve(ctx, grp, ready, e.Ready)
+	serve(ctx, grp, newServer(inner), e.Inner)
 	signals := e.signals()
 	grp.Go(func() error {
 		if err := e.await(ctx, signals); err != nil {
@@ -154,8 +156,12 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
-// serve serves on an address until the server is shut down.
-func serve(grp *errgroup.Group, s *http.Server, addr string) {
+// serve serves on an address until the context ends or the server is shut down.
+func serve(ctx context.Context, grp *errgroup.Group, s *http.Server, addr string) {
+	grp.Go(func() error {
+		<-ctx.Done()
+		return s.Close()
+	})
 	grp.Go(func() error {
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -239,9 +245,10 @@
 	inner.HandleFunc("POST "+owner.HintPath, owner.ServeHint(lease))
 	g.Log.Info("start", "node", g.Node, "control", g.Control, "inner", g.Inner)
 	grp, ctx := errgroup.WithContext(ctx)
-	serve(grp, newServer(inner), g.Inner)
-	serve(grp, newServer(g.Announcements(local.Describe)), g.Control)
+	serve(ctx, grp, newServer(inner), g.Inner)
+	serve(ctx, grp, newServer(g.Announcements(local.Describe)), g.Control)
 	grp.Go(func() error { return lease.Run(ctx) })
+	grp.Go(func() error { return directory.Register(ctx, g.Store, g.Node, g.Inner, g.Log.WithPrefix("directory")) })
 	grp.Go(func() error { return cell.Run(ctx) })
 	grp.Go(func() error { return local.Run(ctx) })
 	signals := g.signals()
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -461,8 +461,11 @@
 			}
 		}
 	}
-	if v, ok := w.log[LearnedKey]; ok {
-		if err := w.core.Restore(w.now, LearnedKey, v); err != nil {
+	for _, key := range slices.Sorted(maps.Keys(w.log)) {
+		if w.spec(key) != nil || len(w.log[key]) == 0 {
+			continue
+		}
+		if err := w.core.Restore(w.now, key, w.log[key]); err != nil {
 			w.t.Fatal(err)
 		}
 	}
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/job"
@@ -73,6 +74,10 @@
 	if id == LearnedKey {
 		return c.tails.Decode(value)
 	}
+	if worker, ok := strings.CutPrefix(id, workerPrefix); ok {
+		c.worker(now, worker).node = string(value)
+		return nil
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return fmt.Errorf("progress of job %s: no such job", id)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -59,6 +59,8 @@
 	// dirty jobs have changed since their last record; gated is what may only be sent once they are stored.
 	dirty map[string]*jobState
 	gated Orders
+	// placed holds the nodes of workers that have to be stored, by worker; empty for one that is gone.
+	placed map[string]string
 	// flying is the batch whose append has not been answered.
 	flying *flight
 	seq    int64
@@ -106,7 +108,7 @@
 func New(now time.Time, opt Options) *Core {
 	return &Core{
 		opt: opt, since: now, jobs: map[string]*jobState{}, workers: map[string]*worker{},
-		dirty: map[string]*jobState{}, gated: Orders{}, ready: Orders{}, durations: durations{},
+		dirty: map[string]*jobState{}, placed: map[string]string{}, gated: Orders{}, ready: Orders{}, durations: durations{},
 		health: newHealth(), tails: interfere.NewTails(),
 	}
 }
@@ -114,6 +116,10 @@
 // LearnedKey is the key of the record that holds what was learned about tasks, beside those of jobs.
 const LearnedKey = "learned"
 
+// workerPrefix begins the keys of records that name the node beside a worker. A successor learns from
+// them which earlier lives a new one has replaced.
+const workerPrefix = "w/"
+
 // learnedEvery is the time between two records of what was learned.
 const learnedEvery = 3 * time.Second
 
@@ -133,7 +139,7 @@
 
 // Flush returns the next batch to store, if anything has changed and none is on its way.
 func (c *Core) Flush(now time.Time) (Batch, bool) {
-	if c.flying != nil || len(c.dirty) == 0 && len(c.gated) == 0 {
+	if c.flying != nil || len(c.dirty) == 0 && len(c.gated) == 0 && len(c.placed) == 0 {
 		return Batch{}, false
 	}
 	c.seq++
@@ -144,6 +150,10 @@
 		b.Records = append(b.Records, store.Record{Key: id, Value: j.encode()})
 		f.shown[j] = j.state
 	}
+	for _, id := range slices.Sorted(maps.Keys(c.placed)) {
+		b.Records = append(b.Records, store.Record{Key: workerPrefix + id, Value: []byte(c.placed[id])})
+	}
+	clear(c.placed)
 	if len(b.Records) > 0 {
 		c.appendLearned(now, &b)
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -127,7 +127,9 @@
 // Attach takes the inventory of a worker whose guard has connected under this ownership.
 func (c *Core) Attach(now time.Time, node string, info link.Worker, running []link.RunStatus, ended []link.RunEnd) {
 	w := c.worker(now, info.ID)
-	w.node = node
+	if w.node != node {
+		w.node, c.placed[info.ID] = node, node
+	}
 	w.info, w.known, w.attached, w.mute = info, true, true, false
 	if info.Draining {
 		w.drainSeen = now
@@ -219,6 +221,9 @@
 // remove forgets a worker.
 func (c *Core) remove(w *worker) {
 	delete(c.workers, w.id)
+	if w.node != "" {
+		c.placed[w.id] = ""
+	}
 	c.order = slices.DeleteFunc(slices.Clone(c.order), func(o *worker) bool { return o == w })
 }
 
