Effects of fillers are learned as loss of headroom; placement weighs them softly

Headroom (target over tail) falls in a straight line with what others take, so effects add up; readings of overrun tasks tell no more.

--- a/internal/interfere/tails.go
+++ b/internal/interfere/tails.go
@@ -8,125 +8,146 @@
 	"slices"
 )
 
-// Tails learns how much filler tasks raise the tail latency of serving tasks beside them. A reading is
-// the tail as a part of its target; it is taken to be the image's own level plus, for each filler image,
-// an effect times the processors that tasks of that image use.
+// Tails learns how much filler tasks raise the tail latency of serving tasks beside them.
 //
-// Each effect is an estimate with a variance, corrected by the gain of a Kalman filter with independent
-// components: an effect that is well known takes little of the blame for a surprise, one that isn't
-// takes most of it.
+// A reading is the headroom of a serving task: its target divided by its tail, so that 1 is at the
+// target and less is over it. A queue's tail grows with the inverse of what is left of its capacity, so
+// headroom falls in a straight line with what others take: it is the headroom the task would have alone,
+// which moves with its own load, less an effect for each core that fillers of an image use.
+//
+// Each quantity is an estimate with a variance, corrected by the gain of a Kalman filter with
+// independent components: an effect that is well known takes little of the blame for a surprise, one
+// that isn't takes most of it.
 type Tails struct {
-	effects map[tailPair]*tailEffect
-	levels  map[string]*tailEffect
+	effects map[tailPair]*estimate
+	alone   map[string]*estimate
 }
 
 // tailPair is a serving image and a filler image.
 type tailPair struct{ serving, filler string }
 
-// tailEffect is an estimate with its variance.
-type tailEffect struct{ mean, variance float64 }
+// estimate is a mean with its variance.
+type estimate struct{ mean, variance float64 }
 
+// All in units of headroom, effects in headroom for each core.
 const (
-	// tailPrior and tailSpread are the mean and variance of an effect that was never seen, in parts of
-	// the target for each core. Some pairs go together well and some raise tails several times over.
-	tailPrior  = 0.05
-	tailSpread = 0.5
-	// levelPrior and levelSpread are those of a serving image alone.
-	levelPrior  = 0.4
-	levelSpread = 0.05
-	// tailNoise is the variance of a reading, and tailGrain adds to it with the square of the reading:
-	// the figures are rough.
-	tailNoise = 0.02
-	tailGrain = 0.1
-	// tailDrift is by how much an effect may change between two readings.
-	tailDrift = 0.001
+	// effectPrior and effectSpread are the mean and variance of an effect that was never seen. Many pairs
+	// go together well and some take all headroom with two cores.
+	effectPrior  = 0.15
+	effectSpread = 0.4
+	// effectDrift is by how much the variance of an effect in use grows between two readings.
+	effectDrift = 0.002
+	// alonePrior and aloneSpread are those of a task that was never seen, aloneDrift the growth of the
+	// variance between two readings, as its load moves.
+	alonePrior  = 3.0
+	aloneSpread = 1.5
+	aloneDrift  = 0.03
+	// readingNoise is the variance of a reading, and readingGrain that of its relative error.
+	readingNoise = 0.02
+	readingGrain = 0.01
+	// leastHeadroom is where readings end: below it a task is overrun and the reading tells no more.
+	leastHeadroom = 0.3
+	// mostHeadroom bounds what one reading may claim.
+	mostHeadroom = 8.0
 )
 
-// MaxTail bounds what one reading may claim, in parts of the target.
-const MaxTail = 4.0
-
 // NewTails returns a model that has seen nothing.
 func NewTails() *Tails {
-	return &Tails{effects: map[tailPair]*tailEffect{}, levels: map[string]*tailEffect{}}
+	return &Tails{effects: map[tailPair]*estimate{}, alone: map[string]*estimate{}}
+}
+
+// Reading is the headroom of one serving task beside fillers.
+type Reading struct {
+	// Task names the task, Image what it runs.
+	Task, Image string
+	Headroom    float64
+	// Fillers is the use of processors by filler image, in cores.
+	Fillers map[string]float64
 }
 
-// Observe takes the tail of a serving task, as a part of its target, beside fillers whose use of
-// processors, in cores, is given by image.
-func (m *Tails) Observe(serving string, tail float64, fillers map[string]float64) {
-	if math.IsNaN(tail) || tail <= 0 {
+// Observe takes a reading.
+func (m *Tails) Observe(r Reading) {
+	if math.IsNaN(r.Headroom) || r.Headroom <= 0 {
 		return
 	}
-	tail = min(tail, MaxTail)
-	level := m.level(serving)
-	guess := level.mean
-	spread := level.variance + tailNoise + tailGrain*tail*tail
-	for f, cores := range fillers {
-		e := m.effect(serving, f)
-		guess += e.mean * cores
+	seen := min(r.Headroom, mostHeadroom)
+	alone := m.taskAlone(r.Task)
+	alone.variance += aloneDrift
+	guess := alone.mean
+	spread := alone.variance + readingNoise + readingGrain*seen*seen
+	for f, cores := range r.Fillers {
+		e := m.effect(r.Image, f)
+		guess -= e.mean * cores
 		spread += e.variance * cores * cores
 	}
-	surprise := tail - guess
-	level.correct(surprise, spread, 1)
-	for f, cores := range fillers {
-		m.effect(serving, f).correct(surprise, spread, cores)
+	if seen < leastHeadroom && guess < leastHeadroom {
+		return
+	}
+	surprise := seen - guess
+	alone.correct(surprise, spread, 1)
+	for f, cores := range r.Fillers {
+		e := m.effect(r.Image, f)
+		e.correct(surprise, spread, -cores)
+		e.mean = max(0, e.mean)
+		e.variance += effectDrift * cores
 	}
 }
 
 // correct moves an estimate by its share of a surprise.
-func (e *tailEffect) correct(surprise, spread, weight float64) {
+func (e *estimate) correct(surprise, spread, weight float64) {
 	gain := e.variance * weight / spread
-	e.mean = max(0, e.mean+gain*surprise)
-	e.variance = e.variance*(1-gain*weight) + tailDrift*weight*weight
+	e.mean += gain * surprise
+	e.variance *= 1 - gain*weight
 }
 
 // effect returns the estimate of a pair and makes it when it is new.
-func (m *Tails) effect(serving, filler string) *tailEffect {
+func (m *Tails) effect(serving, filler string) *estimate {
 	k := tailPair{serving, filler}
 	e := m.effects[k]
 	if e == nil {
-		e = &tailEffect{tailPrior, tailSpread}
+		e = &estimate{effectPrior, effectSpread}
 		m.effects[k] = e
 	}
 	return e
 }
 
-// level returns the estimate of an image alone and makes it when it is new.
-func (m *Tails) level(serving string) *tailEffect {
-	e := m.levels[serving]
+// taskAlone returns the estimate of a task's headroom alone and makes it when it is new.
+func (m *Tails) taskAlone(task string) *estimate {
+	e := m.alone[task]
 	if e == nil {
-		e = &tailEffect{levelPrior, levelSpread}
-		m.levels[serving] = e
+		e = &estimate{alonePrior, aloneSpread}
+		m.alone[task] = e
 	}
 	return e
 }
 
-// Effect returns by how much, in parts of its target, one core of a filler raises the tail of a serving
-// task, and the variance of that estimate.
+// Forget drops what was learned about a task that has ended.
+func (m *Tails) Forget(task string) { delete(m.alone, task) }
+
+// Effect returns how much headroom one core of a filler takes of a serving task, and the variance of
+// that estimate.
 func (m *Tails) Effect(serving, filler string) (mean, variance float64) {
 	if e := m.effects[tailPair{serving, filler}]; e != nil {
 		return e.mean, e.variance
 	}
-	return tailPrior, tailSpread
+	return effectPrior, effectSpread
 }
 
-// tailRecord is one estimate as it is stored; Filler is empty for the level of an image alone.
-type tailRecord struct {
+// effectRecord is one effect as it is stored.
+type effectRecord struct {
 	Serving  string  `json:"s"`
-	Filler   string  `json:"f,omitempty"`
+	Filler   string  `json:"f"`
 	Mean     float64 `json:"m"`
 	Variance float64 `json:"v"`
 }
 
-// Encode returns all estimates for a successor.
+// Encode returns all effects for a successor.
 func (m *Tails) Encode() ([]byte, error) {
-	var out []tailRecord
+	var out []effectRecord
 	for k, e := range m.effects {
-		out = append(out, tailRecord{k.serving, k.filler, e.mean, e.variance})
-	}
-	for s, e := range m.levels {
-		out = append(out, tailRecord{s, "", e.mean, e.variance})
+		out = append(out, effectRecord{k.serving, k.filler, e.mean, e.variance})
 	}
-	slices.SortFunc(out, func(a, b tailRecord) int {
+	slices.SortFunc(out, func(a, b effectRecord) int {
 		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filler, b.Filler))
 	})
 	data, err := json.Marshal(out)
@@ -138,17 +159,12 @@
 
 // Decode takes over what Encode returned.
 func (m *Tails) Decode(data []byte) error {
-	var records []tailRecord
+	var records []effectRecord
 	if err := json.Unmarshal(data, &records); err != nil {
 		return fmt.Errorf("decode effects on tails: %w", err)
 	}
 	for _, r := range records {
-		e := &tailEffect{max(0, r.Mean), min(max(0, r.Variance), tailSpread)}
-		if r.Filler == "" {
-			m.levels[r.Serving] = e
-		} else {
-			m.effects[tailPair{r.Serving, r.Filler}] = e
-		}
+		m.effects[tailPair{r.Serving, r.Filler}] = &estimate{max(0, r.Mean), min(max(0, r.Variance), effectSpread)}
 	}
 	return nil
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -31,11 +31,11 @@
 	{"filler", func(_ *Core, _ time.Time, s *step, w *worker) string {
 		return when(s.spec.Filler && !w.roomForFiller(s), "no processor time left over")
 	}},
-	{"tails", func(c *Core, _ time.Time, s *step, w *worker) string {
+	{"tails", func(c *Core, now time.Time, s *step, w *worker) string {
 		if !s.spec.Filler {
 			return ""
 		}
-		return c.disturbs(s, w)
+		return c.disturbs(now, s, w)
 	}},
 	{"anti-affinity", func(_ *Core, _ time.Time, s *step, w *worker) string {
 		limit := s.spec.AntiAffinity
@@ -89,6 +89,8 @@
 	failedWeight = 10.0
 	// rackWeight draws a task to its data or to the rest of its step; far tasks take far longer.
 	rackWeight = 2.0
+	// strainWeight keeps fillers off workers where they take headroom that is needed.
+	strainWeight = 0.5
 	// likenessWeight draws serving tasks to workers where others of their image are.
 	likenessWeight = 0.6
 )
@@ -100,7 +102,7 @@
 	var v float64
 	switch {
 	case s.Filler:
-		v = float64(w.spare()) / capacity * float64(w.pace) / 100
+		v = float64(w.spare())/capacity*float64(w.pace)/100 - strainWeight*c.strain(c.now, t, w)
 	case s.TailTargetMS > 0:
 		v = 1 - float64(w.load.serving)/capacity + likenessWeight*w.likeness(s.Image)
 	default:
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -135,6 +135,7 @@
 		}
 	}
 	c.health.ended(now, id, t, e.Outcome, wasStopping)
+	c.tails.Forget(t.id.String())
 	if j.state.Over() {
 		t.move(eventDrop)
 		return
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -51,6 +51,7 @@
 type Core struct {
 	opt     Options
 	since   time.Time
+	now     time.Time // of the round of scheduling under way
 	jobs    map[string]*jobState
 	open    []*jobState
 	workers map[string]*worker
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +18,7 @@
 // Schedule does what the time calls for: it ends lapsed runs, opens occurrences that have come due,
 // moves tasks off workers that don't do their work, and places what waits.
 func (c *Core) Schedule(now time.Time) {
+	c.now = now
 	c.lapse(now)
 	c.evacuate(now)
 	c.restart(now)
@@ -135,24 +137,29 @@
 // it fits on.
 func (c *Core) leastDisturbed(now time.Time, t *task) *worker {
 	var best *worker
-	var least float64
+	var most float64
 	for _, w := range c.order {
 		if c.refuseBut(now, t.step, w, "tails", "filler") != "" {
 			continue
 		}
-		worst := 0.0
-		for _, v := range w.tasks {
-			if v.step.spec.TailTargetMS > 0 {
-				worst = max(worst, v.tail()+c.effect(v.step.spec, t.step.spec))
-			}
-		}
-		if best == nil || worst < least || worst == least && w.id < best.id {
-			best, least = w, worst
+		if room := c.leastRoom(now, t, w); best == nil || room > most {
+			best, most = w, room
 		}
 	}
 	return best
 }
 
+// leastRoom returns the least headroom that a serving task on a worker is left with beside a filler.
+func (c *Core) leastRoom(now time.Time, t *task, w *worker) float64 {
+	least := math.Inf(1)
+	for _, v := range w.tasks {
+		if room, ok := c.room(now, w, v); ok {
+			least = min(least, room-c.effect(v, t.step.spec))
+		}
+	}
+	return least
+}
+
 // placeGang places all tasks of a gang together or none; they share one run number.
 func (c *Core) placeGang(now time.Time, s *step, among []*worker, why string) {
 	run := 0
--- a/internal/sched/tails.go
+++ b/internal/sched/tails.go
@@ -17,19 +17,21 @@
 	tailWindow = 450 * time.Millisecond
 	// tailMemory is how long what fillers did still shows in the figures.
 	tailMemory = 400 * time.Millisecond
-	// tailRoom is the part of a serving task's target that its expected tail may reach when a filler is
-	// placed beside it, tailOver the part from which fillers that raise it are moved away.
-	tailRoom = 0.8
-	tailOver = 0.95
-	// tailMinor is the effect of a filler below which it is never kept away or moved, in parts of the
-	// target.
-	tailMinor = 0.08
-	// tailPart is the part of an excess that a filler must account for to be moved away.
-	tailPart = 0.15
-	// tailSettle is how long figures take to show that fillers were moved away.
+	// roomAfter is the headroom that a serving task must be left with when a filler is placed beside it:
+	// its own load moves.
+	roomAfter = 1.1
+	// roomLow is the headroom below which fillers are moved away, until roomAfter should be there again.
+	roomLow = 0.9
+	// roomMinor is the headroom that a filler may always take.
+	roomMinor = 0.3
+	// roomHard is the headroom below which a filler must not bring a serving task. Between that and
+	// roomAfter it goes there only if there is nothing better.
+	roomHard = 0.0
+	// tailSettle is how long figures take to show that fillers came or were moved away.
 	tailSettle = 800 * time.Millisecond
-	// tailUnsure is the variance of an effect above which one filler of an image at a time is tried.
-	tailUnsure = 0.15
+	// effectUnsure is the variance of an effect, per core, above which one filler of an image at a time
+	// is tried.
+	effectUnsure = 0.1
 )
 
 // tails is what a worker's figures said last.
@@ -69,34 +71,34 @@
 		w.tails.learned = now
 	}
 	for _, t := range w.tasks {
-		tail := t.tail()
-		if tail == 0 {
+		room, ok := t.headroom()
+		if !ok {
 			continue
 		}
 		if fresh {
-			c.tails.Observe(t.step.spec.Image, tail, w.tails.use)
+			c.tails.Observe(interfere.Reading{
+				Task: t.id.String(), Image: t.step.spec.Image, Headroom: room, Fillers: w.tails.use,
+			})
 		}
-		if tail > tailOver {
-			c.relieve(now, w, t, tail)
+		if room < roomLow {
+			c.relieve(now, w, t, room)
 		}
 	}
 }
 
-// tail returns the tail of a serving task as a part of its target; 0 when it isn't known.
-func (t *task) tail() float64 {
-	if t.step.spec.TailTargetMS == 0 || t.state != stateRunning {
-		return 0
+// headroom returns a serving task's target divided by its tail; false when that isn't known.
+func (t *task) headroom() (float64, bool) {
+	if t.step.spec.TailTargetMS == 0 || t.state != stateRunning || t.figure <= 0 {
+		return 0, false
 	}
-	return t.figure / float64(t.step.spec.TailTargetMS)
+	return float64(t.step.spec.TailTargetMS) / t.figure, true
 }
 
-// relieve stops the fillers that raise the tail of a serving task, those that raise it most first, until
-// the tail should be well below its target.
-func (c *Core) relieve(now time.Time, w *worker, serving *task, tail float64) {
+// relieve stops the fillers that take most of a serving task's headroom, until enough should be left.
+func (c *Core) relieve(now time.Time, w *worker, serving *task, room float64) {
 	if now.Sub(w.tails.relieved) < tailSettle {
 		return
 	}
-	excess := min(tail, interfere.MaxTail) - tailRoom
 	var fillers []*task
 	for _, t := range w.tasks {
 		if t.step.spec.Filler && t.state != stateStopping && !t.pinned {
@@ -104,44 +106,76 @@
 		}
 	}
 	slices.SortFunc(fillers, func(a, b *task) int {
-		return cmp.Or(-cmp.Compare(c.effect(serving.step.spec, a.step.spec), c.effect(serving.step.spec, b.step.spec)),
+		return cmp.Or(-cmp.Compare(c.effect(serving, a.step.spec), c.effect(serving, b.step.spec)),
 			strings.Compare(a.id.String(), b.id.String()))
 	})
 	for _, t := range fillers {
-		effect := c.effect(serving.step.spec, t.step.spec)
-		if excess <= 0 || effect < max(tailMinor, tailPart*excess) {
+		effect := c.effect(serving, t.step.spec)
+		if room >= roomAfter || effect < roomMinor {
 			return
 		}
-		excess -= effect
 		w.tails.relieved = now
-		c.stop(now, t, fmt.Sprintf("disturbs %s, tail at %.2f of its target, effect %.2f", serving.id, tail, effect))
+		c.stop(now, t, fmt.Sprintf("disturbs %s, headroom %.2f, effect %.2f", serving.id, room, effect))
+		room += effect
 	}
 }
 
-// effect returns by how much a filler is expected to raise the tail of a serving task, in parts of its
-// target.
-func (c *Core) effect(serving, filler *job.Step) float64 {
-	mean, _ := c.tails.Effect(serving.Image, filler.Image)
+// effect returns how much headroom a filler is expected to take of a serving task.
+func (c *Core) effect(serving *task, filler *job.Step) float64 {
+	mean, _ := c.tails.Effect(serving.step.spec.Image, filler.Image)
 	return mean * float64(filler.Demand.MilliCPU) / 1000
 }
 
+// room returns the headroom that a serving task should have once the figures show the fillers that were
+// placed beside it lately.
+func (c *Core) room(now time.Time, w *worker, serving *task) (float64, bool) {
+	room, ok := serving.headroom()
+	if !ok {
+		return 0, false
+	}
+	for _, t := range w.tasks {
+		if t.step.spec.Filler && now.Sub(t.assigned) < tailSettle {
+			room -= c.effect(serving, t.step.spec)
+		}
+	}
+	return room, true
+}
+
 // disturbs returns why a filler must not run on a worker, or an empty string.
-func (c *Core) disturbs(s *step, w *worker) string {
+func (c *Core) disturbs(now time.Time, s *step, w *worker) string {
 	for _, t := range w.tasks {
 		if t.step.spec.TailTargetMS == 0 {
 			continue
 		}
-		effect := c.effect(t.step.spec, s.spec)
-		if effect > tailMinor && t.tail()+effect > tailRoom {
-			return "would disturb image " + t.step.spec.Image
-		}
-		if _, variance := c.tails.Effect(t.step.spec.Image, s.spec.Image); variance > tailUnsure && s.trying(w) {
+		if _, variance := c.tails.Effect(t.step.spec.Image, s.spec.Image); variance > effectUnsure && s.trying(w) {
 			return "effect not known yet"
 		}
+		effect := c.effect(t, s.spec)
+		if effect < roomMinor {
+			continue
+		}
+		if room, ok := c.room(now, w, t); ok && room-effect < roomHard {
+			return "would disturb image " + t.step.spec.Image
+		}
 	}
 	return ""
 }
 
+// strain sums what a filler would take of the headroom that serving tasks on a worker should be left with.
+func (c *Core) strain(now time.Time, t *task, w *worker) float64 {
+	sum := 0.0
+	for _, v := range w.tasks {
+		effect := c.effect(v, t.step.spec)
+		if effect < roomMinor/2 {
+			continue
+		}
+		if room, ok := c.room(now, w, v); ok {
+			sum += min(effect, max(0, roomAfter-(room-effect)))
+		}
+	}
+	return sum
+}
+
 // trying reports whether a task of the step's image is on a worker.
 func (s *step) trying(w *worker) bool {
 	for _, t := range w.tasks {
