Entries refuse at once while the store doesn't answer; what may be stored is stored until known

Cause: submissions during a silent store were held for 1.6 s and answered 504, after which clients can't try again.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,7 +15,7 @@
 
 const (
 	// callTimeout bounds one call to the store.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// retryPause is the time after a failed call.
 	retryPause = 500 * time.Millisecond
 )
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,7 +22,9 @@
 const (
 	// appendTimeout bounds one append; a sound store answers in some milliseconds and a slow one in some
 	// hundred.
-	appendTimeout = 800 * time.Millisecond
+	appendTimeout = 600 * time.Millisecond
+	// probePause is the time between two tries to reach a store that didn't answer.
+	probePause = 150 * time.Millisecond
 	// askTimeout bounds one question to the owner.
 	askTimeout = 500 * time.Millisecond
 	// askWithin is how long an entry goes on asking while the cell changes hands.
@@ -58,6 +60,8 @@
 	mu      sync.Mutex
 	pending []*call
 	flying  bool
+	// away says that the store didn't answer last; jobs are refused without asking it until it does.
+	away bool
 	// counts are the newest counts of waiting jobs, asked at countsAt.
 	counts   map[string]int
 	countsAt time.Time
@@ -146,10 +150,15 @@
 	return counts[queue], nil
 }
 
-// append stores one record, together with those of other calls.
+// append stores one record, together with those of other calls. While the store is away nothing is sent,
+// so that the refusal is certain.
 func (in *Intake) append(ctx context.Context, r store.Record) error {
 	k := &call{record: r, done: make(chan error, 1)}
 	in.mu.Lock()
+	if in.away {
+		in.mu.Unlock()
+		return fmt.Errorf("%w: the store doesn't answer", ErrNotAccepted)
+	}
 	in.pending = append(in.pending, k)
 	if !in.flying {
 		in.flying = true
@@ -187,11 +196,56 @@
 		records[i] = k.record
 	}
 	err := in.try(records)
+	if errors.Is(err, ErrUnknown) {
+		in.lost(group, records)
+		return
+	}
+	answer(group, err)
+}
+
+// answer answers the calls of a group.
+func answer(group []*call, err error) {
 	for _, k := range group {
 		k.done <- err
 	}
 }
 
+// lost goes on storing a group whose outcome isn't known, beside the others: its callers can only be
+// told the truth once it is stored. Until the store answers, further jobs are refused.
+func (in *Intake) lost(group []*call, records []store.Record) {
+	in.mu.Lock()
+	first := !in.away
+	in.away = true
+	waiting := in.pending
+	in.pending = nil
+	in.mu.Unlock()
+	answer(waiting, fmt.Errorf("%w: the store doesn't answer", ErrNotAccepted))
+	if first {
+		in.log.Warn("store doesn't answer, jobs are refused", "unknown", len(records))
+	}
+	go func() {
+		for {
+			time.Sleep(probePause)
+			err := in.try(records)
+			if err == nil {
+				in.back()
+				answer(group, nil)
+				return
+			}
+		}
+	}()
+}
+
+// back notes that the store answers again.
+func (in *Intake) back() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.away {
+		in.log.Info("store answers again, jobs are accepted")
+	}
+	in.away = false
+}
+
 // try stores records directly, and through the owner when that fails. Records are the same however
 // often they are stored, so a second way after an unknown outcome is harmless.
 func (in *Intake) try(records []store.Record) error {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -24,7 +24,7 @@
 
 const (
 	// callTimeout bounds one call to the store.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// loadTimeout bounds the reading of all jobs at a takeover.
 	loadTimeout = 3 * time.Second
 	// tailWait bounds one wait for new jobs.
--- a/internal/ownership/runner.go
+++ b/internal/ownership/runner.go
@@ -19,7 +19,7 @@
 	followWait = time.Second
 	// callTimeout bounds one call to the store; a sound one answers in some milliseconds and a slow one
 	// in some hundred.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// retryPause is the time after a failed call.
 	retryPause = 200 * time.Millisecond
 	// tickEvery is how often the core is asked for its next record.
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -48,7 +48,7 @@
 	// followWait bounds one wait for a change.
 	followWait = 5 * time.Second
 	// callTimeout bounds a call beyond its wait.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// retryPause is the time after a failed call.
 	retryPause = 200 * time.Millisecond
 )
