--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -151,7 +152,14 @@
 		return 0, fmt.Errorf("call owner: %w", err)
 	}
 	resp, err := c.http.Do(req)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		// Without a connection nothing was sent.
+		return 0, fmt.Errorf("call owner: %w: %w", store.ErrRefused, err)
+	}
 	if err != nil {
+		// Connections that were kept may have gone silent too.
+		c.http.CloseIdleConnections()
 		return 0, fmt.Errorf("call owner: %w", err)
 	}
 	defer resp.Body.Close()
--- a/internal/ownership/runner.go
+++ b/internal/ownership/runner.go
@@ -16,7 +16,7 @@
 
 const (
 	// followWait bounds one wait for a new record of the lease; a renewal is due in less.
-	followWait = time.Second
+	followWait = 700 * time.Millisecond
 	// callTimeout bounds one call to the store; a sound one answers in some milliseconds and a slow one
 	// in some hundred.
 	callTimeout = 600 * time.Millisecond
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -45,10 +45,10 @@
 }
 
 const (
-	// followWait bounds one wait for a change.
-	followWait = 5 * time.Second
-	// callTimeout bounds a call beyond its wait.
-	callTimeout = 600 * time.Millisecond
+	// followWait bounds one wait for a change, and callTimeout a call beyond its wait. Together they bound
+	// how long a connection that has gone silent hides a change, which is to be in force within 2 s.
+	followWait  = 700 * time.Millisecond
+	callTimeout = 500 * time.Millisecond
 	// retryPause is the time after a failed call.
 	retryPause = 200 * time.Millisecond
 )
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -77,9 +77,8 @@
 	left  int // tasks that are not done
 	// waiting counts the tasks that may be placed once the step is ready.
 	waiting int
-	// tickets are the approvals of the policy service by worker; asked is when it was asked last.
+	// tickets are the approvals of the policy service by worker.
 	tickets map[string]ticket
-	asked   time.Time
 	// reason says why no task could be placed last, refused since when; zero when one was placed.
 	reason  string
 	refused time.Time
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -44,10 +44,9 @@
 
 // world is a cell with its store, its workers and what is on its way between them.
 type world struct {
-	t     *rapid.T
-	now   time.Time
-	core  *Core
-	epoch int
+	t    *rapid.T
+	now  time.Time
+	core *Core
 	// log holds the stored records of jobs, in order; a takeover reads them.
 	log     map[string][]byte
 	specs   []*job.Spec
@@ -58,7 +57,6 @@
 	flying   *Batch
 	// late holds orders that will be carried out although their link is gone.
 	late []lateStart
-	lost []link.RunRef
 	// done counts successful ends that were taken note of, by task.
 	done    map[job.TaskID]bool
 	failed  map[job.TaskID]int
