--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -104,7 +104,7 @@
 	case s.Filler:
 		v = float64(w.spare())/capacity*float64(w.pace)/100 - strainWeight*c.strain(c.now, t, w)
 	case s.TailTargetMS > 0:
-		v = 1 - float64(w.load.serving)/capacity + likenessWeight*w.likeness(s.Image)
+		v = float64(w.load.serving)/capacity + likenessWeight*w.likeness(s.Image)
 	default:
 		v = float64(w.free().MilliCPU) / capacity
 	}
