--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -90,7 +90,7 @@
 	// rackWeight draws a task to its data or to the rest of its step; far tasks take far longer.
 	rackWeight = 2.0
 	// strainWeight keeps fillers off workers where they take headroom that is needed.
-	strainWeight = 0.5
+	strainWeight = 1.0
 	// likenessWeight draws serving tasks to workers where others of their image are.
 	likenessWeight = 0.6
 )
