--- /dev/null
+++ b/internal/ownership/ownership_test.go
@@ -0,0 +1,182 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+// length is the lease of the tests.
+const length = time.Second
+
+// process is a candidate with its own view, and the records it has sent without an answer.
+type process struct {
+	core *Core
+	name string
+	life int
+	next store.Offset
+	late []lateAppend
+}
+
+// lateAppend is an append that will be carried out later.
+type lateAppend struct {
+	record store.Record
+	at     store.Offset
+}
+
+// boot starts a new life of a process.
+func (p *process) boot() {
+	p.life++
+	p.next, p.late = 0, nil
+	p.core = New(Options{
+		Node: p.name, Life: fmt.Sprintf("%s-%d", p.name, p.life), Addr: p.name, Candidate: true,
+		Length: length, RenewEvery: length / 3, Margin: length / 10,
+	})
+}
+
+// TestOneOwner drives three candidates through lost answers, late appends, restarts and slow reads:
+// never do two own the cell at once, and an epoch belongs to one life.
+func TestOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_800_000_000, 0)
+		var log []store.Record
+		owners := map[int64]string{}
+		var all []*process
+		for i := range 3 {
+			p := &process{name: fmt.Sprintf("p%d", i)}
+			p.boot()
+			all = append(all, p)
+		}
+		add := func(r store.Record, at store.Offset) bool {
+			if at != store.Offset(len(log)) {
+				return false
+			}
+			r.Offset = at
+			log = append(log, r)
+			return true
+		}
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			p := rapid.SampledFrom(all).Draw(t, "process")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				p.boot()
+			case 1:
+				for _, l := range p.late {
+					add(l.record, l.at)
+				}
+				p.late = nil
+			case 2, 3, 4, 5:
+				if err := p.core.Seen(now, log[p.next:], store.Offset(len(log))); err != nil {
+					t.Fatal(err)
+				}
+				p.next = store.Offset(len(log))
+			default:
+				r, at, ok := p.core.Next(now)
+				if !ok {
+					break
+				}
+				switch rapid.IntRange(0, 3).Draw(t, "fate") {
+				case 0:
+					add(r, at)
+				case 1:
+					p.late = append(p.late, lateAppend{r, at})
+				default:
+					if add(r, at) {
+						if err := p.core.Appended(now, r, at); err != nil {
+							t.Fatal(err)
+						}
+					}
+				}
+			}
+			judge(t, now, all, owners)
+		}
+	})
+}
+
+// judge checks that at most one process owns the cell.
+func judge(t *rapid.T, now time.Time, all []*process, owners map[int64]string) {
+	holder := ""
+	for _, p := range all {
+		epoch, ok := p.core.Owner(now)
+		if !ok {
+			continue
+		}
+		if holder != "" {
+			t.Fatalf("%s and %s own the cell at once", holder, p.name)
+		}
+		holder = p.name
+		life := fmt.Sprintf("%s-%d", p.name, p.life)
+		if first := owners[epoch]; first != "" && first != life {
+			t.Fatalf("epoch %d belongs to %s and %s", epoch, first, life)
+		}
+		owners[epoch] = life
+	}
+}
+
+// TestTakeAfterExpiry checks that a lease that isn't renewed is taken, and one that is renewed is not.
+func TestTakeAfterExpiry(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a, b := &process{name: "a"}, &process{name: "b"}
+	a.boot()
+	b.boot()
+	for _, p := range []*process{a, b} {
+		if err := p.core.Seen(now, nil, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r, at, ok := a.core.Next(now)
+	if !ok || at != 0 {
+		t.Fatalf("first take: %v at %d", ok, at)
+	}
+	for _, p := range []*process{a, b} {
+		if err := p.core.Appended(now, r, at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if epoch, ok := a.core.Owner(now); !ok || epoch != 1 {
+		t.Fatalf("owner after the take: %v, epoch %d", ok, epoch)
+	}
+	if _, _, ok := b.core.Next(now.Add(length)); ok {
+		t.Error("taken before the lease and its margin are over")
+	}
+	if _, _, ok := b.core.Next(now.Add(length + length/5)); !ok {
+		t.Error("not taken after the lease is over")
+	}
+	if _, ok := a.core.Owner(now.Add(length)); ok {
+		t.Error("owner after the end of its lease")
+	}
+}
+
+// TestLeave checks that a cell that is given back is taken at once.
+func TestLeave(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a, b := &process{name: "a"}, &process{name: "b"}
+	a.boot()
+	b.boot()
+	if err := a.core.Seen(now, nil, 0); err != nil {
+		t.Fatal(err)
+	}
+	r, at, _ := a.core.Next(now)
+	if err := a.core.Appended(now, r, at); err != nil {
+		t.Fatal(err)
+	}
+	bye, at2, ok := a.core.Leave(now)
+	if !ok || at2 != 1 {
+		t.Fatalf("leave: %v at %d", ok, at2)
+	}
+	if _, ok := a.core.Owner(now); ok {
+		t.Error("owner after giving the cell back")
+	}
+	bye.Offset = at2
+	if err := b.core.Seen(now, []store.Record{r, bye}, 2); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, ok := b.core.Next(now); !ok {
+		t.Error("a cell that was given back is not taken")
+	}
+}
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -17,8 +17,15 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
-	// Fate decides what becomes of a call; nil for a sound store. It is called under a lock.
-	Fate func(call, topic string) Fate
+	// decide says what becomes of a call; nil for a sound store.
+	decide func(call, topic string) Fate
+}
+
+// SetFate sets what decides the fate of calls; it is called under a lock.
+func (s *Store) SetFate(decide func(call, topic string) Fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decide = decide
 }
 
 // Fate is what becomes of one call.
@@ -53,10 +60,10 @@
 
 // fate asks what becomes of a call. The caller holds the lock.
 func (s *Store) fate(call, topic string) Fate {
-	if s.Fate == nil {
+	if s.decide == nil {
 		return Fate{}
 	}
-	return s.Fate(call, topic)
+	return s.decide(call, topic)
 }
 
 // Append implements store.Store.
