--- a/internal/chart/code_test.go
+++ b/internal/chart/code_test.go
@@ -21,6 +21,7 @@
 	"target.yaml":     "../eject",
 	"cell-lease.yaml": "../lease",
 	"process.yaml":    "../node",
+	"run.yaml":        "../sched",
 }
 
 // constants returns the constants of a package that have the given type of package chart.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/owner"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/sched"
@@ -55,6 +57,7 @@
 	store  store.Store
 	client *owner.Client
 	where  Locator
+	scope  tally.Scope
 	log    *log.Logger
 
 	mu      sync.Mutex
@@ -74,8 +77,8 @@
 }
 
 // New returns an intake.
-func New(s store.Store, client *owner.Client, where Locator, l *log.Logger) *Intake {
-	return &Intake{store: s, client: client, where: where, log: l}
+func New(s store.Store, client *owner.Client, where Locator, scope tally.Scope, l *log.Logger) *Intake {
+	return &Intake{store: s, client: client, where: where, scope: scope, log: l}
 }
 
 // Submit accepts a job. Submitting the same job again is harmless.
@@ -84,7 +87,22 @@
 	if err != nil {
 		return fmt.Errorf("%w: encode job: %w", ErrNotAccepted, err)
 	}
-	return in.append(ctx, store.Record{Key: store.PrefixJob + spec.ID, Value: value})
+	began := time.Now()
+	err = in.append(ctx, store.Record{Key: store.PrefixJob + spec.ID, Value: value})
+	in.scope.Tagged(map[string]string{"outcome": outcome(err)}).Counter("jobs_submitted").Inc(1)
+	in.scope.Histogram("accept_seconds", metrics.Seconds()).RecordValue(time.Since(began).Seconds())
+	return err
+}
+
+// outcome names what became of a submission.
+func outcome(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.Is(err, ErrNotAccepted):
+		return "refused"
+	}
+	return "unknown"
 }
 
 // cancelValue is the value of a cancellation, which has nothing to say but its key.
--- /dev/null
+++ b/internal/logs/bounded_test.go
@@ -0,0 +1,65 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// collector keeps what was written.
+type collector struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (c *collector) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.Write(p)
+}
+
+// TestRate checks that one kind can't crowd out another, and that what was left out is counted.
+func TestRate(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	out := &collector{}
+	b := newBounded(out, func() time.Time { return now })
+	for i := range 2 * kindBurst {
+		fmt.Fprintf(b, `{"msg":"place","n":%d}`+"\n", i)
+	}
+	fmt.Fprintln(b, `{"msg":"stop"}`)
+	now = now.Add(reportEvery)
+	fmt.Fprintln(b, `{"msg":"stop"}`)
+	close(b.lines)
+	b.drain()
+	got := out.text.String()
+	if n := strings.Count(got, `"msg":"place"`); n != kindBurst {
+		t.Errorf("%d lines of one kind, want %d", n, kindBurst)
+	}
+	if n := strings.Count(got, `"msg":"stop"`); n != 2 {
+		t.Errorf("%d lines of the other kind, want 2", n)
+	}
+	want := fmt.Sprintf(`"msg":"lines left out","kind":"place","count":%d}`, kindBurst)
+	if !strings.Contains(got, want) {
+		t.Errorf("no count of what was left out in %.200s", got)
+	}
+}
+
+// TestShutPipe checks that nobody waits for a reader that doesn't read.
+func TestShutPipe(t *testing.T) {
+	r, w := io.Pipe()
+	defer r.Close()
+	b := NewBounded(w)
+	l := New(b, Options{Level: "info", JSON: true})
+	for i := range 3 * bufferedLines {
+		l.Info(fmt.Sprintf("kind %d", i%maxKinds), "n", i)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.left) == 0 {
+		t.Error("nothing was left out, though nobody reads")
+	}
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -15,13 +15,16 @@
 	JSON bool
 }
 
+// timeFormat has the milliseconds that it takes to put lines of several processes in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes to w.
 func New(w io.Writer, o Options) *log.Logger {
 	level, err := log.ParseLevel(o.Level)
 	if err != nil {
 		level = log.InfoLevel
 	}
-	l := log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true})
+	l := log.NewWithOptions(w, log.Options{Level: level, ReportTimestamp: true, TimeFormat: timeFormat})
 	if o.JSON {
 		l.SetFormatter(log.JSONFormatter)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,10 +12,12 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusspring/crocusspring/internal/directory"
 	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/ownership"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/sched"
@@ -37,6 +39,8 @@
 	// comes in within it shares one append.
 	roundEvery = 100 * time.Millisecond
 	roundGap   = 10 * time.Millisecond
+	// maxQuestions is the most questions that wait for the policy service.
+	maxQuestions = 64
 	// sweepEvery is the time between two sweeps of jobs that can be forgotten.
 	sweepEvery = 5 * time.Second
 	// ownerKey is the key in TopicRuns under which an owner fences earlier ones.
@@ -49,6 +53,7 @@
 	store  store.Store
 	lease  *ownership.Runner
 	client *Client
+	scope  tally.Scope
 	log    *log.Logger
 
 	mu sync.Mutex
@@ -59,12 +64,16 @@
 	read  time.Time    // when the jobs were read last
 	links map[string]*peer
 	kick  chan struct{}
+	// questions wait for the policy service.
+	questions chan sched.Question
+	adviser   Adviser
 }
 
 // New returns a cell.
-func New(opt sched.Options, s store.Store, lease *ownership.Runner, l *log.Logger) *Cell {
+func New(opt sched.Options, s store.Store, lease *ownership.Runner, adviser Adviser, scope tally.Scope, l *log.Logger) *Cell {
 	return &Cell{
-		opt: opt, store: s, lease: lease, client: NewClient(), log: l, links: map[string]*peer{}, kick: make(chan struct{}, 1),
+		opt: opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, kick: make(chan struct{}, 1),
+		questions: make(chan sched.Question, maxQuestions), adviser: adviser,
 	}
 }
 
@@ -96,11 +105,13 @@
 	c.mu.Lock()
 	c.core, c.epoch, c.end, c.read = core, epoch, runs, time.Now()
 	c.mu.Unlock()
+	c.scope.Counter("takeovers").Inc(1)
 	c.log.Info("cell taken over", "epoch", epoch, "took", time.Since(began), "jobs", core.Jobs())
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.Go(func() error { return c.follow(ctx, jobs) })
 	grp.Go(func() error { return c.rounds(ctx) })
 	grp.Go(func() error { return c.announce(ctx) })
+	grp.Go(func() error { return c.advise(ctx) })
 	err = grp.Wait()
 	c.mu.Lock()
 	c.core = nil
@@ -206,6 +217,9 @@
 // errReplaced says that another process has taken the cell.
 var errReplaced = errors.New("another process has taken the cell")
 
+// errManyQuestions says that the policy service doesn't keep up.
+var errManyQuestions = errors.New("too many questions wait for the policy service")
+
 // errLapsed says that the lease ended so long ago that guards are no longer vouched for.
 var errLapsed = errors.New("lease lapsed")
 
@@ -299,13 +313,16 @@
 	if err := c.owns(); err != nil {
 		return err
 	}
+	began := time.Now()
 	c.mu.Lock()
-	c.core.Schedule(time.Now())
+	c.core.Schedule(began)
 	b, ok := c.core.Flush(time.Now())
 	at := c.end
 	c.explain()
+	c.ask()
 	c.send()
 	c.mu.Unlock()
+	c.scope.Histogram("round_seconds", metrics.Seconds()).RecordValue(time.Since(began).Seconds())
 	if !ok {
 		return nil
 	}
@@ -383,6 +400,7 @@
 // explain writes the decisions of the scheduler to the log. The caller holds the lock.
 func (c *Cell) explain() {
 	for _, n := range c.core.Notes() {
+		c.scope.Tagged(map[string]string{"decision": n.Decision}).Counter("decisions").Inc(1)
 		c.log.Info(n.Decision, "subject", n.Subject, "epoch", c.epoch, "inputs", n.Reason)
 	}
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -15,12 +15,14 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusspring/crocusspring/internal/directory"
 	"github.com/crocusspring/crocusspring/internal/guard"
 	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/owner"
 	"github.com/crocusspring/crocusspring/internal/ownership"
 	"github.com/crocusspring/crocusspring/internal/pause"
@@ -70,6 +72,27 @@
 	// Reload is called at SIGHUP and when the settings file has changed.
 	Reload func() error
 	Log    *log.Logger
+	// Metrics are served on MetricsAddr; an empty address serves them nowhere.
+	Metrics     *metrics.Metrics
+	MetricsAddr string
+}
+
+// scope returns where a part counts.
+func (c *Common) scope() tally.Scope {
+	if c.Metrics == nil {
+		return tally.NoopScope
+	}
+	return c.Metrics
+}
+
+// serveMetrics serves the metrics until the context ends.
+func (c *Common) serveMetrics(ctx context.Context, grp *errgroup.Group) {
+	if c.Metrics == nil || c.MetricsAddr == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", c.Metrics.Handler())
+	serve(ctx, grp, newServer(mux), c.MetricsAddr)
 }
 
 // schedOptions returns the parameters of the scheduler.
@@ -109,7 +132,7 @@
 	defer stop()
 	lease := e.lease(false)
 	tables := queues.NewFollower(e.Store, e.Queues, e.Log.WithPrefix("config"))
-	in := intake.New(e.Store, owner.NewClient(), lease, e.Log.WithPrefix("intake"))
+	in := intake.New(e.Store, owner.NewClient(), lease, e.scope(), e.Log.WithPrefix("intake"))
 	front := newServer(e.Handler(tables, in))
 	stopping := make(chan struct{})
 	ready := newServer(readiness(tables, stopping))
@@ -120,6 +143,7 @@
 	grp.Go(func() error { return lease.Run(ctx) })
 	grp.Go(func() error { return directory.Register(ctx, e.Store, e.Node, e.Inner, e.Log.WithPrefix("directory")) })
 	grp.Go(func() error { return tables.Run(ctx) })
+	e.serveMetrics(ctx, grp)
 	serve(ctx, grp, front, e.Front)
 	serve(ctx, grp, ready, e.Ready)
 	serve(ctx, grp, newServer(inner), e.Inner)
@@ -224,6 +248,8 @@
 	// Control is the address to serve the worker's announcements on.
 	Control  string
 	Executor guard.Executor
+	// Adviser is asked about queues that take advice.
+	Adviser owner.Adviser
 	// MaxHold is the longest lease that a worker grants.
 	MaxHold time.Duration
 	// Clock reads milliseconds of a clock that counts while the machine is suspended.
@@ -237,7 +263,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	lease := g.lease(true)
-	cell := owner.New(g.schedOptions(), g.Store, lease, g.Log.WithPrefix("cell"))
+	cell := owner.New(g.schedOptions(), g.Store, lease, g.Adviser, g.scope(), g.Log.WithPrefix("cell"))
 	local := guard.New(guard.Options{Node: g.Node, RunLease: runLease, MaxHold: g.MaxHold},
 		g.Executor, lease, g.Clock, g.Log.WithPrefix("guard"))
 	inner := http.NewServeMux()
@@ -245,6 +271,7 @@
 	inner.HandleFunc("POST "+owner.HintPath, owner.ServeHint(lease))
 	g.Log.Info("start", "node", g.Node, "control", g.Control, "inner", g.Inner)
 	grp, ctx := errgroup.WithContext(ctx)
+	g.serveMetrics(ctx, grp)
 	serve(ctx, grp, newServer(inner), g.Inner)
 	serve(ctx, grp, newServer(g.Announcements(local.Describe)), g.Control)
 	grp.Go(func() error { return lease.Run(ctx) })
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/crocusspring/crocusspring/internal/guard"
 	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/job"
@@ -68,7 +70,7 @@
 		cancel()
 		<-done
 	})
-	c.intake = intake.New(c.store, owner.NewClient(), c.entry, logs.Discard())
+	c.intake = intake.New(c.store, owner.NewClient(), c.entry, tally.NoopScope, logs.Discard())
 	return c
 }
 
@@ -86,7 +88,7 @@
 	common := c.common(n.name)
 	common.Inner = l.Addr().String()
 	lease := common.lease(true)
-	cell := owner.New(common.schedOptions(), c.store, lease, logs.Discard())
+	cell := owner.New(common.schedOptions(), c.store, lease, nil, common.scope(), logs.Discard())
 	n.lease = lease
 	n.guard = guard.New(guard.Options{Node: n.name, RunLease: runLease, MaxHold: runLease}, n.exec, lease, clock, logs.Discard())
 	mux := http.NewServeMux()
--- /dev/null
+++ b/internal/sched/advice_test.go
@@ -0,0 +1,81 @@
+package sched
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/resource"
+)
+
+// pool returns a core with attached workers of four cores.
+func pool(now time.Time, ids ...string) *Core {
+	c := New(now, options)
+	for _, id := range ids {
+		c.Attach(now, "node-"+id, link.Worker{
+			ID: id, Service: "pool", Kind: "a", Rack: "r-" + id,
+			Capacity: resource.Vector{MilliCPU: 4000, MemoryMB: 8000},
+		}, nil, nil)
+	}
+	return c
+}
+
+// settle schedules, stores and returns the orders.
+func settle(now time.Time, c *Core) Orders {
+	c.Schedule(now)
+	if b, ok := c.Flush(now); ok {
+		c.Stored(b.Seq)
+	}
+	return c.Orders()
+}
+
+// started returns the starts of some orders, by worker.
+func started(o Orders) map[string][]link.Start {
+	out := map[string][]link.Start{}
+	for id, d := range o {
+		if len(d.Start) > 0 {
+			out[id] = d.Start
+		}
+	}
+	return out
+}
+
+// TestAdvice checks that a step whose queue takes advice starts only on workers that were approved, with
+// their ticket, that refused ones are not asked about again, and that a failed question is repeated.
+func TestAdvice(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, &job.Spec{
+		ID: "job", AcceptedMS: now.UnixMilli(),
+		Policy: job.Policy{Queue: "q", Service: "pool", MaxAttempts: 3, Stretch: 2, Advice: &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}},
+		Steps:  []job.Step{{Count: 2, Demand: resource.Vector{MilliCPU: 1000, MemoryMB: 100}, EstimateMS: 100, MayMiss: -1}},
+	})
+	if got := started(settle(now, c)); len(got) != 0 {
+		t.Fatalf("started %v without advice", got)
+	}
+	asked := c.Questions()
+	if len(asked) != 1 || asked[0].Step != "job.0.0" || len(asked[0].Workers) != 3 || asked[0].Within != 35*time.Millisecond {
+		t.Fatalf("asked %+v, want one question about three workers", asked)
+	}
+	c.Advised(now, asked[0], Approval{}, errors.New("busy"))
+	settle(now, c)
+	if got := c.Questions(); len(got) != 0 {
+		t.Errorf("asked again at once: %+v", got)
+	}
+	now = now.Add(askAgain)
+	settle(now, c)
+	asked = c.Questions()
+	if len(asked) != 1 {
+		t.Fatalf("asked %+v after a failed question, want one", asked)
+	}
+	c.Advised(now, asked[0], Approval{Tickets: map[string]string{"b": "t1"}, Valid: 3 * time.Second}, nil)
+	got := started(settle(now, c))
+	if len(got) != 1 || len(got["b"]) != 2 || got["b"][0].Ticket != "t1" {
+		t.Errorf("started %+v, want both tasks on b with its ticket", got)
+	}
+	if got := c.Questions(); len(got) != 0 {
+		t.Errorf("asked %+v about workers that were refused", got)
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -79,6 +79,11 @@
 	waiting int
 	// tickets are the approvals of the policy service by worker.
 	tickets map[string]ticket
+	// denied are the workers that it doesn't approve. asking says that a question is on its way, askAt
+	// when the next may be put.
+	denied map[string]bool
+	asking bool
+	askAt  time.Time
 	// reason says why no task could be placed last, refused since when; zero when one was placed.
 	reason  string
 	refused time.Time
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -71,6 +71,9 @@
 	durations durations
 	health    *health
 	tails     *interfere.Tails
+	// questions are to be asked of the policy service, asking are the steps with one on its way.
+	questions []Question
+	asking    map[string]*step
 	// learnedAt is when what was learned was stored last.
 	learnedAt time.Time
 }
@@ -110,7 +113,7 @@
 	return &Core{
 		opt: opt, since: now, jobs: map[string]*jobState{}, workers: map[string]*worker{},
 		dirty: map[string]*jobState{}, placed: map[string]string{}, gated: Orders{}, ready: Orders{}, durations: durations{},
-		health: newHealth(), tails: interfere.NewTails(),
+		health: newHealth(), asking: map[string]*step{}, tails: interfere.NewTails(),
 	}
 }
 
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -89,6 +89,9 @@
 // place places the waiting tasks of a step.
 func (c *Core) place(now time.Time, s *step) {
 	among, why := c.feasible(now, s)
+	if len(among) == 0 && s.occ.job.spec.Policy.Advice != nil {
+		c.ask(now, s)
+	}
 	if s.spec.Gang {
 		c.placeGang(now, s, among, why)
 		return
