--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -298,6 +298,17 @@
 	return out
 }
 
+// Tails sums the tails of the serving tasks, which tells whether the worker's figures have changed.
+func (c *Core) Tails() float64 {
+	sum := 0.0
+	for _, r := range c.runs {
+		if r.TailTargetMS > 0 {
+			sum += r.figure
+		}
+	}
+	return sum
+}
+
 // Paced takes the answer to a change of pace.
 func (c *Core) Paced(s link.RunRef, percent int, err error) {
 	if r := c.runs[s]; r != nil {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -22,6 +22,9 @@
 	// unforgottenPause is the time between looks while the worker lists ends that the owner has not
 	// stored, since such looks don't wait.
 	unforgottenPause = 50 * time.Millisecond
+	// rowsEvery is the time between two reports of all that runs while no tail changes; ends and tails are
+	// reported at once.
+	rowsEvery = 400 * time.Millisecond
 	// retryPause is the time after a failed look, order or connection.
 	retryPause = 150 * time.Millisecond
 	// muteAfter is how many looks must fail in a row before the worker counts as not answering.
@@ -329,6 +332,8 @@
 		return err
 	}
 	complete := false
+	var rows time.Time
+	sent := 0.0
 	for ctx.Err() == nil {
 		g.wait(ctx, g.changed, link.Beat)
 		if g.owner.OwnerAddr() != addr {
@@ -339,6 +344,11 @@
 		switch {
 		case complete && !g.core.inventory:
 			up = g.core.Report(g.clock(), g.listing, false)
+			if tails := g.core.Tails(); tails == sent && time.Since(rows) < rowsEvery {
+				up.Reported, up.Running = false, nil
+			} else if up.Reported {
+				rows, sent = time.Now(), tails
+			}
 			g.listing = nil
 		case g.full && g.listing != nil:
 			up = g.core.Report(g.clock(), g.listing, true)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -38,7 +38,7 @@
 	// roundEvery is the longest time between two rounds of the scheduler, roundGap the shortest: what
 	// comes in within it shares one append.
 	roundEvery = 100 * time.Millisecond
-	roundGap   = 10 * time.Millisecond
+	roundGap   = 15 * time.Millisecond
 	// maxQuestions is the most questions that wait for the policy service.
 	maxQuestions = 64
 	// sweepEvery is the time between two sweeps of jobs that can be forgotten.
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -49,8 +49,7 @@
 	if len(able) == 0 {
 		return
 	}
-	first := s.firstWaiting()
-	slices.SortStableFunc(able, func(a, b *worker) int { return -cmp.Compare(c.score(first, a), c.score(first, b)) })
+	slices.SortStableFunc(able, func(a, b *worker) int { return -cmp.Compare(c.score(s.spec, s, a), c.score(s.spec, s, b)) })
 	able = able[:min(len(able), maxAsked)]
 	q := Question{Step: s.place()}
 	for _, w := range able {
@@ -63,16 +62,6 @@
 	c.questions = append(c.questions, q)
 }
 
-// firstWaiting returns the first task of a step that waits.
-func (s *step) firstWaiting() *task {
-	for _, t := range s.tasks {
-		if t.state == stateWaiting {
-			return t
-		}
-	}
-	return s.tasks[0]
-}
-
 // Questions returns what is to be asked of the policy service, most urgent first.
 func (c *Core) Questions() []Question {
 	out := c.questions
@@ -87,7 +76,7 @@
 		return
 	}
 	delete(c.asking, q.Step)
-	s.asking = false
+	s.asking, s.again = false, time.Time{}
 	if err != nil {
 		s.askAt = now.Add(askAgain)
 		c.note(DecisionAdvice, q.Step, fmt.Sprintf("workers=%d err=%q", len(q.Workers), err))
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -87,6 +87,9 @@
 	// reason says why no task could be placed last, refused since when; zero when one was placed.
 	reason  string
 	refused time.Time
+	// again is when the step is tried again, endsSeen the core's count of ends when it was tried last.
+	again    time.Time
+	endsSeen int
 }
 
 // ticket is an approval to run a step on a worker.
@@ -115,6 +118,8 @@
 	progress time.Time // when percent last grew
 	assigned time.Time
 	stopped  time.Time
+	// told says that the guard knows the run's traits, since it was started through its present link.
+	told bool
 	// pinned runs are not moved away for the tails of others; local control slows them down instead.
 	pinned bool
 	// atWork is since when a lasting task was last seen at work.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/job"
 )
 
 // filter refuses workers that must not take a task of a step; it returns the reason or an empty string.
@@ -95,24 +97,20 @@
 	likenessWeight = 0.6
 )
 
-// score ranks workers that may take a task; higher is better.
-func (c *Core) score(t *task, w *worker) float64 {
-	s := t.step.spec
+// score ranks workers that may take tasks of a step; higher is better.
+func (c *Core) score(s *job.Step, st *step, w *worker) float64 {
 	capacity := max(1, float64(w.info.Capacity.MilliCPU))
 	var v float64
 	switch {
 	case s.Filler:
-		v = float64(w.spare())/capacity*float64(w.pace)/100 - strainWeight*c.strain(c.now, t, w)
+		v = float64(w.spare())/capacity*float64(w.pace)/100 - strainWeight*c.strain(c.now, s, w)
 	case s.TailTargetMS > 0:
 		v = float64(w.load.serving)/capacity + likenessWeight*w.likeness(s.Image)
 	default:
 		v = float64(w.free().MilliCPU) / capacity
 	}
 	v -= c.health.penalty(w.id)
-	if slices.Contains(t.failedOn, w.id) {
-		v -= failedWeight
-	}
-	if s.DataRack != "" && s.DataRack == w.info.Rack || s.RackLocality && t.step.usesRack(c, w.info.Rack) {
+	if s.DataRack != "" && s.DataRack == w.info.Rack || s.RackLocality && st.usesRack(c, w.info.Rack) {
 		v += rackWeight
 	}
 	return v
@@ -139,7 +137,6 @@
 		}
 		out = append(out, w)
 	}
-	slices.SortFunc(out, func(a, b *worker) int { return strings.Compare(a.id, b.id) })
 	return out, summary(refused)
 }
 
@@ -172,17 +169,50 @@
 	return strings.Join(parts, ", ")
 }
 
-// best returns the worker with the highest score among those that may still take a task.
-func (c *Core) best(now time.Time, t *task, among []*worker) *worker {
-	var best *worker
-	var top float64
-	for _, w := range among {
-		if c.refuse(now, t.step, w) != "" {
+// ranking holds the workers that may take tasks of a step, with the score of each for a task like any
+// other of the step.
+type ranking struct {
+	c       *Core
+	now     time.Time
+	step    *step
+	workers []*worker
+	scores  []float64
+	full    []bool
+}
+
+// rankFor scores workers for the tasks of a step.
+func (c *Core) rankFor(now time.Time, s *step, among []*worker) *ranking {
+	r := &ranking{c: c, now: now, step: s, workers: among, scores: make([]float64, len(among)), full: make([]bool, len(among))}
+	for i := range among {
+		r.scores[i] = c.score(s.spec, s, among[i])
+	}
+	return r
+}
+
+// best returns the place of the worker with the highest score for a task; -1 when none takes it.
+func (r *ranking) best(t *task) int {
+	best, top := -1, 0.0
+	for i, w := range r.workers {
+		if r.full[i] {
 			continue
 		}
-		if v := c.score(t, w); best == nil || v > top {
-			best, top = w, v
+		v := r.scores[i]
+		if slices.Contains(t.failedOn, w.id) {
+			v -= failedWeight
+		}
+		if best < 0 || v > top {
+			best, top = i, v
 		}
 	}
 	return best
 }
+
+// taken says that a worker got a task of the step.
+func (r *ranking) taken(i int) {
+	w := r.workers[i]
+	if r.c.refuse(r.now, r.step, w) != "" {
+		r.full[i] = true
+		return
+	}
+	r.scores[i] = r.c.score(r.step.spec, r.step, w)
+}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -23,6 +23,7 @@
 		c.listed(now, w, r)
 	}
 	c.Ended(now, id, ended)
+	w.tails.stale = true
 	c.observe(now, w)
 }
 
@@ -79,7 +80,11 @@
 	t.move(eventAppear)
 	if t.appeared.IsZero() || first {
 		t.appeared, t.progress = now, now
-		c.ordersFor(c.ready, w.id).Known = append(c.ordersFor(c.ready, w.id).Known, t.traits())
+	}
+	if !t.told {
+		t.told = true
+		d := c.ordersFor(c.ready, w.id)
+		d.Known = append(d.Known, t.traits())
 	}
 	if r.Percent > t.percent {
 		t.progress = now
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -74,6 +74,10 @@
 	// questions are to be asked of the policy service, asking are the steps with one on its way.
 	questions []Question
 	asking    map[string]*step
+	// ends counts the runs that have ended.
+	ends int
+	// swept is when what only time changes was looked at last.
+	swept time.Time
 	// learnedAt is when what was learned was stored last.
 	learnedAt time.Time
 }
@@ -189,6 +193,7 @@
 	out := c.ordersFor(c.ready, id)
 	for _, s := range d.Start {
 		if t := c.task(s.Task); t != nil && t.run == s.Run && t.state == stateAssigned {
+			t.told = true
 			out.Start = append(out.Start, s)
 		}
 	}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -15,14 +15,26 @@
 // itoa formats a count.
 func itoa(n int) string { return strconv.Itoa(n) }
 
+const (
+	// sweepEvery is the time between two looks at what only time changes.
+	sweepEvery = 50 * time.Millisecond
+	// refusedAgain is how long a step waits that no worker took, fillerAgain a step of fillers: they wait
+	// for room that seldom comes sooner.
+	refusedAgain = 15 * time.Millisecond
+	fillerAgain  = 25 * time.Millisecond
+)
+
 // Schedule does what the time calls for: it ends lapsed runs, opens occurrences that have come due,
 // moves tasks off workers that don't do their work, and places what waits.
 func (c *Core) Schedule(now time.Time) {
 	c.now = now
-	c.lapse(now)
-	c.evacuate(now)
-	c.restart(now)
-	c.repeatStops(now)
+	if now.Sub(c.swept) >= sweepEvery {
+		c.swept = now
+		c.lapse(now)
+		c.evacuate(now)
+		c.restart(now)
+		c.repeatStops(now)
+	}
 	for _, j := range c.open {
 		if j.spec.Timed() {
 			c.ripen(now, j)
@@ -32,7 +44,7 @@
 	for _, j := range slices.Clone(c.open) {
 		for _, o := range j.inOrder() {
 			for _, s := range o.steps {
-				if s.waiting > 0 && s.ready() {
+				if s.waiting > 0 && c.due(now, s) && s.ready() {
 					c.place(now, s)
 				}
 			}
@@ -40,6 +52,12 @@
 	}
 }
 
+// due reports whether a step is to be tried again. Room that has become free goes to the most urgent step
+// first, so only fillers wait their time whatever ends.
+func (c *Core) due(now time.Time, s *step) bool {
+	return !now.Before(s.again) || !s.spec.Filler && s.endsSeen != c.ends
+}
+
 // inOrder returns the open occurrences, earliest first.
 func (j *jobState) inOrder() []*occurrence {
 	out := make([]*occurrence, 0, len(j.occurrences))
@@ -96,16 +114,18 @@
 		c.placeGang(now, s, among, why)
 		return
 	}
+	r := c.rankFor(now, s, among)
 	for _, t := range s.tasks {
 		if t.state != stateWaiting {
 			continue
 		}
-		w := c.best(now, t, among)
-		if w == nil {
+		i := r.best(t)
+		if i < 0 {
 			c.refused(now, t, among, why)
 			return
 		}
-		c.assign(now, t, w, 0)
+		c.assign(now, t, r.workers[i], 0)
+		r.taken(i)
 	}
 	s.reason, s.refused = "", time.Time{}
 }
@@ -117,7 +137,10 @@
 // refused does what is left when no worker takes a task.
 func (c *Core) refused(now time.Time, t *task, among []*worker, why string) {
 	s := t.step
-	s.reason = why
+	s.reason, s.again, s.endsSeen = why, now.Add(refusedAgain), c.ends
+	if s.spec.Filler {
+		s.again = now.Add(fillerAgain)
+	}
 	if s.refused.IsZero() {
 		s.refused = now
 	}
@@ -155,10 +178,8 @@
 // leastRoom returns the least headroom that a serving task on a worker is left with beside a filler.
 func (c *Core) leastRoom(now time.Time, t *task, w *worker) float64 {
 	least := math.Inf(1)
-	for _, v := range w.tasks {
-		if room, ok := c.room(now, w, v); ok {
-			least = min(least, room-c.effect(v, t.step.spec))
-		}
+	for _, g := range c.servedOn(now, w) {
+		least = min(least, g.room-c.effect(g.image, t.step.spec))
 	}
 	return least
 }
@@ -174,9 +195,10 @@
 		run = max(run, t.run)
 	}
 	var placed []*task
+	r := c.rankFor(now, s, among)
 	for _, t := range s.tasks {
-		w := c.best(now, t, among)
-		if w == nil {
+		i := r.best(t)
+		if i < 0 {
 			for _, p := range placed {
 				c.unassign(p)
 			}
@@ -184,9 +206,10 @@
 			return
 		}
 		// Taken for now, so that the next member sees the room gone.
-		t.worker = w.id
+		t.worker = r.workers[i].id
 		t.move(eventAssign)
 		c.hold(now, t)
+		r.taken(i)
 		placed = append(placed, t)
 	}
 	for _, t := range placed {
--- a/internal/sched/tails.go
+++ b/internal/sched/tails.go
@@ -42,6 +42,55 @@
 	usedT time.Time
 	// relieved is when fillers were moved away last.
 	relieved time.Time
+	// served sums up the serving tasks by image; it is made anew when stale.
+	served []served
+	stale  bool
+}
+
+// served is what the serving tasks of one image on a worker have.
+type served struct {
+	image string
+	count int
+	// room is the least headroom among them, once the figures show the fillers placed lately.
+	room float64
+}
+
+// servedOn returns the serving tasks on a worker by image.
+func (c *Core) servedOn(now time.Time, w *worker) []served {
+	if !w.tails.stale {
+		return w.tails.served
+	}
+	w.tails.stale = false
+	w.tails.served = w.tails.served[:0]
+	for _, t := range w.tasks {
+		room, ok := t.headroom()
+		if !ok {
+			continue
+		}
+		w.tails.add(t.step.spec.Image, room)
+	}
+	for _, t := range w.tasks {
+		if !t.step.spec.Filler || now.Sub(t.assigned) >= tailSettle {
+			continue
+		}
+		for i := range w.tails.served {
+			g := &w.tails.served[i]
+			g.room -= c.effect(g.image, t.step.spec)
+		}
+	}
+	return w.tails.served
+}
+
+// add takes one serving task in.
+func (l *tails) add(image string, room float64) {
+	for i := range l.served {
+		if g := &l.served[i]; g.image == image {
+			g.count++
+			g.room = min(g.room, room)
+			return
+		}
+	}
+	l.served = append(l.served, served{image, 1, room})
 }
 
 // fade brings the recent use of processors up to a time.
@@ -106,11 +155,11 @@
 		}
 	}
 	slices.SortFunc(fillers, func(a, b *task) int {
-		return cmp.Or(-cmp.Compare(c.effect(serving, a.step.spec), c.effect(serving, b.step.spec)),
+		return cmp.Or(-cmp.Compare(c.effect(serving.step.spec.Image, a.step.spec), c.effect(serving.step.spec.Image, b.step.spec)),
 			strings.Compare(a.id.String(), b.id.String()))
 	})
 	for _, t := range fillers {
-		effect := c.effect(serving, t.step.spec)
+		effect := c.effect(serving.step.spec.Image, t.step.spec)
 		if room >= roomAfter || effect < roomMinor {
 			return
 		}
@@ -120,57 +169,32 @@
 	}
 }
 
-// effect returns how much headroom a filler is expected to take of a serving task.
-func (c *Core) effect(serving *task, filler *job.Step) float64 {
-	mean, _ := c.tails.Effect(serving.step.spec.Image, filler.Image)
+// effect returns how much headroom a filler is expected to take of a serving task of an image.
+func (c *Core) effect(serving string, filler *job.Step) float64 {
+	mean, _ := c.tails.Effect(serving, filler.Image)
 	return mean * float64(filler.Demand.MilliCPU) / 1000
 }
 
-// room returns the headroom that a serving task should have once the figures show the fillers that were
-// placed beside it lately.
-func (c *Core) room(now time.Time, w *worker, serving *task) (float64, bool) {
-	room, ok := serving.headroom()
-	if !ok {
-		return 0, false
-	}
-	for _, t := range w.tasks {
-		if t.step.spec.Filler && now.Sub(t.assigned) < tailSettle {
-			room -= c.effect(serving, t.step.spec)
-		}
-	}
-	return room, true
-}
-
 // disturbs returns why a filler must not run on a worker, or an empty string.
 func (c *Core) disturbs(now time.Time, s *step, w *worker) string {
-	for _, t := range w.tasks {
-		if t.step.spec.TailTargetMS == 0 {
-			continue
-		}
-		if _, variance := c.tails.Effect(t.step.spec.Image, s.spec.Image); variance > effectUnsure && s.trying(w) {
+	for _, g := range c.servedOn(now, w) {
+		if _, variance := c.tails.Effect(g.image, s.spec.Image); variance > effectUnsure && s.trying(w) {
 			return "effect not known yet"
 		}
-		effect := c.effect(t, s.spec)
-		if effect < roomMinor {
-			continue
-		}
-		if room, ok := c.room(now, w, t); ok && room-effect < roomHard {
-			return "would disturb image " + t.step.spec.Image
+		if effect := c.effect(g.image, s.spec); effect >= roomMinor && g.room-effect < roomHard {
+			return "would disturb serving tasks"
 		}
 	}
 	return ""
 }
 
 // strain sums what a filler would take of the headroom that serving tasks on a worker should be left with.
-func (c *Core) strain(now time.Time, t *task, w *worker) float64 {
+func (c *Core) strain(now time.Time, s *job.Step, w *worker) float64 {
 	sum := 0.0
-	for _, v := range w.tasks {
-		effect := c.effect(v, t.step.spec)
-		if effect < roomMinor/2 {
-			continue
-		}
-		if room, ok := c.room(now, w, v); ok {
-			sum += min(effect, max(0, roomAfter-(room-effect)))
+	for _, g := range c.servedOn(now, w) {
+		effect := c.effect(g.image, s)
+		if effect >= roomMinor/2 {
+			sum += float64(g.count) * min(effect, max(0, roomAfter-(g.room-effect)))
 		}
 	}
 	return sum
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -70,6 +70,7 @@
 	w := c.worker(now, t.worker)
 	w.held[t.id] = t
 	w.tasks = append(w.tasks, t)
+	w.tails.stale = true
 	w.load.add(t.step.spec, 1)
 	t.step.occ.job.held++
 }
@@ -78,10 +79,12 @@
 func (c *Core) drop(t *task) {
 	if w := c.workers[t.worker]; w != nil && w.held[t.id] == t {
 		delete(w.held, t.id)
+		w.tails.stale = true
 		// A new slice, since callers range over the old one.
 		w.tasks = slices.DeleteFunc(slices.Clone(w.tasks), func(o *task) bool { return o == t })
 		w.load.add(t.step.spec, -1)
 	}
+	c.ends++
 	t.step.occ.job.held--
 	t.worker = ""
 	t.percent, t.figure = 0, 0
@@ -143,6 +146,7 @@
 		listed[e.RunRef] = true
 	}
 	for _, t := range w.tasks {
+		t.told = false
 		switch {
 		case t.state == stateStopping:
 			c.orderStop(now, t)
@@ -175,6 +179,7 @@
 		return
 	}
 	if info.Draining && !w.info.Draining {
+		c.swept = time.Time{}
 		c.note(DecisionWorker, info.ID, fmt.Sprintf("draining remaining_ms=%d", info.RemainingMS))
 	}
 	if info.Draining {
