--- a/cmd/crocus-entry/main.go
+++ b/cmd/crocus-entry/main.go
@@ -9,8 +9,5 @@
 )
 
 func main() {
-	if len(os.Args) == 2 && os.Args[1] == platform.Command {
-		os.Exit(platform.Entry())
-	}
-	os.Exit(node.Main(node.RoleEntry, os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(platform.Main(node.RoleEntry, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/crocus-guard/main.go
+++ b/cmd/crocus-guard/main.go
@@ -9,8 +9,5 @@
 )
 
 func main() {
-	if len(os.Args) == 2 && os.Args[1] == platform.Command {
-		os.Exit(platform.Guard())
-	}
-	os.Exit(node.Main(node.RoleGuard, os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(platform.Main(node.RoleGuard, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/dev/main.go
+++ b/internal/dev/main.go
@@ -26,6 +26,7 @@
 	faults     []string
 	json       bool
 	keep       bool
+	steps      int64
 }
 
 // add declares the flags.
@@ -36,6 +37,7 @@
 	s.Int(&f.seed, "seed", 1, 0, 1<<62, "seed of the load and the faults")
 	s.Each(&f.faults, "fault", names(Faults()), "fault to bring about, may be given again")
 	s.Bool(&f.json, "json", false, "print the report as one JSON object on the last line")
+	s.Int(&f.steps, "steps", 0, 0, 1000, "instead of the whole deployment, run this many jobs of steps on three nodes and kill their owner")
 	s.Bool(&f.keep, "keep", false, "stay up after the load until interrupted")
 	f.Common.Add(s)
 }
@@ -51,6 +53,13 @@
 	}
 	ctx, cancel := app.Signals()
 	defer cancel()
+	if f.steps > 0 {
+		if err := runSteps(ctx, int(f.steps), f.keep, stdout); err != nil {
+			fmt.Fprintln(stderr, err)
+			return app.ExitError
+		}
+		return app.ExitOK
+	}
 	r, err := f.run(ctx, stdout, stderr)
 	r.Summary(stdout)
 	if err != nil {
--- /dev/null
+++ b/internal/process/local.go
@@ -0,0 +1,159 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/crocusspring/crocusspring/internal/guard"
+	"github.com/crocusspring/crocusspring/internal/intake"
+	"github.com/crocusspring/crocusspring/internal/jobapi"
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/owner"
+	"github.com/crocusspring/crocusspring/internal/ownership"
+	"github.com/crocusspring/crocusspring/internal/resource"
+	"github.com/crocusspring/crocusspring/internal/standin/execstand"
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+// Local is a whole cell on loopback for tests and demonstrations: an entry, and nodes with a guard and a
+// stand-in of a worker each.
+type Local struct {
+	Nodes []*LocalNode
+	// Entry follows the lease, Intake accepts jobs.
+	Entry  *ownership.Runner
+	Intake *intake.Intake
+	store  store.Store
+	log    *log.Logger
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+	began  time.Time
+}
+
+// LocalNode is one node of a Local.
+type LocalNode struct {
+	Name     string
+	Executor *execstand.Executor
+	life     string
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// localCapacity is what a stand-in of a worker has.
+var localCapacity = resource.Vector{MilliCPU: 4000, MemoryMB: 4000}
+
+// NewLocal starts a cell of n nodes whose runs take some time each.
+func NewLocal(n int, s store.Store, work time.Duration, l *log.Logger) (*Local, error) {
+	c := &Local{store: s, log: l, began: time.Now()}
+	for i := range n {
+		life := fmt.Sprintf("life-%d", i)
+		node := &LocalNode{Name: fmt.Sprintf("node-%d", i), Executor: execstand.New(life, work), life: life}
+		c.Nodes = append(c.Nodes, node)
+		if err := c.Start(node); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	common := c.common("entry")
+	c.Entry = common.lease(false)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop = cancel
+	c.run(ctx, &c.done, c.Entry.Run)
+	c.Intake = intake.New(s, owner.NewClient(), c.Entry, common.scope(), l)
+	return c, nil
+}
+
+// localKeep is how long the state of an ended job can be asked for.
+const localKeep = time.Hour
+
+// common returns what a process of the cell is made of.
+func (c *Local) common(name string) *Common {
+	return &Common{Node: name, Store: c.store, Keep: localKeep, Log: c.log}
+}
+
+// run runs a part until its context ends.
+func (c *Local) run(ctx context.Context, done *sync.WaitGroup, part func(context.Context) error) {
+	done.Go(func() {
+		if err := part(ctx); err != nil && ctx.Err() == nil {
+			c.log.Error("part ended", "err", err)
+		}
+	})
+}
+
+// Start starts the processes of a node.
+func (c *Local) Start(n *LocalNode) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	common := c.common(n.Name)
+	common.Inner = l.Addr().String()
+	lease := common.lease(true)
+	cell := owner.New(common.schedOptions(), c.store, lease, nil, common.scope(), c.log)
+	clock := func() int64 { return time.Since(c.began).Milliseconds() + 1 }
+	g := guard.New(guard.Options{Node: n.Name, RunLease: runLease, MaxHold: runLease}, n.Executor, lease, clock, c.log)
+	mux := http.NewServeMux()
+	cell.Routes(mux)
+	mux.HandleFunc("POST "+owner.HintPath, owner.ServeHint(lease))
+	server := newServer(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	c.run(ctx, &n.done, func(context.Context) error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	c.run(ctx, &n.done, func(ctx context.Context) error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	for _, part := range []func(context.Context) error{lease.Run, cell.Run, g.Run} {
+		c.run(ctx, &n.done, part)
+	}
+	g.Describe(link.Worker{ID: n.life, Service: "pool", Capacity: localCapacity})
+	return nil
+}
+
+// Kill ends the processes of a node; its worker runs on.
+func (n *LocalNode) Kill() {
+	n.stop()
+	n.done.Wait()
+}
+
+// Owner returns the node that owns the cell; nil while it isn't known.
+func (c *Local) Owner() *LocalNode {
+	l, ok := c.Entry.Holder()
+	for _, n := range c.Nodes {
+		if ok && n.Name == l.Node {
+			return n
+		}
+	}
+	return nil
+}
+
+// Handler returns the product's interface for jobs of steps.
+func (c *Local) Handler() http.Handler {
+	mux := http.NewServeMux()
+	jobapi.Routes(mux, c.Intake)
+	return mux
+}
+
+// Close ends everything.
+func (c *Local) Close() {
+	for _, n := range c.Nodes {
+		if n.stop != nil {
+			n.Kill()
+		}
+	}
+	if c.stop != nil {
+		c.stop()
+		c.done.Wait()
+	}
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -21,6 +21,7 @@
 	"github.com/crocusspring/crocusspring/internal/directory"
 	"github.com/crocusspring/crocusspring/internal/guard"
 	"github.com/crocusspring/crocusspring/internal/intake"
+	"github.com/crocusspring/crocusspring/internal/jobapi"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/owner"
@@ -138,6 +139,7 @@
 	ready := newServer(readiness(tables, stopping))
 	inner := http.NewServeMux()
 	inner.HandleFunc("POST "+owner.HintPath, owner.ServeHint(lease))
+	jobapi.Routes(inner, in)
 	e.Log.Info("start", "node", e.Node, "front", e.Front, "inner", e.Inner)
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.Go(func() error { return lease.Run(ctx) })
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -1,48 +1,28 @@
 package process
 
 import (
-	"context"
-	"errors"
+	"bytes"
+	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
-	"sync"
+	"net/http/httptest"
 	"testing"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
-	"github.com/crocusspring/crocusspring/internal/guard"
-	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/jobapi"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/logs"
-	"github.com/crocusspring/crocusspring/internal/owner"
-	"github.com/crocusspring/crocusspring/internal/ownership"
 	"github.com/crocusspring/crocusspring/internal/resource"
 	"github.com/crocusspring/crocusspring/internal/sched"
-	"github.com/crocusspring/crocusspring/internal/standin/execstand"
 	"github.com/crocusspring/crocusspring/internal/store/memstore"
 )
 
-// node is a guard with its worker, on loopback.
-type node struct {
-	name  string
-	exec  *execstand.Executor
-	guard *guard.Guard
-	lease *ownership.Runner
-	stop  context.CancelFunc
-	done  sync.WaitGroup
-}
-
-// cluster is some nodes on one store.
+// cluster is a cell under test.
 type cluster struct {
+	*Local
 	t     *testing.T
 	store *memstore.Store
-	nodes []*node
-	// entry follows the lease as an entry does.
-	entry  *ownership.Runner
-	intake *intake.Intake
 }
 
 // work is how long a run takes.
@@ -50,86 +30,16 @@
 
 // newCluster starts nodes.
 func newCluster(t *testing.T, n int) *cluster {
-	c := &cluster{t: t, store: memstore.New()}
-	for i := range n {
-		c.nodes = append(c.nodes, &node{
-			name: fmt.Sprintf("node-%d", i), exec: execstand.New(fmt.Sprintf("life-%d", i), work),
-		})
-		c.start(c.nodes[i])
-	}
-	c.entry = c.common("entry").lease(false)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if err := c.entry.Run(ctx); err != nil {
-			t.Error(err)
-		}
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	c.intake = intake.New(c.store, owner.NewClient(), c.entry, tally.NoopScope, logs.Discard())
-	return c
-}
-
-// common returns what a process of the cluster is made of.
-func (c *cluster) common(name string) *Common {
-	return &Common{Node: name, Store: c.store, Keep: time.Hour, Log: logs.Discard()}
-}
-
-// start starts a node's processes.
-func (c *cluster) start(n *node) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	mem := memstore.New()
+	local, err := NewLocal(n, mem, work, logs.Discard())
 	if err != nil {
-		c.t.Fatal(err)
-	}
-	common := c.common(n.name)
-	common.Inner = l.Addr().String()
-	lease := common.lease(true)
-	cell := owner.New(common.schedOptions(), c.store, lease, nil, common.scope(), logs.Discard())
-	n.lease = lease
-	n.guard = guard.New(guard.Options{Node: n.name, RunLease: runLease, MaxHold: runLease}, n.exec, lease, clock, logs.Discard())
-	mux := http.NewServeMux()
-	cell.Routes(mux)
-	server := &http.Server{Handler: mux}
-	ctx, cancel := context.WithCancel(context.Background())
-	n.stop = cancel
-	n.done.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			c.t.Error(err)
-		}
-	})
-	n.done.Go(func() {
-		<-ctx.Done()
-		server.Close()
-	})
-	for _, run := range []func(context.Context) error{lease.Run, cell.Run, n.guard.Run} {
-		n.done.Go(func() {
-			if err := run(ctx); err != nil && ctx.Err() == nil {
-				c.t.Error(err)
-			}
-		})
+		t.Fatal(err)
 	}
-	n.guard.Describe(link.Worker{
-		ID: fmt.Sprintf("life-%s", n.name[len("node-"):]), Service: "pool",
-		Capacity: resource.Vector{MilliCPU: 4000, MemoryMB: 4000},
-	})
-	c.t.Cleanup(func() { n.kill() })
-}
-
-// kill ends a node's processes; its worker runs on.
-func (n *node) kill() {
-	n.stop()
-	n.done.Wait()
+	t.Cleanup(local.Close)
+	return &cluster{local, t, mem}
 }
 
-// clock is the clock of the guards.
-func clock() int64 { return time.Since(began).Milliseconds() + 1 }
-
-var began = time.Now()
-
 // spec returns a job of two steps.
 func spec(id string) *job.Spec {
 	demand := resource.Vector{MilliCPU: 500, MemoryMB: 100}
@@ -147,7 +57,7 @@
 func (c *cluster) await(id string, want sched.State) {
 	c.t.Helper()
 	for {
-		v, found, err := c.intake.Job(c.t.Context(), id)
+		v, found, err := c.Intake.Job(c.t.Context(), id)
 		if err == nil && found && v.State == want {
 			return
 		}
@@ -162,7 +72,7 @@
 func (c *cluster) submit(s *job.Spec) {
 	c.t.Helper()
 	for {
-		err := c.intake.Submit(c.t.Context(), s)
+		err := c.Intake.Submit(c.t.Context(), s)
 		if err == nil {
 			return
 		}
@@ -178,8 +88,8 @@
 	c.t.Helper()
 	runs := map[link.RunRef]int{}
 	tasks := map[job.TaskID]bool{}
-	for _, n := range c.nodes {
-		for _, ref := range n.exec.Starts() {
+	for _, n := range c.Nodes {
+		for _, ref := range n.Executor.Starts() {
 			if ref.Task.Job == s.ID {
 				runs[ref]++
 				tasks[ref.Task] = true
@@ -206,7 +116,7 @@
 		c.await(fmt.Sprintf("job%d", i), sched.Completed)
 		c.judge(spec(fmt.Sprintf("job%d", i)))
 	}
-	if _, found, err := c.intake.Job(t.Context(), "nobody"); err != nil || found {
+	if _, found, err := c.Intake.Job(t.Context(), "nobody"); err != nil || found {
 		t.Errorf("a job that nobody submitted: found %v, %v", found, err)
 	}
 }
@@ -219,15 +129,13 @@
 	for i := range 4 {
 		c.submit(spec(fmt.Sprintf("job%d", i)))
 	}
-	l, ok := c.entry.Holder()
-	if !ok {
+	n := c.Owner()
+	if n == nil {
 		t.Fatal("no owner")
 	}
-	for _, n := range c.nodes {
-		if n.name == l.Node {
-			n.kill()
-			c.start(n)
-		}
+	n.Kill()
+	if err := c.Start(n); err != nil {
+		t.Fatal(err)
 	}
 	for i := range 4 {
 		c.await(fmt.Sprintf("job%d", i), sched.Completed)
@@ -265,12 +173,46 @@
 	s.Steps[0].LongRunning = true
 	c.submit(s)
 	c.await("lasting", sched.Running)
-	found, err := c.intake.Cancel(t.Context(), "lasting")
+	found, err := c.Intake.Cancel(t.Context(), "lasting")
 	if !found || err != nil {
 		t.Fatalf("cancel: %v, %v", found, err)
 	}
 	c.await("lasting", sched.Cancelled)
-	if found, err := c.intake.Cancel(t.Context(), "nobody"); found || err != nil {
+	if found, err := c.Intake.Cancel(t.Context(), "nobody"); found || err != nil {
 		t.Errorf("cancel of nobody's job: found %v, %v", found, err)
 	}
 }
+
+// TestJobAPI submits, asks for and cancels a job through the product's own interface.
+func TestJobAPI(t *testing.T) {
+	c := newCluster(t, 1)
+	call := func(method, path string, body any) (int, string) {
+		data, err := json.Marshal(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := httptest.NewRecorder()
+		c.Handler().ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader(data)))
+		return w.Code, w.Body.String()
+	}
+	if code, body := call(http.MethodPost, jobapi.Path, spec("api")); code != http.StatusCreated {
+		t.Fatalf("submit: %d %s", code, body)
+	}
+	c.await("api", sched.Completed)
+	if code, body := call(http.MethodGet, jobapi.Path+"/api", nil); code != http.StatusOK {
+		t.Errorf("state: %d %s", code, body)
+	}
+	if code, _ := call(http.MethodGet, jobapi.Path+"/nobody", nil); code != http.StatusNotFound {
+		t.Errorf("state of nobody's job: %d", code)
+	}
+	if code, _ := call(http.MethodPost, jobapi.Path+"/api/cancel", nil); code != http.StatusOK {
+		t.Errorf("cancel of an ended job: %d", code)
+	}
+	bad := spec("bad")
+	bad.Steps[1].DependsOn = []int{5}
+	bad.Steps[0].Count = 0
+	code, body := call(http.MethodPost, jobapi.Path, bad)
+	if code != http.StatusBadRequest || !bytes.Contains([]byte(body), []byte("/steps/1/depends_on")) || !bytes.Contains([]byte(body), []byte("/steps/0/count")) {
+		t.Errorf("bad job: %d %s; want both findings", code, body)
+	}
+}
--- a/internal/script/script_test.go
+++ b/internal/script/script_test.go
@@ -9,6 +9,7 @@
 	"github.com/crocusspring/crocusspring/internal/dev"
 	"github.com/crocusspring/crocusspring/internal/node"
 	"github.com/crocusspring/crocusspring/internal/standin"
+	"github.com/crocusspring/crocusspring/platform"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -16,8 +17,8 @@
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"crocus-dev":     func() { os.Exit(dev.Main(os.Args[1:], os.Stdout, os.Stderr)) },
-		"crocus-entry":   func() { os.Exit(node.Main(node.RoleEntry, os.Args[1:], os.Stdout, os.Stderr)) },
-		"crocus-guard":   func() { os.Exit(node.Main(node.RoleGuard, os.Args[1:], os.Stdout, os.Stderr)) },
+		"crocus-entry":   func() { os.Exit(platform.Main(node.RoleEntry, os.Args[1:], os.Stdout, os.Stderr)) },
+		"crocus-guard":   func() { os.Exit(platform.Main(node.RoleGuard, os.Args[1:], os.Stdout, os.Stderr)) },
 		"crocus-standin": func() { os.Exit(standin.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"crocusctl":      func() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
