Effects are learned from changes between readings; jobs that can't be on time yield

Cause: a test with fillers that are always beside a task learned a sixth of their effect: its own load took the blame.

--- a/internal/interfere/tails.go
+++ b/internal/interfere/tails.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -15,12 +16,13 @@
 // headroom falls in a straight line with what others take: it is the headroom the task would have alone,
 // which moves with its own load, less an effect for each core that fillers of an image use.
 //
-// Each quantity is an estimate with a variance, corrected by the gain of a Kalman filter with
-// independent components: an effect that is well known takes little of the blame for a surprise, one
-// that isn't takes most of it.
+// The task's own load can't be told from fillers that are always there, so effects are learned from
+// changes between two readings: fillers come and go at once, loads move slowly. Each effect is an
+// estimate with a variance, corrected by the gain of a Kalman filter with independent components: one
+// that is well known takes little of the blame for a surprise, one that isn't takes most of it.
 type Tails struct {
 	effects map[tailPair]*estimate
-	alone   map[string]*estimate
+	last    map[string]Reading
 }
 
 // tailPair is a serving image and a filler image.
@@ -37,14 +39,12 @@
 	effectSpread = 0.4
 	// effectDrift is by how much the variance of an effect in use grows between two readings.
 	effectDrift = 0.002
-	// alonePrior and aloneSpread are those of a task that was never seen, aloneDrift the growth of the
-	// variance between two readings, as its load moves.
-	alonePrior  = 3.0
-	aloneSpread = 1.5
-	aloneDrift  = 0.03
-	// readingNoise is the variance of a reading, and readingGrain that of its relative error.
-	readingNoise = 0.02
+	// changeNoise is the variance of the change between two readings of a task whose neighbours stay, as
+	// its own load moves, and readingGrain that of the relative error of a reading.
+	changeNoise  = 0.06
 	readingGrain = 0.01
+	// leastChange is the change of a filler image's use, in cores, from which it tells something.
+	leastChange = 0.05
 	// leastHeadroom is where readings end: below it a task is overrun and the reading tells no more.
 	leastHeadroom = 0.3
 	// mostHeadroom bounds what one reading may claim.
@@ -53,7 +53,7 @@
 
 // NewTails returns a model that has seen nothing.
 func NewTails() *Tails {
-	return &Tails{effects: map[tailPair]*estimate{}, alone: map[string]*estimate{}}
+	return &Tails{effects: map[tailPair]*estimate{}, last: map[string]Reading{}}
 }
 
 // Reading is the headroom of one serving task beside fillers.
@@ -65,34 +65,47 @@
 	Fillers map[string]float64
 }
 
-// Observe takes a reading.
+// Observe takes a reading; it learns from the change since the task's reading before.
 func (m *Tails) Observe(r Reading) {
 	if math.IsNaN(r.Headroom) || r.Headroom <= 0 {
 		return
 	}
-	seen := min(r.Headroom, mostHeadroom)
-	alone := m.taskAlone(r.Task)
-	alone.variance += aloneDrift
-	guess := alone.mean
-	spread := alone.variance + readingNoise + readingGrain*seen*seen
-	for f, cores := range r.Fillers {
+	r.Headroom = min(r.Headroom, mostHeadroom)
+	r.Fillers = maps.Clone(r.Fillers)
+	before, ok := m.last[r.Task]
+	m.last[r.Task] = r
+	if !ok || r.Headroom < leastHeadroom && before.Headroom < leastHeadroom {
+		return
+	}
+	changes := changes(before.Fillers, r.Fillers)
+	surprise := r.Headroom - before.Headroom
+	spread := changeNoise + readingGrain*(r.Headroom*r.Headroom+before.Headroom*before.Headroom)
+	for f, cores := range changes {
 		e := m.effect(r.Image, f)
-		guess -= e.mean * cores
+		surprise += e.mean * cores
 		spread += e.variance * cores * cores
 	}
-	if seen < leastHeadroom && guess < leastHeadroom {
-		return
-	}
-	surprise := seen - guess
-	alone.correct(surprise, spread, 1)
-	for f, cores := range r.Fillers {
+	for f, cores := range changes {
 		e := m.effect(r.Image, f)
 		e.correct(surprise, spread, -cores)
 		e.mean = max(0, e.mean)
-		e.variance += effectDrift * cores
+		e.variance += effectDrift * math.Abs(cores)
 	}
 }
 
+// changes returns by how many cores the use of each filler image has changed.
+func changes(before, after map[string]float64) map[string]float64 {
+	out := map[string]float64{}
+	for f, cores := range after {
+		out[f] = cores
+	}
+	for f, cores := range before {
+		out[f] -= cores
+	}
+	maps.DeleteFunc(out, func(_ string, cores float64) bool { return math.Abs(cores) < leastChange })
+	return out
+}
+
 // correct moves an estimate by its share of a surprise.
 func (e *estimate) correct(surprise, spread, weight float64) {
 	gain := e.variance * weight / spread
@@ -111,18 +124,8 @@
 	return e
 }
 
-// taskAlone returns the estimate of a task's headroom alone and makes it when it is new.
-func (m *Tails) taskAlone(task string) *estimate {
-	e := m.alone[task]
-	if e == nil {
-		e = &estimate{alonePrior, aloneSpread}
-		m.alone[task] = e
-	}
-	return e
-}
-
 // Forget drops what was learned about a task that has ended.
-func (m *Tails) Forget(task string) { delete(m.alone, task) }
+func (m *Tails) Forget(task string) { delete(m.last, task) }
 
 // Effect returns how much headroom one core of a filler takes of a serving task, and the variance of
 // that estimate.
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -289,3 +289,76 @@
 		t.Errorf("started %v, want on the other worker", o)
 	}
 }
+
+// TestHopelessYields is a burst: a job that can no longer meet its objective is due first, and one that
+// still can waits beside it. The room goes to the latter.
+func TestHopelessYields(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	old := one("hopeless", 0, job.Step{Count: 1, Demand: cores(4), EstimateMS: 5000})
+	old.AcceptedMS -= 8500
+	c.Submit(now, old)
+	c.Submit(now, one("able", 0, job.Step{Count: 1, Demand: cores(4), EstimateMS: 1000}))
+	got := started(settle(now, c))["a"]
+	if len(got) != 1 || got[0].Task.Job != "able" {
+		t.Errorf("started %+v, want the job that can be on time", got)
+	}
+}
+
+// TestMemoryOfDisturbance is a filler image that raises the tail of a serving image: after some readings
+// the fillers beside it are moved away, and new ones go to the worker without that image.
+func TestMemoryOfDisturbance(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("serve", 0, job.Step{Count: 1, Demand: cores(2), LongRunning: true, TailTargetMS: 100, Image: "s"}))
+	var home string
+	var serving link.RunRef
+	for id, s := range started(settle(now, c)) {
+		home, serving = id, s[0].RunRef
+	}
+	ends := map[string]int64{}
+	here := 0
+	for n := range 40 {
+		now = now.Add(tailWindow)
+		if n == 20 {
+			c.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, nil, nil)
+		}
+		if n%2 == 0 {
+			c.Submit(now, one(fmt.Sprintf("fill%d", n), 2, job.Step{Count: 1, Demand: cores(1), EstimateMS: 900, Filler: true, Image: "f"}))
+		}
+		o := settle(now, c)
+		for id := range started(o) {
+			if id == home && n > 20 {
+				here++
+			}
+		}
+		for _, w := range c.order {
+			var rows []link.RunStatus
+			fillers := 0
+			for _, task := range w.tasks {
+				if task.step.spec.Filler {
+					fillers++
+					rows = append(rows, link.RunStatus{RunRef: task.ref(), Percent: 50, Figure: 1000})
+				}
+			}
+			if w.id == home {
+				// Alone the tail is at a third of its target; each filler takes two of the headroom.
+				tail := 100 / max(0.1, 3-2*float64(fillers))
+				rows = append(rows, link.RunStatus{RunRef: serving, Percent: 100, Figure: tail})
+			}
+			c.Report(now, w.id, rows, nil)
+			for _, r := range rows {
+				if r.RunRef != serving && n%2 == 1 {
+					ends[w.id]++
+					c.Ended(now, w.id, []link.RunEnd{{N: ends[w.id], RunRef: r.RunRef, Outcome: link.Done}})
+				}
+			}
+		}
+	}
+	if here > 1 {
+		t.Errorf("%d fillers were placed beside the task that they disturb after ten were seen", here)
+	}
+	if mean, _ := c.tails.Effect("s", "f"); mean < 1 {
+		t.Errorf("effect of %.2f a core was learned, want about 2", mean)
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -55,6 +55,8 @@
 	next, finished int
 	// due is when the job misses its objective, for jobs that run at once.
 	due time.Time
+	// lateness is that of the newest round; see Core.lateness.
+	lateness int
 	// held counts the runs that may be on workers.
 	held  int
 	ended time.Time
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -71,25 +71,76 @@
 // lateFactor is after how many times its objective a job is worth nothing more.
 const lateFactor = 3
 
-// lateness ranks jobs by what can still be gained: 0 on time, 1 late, 2 past all use.
-func (j *jobState) lateness(now time.Time) int {
+// lateness ranks jobs by what can still be gained: 0 on time, 1 late, 2 past all use. It counts the time
+// that the rest of the job still takes when nothing holds it up.
+func (c *Core) lateness(now time.Time, j *jobState) int {
+	if j.spec.Timed() || j.spec.Lasts() {
+		return 0
+	}
+	end := now.Add(c.rest(now, j))
 	switch {
-	case j.spec.Timed() || j.spec.Lasts() || now.Before(j.due):
+	case end.Before(j.due):
 		return 0
-	case now.Before(j.due.Add((lateFactor - 1) * j.spec.Objective())):
+	case end.Before(j.due.Add((lateFactor - 1) * j.spec.Objective())):
 		return 1
 	}
 	return 2
 }
 
+// rest estimates the time that the longest chain of a job's open steps still takes.
+func (c *Core) rest(now time.Time, j *jobState) time.Duration {
+	longest := time.Duration(0)
+	for _, o := range j.occurrences {
+		ends := make([]time.Duration, len(o.steps))
+		for i, s := range o.steps {
+			for _, d := range s.spec.DependsOn {
+				ends[i] = max(ends[i], ends[d])
+			}
+			ends[i] += c.restOf(now, s)
+			longest = max(longest, ends[i])
+		}
+	}
+	return longest
+}
+
+// restOf estimates the time that a step still takes.
+func (c *Core) restOf(now time.Time, s *step) time.Duration {
+	if s.left == 0 {
+		return 0
+	}
+	if s.waiting > 0 {
+		return c.usual(s)
+	}
+	longest := time.Duration(0)
+	for _, t := range s.tasks {
+		if t.held() {
+			longest = max(longest, t.remaining(now))
+		}
+	}
+	return longest
+}
+
+// usual returns how long a task of a step usually takes: what was declared, corrected by what was seen of
+// the queue.
+func (c *Core) usual(s *step) time.Duration {
+	whole := time.Duration(s.spec.EstimateMS) * time.Millisecond
+	if ratio, ok := c.durations[s.occ.job.spec.Policy.Queue]; ok {
+		return time.Duration(float64(whole) * ratio)
+	}
+	return whole
+}
+
 // rank orders the open jobs: by priority, lasting ones first, then those that can still be on time,
 // then by the time they are due.
 func (c *Core) rank(now time.Time) {
+	for _, j := range c.open {
+		j.lateness = c.lateness(now, j)
+	}
 	slices.SortStableFunc(c.open, func(a, b *jobState) int {
 		return cmp.Or(
 			cmp.Compare(a.spec.Policy.Priority, b.spec.Policy.Priority),
 			-cmp.Compare(toInt(a.spec.Lasts()), toInt(b.spec.Lasts())),
-			cmp.Compare(a.lateness(now), b.lateness(now)),
+			cmp.Compare(a.lateness, b.lateness),
 			a.due.Compare(b.due),
 			strings.Compare(a.spec.ID, b.spec.ID),
 		)
