Lasting tasks leave room for short ones; feasibility is found once a round; guards send only news

Change: a lasting task leaves 8% of a worker's processors unless nothing takes it for 1.5 s, fillers leave a tenth of the memory.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	// rowsEvery is the time between two reports of all that runs while no tail changes; ends and tails are
 	// reported at once.
 	rowsEvery = 400 * time.Millisecond
+	// reportGap is the shortest time between two messages to the owner.
+	reportGap = 10 * time.Millisecond
 	// retryPause is the time after a failed look, order or connection.
 	retryPause = 150 * time.Millisecond
 	// muteAfter is how many looks must fail in a row before the worker counts as not answering.
@@ -326,40 +329,72 @@
 	return nil
 }
 
+// sent is what the owner was told last on a link.
+type sent struct {
+	// rows is when all that runs was reported, tails the sum of the tails then, end the newest end.
+	rows  time.Time
+	tails float64
+	end   int64
+	at    time.Time
+}
+
 // report sends what has changed, and a beat when nothing has.
 func (g *Guard) report(ctx context.Context, conn *link.Conn, addr string) error {
 	if err := conn.Send(link.Up{Node: g.node, ClockMS: g.clock(), Pace: fullPace}); err != nil {
 		return err
 	}
 	complete := false
-	var rows time.Time
-	sent := 0.0
+	last := sent{at: time.Now()}
 	for ctx.Err() == nil {
 		g.wait(ctx, g.changed, link.Beat)
 		if g.owner.OwnerAddr() != addr {
 			return errReplaced
 		}
 		g.mu.Lock()
-		var up link.Up
-		switch {
-		case complete && !g.core.inventory:
-			up = g.core.Report(g.clock(), g.listing, false)
-			if tails := g.core.Tails(); tails == sent && time.Since(rows) < rowsEvery {
-				up.Reported, up.Running = false, nil
-			} else if up.Reported {
-				rows, sent = time.Now(), tails
-			}
-			g.listing = nil
-		case g.full && g.listing != nil:
-			up = g.core.Report(g.clock(), g.listing, true)
-			g.core.inventory, g.listing, complete = false, nil, true
-		default:
-			up = link.Up{ClockMS: g.clock(), Pace: fullPace}
-		}
+		up, news := g.next(&complete, &last)
 		g.mu.Unlock()
+		if !news && time.Since(last.at) < link.Beat {
+			continue
+		}
+		last.at = time.Now()
 		if err := conn.Send(up); err != nil {
 			return err
 		}
+		pause.For(ctx, reportGap)
 	}
 	return ctx.Err()
 }
+
+// next returns the next message and whether it says anything new. The caller holds the lock.
+func (g *Guard) next(complete *bool, last *sent) (link.Up, bool) {
+	switch {
+	case *complete && !g.core.inventory:
+		up := g.core.Report(g.clock(), g.listing, false)
+		g.listing = nil
+		return up, last.trim(&up, g.core.Tails())
+	case g.full && g.listing != nil:
+		up := g.core.Report(g.clock(), g.listing, true)
+		g.core.inventory, g.listing, *complete = false, nil, true
+		*last = sent{}
+		last.trim(&up, g.core.Tails())
+		return up, true
+	}
+	return link.Up{ClockMS: g.clock(), Pace: fullPace}, false
+}
+
+// trim takes out of a message what the owner was told before on this link; it reports whether anything
+// is left that is news.
+func (l *sent) trim(up *link.Up, tails float64) bool {
+	up.Ended = slices.DeleteFunc(slices.Clone(up.Ended), func(e link.RunEnd) bool { return e.N > 0 && e.N <= l.end })
+	for _, e := range up.Ended {
+		l.end = max(l.end, e.N)
+	}
+	switch {
+	case !up.Reported:
+	case tails == l.tails && time.Since(l.rows) < rowsEvery:
+		up.Reported, up.Running = false, nil
+	default:
+		l.rows, l.tails = time.Now(), tails
+	}
+	return up.Reported || up.Worker != nil || len(up.Ended) > 0 || len(up.Over) > 0
+}
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -32,14 +32,15 @@
 // Routes adds what an owner serves.
 func (c *Cell) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+link.Path, c.ServeLink)
-	mux.HandleFunc("GET "+pathJob+"{id}", c.serveJob)
+	mux.HandleFunc("GET "+pathJob+"{id}", func(w http.ResponseWriter, r *http.Request) { serveJob(w, r, c.Job) })
+	mux.HandleFunc("GET "+pathJob+"{id}/explain", func(w http.ResponseWriter, r *http.Request) { serveJob(w, r, c.Explain) })
 	mux.HandleFunc("GET "+pathWaiting, c.serveWaiting)
 	mux.HandleFunc("POST "+pathRelay, c.serveRelay)
 }
 
 // serveJob answers how a job stands.
-func (c *Cell) serveJob(w http.ResponseWriter, r *http.Request) {
-	v, found, err := c.Job(r.PathValue("id"))
+func serveJob(w http.ResponseWriter, r *http.Request, ask func(string) (sched.View, bool, error)) {
+	v, found, err := ask(r.PathValue("id"))
 	switch {
 	case err != nil:
 		jsonhttp.Fail(w, http.StatusServiceUnavailable, err)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -39,6 +39,9 @@
 	// comes in within it shares one append.
 	roundEvery = 100 * time.Millisecond
 	roundGap   = 15 * time.Millisecond
+	// roundShare is how many times its own duration a round is followed by a pause, so that links and
+	// entries are served on a small machine.
+	roundShare = 1
 	// maxQuestions is the most questions that wait for the policy service.
 	maxQuestions = 64
 	// sweepEvery is the time between two sweeps of jobs that can be forgotten.
@@ -296,14 +299,16 @@
 		case <-c.kick:
 		case <-timer.C:
 		}
+		began := time.Now()
 		if err := c.round(ctx); err != nil {
 			return err
 		}
+		took := time.Since(began)
 		if time.Since(swept) > sweepEvery {
 			swept = time.Now()
 			c.sweep(ctx)
 		}
-		pause.For(ctx, roundGap)
+		pause.For(ctx, max(roundGap, took*roundShare))
 		timer.Reset(roundEvery)
 	}
 }
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -218,6 +218,21 @@
 	return v, found, nil
 }
 
+// Explain returns how a job stands and why its steps wait; found is false when there surely is none.
+func (c *Cell) Explain(id string) (v sched.View, found bool, err error) {
+	v, found, err = c.Job(id)
+	if !found || err != nil {
+		return v, found, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.core == nil {
+		return v, false, ErrNotOwner
+	}
+	v, found = c.core.Explain(id)
+	return v, found, nil
+}
+
 // Waiting returns the number of jobs of each queue that have not started a task.
 func (c *Cell) Waiting() (map[string]int, error) {
 	c.mu.Lock()
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -362,3 +362,39 @@
 		t.Errorf("effect of %.2f a core was learned, want about 2", mean)
 	}
 }
+
+// TestExplain checks that a job that waits says why, filter by filter with counts.
+func TestExplain(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	c.Submit(now, one("big", 0, job.Step{Count: 1, Demand: cores(5), EstimateMS: 100}))
+	c.Submit(now, one("far", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 100, Requires: "gpu"}))
+	settle(now, c)
+	for id, want := range map[string]string{"big": "capacity: processors x2", "far": "label: lacks the label x2"} {
+		v, ok := c.Explain(id)
+		if !ok || v.Waits[id+".0.0"] != want {
+			t.Errorf("%s waits for %v, want %q", id, v.Waits, want)
+		}
+	}
+}
+
+// TestRoomForShort is a pool that lasting tasks would fill: short urgent tasks find room at once, and a
+// lasting task that nothing else can take gets the rest after a while.
+func TestRoomForShort(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("lasting", 0, job.Step{Count: 4, Demand: cores(1), LongRunning: true}))
+	if got := started(settle(now, c))["a"]; len(got) != 3 {
+		t.Fatalf("%d lasting tasks started, want 3 of 4", len(got))
+	}
+	c.Submit(now, one("short", 0, job.Step{Count: 1, Demand: cores(0.5), EstimateMS: 100}))
+	got := started(settle(now, c))["a"]
+	if len(got) != 1 || got[0].Task.Job != "short" {
+		t.Fatalf("started %+v, want the short task", got)
+	}
+	c.Ended(now, "a", []link.RunEnd{{N: 1, RunRef: got[0].RunRef, Outcome: link.Done}})
+	now = now.Add(starvedAfter)
+	if got := started(settle(now, c))["a"]; len(got) != 1 || got[0].Task.Job != "lasting" {
+		t.Errorf("started %+v, want the last lasting task", got)
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -86,8 +86,7 @@
 	denied map[string]bool
 	asking bool
 	askAt  time.Time
-	// reason says why no task could be placed last, refused since when; zero when one was placed.
-	reason  string
+	// refused is since when no task could be placed; zero when the last one could.
 	refused time.Time
 	// again is when the step is tried again, endsSeen the core's count of ends when it was tried last.
 	again    time.Time
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
 // filter refuses workers that must not take a task of a step; it returns the reason or an empty string.
@@ -27,11 +28,14 @@
 	{"health", func(c *Core, now time.Time, _ *step, w *worker) string { return c.health.refuse(now, w.id) }},
 	{"label", func(_ *Core, _ time.Time, s *step, w *worker) string {
 		need := s.spec.Requires
-		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks label "+need)
+		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks the label")
 	}},
 	{"capacity", func(_ *Core, _ time.Time, s *step, w *worker) string { return s.spec.Reserve().Lacking(w.free()) }},
+	{"urgent", func(_ *Core, now time.Time, s *step, w *worker) string {
+		return when(s.spec.LongRunning && !s.starved(now) && !w.leavesUrgent(s), "the rest is for short tasks")
+	}},
 	{"filler", func(_ *Core, _ time.Time, s *step, w *worker) string {
-		return when(s.spec.Filler && !w.roomForFiller(s), "no processor time left over")
+		return when(s.spec.Filler && !w.roomForFiller(s), "no room left over")
 	}},
 	{"tails", func(c *Core, now time.Time, s *step, w *worker) string {
 		if !s.spec.Filler {
@@ -59,12 +63,33 @@
 const (
 	// fillerShare is the least part of its demand that a filler must find unused on a worker.
 	fillerShare = 0.6
+	// urgentMemory is the part of a worker's memory that fillers leave free: urgent tasks are small and
+	// short, and find room at once only if nobody has to be stopped for it.
+	urgentMemory = 0.1
 	// fillerPace is the least pace, in percent, at which more fillers are placed on a worker.
 	fillerPace = 40
 )
 
-// roomForFiller reports whether a filler would find enough processor time.
+// urgentCPU is the part of a worker's processors that lasting tasks leave free, so that short urgent tasks
+// find room beside them; those use 5% of the processors at their mean rate.
+const urgentCPU = 0.08
+
+// leavesUrgent reports whether a lasting task would leave room for short ones.
+func (w *worker) leavesUrgent(s *step) bool {
+	left := w.free().MilliCPU - s.spec.Demand.MilliCPU
+	return float64(left) >= urgentCPU*float64(w.info.Capacity.MilliCPU)
+}
+
+// starved reports whether no worker has taken a task of the step for a while.
+func (s *step) starved(now time.Time) bool {
+	return !s.refused.IsZero() && now.Sub(s.refused) >= starvedAfter
+}
+
+// roomForFiller reports whether a filler would find enough processor time, and leave enough memory.
 func (w *worker) roomForFiller(s *step) bool {
+	if float64(w.free().MemoryMB-s.spec.Demand.MemoryMB) < urgentMemory*float64(w.info.Capacity.MemoryMB) {
+		return false
+	}
 	return w.pace >= fillerPace && float64(w.spare()) >= fillerShare*float64(s.spec.Demand.MilliCPU)
 }
 
@@ -103,7 +128,7 @@
 	var v float64
 	switch {
 	case s.Filler:
-		v = float64(w.spare())/capacity*float64(w.pace)/100 - strainWeight*c.strain(c.now, s, w)
+		v = float64(w.spare())/capacity*float64(w.pace)/100 - strainWeight*c.strain(c.round.now, s, w)
 	case s.TailTargetMS > 0:
 		v = float64(w.load.serving)/capacity + likenessWeight*w.likeness(s.Image)
 	default:
@@ -126,18 +151,80 @@
 	return false
 }
 
-// feasible returns the workers that may take a task of a step, or why none may.
-func (c *Core) feasible(now time.Time, s *step) ([]*worker, string) {
+// openFilters are the filters that ask nothing of a step but its service.
+const openFilters = 5
+
+// round is what one round of scheduling has found out so far. Room only shrinks within it.
+type round struct {
+	now time.Time
+	// open are the workers of each service that take tasks at all.
+	open map[string][]*worker
+	// refused is the least demand of each filler image that no worker took.
+	refused map[string]resource.Vector
+}
+
+// begin begins a round.
+func (c *Core) begin(now time.Time) {
+	c.round = round{now: now, open: map[string][]*worker{}, refused: map[string]resource.Vector{}}
+}
+
+// openTo returns the workers that take tasks of a step's service at all.
+func (c *Core) openTo(s *step) []*worker {
+	service := s.occ.job.spec.Policy.Service
+	open, ok := c.round.open[service]
+	if ok {
+		return open
+	}
+	for _, w := range c.order {
+		if passes(filters[:openFilters], c, c.round.now, s, w) {
+			open = append(open, w)
+		}
+	}
+	c.round.open[service] = open
+	return open
+}
+
+// passes reports whether no filter refuses a worker.
+func passes(fs []filter, c *Core, now time.Time, s *step, w *worker) bool {
+	for i := range fs {
+		if fs[i].refuse(c, now, s, w) != "" {
+			return false
+		}
+	}
+	return true
+}
+
+// feasible returns the workers that may take a task of a step.
+func (c *Core) feasible(now time.Time, s *step) []*worker {
+	if s.spec.Filler {
+		if least, ok := c.round.refused[s.spec.Image]; ok && least.Fits(s.spec.Demand) {
+			return nil
+		}
+	}
 	var out []*worker
+	for _, w := range c.openTo(s) {
+		if passes(filters[openFilters:], c, now, s, w) {
+			out = append(out, w)
+		}
+	}
+	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" {
+		c.round.refused[s.spec.Image] = s.spec.Demand
+	}
+	return out
+}
+
+// why returns why no worker takes a task of a step now, by reason with counts.
+func (c *Core) why(now time.Time, s *step) string {
+	if !s.ready() {
+		return "waits for the steps that it depends on"
+	}
 	refused := map[string]int{}
 	for _, w := range c.order {
 		if why := c.refuse(now, s, w); why != "" {
 			refused[why]++
-			continue
 		}
-		out = append(out, w)
 	}
-	return out, summary(refused)
+	return summary(refused)
 }
 
 // refuse returns why a worker can't take a task of a step.
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -56,8 +56,12 @@
 	for _, s := range o.steps {
 		tasks := make([]taskRecord, len(s.tasks))
 		for i, t := range s.tasks {
+			if t.state == stateDone {
+				tasks[i].Done = true
+				continue
+			}
 			tasks[i] = taskRecord{
-				Done: t.state == stateDone, Run: t.run, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
+				Run: t.run, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
 			}
 			if t.held() {
 				tasks[i].Worker = t.worker
@@ -172,11 +176,22 @@
 		for _, s := range o.steps {
 			v.Tasks += len(s.tasks)
 			v.Done += len(s.tasks) - s.left
-			if s.reason != "" && s.waiting > 0 {
-				if v.Waits == nil {
-					v.Waits = map[string]string{}
-				}
-				v.Waits[s.place()] = s.reason
+		}
+	}
+	return v, true
+}
+
+// Explain returns how a job stands, and why its steps wait.
+func (c *Core) Explain(id string) (View, bool) {
+	v, ok := c.Job(id)
+	if !ok {
+		return v, false
+	}
+	v.Waits = map[string]string{}
+	for _, o := range c.jobs[id].inOrder() {
+		for _, s := range o.steps {
+			if s.waiting > 0 {
+				v.Waits[s.place()] = c.why(c.round.now, s)
 			}
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -51,7 +51,7 @@
 type Core struct {
 	opt     Options
 	since   time.Time
-	now     time.Time // of the round of scheduling under way
+	round   round // the round of scheduling that is under way or was the last
 	jobs    map[string]*jobState
 	open    []*jobState
 	workers map[string]*worker
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -27,7 +27,7 @@
 // Schedule does what the time calls for: it ends lapsed runs, opens occurrences that have come due,
 // moves tasks off workers that don't do their work, and places what waits.
 func (c *Core) Schedule(now time.Time) {
-	c.now = now
+	c.begin(now)
 	if now.Sub(c.swept) >= sweepEvery {
 		c.swept = now
 		c.lapse(now)
@@ -157,12 +157,12 @@
 
 // place places the waiting tasks of a step.
 func (c *Core) place(now time.Time, s *step) {
-	among, why := c.feasible(now, s)
+	among := c.feasible(now, s)
 	if len(among) == 0 && s.occ.job.spec.Policy.Advice != nil {
 		c.ask(now, s)
 	}
 	if s.spec.Gang {
-		c.placeGang(now, s, among, why)
+		c.placeGang(now, s, among)
 		return
 	}
 	r := c.rankFor(now, s, among)
@@ -172,23 +172,24 @@
 		}
 		i := r.best(t)
 		if i < 0 {
-			c.refused(now, t, among, why)
+			c.refused(now, t, among)
 			return
 		}
 		c.assign(now, t, r.workers[i], 0)
 		r.taken(i)
 	}
-	s.reason, s.refused = "", time.Time{}
+	s.refused = time.Time{}
 }
 
-// starvedAfter is how long a job may have nothing running before a task is placed where it disturbs
-// others; local control slows it down there.
+// starvedAfter is how long no worker may take a task of a step before it may use room that is kept for
+// others: a lasting task that for short ones, a filler of a job that has nothing running that of serving
+// tasks, where local control slows it down.
 const starvedAfter = 1500 * time.Millisecond
 
 // refused does what is left when no worker takes a task.
-func (c *Core) refused(now time.Time, t *task, among []*worker, why string) {
+func (c *Core) refused(now time.Time, t *task, among []*worker) {
 	s := t.step
-	s.reason, s.again, s.endsSeen = why, now.Add(refusedAgain), c.ends
+	s.again, s.endsSeen = now.Add(refusedAgain), c.ends
 	if s.spec.Filler {
 		s.again = now.Add(fillerAgain)
 	}
@@ -201,7 +202,7 @@
 		}
 		return
 	}
-	if s.occ.job.held > 0 || now.Sub(s.refused) < starvedAfter {
+	if s.occ.job.held > 0 || !s.starved(now) {
 		return
 	}
 	if w := c.leastDisturbed(now, t); w != nil {
@@ -236,11 +237,10 @@
 }
 
 // placeGang places all tasks of a gang together or none; they share one run number.
-func (c *Core) placeGang(now time.Time, s *step, among []*worker, why string) {
+func (c *Core) placeGang(now time.Time, s *step, among []*worker) {
 	run := 0
 	for _, t := range s.tasks {
 		if t.state != stateWaiting {
-			s.reason = "members of the gang are still ending"
 			return
 		}
 		run = max(run, t.run)
@@ -253,7 +253,7 @@
 			for _, p := range placed {
 				c.unassign(p)
 			}
-			s.reason = "gang: " + why
+			s.again, s.endsSeen = now.Add(refusedAgain), c.ends
 			return
 		}
 		// Taken for now, so that the next member sees the room gone.
@@ -268,7 +268,6 @@
 		c.unassign(t)
 		c.assign(now, t, w, run+1)
 	}
-	s.reason = ""
 }
 
 // unassign takes back an assignment that has not been recorded.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -134,6 +134,7 @@
 		w.node, c.placed[info.ID] = node, node
 	}
 	w.info, w.known, w.attached, w.mute = info, true, true, false
+	c.ends++ // a worker that comes is as good as a run that ends
 	if info.Draining {
 		w.drainSeen = now
 	}
