--- /dev/null
+++ b/internal/owner/load.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocusspring/crocusspring/internal/directory"
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/sched"
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+// announceWidth is how many nodes are told of a takeover at the same time.
+const announceWidth = 16
+
+// announce tells all nodes of the takeover, since some may not be able to read the lease.
+func (c *Cell) announce(ctx context.Context) error {
+	nodes, err := directory.Nodes(ctx, c.store)
+	if err != nil {
+		c.log.Warn("takeover not announced", "err", err)
+		return nil
+	}
+	lease, ok := c.lease.Holder()
+	if !ok {
+		return nil
+	}
+	grp := errgroup.Group{}
+	grp.SetLimit(announceWidth)
+	for node, addr := range nodes {
+		grp.Go(func() error {
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			if err := c.client.Hint(call, addr, lease); err != nil {
+				c.log.Debug("takeover not announced", "node", node, "err", err)
+			}
+			return nil
+		})
+	}
+	return grp.Wait()
+}
+
+// load fences earlier owners and reads the cell. It returns the offsets from which jobs and runs go on.
+func (c *Cell) load(ctx context.Context, epoch int64) (*sched.Core, store.Offset, store.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	runs, err := c.store.Newest(ctx, store.TopicRuns)
+	if err != nil {
+		return nil, 0, 0, fmt.Errorf("read runs: %w", err)
+	}
+	fence := store.Record{Key: ownerKey, Value: fmt.Appendf(nil, "%d", epoch)}
+	at, err := c.store.Append(ctx, store.TopicRuns, runs.End, []store.Record{fence})
+	if err != nil {
+		return nil, 0, 0, fmt.Errorf("fence earlier owners: %w", err)
+	}
+	jobs, err := c.store.Newest(ctx, store.TopicJobs)
+	if err != nil {
+		return nil, 0, 0, fmt.Errorf("read jobs: %w", err)
+	}
+	now := time.Now()
+	core := sched.New(now, c.opt)
+	c.take(core, now, jobs.Records)
+	for _, r := range runs.Records {
+		if r.Key == ownerKey {
+			continue
+		}
+		if err := core.Restore(now, r.Key, r.Value); err != nil {
+			c.log.Error("record left out", "topic", store.TopicRuns, "offset", r.Offset, "err", err)
+		}
+	}
+	// Cancellations count after progress was restored too.
+	c.take(core, now, jobs.Records)
+	return core, jobs.End, at + 1, nil
+}
+
+// take hands records of TopicJobs to a core, jobs before cancellations.
+func (c *Cell) take(core *sched.Core, now time.Time, records []store.Record) {
+	for _, r := range records {
+		if id, ok := strings.CutPrefix(r.Key, store.PrefixJob); ok && len(r.Value) > 0 {
+			c.submit(core, now, id, r)
+		}
+	}
+	for _, r := range records {
+		if id, ok := strings.CutPrefix(r.Key, store.PrefixCancel); ok && len(r.Value) > 0 {
+			core.Cancel(now, id)
+		}
+	}
+}
+
+// submit hands one accepted job to a core.
+func (c *Cell) submit(core *sched.Core, now time.Time, id string, r store.Record) {
+	spec := &job.Spec{}
+	if err := json.Unmarshal(r.Value, spec); err != nil {
+		c.log.Error("record left out", "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
+		return
+	}
+	if err := spec.Check(); err != nil {
+		c.log.Error("record left out", "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
+		return
+	}
+	core.Submit(now, spec)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -4,10 +4,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,8 +12,6 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/crocusspring/crocusspring/internal/directory"
-	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/ownership"
 	"github.com/crocusspring/crocusspring/internal/pause"
@@ -39,9 +34,6 @@
 	// comes in within it shares one append.
 	roundEvery = 100 * time.Millisecond
 	roundGap   = 15 * time.Millisecond
-	// roundShare is how many times its own duration a round is followed by a pause, so that links and
-	// entries are served on a small machine.
-	roundShare = 1
 	// maxQuestions is the most questions that wait for the policy service.
 	maxQuestions = 64
 	// sweepEvery is the time between two sweeps of jobs that can be forgotten.
@@ -127,96 +119,6 @@
 	c.log.Info("cell given up", "epoch", epoch, "reason", err)
 }
 
-// announceWidth is how many nodes are told of a takeover at the same time.
-const announceWidth = 16
-
-// announce tells all nodes of the takeover, since some may not be able to read the lease.
-func (c *Cell) announce(ctx context.Context) error {
-	nodes, err := directory.Nodes(ctx, c.store)
-	if err != nil {
-		c.log.Warn("takeover not announced", "err", err)
-		return nil
-	}
-	lease, ok := c.lease.Holder()
-	if !ok {
-		return nil
-	}
-	grp := errgroup.Group{}
-	grp.SetLimit(announceWidth)
-	for node, addr := range nodes {
-		grp.Go(func() error {
-			call, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			if err := c.client.Hint(call, addr, lease); err != nil {
-				c.log.Debug("takeover not announced", "node", node, "err", err)
-			}
-			return nil
-		})
-	}
-	return grp.Wait()
-}
-
-// load fences earlier owners and reads the cell. It returns the offsets from which jobs and runs go on.
-func (c *Cell) load(ctx context.Context, epoch int64) (*sched.Core, store.Offset, store.Offset, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	runs, err := c.store.Newest(ctx, store.TopicRuns)
-	if err != nil {
-		return nil, 0, 0, fmt.Errorf("read runs: %w", err)
-	}
-	fence := store.Record{Key: ownerKey, Value: fmt.Appendf(nil, "%d", epoch)}
-	at, err := c.store.Append(ctx, store.TopicRuns, runs.End, []store.Record{fence})
-	if err != nil {
-		return nil, 0, 0, fmt.Errorf("fence earlier owners: %w", err)
-	}
-	jobs, err := c.store.Newest(ctx, store.TopicJobs)
-	if err != nil {
-		return nil, 0, 0, fmt.Errorf("read jobs: %w", err)
-	}
-	now := time.Now()
-	core := sched.New(now, c.opt)
-	c.take(core, now, jobs.Records)
-	for _, r := range runs.Records {
-		if r.Key == ownerKey {
-			continue
-		}
-		if err := core.Restore(now, r.Key, r.Value); err != nil {
-			c.log.Error("record left out", "topic", store.TopicRuns, "offset", r.Offset, "err", err)
-		}
-	}
-	// Cancellations count after progress was restored too.
-	c.take(core, now, jobs.Records)
-	return core, jobs.End, at + 1, nil
-}
-
-// take hands records of TopicJobs to a core, jobs before cancellations.
-func (c *Cell) take(core *sched.Core, now time.Time, records []store.Record) {
-	for _, r := range records {
-		if id, ok := strings.CutPrefix(r.Key, store.PrefixJob); ok && len(r.Value) > 0 {
-			c.submit(core, now, id, r)
-		}
-	}
-	for _, r := range records {
-		if id, ok := strings.CutPrefix(r.Key, store.PrefixCancel); ok && len(r.Value) > 0 {
-			core.Cancel(now, id)
-		}
-	}
-}
-
-// submit hands one accepted job to a core.
-func (c *Cell) submit(core *sched.Core, now time.Time, id string, r store.Record) {
-	spec := &job.Spec{}
-	if err := json.Unmarshal(r.Value, spec); err != nil {
-		c.log.Error("record left out", "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
-		return
-	}
-	if err := spec.Check(); err != nil {
-		c.log.Error("record left out", "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
-		return
-	}
-	core.Submit(now, spec)
-}
-
 // errReplaced says that another process has taken the cell.
 var errReplaced = errors.New("another process has taken the cell")
 
@@ -299,16 +201,14 @@
 		case <-c.kick:
 		case <-timer.C:
 		}
-		began := time.Now()
 		if err := c.round(ctx); err != nil {
 			return err
 		}
-		took := time.Since(began)
 		if time.Since(swept) > sweepEvery {
 			swept = time.Now()
 			c.sweep(ctx)
 		}
-		pause.For(ctx, max(roundGap, took*roundShare))
+		pause.For(ctx, roundGap)
 		timer.Reset(roundEvery)
 	}
 }
@@ -342,66 +242,6 @@
 	return nil
 }
 
-// write stores records at an offset, again until it is known what became of them.
-func (c *Cell) write(ctx context.Context, at store.Offset, records []store.Record) error {
-	if len(records) == 0 {
-		return nil
-	}
-	for {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := c.store.Append(call, store.TopicRuns, at, records)
-		cancel()
-		var conflict *store.ConflictError
-		switch {
-		case err == nil:
-			return nil
-		case errors.As(err, &conflict):
-			return c.settle(ctx, at, records)
-		}
-		c.log.Warn("decisions not stored", "records", len(records), "at", at, "err", err)
-		if err := c.owns(); err != nil {
-			return err
-		}
-		if !pause.For(ctx, retryPause) {
-			return ctx.Err()
-		}
-	}
-}
-
-// settle finds out whether what stands at an offset is an earlier try of the same records.
-func (c *Cell) settle(ctx context.Context, at store.Offset, records []store.Record) error {
-	for {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		b, err := c.store.Read(call, store.TopicRuns, at, 0)
-		cancel()
-		if err == nil && same(b.Records, records) {
-			return nil
-		}
-		if err == nil || errors.Is(err, store.ErrForgotten) {
-			return fmt.Errorf("%w: runs go on at offset %d with other records", errReplaced, at)
-		}
-		if err := c.owns(); err != nil {
-			return err
-		}
-		if !pause.For(ctx, retryPause) {
-			return ctx.Err()
-		}
-	}
-}
-
-// same reports whether a topic goes on with exactly these records.
-func same(got, want []store.Record) bool {
-	if len(got) < len(want) {
-		return false
-	}
-	for i, r := range want {
-		if got[i].Key != r.Key || string(got[i].Value) != string(r.Value) {
-			return false
-		}
-	}
-	return len(got) == len(want)
-}
-
 // explain writes the decisions of the scheduler to the log. The caller holds the lock.
 func (c *Cell) explain() {
 	for _, n := range c.core.Notes() {
@@ -409,32 +249,3 @@
 		c.log.Info(n.Decision, "subject", n.Subject, "epoch", c.epoch, "inputs", n.Reason)
 	}
 }
-
-// sweep drops jobs that can no longer be asked for.
-func (c *Cell) sweep(ctx context.Context) {
-	c.mu.Lock()
-	ids := c.core.Forgettable(time.Now())
-	at := c.end
-	c.mu.Unlock()
-	if len(ids) == 0 {
-		return
-	}
-	var runs, jobs []store.Record
-	for _, id := range ids {
-		runs = append(runs, store.Record{Key: id})
-		jobs = append(jobs, store.Record{Key: store.PrefixJob + id}, store.Record{Key: store.PrefixCancel + id})
-	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := c.store.Append(call, store.TopicJobs, store.Anywhere, jobs); err != nil {
-		c.log.Warn("ended jobs not dropped", "jobs", len(ids), "err", err)
-		return
-	}
-	if err := c.write(ctx, at, runs); err != nil {
-		c.log.Warn("progress of ended jobs not dropped", "jobs", len(ids), "err", err)
-		return
-	}
-	c.mu.Lock()
-	c.end += store.Offset(len(runs))
-	c.mu.Unlock()
-}
--- /dev/null
+++ b/internal/owner/write.go
@@ -0,0 +1,100 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/pause"
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+// write stores records at an offset, again until it is known what became of them.
+func (c *Cell) write(ctx context.Context, at store.Offset, records []store.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err := c.store.Append(call, store.TopicRuns, at, records)
+		cancel()
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			return c.settle(ctx, at, records)
+		}
+		c.log.Warn("decisions not stored", "records", len(records), "at", at, "err", err)
+		if err := c.owns(); err != nil {
+			return err
+		}
+		if !pause.For(ctx, retryPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// settle finds out whether what stands at an offset is an earlier try of the same records.
+func (c *Cell) settle(ctx context.Context, at store.Offset, records []store.Record) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		b, err := c.store.Read(call, store.TopicRuns, at, 0)
+		cancel()
+		if err == nil && same(b.Records, records) {
+			return nil
+		}
+		if err == nil || errors.Is(err, store.ErrForgotten) {
+			return fmt.Errorf("%w: runs go on at offset %d with other records", errReplaced, at)
+		}
+		if err := c.owns(); err != nil {
+			return err
+		}
+		if !pause.For(ctx, retryPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// same reports whether a topic goes on with exactly these records.
+func same(got, want []store.Record) bool {
+	if len(got) < len(want) {
+		return false
+	}
+	for i, r := range want {
+		if got[i].Key != r.Key || string(got[i].Value) != string(r.Value) {
+			return false
+		}
+	}
+	return len(got) == len(want)
+}
+
+// sweep drops jobs that can no longer be asked for.
+func (c *Cell) sweep(ctx context.Context) {
+	c.mu.Lock()
+	ids := c.core.Forgettable(time.Now())
+	at := c.end
+	c.mu.Unlock()
+	if len(ids) == 0 {
+		return
+	}
+	var runs, jobs []store.Record
+	for _, id := range ids {
+		runs = append(runs, store.Record{Key: id})
+		jobs = append(jobs, store.Record{Key: store.PrefixJob + id}, store.Record{Key: store.PrefixCancel + id})
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := c.store.Append(call, store.TopicJobs, store.Anywhere, jobs); err != nil {
+		c.log.Warn("ended jobs not dropped", "jobs", len(ids), "err", err)
+		return
+	}
+	if err := c.write(ctx, at, runs); err != nil {
+		c.log.Warn("progress of ended jobs not dropped", "jobs", len(ids), "err", err)
+		return
+	}
+	c.mu.Lock()
+	c.end += store.Offset(len(runs))
+	c.mu.Unlock()
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -70,9 +70,11 @@
 	Store       store.Store
 	// Keep is how long the state of an ended job can be asked for.
 	Keep time.Duration
-	// Reload is called at SIGHUP and when the settings file has changed.
-	Reload func() error
-	Log    *log.Logger
+	// Reload is called at SIGHUP and when the settings have changed; Changed tells whether they have since
+	// it was asked last.
+	Reload  func() error
+	Changed func() bool
+	Log     *log.Logger
 	// Metrics are served on MetricsAddr; an empty address serves them nowhere.
 	Metrics     *metrics.Metrics
 	MetricsAddr string
@@ -224,26 +226,40 @@
 	return ch
 }
 
-// await reloads at SIGHUP and returns at the signal to stop.
+// watchEvery is the time between two looks at the settings for a change without a signal.
+const watchEvery = 2 * time.Second
+
+// await reloads at SIGHUP and when the settings have changed, and returns at the signal to stop.
 func (c *Common) await(ctx context.Context, signals <-chan os.Signal) error {
+	watch := time.NewTicker(watchEvery)
+	defer watch.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-watch.C:
+			if c.Changed() {
+				c.reload("changed")
+			}
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				c.Log.Info("stopping", "signal", s.String())
 				return nil
 			}
-			if err := c.Reload(); err != nil {
-				c.Log.Error("settings not reloaded, the old ones stay in force", "err", err)
-				continue
-			}
-			c.Log.Info("settings reloaded")
+			c.reload(s.String())
 		}
 	}
 }
 
+// reload takes new settings over; bad ones leave the old in force.
+func (c *Common) reload(cause string) {
+	if err := c.Reload(); err != nil {
+		c.Log.Error("settings not reloaded, the old ones stay in force", "cause", cause, "err", err)
+		return
+	}
+	c.Log.Info("settings reloaded", "cause", cause)
+}
+
 // Guard is what a guard needs beside.
 type Guard struct {
 	Common
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -63,9 +63,9 @@
 const (
 	// fillerShare is the least part of its demand that a filler must find unused on a worker.
 	fillerShare = 0.6
-	// urgentMemory is the part of a worker's memory that fillers leave free: urgent tasks are small and
-	// short, and find room at once only if nobody has to be stopped for it.
-	urgentMemory = 0.1
+	// urgentMemory is the part of a worker's memory that fillers leave free, room for some urgent tasks,
+	// which need half a gigabyte each.
+	urgentMemory = 0.03
 	// fillerPace is the least pace, in percent, at which more fillers are placed on a worker.
 	fillerPace = 40
 )
