--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -212,9 +212,9 @@
 	c.reset()
 }
 
-// Listed takes what the worker lists in answer to a question asked at askedMS. Runs whose stop was
-// answered before the question, and that aren't listed, will never be there.
-func (c *Core) Listed(nowMS, askedMS int64, settled map[link.RunRef]bool, l Listing) {
+// Listed takes what the worker lists in answer to a question; settled is what Settled returned before it
+// was put. Runs whose stop had been answered by then, and that aren't listed, will never be there.
+func (c *Core) Listed(nowMS int64, settled map[link.RunRef]bool, l Listing) {
 	c.mute = false
 	if l.Life != c.life {
 		c.life = l.Life
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -18,7 +18,7 @@
 	if !c.Vouch(link.Down{Epoch: 1, EchoMS: 1000}) {
 		t.Fatal("first owner is refused")
 	}
-	c.Listed(1000, 990, nil, Listing{Life: "life-1", ClockMS: 50_000})
+	c.Listed(1000, nil, Listing{Life: "life-1", ClockMS: 50_000})
 	return c
 }
 
@@ -84,11 +84,11 @@
 	}
 	before := c.Settled()
 	c.Halted(ref(0, 1), nil)
-	c.Listed(1100, 1050, before, Listing{Life: "life-1", ClockMS: 50_100})
+	c.Listed(1100, before, Listing{Life: "life-1", ClockMS: 50_100})
 	if up := c.Report(1100, nil, false); len(up.Ended) != 0 {
 		t.Fatalf("reported %v by a look that began before the stop was answered", up.Ended)
 	}
-	c.Listed(1200, 1150, c.Settled(), Listing{Life: "life-1", ClockMS: 50_200})
+	c.Listed(1200, c.Settled(), Listing{Life: "life-1", ClockMS: 50_200})
 	up := c.Report(1200, nil, false)
 	if len(up.Ended) != 1 || up.Ended[0].Outcome != link.Absent || up.Ended[0].RunRef != ref(0, 1) {
 		t.Errorf("reported %v, want the run as absent", up.Ended)
@@ -145,7 +145,7 @@
 	if q, ok := c.Looking(1100, 0); !ok || q.Life != "life-2" || q.UntilMS != 0 {
 		t.Errorf("asks %+v, %v; want life-2 without a lease", q, ok)
 	}
-	c.Listed(1200, 1150, c.Settled(), Listing{Life: "life-2", ClockMS: 7})
+	c.Listed(1200, c.Settled(), Listing{Life: "life-2", ClockMS: 7})
 	if len(c.runs) != 0 {
 		t.Errorf("runs %v of the old life are still known", c.runs)
 	}
@@ -155,7 +155,7 @@
 func TestDelayedAnnouncement(t *testing.T) {
 	c := newTestCore(t)
 	c.Describe(worker("life-0"))
-	c.Listed(1100, 1050, nil, Listing{Life: "life-1", ClockMS: 50_100})
+	c.Listed(1100, nil, Listing{Life: "life-1", ClockMS: 50_100})
 	c.OtherLife("life-0")
 	if c.info.ID != "life-1" || c.other != nil {
 		t.Errorf("known as %v, other %v", c.info, c.other)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -111,7 +111,6 @@
 			g.wait(ctx, g.heard, lookWait)
 			continue
 		}
-		asked := g.clock()
 		call, cancel := context.WithTimeout(ctx, lookWait+callTimeout)
 		l, err := g.exec.Look(call, q)
 		cancel()
@@ -125,7 +124,7 @@
 			g.log.Info("worker answers again", "worker", l.Life, "failed_looks", failed)
 		}
 		failed = 0
-		if g.listed(asked, q, settled, l) {
+		if g.listed(q, settled, l) {
 			g.wait(ctx, g.forgot, unforgottenPause)
 		}
 	}
@@ -157,9 +156,9 @@
 }
 
 // listed takes an answer; it reports whether ends are listed that are not stored yet.
-func (g *Guard) listed(asked int64, q Look, settled map[link.RunRef]bool, l Listing) bool {
+func (g *Guard) listed(q Look, settled map[link.RunRef]bool, l Listing) bool {
 	g.mu.Lock()
-	g.core.Listed(g.clock(), asked, settled, l)
+	g.core.Listed(g.clock(), settled, l)
 	g.listing, g.full = &l, q.Token == g.core.Epoch() && q.Token > 0
 	g.act()
 	pending := len(l.Ended) > 0
