--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -31,8 +31,8 @@
 		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks the label")
 	}},
 	{"capacity", func(_ *Core, _ time.Time, s *step, w *worker) string { return s.spec.Reserve().Lacking(w.free()) }},
-	{"urgent", func(_ *Core, now time.Time, s *step, w *worker) string {
-		return when(s.spec.LongRunning && !s.starved(now) && !w.leavesUrgent(s), "the rest is for short tasks")
+	{"urgent", func(c *Core, now time.Time, s *step, _ *worker) string {
+		return when(s.spec.LongRunning && !s.starved(now) && !c.leavesUrgent(s), "the rest is for short tasks")
 	}},
 	{"filler", func(_ *Core, _ time.Time, s *step, w *worker) string {
 		return when(s.spec.Filler && !w.roomForFiller(s), "no room left over")
@@ -70,14 +70,14 @@
 	fillerPace = 40
 )
 
-// urgentCPU is the part of a worker's processors that lasting tasks leave free, so that short urgent tasks
+// urgentCPU is the part of a pool's processors that lasting tasks leave free, so that short urgent tasks
 // find room beside them; those use 5% of the processors at their mean rate.
 const urgentCPU = 0.08
 
-// leavesUrgent reports whether a lasting task would leave room for short ones.
-func (w *worker) leavesUrgent(s *step) bool {
-	left := w.free().MilliCPU - s.spec.Demand.MilliCPU
-	return float64(left) >= urgentCPU*float64(w.info.Capacity.MilliCPU)
+// leavesUrgent reports whether a lasting task would leave room for short ones in its pool.
+func (c *Core) leavesUrgent(s *step) bool {
+	p := c.round.pools[s.occ.job.spec.Policy.Service]
+	return p != nil && float64(p.free-s.spec.Demand.MilliCPU) >= urgentCPU*float64(p.capacity)
 }
 
 // starved reports whether no worker has taken a task of the step for a while.
@@ -156,32 +156,41 @@
 
 // round is what one round of scheduling has found out so far. Room only shrinks within it.
 type round struct {
-	now time.Time
-	// open are the workers of each service that take tasks at all.
-	open map[string][]*worker
+	now   time.Time
+	pools map[string]*poolRoom
 	// refused is the least demand of each filler image that no worker took.
 	refused map[string]resource.Vector
 }
 
+// poolRoom is what the workers of a service have that take tasks at all.
+type poolRoom struct {
+	open []*worker
+	// free and capacity are processors, in thousandths of a core.
+	free, capacity int64
+}
+
 // begin begins a round.
 func (c *Core) begin(now time.Time) {
-	c.round = round{now: now, open: map[string][]*worker{}, refused: map[string]resource.Vector{}}
+	c.round = round{now: now, pools: map[string]*poolRoom{}, refused: map[string]resource.Vector{}}
 }
 
-// openTo returns the workers that take tasks of a step's service at all.
-func (c *Core) openTo(s *step) []*worker {
+// pool returns the workers that take tasks of a step's service at all.
+func (c *Core) pool(s *step) *poolRoom {
 	service := s.occ.job.spec.Policy.Service
-	open, ok := c.round.open[service]
-	if ok {
-		return open
+	p := c.round.pools[service]
+	if p != nil {
+		return p
 	}
+	p = &poolRoom{}
 	for _, w := range c.order {
 		if passes(filters[:openFilters], c, c.round.now, s, w) {
-			open = append(open, w)
+			p.open = append(p.open, w)
+			p.free += w.free().MilliCPU
+			p.capacity += w.info.Capacity.MilliCPU
 		}
 	}
-	c.round.open[service] = open
-	return open
+	c.round.pools[service] = p
+	return p
 }
 
 // passes reports whether no filter refuses a worker.
@@ -202,7 +211,7 @@
 		}
 	}
 	var out []*worker
-	for _, w := range c.openTo(s) {
+	for _, w := range c.pool(s).open {
 		if passes(filters[openFilters:], c, now, s, w) {
 			out = append(out, w)
 		}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -288,6 +288,9 @@
 	t.move(eventAssign)
 	c.hold(now, t)
 	j := t.step.occ.job
+	if p := c.round.pools[j.spec.Policy.Service]; p != nil {
+		p.free -= t.step.spec.Reserve().MilliCPU
+	}
 	if j.state == Queued {
 		j.state = Running
 	}
