Lasting tasks that were refused for long start together; what pins a run ends with it

A step of lasting tasks got one task each 1.5 s from the room kept for short ones, since each start began the wait anew; a service would have missed its tasks for longer than it may.

--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -383,18 +383,22 @@
 func TestRoomForShort(t *testing.T) {
 	now := epoch0
 	c := pool(now, "a")
-	c.Submit(now, one("lasting", 0, job.Step{Count: 4, Demand: cores(1), LongRunning: true}))
-	if got := started(settle(now, c))["a"]; len(got) != 3 {
-		t.Fatalf("%d lasting tasks started, want 3 of 4", len(got))
+	c.Submit(now, one("lasting", 0, job.Step{Count: 8, Demand: cores(0.6), LongRunning: true}))
+	if got := started(settle(now, c))["a"]; len(got) != 6 {
+		t.Fatalf("%d lasting tasks started, want 6 of 8", len(got))
 	}
-	c.Submit(now, one("short", 0, job.Step{Count: 1, Demand: cores(0.5), EstimateMS: 100}))
+	c.Submit(now, one("lasting2", 0, job.Step{Count: 2, Demand: cores(0.15), LongRunning: true}))
+	if got := started(settle(now, c))["a"]; len(got) != 0 {
+		t.Fatalf("lasting tasks %v started in the room of short ones", got)
+	}
+	c.Submit(now, one("short", 0, job.Step{Count: 1, Demand: cores(0.3), EstimateMS: 100}))
 	got := started(settle(now, c))["a"]
 	if len(got) != 1 || got[0].Task.Job != "short" {
 		t.Fatalf("started %+v, want the short task", got)
 	}
 	c.Ended(now, "a", []link.RunEnd{{N: 1, RunRef: got[0].RunRef, Outcome: link.Done}})
 	now = now.Add(starvedAfter)
-	if got := started(settle(now, c))["a"]; len(got) != 1 || got[0].Task.Job != "lasting" {
-		t.Errorf("started %+v, want the last lasting task", got)
+	if got := started(settle(now, c))["a"]; len(got) != 2 || got[0].Task.Job != "lasting2" {
+		t.Errorf("started %+v, want both lasting tasks that fit, at once", got)
 	}
 }
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -42,7 +42,6 @@
 	// until is how long a worker gets no tasks, and why.
 	until map[string]time.Time
 	why   map[string]string
-	last  time.Time
 }
 
 // newHealth returns an empty memory.
@@ -52,7 +51,6 @@
 
 // refuse returns why a worker gets no tasks now.
 func (h *health) refuse(now time.Time, id string) string {
-	h.last = now
 	if now.Before(h.until[id]) {
 		return h.why[id]
 	}
@@ -60,8 +58,8 @@
 }
 
 // penalty returns how much less a worker is liked for what it did lately.
-func (h *health) penalty(id string) float64 {
-	if u, ok := h.until[id]; ok && h.last.Sub(u) < suspectMemory {
+func (h *health) penalty(now time.Time, id string) float64 {
+	if u, ok := h.until[id]; ok && now.Sub(u) < suspectMemory {
 		return suspectPenalty
 	}
 	return 0
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -134,7 +134,7 @@
 	default:
 		v = float64(w.free().MilliCPU) / capacity
 	}
-	v -= c.health.penalty(w.id)
+	v -= c.health.penalty(c.round.now, w.id)
 	if s.DataRack != "" && s.DataRack == w.info.Rack || s.RackLocality && st.usesRack(c, w.info.Rack) {
 		v += rackWeight
 	}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -206,8 +206,8 @@
 		return
 	}
 	if w := c.leastDisturbed(now, t); w != nil {
-		t.pinned = true
 		c.assign(now, t, w, 0)
+		t.pinned = true
 	}
 }
 
@@ -283,8 +283,10 @@
 	}
 	t.run, t.worker, t.assigned = run, w.id, now
 	t.appeared, t.progress, t.atWork = time.Time{}, now, time.Time{}
-	t.percent = 0
-	t.step.refused = time.Time{}
+	t.percent, t.pinned = 0, false
+	if !t.step.spec.LongRunning {
+		t.step.refused = time.Time{}
+	}
 	t.move(eventAssign)
 	c.hold(now, t)
 	j := t.step.occ.job
