Model: guards die with orders under way; what finds each mechanism

Cause: with the settling of unlisted runs taken out on a scratch copy the model found nothing, since it stopped every lost start at once. Change: an order is kept for later while its guard dies.

--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -247,7 +247,8 @@
 	e.forgot = upTo
 }
 
-// order gives an order to start: 0 keeps it for later without an answer, 1 has it refused.
+// order gives an order to start: 0 keeps it for later without an answer, 1 has it refused, and 2 keeps it
+// for later while the guard that gave it dies, so that nobody has settled it when the next one attaches.
 func (w *world) order(e *executor, s link.Start, fate int) {
 	until := w.now.Add(options.RunLease)
 	switch fate {
@@ -255,6 +256,9 @@
 		// The guard settles an unanswered start by a stop, so that it can't begin after that.
 		w.late = append(w.late, lateStart{e, s, until})
 		w.stop(e, s.RunRef)
+	case 2:
+		w.late = append(w.late, lateStart{e, s, until})
+		w.detach(e.node)
 	case 1:
 		w.core.Refused(w.now, e.id, []link.RunEnd{{RunRef: s.RunRef, Outcome: link.Absent, Reason: "room"}})
 	default:
