Dead code of the move removed: one way for the ends of runs, one way to close a job

The diff read as a newcomer: sched.Core.Refused was called by tests alone, while guards report absent runs with the other ends; the tests now go through Ended, as the owner does, with the same assertions. Behaviour stays as it is.

--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -278,9 +278,6 @@
 // Silent says that the worker didn't answer in time.
 func (c *Core) Silent() { c.mute = true }
 
-// Life returns the life of the worker that answered last.
-func (c *Core) Life() string { return c.life }
-
 // Paces returns the changes of pace to order now, by run.
 func (c *Core) Paces() map[link.RunRef]int {
 	var out map[link.RunRef]int
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -15,9 +15,7 @@
 
 // Worker describes one life of a worker; a worker that starts anew has another ID.
 type Worker struct {
-	ID string `json:"id"`
-	// Host is the machine below, which outlives the worker's lives; empty when it isn't known.
-	Host       string          `json:"host,omitempty"`
+	ID         string          `json:"id"`
 	Service    string          `json:"service"`
 	DataCentre string          `json:"data_centre"`
 	Kind       string          `json:"kind,omitempty"`
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -62,7 +62,7 @@
 		return nil, 0, 0, fmt.Errorf("read jobs: %w", err)
 	}
 	now := time.Now()
-	core := sched.New(now, c.opt)
+	core := sched.New(c.opt)
 	c.take(core, now, jobs.Records)
 	for _, r := range runs.Records {
 		if r.Key == ownerKey {
--- a/internal/ownership/runner.go
+++ b/internal/ownership/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -215,12 +214,3 @@
 	}
 	return nil
 }
-
-// Decode reads a lease as it stands in the store or in a hint.
-func Decode(data []byte) (Lease, error) {
-	var l Lease
-	if err := json.Unmarshal(data, &l); err != nil {
-		return l, fmt.Errorf("decode lease: %w", err)
-	}
-	return l, nil
-}
--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -12,7 +12,7 @@
 
 // pool returns a core with attached workers of four cores.
 func pool(now time.Time, ids ...string) *Core {
-	c := New(now, options)
+	c := New(options)
 	for _, id := range ids {
 		c.Attach(now, "node-"+id, link.Worker{
 			ID: id, Service: "pool", Kind: "a", Rack: "r-" + id,
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -21,7 +21,7 @@
 // benchRound fills a pool and measures its rounds.
 func benchRound(b *testing.B, workers int) {
 	now := epoch0
-	c := New(now, options)
+	c := New(options)
 	for i := range workers {
 		id := fmt.Sprintf("w%03d", i)
 		c.Attach(now, id, link.Worker{ID: id, Service: "pool", Capacity: resource.Vector{MilliCPU: 24000, MemoryMB: 64000}}, nil, nil)
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -73,7 +73,7 @@
 	b, _ := c.Flush(now)
 	c.Stored(b.Seq)
 
-	next := New(now, options)
+	next := New(options)
 	next.Submit(now, spec)
 	for _, r := range b.Records {
 		if err := next.Restore(now, r.Key, r.Value); err != nil {
@@ -107,7 +107,7 @@
 	if len(started(o)) != 0 || o[at] == nil || len(o[at].Stop) != 1 {
 		t.Fatalf("orders %+v, want a stop and no start", o)
 	}
-	c.Refused(now, at, []link.RunEnd{{RunRef: ref, Outcome: link.Absent}})
+	c.Ended(now, at, []link.RunEnd{{RunRef: ref, Outcome: link.Absent}})
 	now = now.Add(refusedFor)
 	if got := started(settle(now, c)); len(got) != 1 {
 		t.Errorf("started %v after the run is known to be absent, want one", got)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/charts"
@@ -224,7 +223,7 @@
 			}
 		}
 	}
-	c.open = slices.DeleteFunc(c.open, func(o *jobState) bool { return o == j })
+	c.close(j)
 	c.touch(j)
 }
 
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -76,7 +76,7 @@
 		t: t, now: time.Unix(1_800_000_000, 0), log: map[string][]byte{}, cancels: map[string]bool{},
 		attached: map[string]*executor{}, done: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
 	}
-	w.core = New(w.now, options)
+	w.core = New(options)
 	for i := range workers {
 		w.boot(fmt.Sprintf("node-%d", i))
 	}
@@ -260,7 +260,7 @@
 		w.late = append(w.late, lateStart{e, s, until})
 		w.detach(e.node)
 	case 1:
-		w.core.Refused(w.now, e.id, []link.RunEnd{{RunRef: s.RunRef, Outcome: link.Absent, Reason: "room"}})
+		w.core.Ended(w.now, e.id, []link.RunEnd{{RunRef: s.RunRef, Outcome: link.Absent, Reason: "room"}})
 	default:
 		w.start(e, s, until)
 	}
@@ -279,7 +279,7 @@
 			return
 		}
 	}
-	w.core.Refused(w.now, e.id, []link.RunEnd{{RunRef: ref, Outcome: link.Absent}})
+	w.core.Ended(w.now, e.id, []link.RunEnd{{RunRef: ref, Outcome: link.Absent}})
 }
 
 // life returns a life by its id.
@@ -452,7 +452,7 @@
 	for node := range w.attached {
 		delete(w.attached, node)
 	}
-	w.core = New(w.now, options)
+	w.core = New(options)
 	for _, s := range w.specs {
 		w.core.Submit(w.now, s)
 	}
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"strings"
 	"time"
-
-	"github.com/crocusspring/crocusspring/internal/job"
 )
 
 // jobRecord is the progress of a job as it stands in the store.
@@ -220,11 +218,3 @@
 	}
 	return out
 }
-
-// Spec returns an accepted job; nil when it isn't known.
-func (c *Core) Spec(id string) *job.Spec {
-	if j := c.jobs[id]; j != nil {
-		return j.spec
-	}
-	return nil
-}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -27,7 +27,8 @@
 	c.observe(now, w)
 }
 
-// Ended takes ends that a worker lists.
+// Ended takes ends that a worker lists, and runs that its guard says are not there and never will be; those
+// have no number.
 func (c *Core) Ended(now time.Time, id string, ended []link.RunEnd) {
 	w := c.workers[id]
 	if w == nil || !w.attached {
@@ -196,17 +197,3 @@
 		s.left--
 	}
 }
-
-// Refused takes runs that a guard says are not on its worker and never will be.
-func (c *Core) Refused(now time.Time, id string, refs []link.RunEnd) {
-	w := c.workers[id]
-	if w == nil || !w.attached {
-		return
-	}
-	for _, e := range refs {
-		delete(w.strangers, e.RunRef)
-		if t := w.held[e.Task]; t != nil && t.run == e.Run {
-			c.end(now, t, e)
-		}
-	}
-}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -50,7 +50,6 @@
 // Core is the state of one ownership of the cell. Use New to make one.
 type Core struct {
 	opt     Options
-	since   time.Time
 	round   round // the round of scheduling that is under way or was the last
 	jobs    map[string]*jobState
 	open    []*jobState
@@ -113,9 +112,9 @@
 )
 
 // New returns a core without jobs or workers.
-func New(now time.Time, opt Options) *Core {
+func New(opt Options) *Core {
 	return &Core{
-		opt: opt, since: now, jobs: map[string]*jobState{}, workers: map[string]*worker{},
+		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{},
 		dirty: map[string]*jobState{}, placed: map[string]string{}, gated: Orders{}, ready: Orders{}, durations: durations{},
 		health: newHealth(), asking: map[string]*step{}, tails: interfere.NewTails(),
 	}
--- a/internal/standin/execstand/execstand.go
+++ b/internal/standin/execstand/execstand.go
@@ -33,10 +33,7 @@
 }
 
 // run is one run that is there.
-type run struct {
-	since time.Time
-	start link.Start
-}
+type run struct{ since time.Time }
 
 // New returns an executor in its first life.
 func New(life string, work time.Duration) *Executor {
@@ -178,7 +175,7 @@
 	case time.Now().After(e.until):
 		return &guard.RefusedError{Reason: "late"}
 	}
-	e.running[ref] = &run{since: time.Now(), start: o.Start}
+	e.running[ref] = &run{since: time.Now()}
 	e.starts = append(e.starts, ref)
 	e.signal()
 	return nil
