Guard: a start without an answer is settled by a look at once

A lost look cost 900 ms of silence. Change: orders are given up after 200 ms; a look at once tells whether the run is there, in which case it goes on; otherwise it is stopped and a second look settles it. TestUnansweredStart asked for the stop before any look and now asks for it after the first look that began later; TestLostAnswer is new.

--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -46,8 +46,10 @@
 type phase int
 
 const (
-	// starting: the order is under way or its answer was lost.
+	// starting: the order to start is under way.
 	starting phase = iota
+	// doubtful: the order to start has got no answer; the next listing tells whether the run is there.
+	doubtful
 	// listed: the worker has listed the run.
 	listed
 	// stopping: an order to stop is to be answered.
@@ -146,8 +148,7 @@
 		delete(c.runs, s)
 		c.over = append(c.over, link.RunEnd{RunRef: s, Outcome: link.Absent, Reason: reason})
 	case err != nil && r.phase == starting:
-		// It may begin at any time until a stop has been answered.
-		r.phase, r.reason = stopping, "start unanswered"
+		r.phase, r.reason = doubtful, "start unanswered"
 	case r.phase == starting:
 		r.phase = listed
 	}
@@ -231,7 +232,7 @@
 			r = &run{Traits: link.Traits{RunRef: s.RunRef}, percent: fullPace}
 			c.runs[s.RunRef] = r
 		}
-		if r.phase == starting {
+		if r.phase == starting || r.phase == doubtful {
 			r.phase = listed
 		}
 		r.figure = s.Figure
@@ -243,6 +244,9 @@
 	for ref, r := range c.runs {
 		switch {
 		case seen[ref]:
+		case r.phase == doubtful && settled[ref]:
+			// It may begin at any time until a stop has been answered.
+			r.phase = stopping
 		case r.phase == stopped && settled[ref]:
 			delete(c.runs, ref)
 			c.over = append(c.over, link.RunEnd{RunRef: ref, Outcome: link.Absent, Reason: r.reason})
@@ -258,13 +262,26 @@
 func (c *Core) Settled() map[link.RunRef]bool {
 	out := map[link.RunRef]bool{}
 	for ref, r := range c.runs {
-		if r.phase == stopped || r.phase == listed && !r.busy {
+		if r.inDoubt() || r.phase == listed && !r.busy {
 			out[ref] = true
 		}
 	}
 	return out
 }
 
+// inDoubt reports whether only the next listing tells what became of a run.
+func (r *run) inDoubt() bool { return r.phase == doubtful || r.phase == stopped }
+
+// InDoubt reports whether there is a run that only the next listing tells about.
+func (c *Core) InDoubt() bool {
+	for _, r := range c.runs {
+		if r.inDoubt() {
+			return true
+		}
+	}
+	return false
+}
+
 // reset forgets what was known of a life of the worker.
 func (c *Core) reset() {
 	clear(c.runs)
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -71,14 +71,20 @@
 	}
 }
 
-// TestUnansweredStart checks that a start without an answer is settled by a stop, and reported absent
-// only by a look that began after the stop was answered.
+// TestUnansweredStart checks that a start without an answer, which the next look doesn't show, is settled
+// by a stop, and reported absent only by a look that began after the stop was answered.
 func TestUnansweredStart(t *testing.T) {
 	c := newTestCore(t)
 	if _, ok := c.Begin(1000, start(0, 1)); !ok {
 		t.Fatal("start refused")
 	}
+	early := c.Settled()
 	c.Began(ref(0, 1), errors.New("no answer"), false, "")
+	c.Listed(1050, early, Listing{Life: "life-1", ClockMS: 50_050})
+	if got := c.Stops(); len(got) != 0 || !c.InDoubt() {
+		t.Fatalf("stops %v after a look that began before the order was given up", got)
+	}
+	c.Listed(1060, c.Settled(), Listing{Life: "life-1", ClockMS: 50_060})
 	if got := c.Stops(); len(got) != 1 || got[0].Start.RunRef != ref(0, 1) {
 		t.Fatalf("stops %v, want one of the run", got)
 	}
@@ -95,6 +101,18 @@
 	}
 }
 
+// TestLostAnswer checks that a run that is listed after its start got no answer goes on.
+func TestLostAnswer(t *testing.T) {
+	c := newTestCore(t)
+	c.Begin(1000, start(0, 1))
+	c.Began(ref(0, 1), errors.New("no answer"), false, "")
+	running := []link.RunStatus{{RunRef: ref(0, 1), Percent: 3}}
+	c.Listed(1050, c.Settled(), Listing{Life: "life-1", ClockMS: 50_050, Running: running})
+	if got := c.Stops(); len(got) != 0 || c.InDoubt() {
+		t.Errorf("stops %v for a run that is there, in doubt %v", got, c.InDoubt())
+	}
+}
+
 // TestUnansweredStop checks that a stop is ordered again until it is answered.
 func TestUnansweredStop(t *testing.T) {
 	c := newTestCore(t)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -18,8 +18,10 @@
 	// lookWait is how long a look waits for a run to end; authority is renewed at each.
 	lookWait = 250 * time.Millisecond
 	// callTimeout bounds one order to the worker, and a look beyond its wait; the worker is on this
-	// machine.
-	callTimeout = 500 * time.Millisecond
+	// machine and answers within some milliseconds.
+	callTimeout = 200 * time.Millisecond
+	// slowCallTimeout bounds looks after one that failed, for a machine that is short of processor time.
+	slowCallTimeout = 500 * time.Millisecond
 	// unforgottenPause is the time between looks while the worker lists ends that the owner has not
 	// stored, since such looks don't wait.
 	unforgottenPause = 50 * time.Millisecond
@@ -49,6 +51,8 @@
 	core    *Core
 	listing *Listing
 	full    bool // listing was asked for under the owner's epoch
+	// probing says that a look about runs in doubt is under way.
+	probing bool
 	changed chan struct{}
 	forgot  chan struct{}
 	heard   chan struct{}
@@ -111,13 +115,19 @@
 			g.wait(ctx, g.heard, lookWait)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, lookWait+callTimeout)
+		limit := callTimeout
+		if failed > 0 {
+			limit = slowCallTimeout
+		}
+		call, cancel := context.WithTimeout(ctx, lookWait+limit)
 		l, err := g.exec.Look(call, q)
 		cancel()
 		if err != nil {
 			failed++
 			g.lookFailed(q, failed, err)
-			pause.For(ctx, retryPause)
+			if !errors.Is(err, context.DeadlineExceeded) {
+				pause.For(ctx, retryPause)
+			}
 			continue
 		}
 		if failed >= muteAfter {
@@ -206,7 +216,7 @@
 	if err != nil {
 		g.log.Warn("start not done", "task", o.Start.Task.String(), "run", o.Start.Run, "refused", refused, "err", err)
 	}
-	g.act()
+	g.settle()
 	if refused {
 		signal(g.changed)
 	}
@@ -234,7 +244,44 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.core.Halted(o.Start.RunRef, err)
+	g.settle()
+}
+
+// settle gives the orders that are due, and asks at once about runs that are in doubt: the look that is
+// under way may have begun too early to tell about them. The caller holds the lock.
+func (g *Guard) settle() {
 	g.act()
+	if !g.probing && g.core.InDoubt() {
+		g.probing = true
+		g.tasks.Go(g.probe)
+	}
+}
+
+// probe asks the worker what it runs, without waiting for an end.
+func (g *Guard) probe() {
+	g.mu.Lock()
+	q, ok := g.core.Looking(g.clock(), 0)
+	settled := g.core.Settled()
+	g.mu.Unlock()
+	var l Listing
+	var err error
+	if ok {
+		err = g.call(func(ctx context.Context) (err error) {
+			l, err = g.exec.Look(ctx, q)
+			return err
+		})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.probing = false
+	if !ok || err != nil {
+		// The loop of looks settles it.
+		g.log.Debug("no answer about runs in doubt", "err", err)
+		return
+	}
+	g.core.Listed(g.clock(), settled, l)
+	g.settle()
+	signal(g.changed)
 }
 
 // setPace gives the order to change a filler's pace.
