Fillers: one turn for all, least work first; local pace comes back below the target

Freed room went to the step whose retry came first, whatever its rank. Fillers slowed down for a serving task that is near its target by its own load never got their pace back (up to a third of the workers). Change: fillers are placed in common rounds, by rank; among jobs that can be on time the least work left goes first; pace comes back below the target. Ruled out: full workers (fillers at full pace get all they ask for).

--- a/internal/guard/pace.go
+++ b/internal/guard/pace.go
@@ -5,10 +5,9 @@
 const (
 	// fullPace leaves a filler all that it can get, in percent.
 	fullPace = 100
-	// tailHigh is the part of a serving task's target above which it is in trouble, tailLow the part
-	// below which it is out of it.
+	// tailHigh is the part of a serving task's target above which it is in trouble. Below it fillers get
+	// pace back: beside a task that is near its target by its own load they would stand still otherwise.
 	tailHigh = 1.0
-	tailLow  = 0.8
 	// figureSpanMS is the span that one figure of a worker covers, in milliseconds; the pace changes at
 	// most once in it.
 	figureSpanMS = 500
@@ -60,7 +59,7 @@
 		p.percent = fullPace
 	case p.highMS > 0 && nowMS-p.highMS >= patienceMS:
 		p.percent *= cut
-	case worst < tailLow:
+	case worst < tailHigh:
 		p.percent = min(fullPace, p.percent+risePercent)
 	}
 	if p.percent < leastPace {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -56,6 +56,8 @@
 	due time.Time
 	// lateness is that of the newest round; see Core.lateness.
 	lateness int
+	// fillerWork is that of the newest round; see fillerWorkLeft.
+	fillerWork int64
 	// held counts the runs that may be on workers.
 	held  int
 	ended time.Time
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -77,6 +77,8 @@
 	ends int
 	// swept is when what only time changes was looked at last.
 	swept time.Time
+	// fillersAt is when fillers are placed next.
+	fillersAt time.Time
 	// learnedAt is when what was learned was stored last.
 	learnedAt time.Time
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -18,10 +18,11 @@
 const (
 	// sweepEvery is the time between two looks at what only time changes.
 	sweepEvery = 50 * time.Millisecond
-	// refusedAgain is how long a step waits that no worker took, fillerAgain a step of fillers: they wait
-	// for room that seldom comes sooner.
+	// refusedAgain is how long a step waits that no worker took.
 	refusedAgain = 15 * time.Millisecond
-	fillerAgain  = 25 * time.Millisecond
+	// fillerEvery is the time between two rounds that place fillers. All of them are tried in the same
+	// rounds, so that room goes to the first in the order of rank.
+	fillerEvery = 25 * time.Millisecond
 )
 
 // Schedule does what the time calls for: it ends lapsed runs, opens occurrences that have come due,
@@ -41,10 +42,14 @@
 		}
 	}
 	c.rank(now)
+	fillers := !now.Before(c.fillersAt)
+	if fillers {
+		c.fillersAt = now.Add(fillerEvery)
+	}
 	for _, j := range slices.Clone(c.open) {
 		for _, o := range j.inOrder() {
 			for _, s := range o.steps {
-				if s.waiting > 0 && c.due(now, s) && s.ready() {
+				if s.waiting > 0 && c.due(now, s, fillers) && s.ready() {
 					c.place(now, s)
 				}
 			}
@@ -52,10 +57,12 @@
 	}
 }
 
-// due reports whether a step is to be tried again. Room that has become free goes to the most urgent step
-// first, so only fillers wait their time whatever ends.
-func (c *Core) due(now time.Time, s *step) bool {
-	return !now.Before(s.again) || !s.spec.Filler && s.endsSeen != c.ends
+// due reports whether a step is to be tried in a round; fillers says whether the round places fillers.
+func (c *Core) due(now time.Time, s *step, fillers bool) bool {
+	if s.spec.Filler {
+		return fillers
+	}
+	return !now.Before(s.again) || s.endsSeen != c.ends
 }
 
 // inOrder returns the open occurrences, earliest first.
@@ -130,23 +137,39 @@
 	return whole
 }
 
-// rank orders the open jobs: by priority, lasting ones first, then those that can still be on time,
-// then by the time they are due.
+// rank orders the open jobs: by priority, lasting ones first, then those that can still be on time, then
+// fillers with the least work left, then by the time they are due. In a burst that can't be served whole,
+// the least work first completes the most jobs on time; by the time they are due all would end late.
 func (c *Core) rank(now time.Time) {
 	for _, j := range c.open {
 		j.lateness = c.lateness(now, j)
+		j.fillerWork = j.fillerWorkLeft()
 	}
 	slices.SortStableFunc(c.open, func(a, b *jobState) int {
 		return cmp.Or(
 			cmp.Compare(a.spec.Policy.Priority, b.spec.Policy.Priority),
 			-cmp.Compare(toInt(a.spec.Lasts()), toInt(b.spec.Lasts())),
 			cmp.Compare(a.lateness, b.lateness),
+			cmp.Compare(a.fillerWork, b.fillerWork),
 			a.due.Compare(b.due),
 			strings.Compare(a.spec.ID, b.spec.ID),
 		)
 	})
 }
 
+// fillerWorkLeft returns the declared work of a job's fillers that are not done, in core-milliseconds.
+func (j *jobState) fillerWorkLeft() int64 {
+	sum := int64(0)
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.spec.Filler {
+				sum += int64(s.left) * s.spec.Demand.MilliCPU * s.spec.EstimateMS / 1000
+			}
+		}
+	}
+	return sum
+}
+
 // toInt returns 1 for true.
 func toInt(b bool) int {
 	if b {
@@ -190,9 +213,6 @@
 func (c *Core) refused(now time.Time, t *task, among []*worker) {
 	s := t.step
 	s.again, s.endsSeen = now.Add(refusedAgain), c.ends
-	if s.spec.Filler {
-		s.again = now.Add(fillerAgain)
-	}
 	if s.refused.IsZero() {
 		s.refused = now
 	}
