One list of all log lines with docs/LOGS.md from it; crocusctl for jobs of steps

internal/event names every kind of line that the programs on a platform log, with level, fields and meaning; a test holds the code against it and the page against the list. Lines of a process's start and end no longer share a kind with the owner's orders to stop. crocusctl job submits, shows, explains and cancels; an entry answers why the tasks of a job wait.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -122,7 +122,7 @@
 		Name: "crocusctl", Usage: "crocusctl [flags] SUBCOMMAND ...", Flags: t.set.Flags(),
 		Subcommands: []*ff.Command{
 			t.validateCommand(), t.applyCommand(), t.getCommand(), t.listCommand(), t.diffCommand(),
-			t.deleteCommand(), t.watchCommand(), t.auditCommand(), t.explainCommand(), t.traceCommand(), t.drainCommand(), t.statusCommand(),
+			t.deleteCommand(), t.watchCommand(), t.auditCommand(), t.explainCommand(), t.jobCommand(), t.traceCommand(), t.drainCommand(), t.statusCommand(),
 		},
 	}
 }
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/goccy/go-yaml"
 	"github.com/peterbourgon/ff/v4"
 )
 
@@ -25,13 +24,5 @@
 	if err := t.call(ctx, http.MethodGet, pathOf("jobs", args[1], "explain"), nil, &raw); err != nil {
 		return err
 	}
-	if t.output == outputJSON {
-		return t.printJSON(raw)
-	}
-	text, err := yaml.JSONToYAML(raw)
-	if err != nil {
-		return err
-	}
-	_, err = t.stdout.Write(text)
-	return err
+	return t.printYAML(raw)
 }
--- /dev/null
+++ b/internal/ctl/job_test.go
@@ -0,0 +1,61 @@
+package ctl_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/process"
+	"github.com/crocusspring/crocusspring/internal/resource"
+	"github.com/crocusspring/crocusspring/internal/sched"
+	"github.com/crocusspring/crocusspring/internal/store/memstore"
+)
+
+// TestJobScripts runs the scripts for jobs of steps, each against a cell of its own.
+func TestJobScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "../../testdata/script/steps",
+		Setup: func(env *testscript.Env) error {
+			cell, err := process.NewLocal(1, memstore.New(), time.Millisecond, logs.Discard())
+			if err != nil {
+				return err
+			}
+			env.Defer(cell.Close)
+			if err := warm(cell); err != nil {
+				return err
+			}
+			srv := httptest.NewServer(cell.Handler())
+			env.Defer(srv.Close)
+			env.Setenv("CROCUS_NODE", strings.TrimPrefix(srv.URL, "http://"))
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"exits": exits},
+	})
+}
+
+// warm waits until the worker of a cell takes tasks.
+func warm(cell *process.Local) error {
+	ctx := context.Background()
+	s := &job.Spec{
+		ID: "first", Steps: []job.Step{{Count: 1, Demand: resource.Vector{MilliCPU: 1}}},
+		Policy: job.Policy{Service: "pool", MaxAttempts: 1},
+	}
+	if err := cell.Intake.Submit(ctx, s); err != nil {
+		return err
+	}
+	for {
+		v, _, err := cell.Intake.Job(ctx, s.ID)
+		if err != nil {
+			return err
+		}
+		if v.State == sched.Completed {
+			return nil
+		}
+	}
+}
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/goccy/go-yaml"
 )
 
 // print writes v as JSON, or rows under a header as a table.
@@ -20,6 +22,19 @@
 	return w.Flush()
 }
 
+// printYAML writes an answer as YAML, or as JSON.
+func (t *tool) printYAML(raw json.RawMessage) error {
+	if t.output == outputJSON {
+		return t.printJSON(raw)
+	}
+	text, err := yaml.JSONToYAML(raw)
+	if err != nil {
+		return err
+	}
+	_, err = t.stdout.Write(text)
+	return err
+}
+
 // printJSON writes v as indented JSON.
 func (t *tool) printJSON(v any) error {
 	enc := json.NewEncoder(t.stdout)
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -52,7 +52,7 @@
 		if e.Gap {
 			who = "-"
 		}
-		rows = append(rows, []string{e.At.UTC().Format("15:04:05.000"), who, e.Message, fieldsText(e.Fields)})
+		rows = append(rows, []string{e.At.UTC().Format("15:04:05.000"), who, string(e.Message), fieldsText(e.Fields)})
 	}
 	return t.print(events, []string{"TIME", "PROCESS", "MESSAGE", "FIELDS"}, rows)
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/store"
 )
@@ -30,7 +31,7 @@
 		if err == nil {
 			return nil
 		}
-		l.Warn("address not stored", "addr", addr, "err", err)
+		l.Warn(event.AddressNotStored, "addr", addr, "err", err)
 		if !pause.For(ctx, retryPause) {
 			return nil
 		}
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,166 @@
+package event
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// page is written by TestPage when UPDATE is set.
+const page = "../../docs/LOGS.md"
+
+// TestPage checks that docs/LOGS.md tells what the code logs; UPDATE=1 writes it.
+func TestPage(t *testing.T) {
+	want := render()
+	if os.Getenv("UPDATE") != "" {
+		if err := os.WriteFile(page, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != want {
+		t.Errorf("%s is not up to date; write it with UPDATE=1 go test ./internal/event", page)
+	}
+}
+
+// render returns the page.
+func render() string {
+	var b strings.Builder
+	b.WriteString("# Log lines\n\nWritten from `internal/event`; `UPDATE=1 go test ./internal/event` writes it anew.\n\n" +
+		"A line is a JSON object with `time`, `level`, `prefix` for the part, `msg` for the kind, and the fields below.\n" +
+		"Lines of the owner name the job, task or worker in `subject` and what decided it in `inputs`.\n\n" +
+		"| `msg` | level | program | `prefix` | fields | says |\n|---|---|---|---|---|---|\n")
+	for _, l := range All {
+		var fields []string
+		for _, f := range l.Fields {
+			fields = append(fields, "`"+f+"`")
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", l.Message, l.Level, l.Program, l.Part, strings.Join(fields, " "), l.Meaning)
+	}
+	return b.String()
+}
+
+// dirs hold the programs that run on a platform; what they log is listed here.
+var dirs = []string{
+	"../guard", "../owner", "../ownership", "../intake", "../queues", "../directory", "../process", "../sched", "../../platform",
+}
+
+// call is a line that the code logs.
+type call struct {
+	level, message string
+	fields         []string
+	at             token.Position
+}
+
+// calls returns all calls of loggers in a directory; those for debugging are not listed.
+func calls(t *testing.T, dir string) []call {
+	t.Helper()
+	set := token.NewFileSet()
+	pkgs, err := parser.ParseDir(set, dir, func(f fs.FileInfo) bool { return !strings.HasSuffix(f.Name(), "_test.go") }, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []call
+	for _, p := range pkgs {
+		ast.Inspect(p, func(n ast.Node) bool {
+			c, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			sel, ok := c.Fun.(*ast.SelectorExpr)
+			if !ok || !slices.Contains([]string{"Info", "Warn", "Error"}, sel.Sel.Name) || len(c.Args) == 0 {
+				return true
+			}
+			if x, ok := sel.X.(*ast.Ident); ok && x.Name == "http" {
+				return true
+			}
+			line := call{level: strings.ToLower(sel.Sel.Name), at: set.Position(c.Pos())}
+			if name, ok := c.Args[0].(*ast.SelectorExpr); ok {
+				line.message = name.Sel.Name
+			}
+			for i := 1; i < len(c.Args); i += 2 {
+				if lit, ok := c.Args[i].(*ast.BasicLit); ok {
+					if text, err := strconv.Unquote(lit.Value); err == nil {
+						line.fields = append(line.fields, text)
+					}
+				}
+			}
+			out = append(out, line)
+			return true
+		})
+	}
+	return out
+}
+
+// names returns the listed lines by the names of their constants.
+func names(t *testing.T) map[string]Line {
+	t.Helper()
+	set := token.NewFileSet()
+	f, err := parser.ParseFile(set, "event.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	byMessage := map[Message]Line{}
+	for _, l := range All {
+		byMessage[l.Message] = l
+	}
+	out := map[string]Line{}
+	ast.Inspect(f, func(n ast.Node) bool {
+		v, ok := n.(*ast.ValueSpec)
+		if !ok || len(v.Values) != 1 {
+			return true
+		}
+		lit, ok := v.Values[0].(*ast.BasicLit)
+		if !ok {
+			return true
+		}
+		text, err := strconv.Unquote(lit.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, ok := byMessage[Message(text)]
+		if !ok {
+			t.Errorf("%s is not described in All", v.Names[0].Name)
+		}
+		out[v.Names[0].Name] = l
+		return true
+	})
+	return out
+}
+
+// TestEveryLineIsListed checks that the code logs nothing that is not listed with its level and fields.
+func TestEveryLineIsListed(t *testing.T) {
+	listed := names(t)
+	for _, dir := range dirs {
+		for _, c := range calls(t, dir) {
+			where := fmt.Sprintf("%s:%d", filepath.Base(c.at.Filename), c.at.Line)
+			if c.message == "Decision" {
+				continue // kinds come from the scheduler, which names them by the same constants
+			}
+			l, ok := listed[c.message]
+			if !ok {
+				t.Errorf("%s: kind %q is not listed", where, c.message)
+				continue
+			}
+			if l.Level != c.level {
+				t.Errorf("%s: %s is logged as %s, listed as %s", where, c.message, c.level, l.Level)
+			}
+			for _, f := range c.fields {
+				if !slices.Contains(l.Fields, f) {
+					t.Errorf("%s: field %s of %s is not listed", where, f, c.message)
+				}
+			}
+		}
+	}
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/pause"
 )
@@ -78,7 +79,7 @@
 	now := g.core.Draining()
 	g.mu.Unlock()
 	if now && !draining {
-		g.log.Info("worker drains", "worker", w.ID, "remaining_ms", w.RemainingMS)
+		g.log.Info(event.WorkerDrains, "worker", w.ID, "remaining_ms", w.RemainingMS)
 	}
 	signal(g.changed)
 	signal(g.heard)
@@ -131,7 +132,7 @@
 			continue
 		}
 		if failed >= muteAfter {
-			g.log.Info("worker answers again", "worker", l.Life, "failed_looks", failed)
+			g.log.Info(event.WorkerRegained, "worker", l.Life, "failed_looks", failed)
 		}
 		failed = 0
 		if g.listed(q, settled, l) {
@@ -148,7 +149,7 @@
 		return
 	}
 	if errors.Is(err, ErrOtherLife) {
-		g.log.Warn("life of the worker is over", "worker", q.Life)
+		g.log.Warn(event.LifeOver, "worker", q.Life)
 		g.mu.Lock()
 		g.core.OtherLife(q.Life)
 		g.mu.Unlock()
@@ -156,7 +157,7 @@
 		return
 	}
 	if failed == muteAfter {
-		g.log.Warn("worker doesn't answer", "failed_looks", failed, "err", err)
+		g.log.Warn(event.WorkerLost, "failed_looks", failed, "err", err)
 	}
 	if failed >= muteAfter {
 		g.mu.Lock()
@@ -214,7 +215,7 @@
 	defer g.mu.Unlock()
 	g.core.Began(o.Start.RunRef, err, refused, reason)
 	if err != nil {
-		g.log.Warn("start not done", "task", o.Start.Task.String(), "run", o.Start.Run, "refused", refused, "err", err)
+		g.log.Warn(event.StartNotDone, "task", o.Start.Task.String(), "run", o.Start.Run, "refused", refused, "err", err)
 	}
 	g.settle()
 	if refused {
@@ -307,11 +308,11 @@
 		}
 		conn, err := link.Dial(ctx, addr)
 		if err == nil {
-			g.log.Info("linked to owner", "owner", addr)
+			g.log.Info(event.OwnerLinked, "owner", addr)
 			err = g.serve(ctx, conn, addr)
 		}
 		if ctx.Err() == nil {
-			g.log.Warn("no link to owner", "owner", addr, "err", err)
+			g.log.Warn(event.OwnerLost, "owner", addr, "err", err)
 		}
 		pause.For(ctx, retryPause)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/owner"
@@ -110,7 +111,7 @@
 
 // Cancel stores the cancellation of a job. It reports false when there surely is no such job.
 func (in *Intake) Cancel(ctx context.Context, id string) (bool, error) {
-	_, found, err := in.ask(ctx, id, askTimeout)
+	_, found, err := in.ask(ctx, id, askTimeout, in.client.Job)
 	if err == nil && !found {
 		return false, nil
 	}
@@ -119,18 +120,26 @@
 
 // Job asks how a job stands. It reports false when there surely is no such job.
 func (in *Intake) Job(ctx context.Context, id string) (sched.View, bool, error) {
-	return in.ask(ctx, id, askWithin)
+	return in.ask(ctx, id, askWithin, in.client.Job)
 }
 
+// Explain asks how a job stands and why its tasks wait.
+func (in *Intake) Explain(ctx context.Context, id string) (sched.View, bool, error) {
+	return in.ask(ctx, id, askWithin, in.client.Explain)
+}
+
+// question asks the owner at an address about a job.
+type question func(ctx context.Context, addr, id string) (sched.View, bool, error)
+
 // ask asks the owner, again while the cell changes hands.
-func (in *Intake) ask(ctx context.Context, id string, within time.Duration) (sched.View, bool, error) {
+func (in *Intake) ask(ctx context.Context, id string, within time.Duration, q question) (sched.View, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	var last error
 	for {
 		if addr := in.where.OwnerAddr(); addr != "" {
 			call, cancel := context.WithTimeout(ctx, askTimeout)
-			v, found, err := in.client.Job(call, addr, id)
+			v, found, err := q(call, addr, id)
 			cancel()
 			if err == nil {
 				return v, found, nil
@@ -239,7 +248,7 @@
 	in.mu.Unlock()
 	answer(waiting, fmt.Errorf("%w: the store doesn't answer", ErrNotAccepted))
 	if first {
-		in.log.Warn("store doesn't answer, jobs are refused", "unknown", len(records))
+		in.log.Warn(event.StoreLost, "unknown", len(records))
 	}
 	go func() {
 		for {
@@ -259,7 +268,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if in.away {
-		in.log.Info("store answers again, jobs are accepted")
+		in.log.Info(event.StoreRegained)
 	}
 	in.away = false
 }
@@ -275,10 +284,10 @@
 	}
 	relayed := in.relay(records)
 	if relayed == nil {
-		in.log.Info("jobs relayed through the owner", "records", len(records), "cause", direct)
+		in.log.Info(event.JobsRelayed, "records", len(records), "cause", direct)
 		return nil
 	}
-	in.log.Warn("jobs not stored", "records", len(records), "direct", direct, "relayed", relayed)
+	in.log.Warn(event.JobsNotStored, "records", len(records), "direct", direct, "relayed", relayed)
 	if errors.Is(direct, store.ErrRefused) && errors.Is(relayed, store.ErrRefused) {
 		return fmt.Errorf("%w: %w", ErrNotAccepted, direct)
 	}
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -2,6 +2,7 @@
 package jobapi
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
+	"github.com/crocusspring/crocusspring/internal/sched"
 )
 
 // Path is where jobs of steps are served.
@@ -25,7 +27,8 @@
 // Routes adds the interface.
 func Routes(mux *http.ServeMux, in *intake.Intake) {
 	mux.HandleFunc("POST "+Path, func(w http.ResponseWriter, r *http.Request) { submit(w, r, in) })
-	mux.HandleFunc("GET "+Path+"/{id}", func(w http.ResponseWriter, r *http.Request) { state(w, r, in) })
+	mux.HandleFunc("GET "+Path+"/{id}", func(w http.ResponseWriter, r *http.Request) { state(w, r, in.Job) })
+	mux.HandleFunc("GET "+Path+"/{id}/explain", func(w http.ResponseWriter, r *http.Request) { state(w, r, in.Explain) })
 	mux.HandleFunc("POST "+Path+"/{id}/cancel", func(w http.ResponseWriter, r *http.Request) { cancel(w, r, in) })
 }
 
@@ -63,9 +66,9 @@
 	}
 }
 
-// state answers how a job stands.
-func state(w http.ResponseWriter, r *http.Request, in *intake.Intake) {
-	v, found, err := in.Job(r.Context(), r.PathValue("id"))
+// state answers what a question about a job gives.
+func state(w http.ResponseWriter, r *http.Request, ask func(context.Context, string) (sched.View, bool, error)) {
+	v, found, err := ask(r.Context(), r.PathValue("id"))
 	switch {
 	case err != nil:
 		jsonhttp.Fail(w, http.StatusServiceUnavailable, err)
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -117,6 +117,15 @@
 	return v, err == nil, err
 }
 
+// Explain asks what the tasks of a job wait for besides how it stands.
+func (c *Client) Explain(ctx context.Context, addr, id string) (v sched.View, found bool, err error) {
+	status, err := c.do(ctx, http.MethodGet, addr, pathJob+id+"/explain", nil, &v)
+	if status == http.StatusNotFound {
+		return v, false, nil
+	}
+	return v, err == nil, err
+}
+
 // Waiting asks for the number of waiting jobs by queue.
 func (c *Client) Waiting(ctx context.Context, addr string) (map[string]int, error) {
 	var out map[string]int
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusspring/crocusspring/internal/directory"
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/sched"
 	"github.com/crocusspring/crocusspring/internal/store"
@@ -22,7 +23,7 @@
 func (c *Cell) announce(ctx context.Context) error {
 	nodes, err := directory.Nodes(ctx, c.store)
 	if err != nil {
-		c.log.Warn("takeover not announced", "err", err)
+		c.log.Warn(event.TakeoverNotAnnounced, "err", err)
 		return nil
 	}
 	lease, ok := c.lease.Holder()
@@ -69,7 +70,7 @@
 			continue
 		}
 		if err := core.Restore(now, r.Key, r.Value); err != nil {
-			c.log.Error("record left out", "topic", store.TopicRuns, "offset", r.Offset, "err", err)
+			c.log.Error(event.RecordLeftOut, "topic", store.TopicRuns, "offset", r.Offset, "err", err)
 		}
 	}
 	// Cancellations count after progress was restored too.
@@ -95,11 +96,11 @@
 func (c *Cell) submit(core *sched.Core, now time.Time, id string, r store.Record) {
 	spec := &job.Spec{}
 	if err := json.Unmarshal(r.Value, spec); err != nil {
-		c.log.Error("record left out", "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
+		c.log.Error(event.RecordLeftOut, "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
 		return
 	}
 	if err := spec.Check(); err != nil {
-		c.log.Error("record left out", "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
+		c.log.Error(event.RecordLeftOut, "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
 		return
 	}
 	core.Submit(now, spec)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/ownership"
 	"github.com/crocusspring/crocusspring/internal/pause"
@@ -93,7 +94,7 @@
 	began := time.Now()
 	core, jobs, runs, err := c.load(ctx, epoch)
 	if err != nil {
-		c.log.Warn("takeover failed", "epoch", epoch, "err", err)
+		c.log.Warn(event.TakeoverFailed, "epoch", epoch, "err", err)
 		pause.For(ctx, retryPause)
 		return
 	}
@@ -101,7 +102,7 @@
 	c.core, c.epoch, c.end, c.read = core, epoch, runs, time.Now()
 	c.mu.Unlock()
 	c.scope.Counter("takeovers").Inc(1)
-	c.log.Info("cell taken over", "epoch", epoch, "took", time.Since(began), "jobs", core.Jobs())
+	c.log.Info(event.CellTakenOver, "epoch", epoch, "took", time.Since(began), "jobs", core.Jobs())
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.Go(func() error { return c.follow(ctx, jobs) })
 	grp.Go(func() error { return c.rounds(ctx) })
@@ -116,7 +117,7 @@
 	for _, p := range peers {
 		p.conn.Close()
 	}
-	c.log.Info("cell given up", "epoch", epoch, "reason", err)
+	c.log.Info(event.CellGivenUp, "epoch", epoch, "reason", err)
 }
 
 // errReplaced says that another process has taken the cell.
@@ -173,7 +174,7 @@
 	if !errors.Is(err, store.ErrForgotten) {
 		return nil, from, err
 	}
-	c.log.Info("jobs expired unread, reading the newest of each", "from", from)
+	c.log.Info(event.JobsExpiredUnread, "from", from)
 	s, err := c.store.Newest(ctx, store.TopicJobs)
 	if err != nil {
 		return nil, from, err
@@ -245,7 +246,7 @@
 // explain writes the decisions of the scheduler to the log. The caller holds the lock.
 func (c *Cell) explain() {
 	for _, n := range c.core.Notes() {
-		c.scope.Tagged(map[string]string{"decision": n.Decision}).Counter("decisions").Inc(1)
+		c.scope.Tagged(map[string]string{"decision": string(n.Decision)}).Counter("decisions").Inc(1)
 		c.log.Info(n.Decision, "subject", n.Subject, "epoch", c.epoch, "inputs", n.Reason)
 	}
 }
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/sched"
 )
@@ -36,7 +37,7 @@
 	}
 	conn, err := link.Accept(w, r)
 	if err != nil {
-		c.log.Warn("link not accepted", "err", err)
+		c.log.Warn(event.LinkRefused, "err", err)
 		return
 	}
 	p := &peer{conn: conn, wake: make(chan struct{}, 1)}
@@ -192,7 +193,7 @@
 func (c *Cell) detach(p *peer, epoch int64, why error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.log.Warn("link ended", "guard", p.node, "worker", p.worker, "peer", p.conn.Peer(), "err", why)
+	c.log.Warn(event.LinkEnded, "guard", p.node, "worker", p.worker, "peer", p.conn.Peer(), "err", why)
 	if c.core == nil || c.epoch != epoch || p.worker == "" || c.links[p.worker] != p {
 		return
 	}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/store"
 )
@@ -26,7 +27,7 @@
 		case errors.As(err, &conflict):
 			return c.settle(ctx, at, records)
 		}
-		c.log.Warn("decisions not stored", "records", len(records), "at", at, "err", err)
+		c.log.Warn(event.DecisionsNotStored, "records", len(records), "at", at, "err", err)
 		if err := c.owns(); err != nil {
 			return err
 		}
@@ -87,11 +88,11 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := c.store.Append(call, store.TopicJobs, store.Anywhere, jobs); err != nil {
-		c.log.Warn("ended jobs not dropped", "jobs", len(ids), "err", err)
+		c.log.Warn(event.EndedNotDropped, "topic", store.TopicJobs, "jobs", len(ids), "err", err)
 		return
 	}
 	if err := c.write(ctx, at, runs); err != nil {
-		c.log.Warn("progress of ended jobs not dropped", "jobs", len(ids), "err", err)
+		c.log.Warn(event.EndedNotDropped, "topic", store.TopicRuns, "jobs", len(ids), "err", err)
 		return
 	}
 	c.mu.Lock()
--- a/internal/ownership/runner.go
+++ b/internal/ownership/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/store"
 )
@@ -99,11 +100,11 @@
 	defer r.mu.Unlock()
 	before, _ := r.core.Holder()
 	if err := r.core.Seen(time.Now(), records, end); err != nil {
-		r.log.Error("lease can't be read", "err", err)
+		r.log.Error(event.LeaseUnreadable, "err", err)
 	}
 	after, ok := r.core.Holder()
 	if before.Epoch != after.Epoch {
-		r.log.Info("owner changed", "owner", after.Node, "addr", after.Addr, "epoch", after.Epoch, "held", ok)
+		r.log.Info(event.OwnerChanged, "owner", after.Node, "addr", after.Addr, "epoch", after.Epoch, "held", ok)
 	}
 	r.signal()
 }
@@ -138,14 +139,14 @@
 	case err == nil:
 		r.mu.Lock()
 		if err := r.core.Appended(time.Now(), rec, first); err != nil {
-			r.log.Error("own lease can't be read", "err", err)
+			r.log.Error(event.LeaseUnreadable, "err", err)
 		}
 		r.signal()
 		r.mu.Unlock()
 	case errors.As(err, &conflict):
 		r.log.Debug("lease was renewed or taken by another", "end", conflict.End)
 	default:
-		r.log.Warn("lease not renewed", "err", err)
+		r.log.Warn(event.LeaseNotRenewed, "err", err)
 	}
 }
 
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/guard"
 	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/jobapi"
@@ -81,7 +82,7 @@
 func (c *Local) run(ctx context.Context, done *sync.WaitGroup, part func(context.Context) error) {
 	done.Go(func() {
 		if err := part(ctx); err != nil && ctx.Err() == nil {
-			c.log.Error("part ended", "err", err)
+			c.log.Error(event.PartEnded, "err", err)
 		}
 	})
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusspring/crocusspring/internal/directory"
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/guard"
 	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/jobapi"
@@ -142,7 +143,7 @@
 	inner := http.NewServeMux()
 	inner.HandleFunc("POST "+owner.HintPath, owner.ServeHint(lease))
 	jobapi.Routes(inner, in)
-	e.Log.Info("start", "node", e.Node, "front", e.Front, "inner", e.Inner)
+	e.Log.Info(event.ProcessStarted, "node", e.Node, "front", e.Front, "inner", e.Inner)
 	grp, ctx := errgroup.WithContext(ctx)
 	grp.Go(func() error { return lease.Run(ctx) })
 	grp.Go(func() error { return directory.Register(ctx, e.Store, e.Node, e.Inner, e.Log.WithPrefix("directory")) })
@@ -160,7 +161,7 @@
 		front.SetKeepAlivesEnabled(false)
 		pause.For(ctx, readyLag)
 		if err := front.Shutdown(ctx); err != nil {
-			e.Log.Warn("connections cut at the stop", "err", err)
+			e.Log.Warn(event.ConnectionsCut, "err", err)
 		}
 		return errStopped
 	})
@@ -172,7 +173,7 @@
 
 // ended logs the end of a process.
 func (c *Common) ended(err error) error {
-	c.Log.Info("stop", "node", c.Node, "reason", err)
+	c.Log.Info(event.ProcessStopped, "node", c.Node, "reason", err)
 	if errors.Is(err, errStopped) {
 		return nil
 	}
@@ -243,7 +244,7 @@
 			}
 		case s := <-signals:
 			if s != syscall.SIGHUP {
-				c.Log.Info("stopping", "signal", s.String())
+				c.Log.Info(event.ProcessStopping, "signal", s.String())
 				return nil
 			}
 			c.reload(s.String())
@@ -254,10 +255,10 @@
 // reload takes new settings over; bad ones leave the old in force.
 func (c *Common) reload(cause string) {
 	if err := c.Reload(); err != nil {
-		c.Log.Error("settings not reloaded, the old ones stay in force", "cause", cause, "err", err)
+		c.Log.Error(event.SettingsNotReloaded, "cause", cause, "err", err)
 		return
 	}
-	c.Log.Info("settings reloaded", "cause", cause)
+	c.Log.Info(event.SettingsReloaded, "cause", cause)
 }
 
 // Guard is what a guard needs beside.
@@ -287,7 +288,7 @@
 	inner := http.NewServeMux()
 	cell.Routes(inner)
 	inner.HandleFunc("POST "+owner.HintPath, owner.ServeHint(lease))
-	g.Log.Info("start", "node", g.Node, "control", g.Control, "inner", g.Inner)
+	g.Log.Info(event.ProcessStarted, "node", g.Node, "control", g.Control, "inner", g.Inner)
 	grp, ctx := errgroup.WithContext(ctx)
 	g.serveMetrics(ctx, grp)
 	serve(ctx, grp, newServer(inner), g.Inner)
@@ -304,7 +305,7 @@
 		leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 		defer cancel()
 		if err := lease.Leave(leave); err != nil {
-			g.Log.Warn("cell not given back", "err", err)
+			g.Log.Warn(event.CellNotGivenBack, "err", err)
 		}
 		return errStopped
 	})
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/store"
@@ -133,7 +134,7 @@
 		}
 		t, err := f.source.Decode(r.Value)
 		if err != nil {
-			f.log.Error("configuration left out", "offset", r.Offset, "err", err)
+			f.log.Error(event.ConfigurationLeftOut, "offset", r.Offset, "err", err)
 			continue
 		}
 		f.apply(t)
@@ -147,6 +148,6 @@
 	if f.table != nil && t.Version <= f.table.Version {
 		return
 	}
-	f.log.Info("configuration in force", "version", t.Version, "queues", len(t.Queues))
+	f.log.Info(event.ConfigurationInForce, "version", t.Version, "queues", len(t.Queues))
 	f.table = t
 }
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/event"
 )
 
 const (
@@ -31,9 +33,6 @@
 	Valid   time.Duration
 }
 
-// DecisionAdvice notes an answer of the policy service.
-const DecisionAdvice = "advice"
-
 // ask puts a question for a step, unless one is on its way. Workers that were asked about and not
 // approved never will be.
 func (c *Core) ask(now time.Time, s *step) {
@@ -79,7 +78,7 @@
 	s.asking, s.again = false, time.Time{}
 	if err != nil {
 		s.askAt = now.Add(askAgain)
-		c.note(DecisionAdvice, q.Step, fmt.Sprintf("workers=%d err=%q", len(q.Workers), err))
+		c.note(event.Advice, q.Step, fmt.Sprintf("workers=%d err=%q", len(q.Workers), err))
 		return
 	}
 	if s.tickets == nil {
@@ -93,5 +92,5 @@
 		}
 		s.tickets[id] = ticket{text: text, until: now.Add(a.Valid - askMargin)}
 	}
-	c.note(DecisionAdvice, q.Step, fmt.Sprintf("workers=%d approved=%d valid=%s", len(q.Workers), len(a.Tickets), a.Valid))
+	c.note(event.Advice, q.Step, fmt.Sprintf("workers=%d approved=%d valid=%s", len(q.Workers), len(a.Tickets), a.Valid))
 }
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/probation"
 )
@@ -101,7 +102,7 @@
 		for _, t := range w.tasks {
 			if why := t.stalled(now, w); why != "" {
 				c.health.block(now.Add(suspectFor), w.id, "runs stand still")
-				c.note(DecisionSuspect, w.id, fmt.Sprintf("task=%s %s", t.id, why))
+				c.note(event.Suspect, w.id, fmt.Sprintf("task=%s %s", t.id, why))
 				c.stop(now, t, why)
 			}
 		}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocusspring/crocusspring/charts"
 	"github.com/crocusspring/crocusspring/internal/chart"
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
 )
 
@@ -174,7 +175,7 @@
 	j.due = now.Add(spec.Objective() - max(0, age))
 	c.jobs[spec.ID] = j
 	c.open = append(c.open, j)
-	c.note(DecisionAccept, spec.ID, fmt.Sprintf("queue=%s steps=%d age=%s", spec.Policy.Queue, len(spec.Steps), age))
+	c.note(event.Accept, spec.ID, fmt.Sprintf("queue=%s steps=%d age=%s", spec.Policy.Queue, len(spec.Steps), age))
 	c.ripen(now, j)
 }
 
@@ -207,7 +208,7 @@
 	if j == nil || j.state.Over() {
 		return
 	}
-	c.note(DecisionCancel, id, fmt.Sprintf("state=%s held=%d", j.state, j.held))
+	c.note(event.Cancel, id, fmt.Sprintf("state=%s held=%d", j.state, j.held))
 	c.finish(now, j, Cancelled, "cancelled by its caller")
 }
 
@@ -235,7 +236,7 @@
 		return
 	}
 	c.orderStop(now, t)
-	c.note(DecisionStop, t.id.String(), fmt.Sprintf("run=%d worker=%s reason=%q", t.run, t.worker, reason))
+	c.note(event.Stop, t.id.String(), fmt.Sprintf("run=%d worker=%s reason=%q", t.run, t.worker, reason))
 }
 
 // stopRepeat is how long after an order to stop it is given again, if the run's end isn't known.
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/resource"
 )
@@ -54,7 +55,7 @@
 	if t == nil || e.Outcome != link.Failed || t.step.spec.LongRunning || t.step.occ.job.state.Over() || slices.Contains(t.failedRuns, e.Run) {
 		return
 	}
-	c.note(DecisionEnd, t.id.String(), fmt.Sprintf("run=%d outcome=failed after it was given up", e.Run))
+	c.note(event.End, t.id.String(), fmt.Sprintf("run=%d outcome=failed after it was given up", e.Run))
 	t.failedRuns = append(t.failedRuns, e.Run)
 	c.touch(t.step.occ.job)
 	c.exhausted(now, t)
@@ -66,7 +67,7 @@
 	if t.state == stateDone || len(t.failedRuns) < j.spec.Policy.MaxAttempts {
 		return
 	}
-	c.note(DecisionFail, j.spec.ID, fmt.Sprintf("task=%s failures=%d on=%v", t.id, len(t.failedRuns), t.failedOn))
+	c.note(event.Fail, j.spec.ID, fmt.Sprintf("task=%s failures=%d on=%v", t.id, len(t.failedRuns), t.failedOn))
 	c.finish(now, j, Failed, fmt.Sprintf("task %s has failed %d times", t.id, len(t.failedRuns)))
 }
 
@@ -108,7 +109,7 @@
 	w.strangers[r.RunRef] = need
 	d := c.ordersFor(c.ready, w.id)
 	d.Stop = append(d.Stop, r.RunRef)
-	c.note(DecisionStop, r.Task.String(), fmt.Sprintf("run=%d worker=%s reason=%q", r.Run, w.id, "not assigned there"))
+	c.note(event.Stop, r.Task.String(), fmt.Sprintf("run=%d worker=%s reason=%q", r.Run, w.id, "not assigned there"))
 }
 
 // traits returns what local control has to know of the newest run.
@@ -120,7 +121,7 @@
 // end takes the end of the newest run of a task.
 func (c *Core) end(now time.Time, t *task, e link.RunEnd) {
 	id, j := t.worker, t.step.occ.job
-	c.note(DecisionEnd, t.id.String(), fmt.Sprintf("run=%d worker=%s outcome=%s percent=%.0f held=%s %s",
+	c.note(event.End, t.id.String(), fmt.Sprintf("run=%d worker=%s outcome=%s percent=%.0f held=%s %s",
 		t.run, id, e.Outcome, t.percent, now.Sub(t.assigned).Round(time.Millisecond), e.Reason))
 	c.learn(now, t, e.Outcome)
 	wasStopping := t.state == stateStopping
@@ -177,7 +178,7 @@
 	j.finished++
 	delete(j.occurrences, o.k)
 	if j.finished == j.spec.Occurrences() {
-		c.note(DecisionComplete, j.spec.ID, fmt.Sprintf("slack=%s", j.due.Sub(now).Round(time.Millisecond)))
+		c.note(event.Complete, j.spec.ID, fmt.Sprintf("slack=%s", j.due.Sub(now).Round(time.Millisecond)))
 		c.finish(now, j, Completed, "")
 	}
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/interfere"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/link"
@@ -92,27 +93,13 @@
 
 // Note is one decision, for the log.
 type Note struct {
-	// Decision names the kind of decision, Subject the task, job or worker it is about.
-	Decision, Subject string
+	// Decision is the kind of decision, Subject the task, job or worker it is about.
+	Decision event.Message
+	Subject  string
 	// Reason holds the inputs that decided it.
 	Reason string
 }
 
-// Decisions that a core notes.
-const (
-	DecisionAccept   = "accept"
-	DecisionPlace    = "place"
-	DecisionEnd      = "end"
-	DecisionLapse    = "lapse"
-	DecisionStop     = "stop"
-	DecisionComplete = "complete"
-	DecisionFail     = "fail"
-	DecisionCancel   = "cancel"
-	DecisionSuspect  = "suspect"
-	DecisionWorker   = "worker"
-	DecisionLearn    = "learn"
-)
-
 // New returns a core without jobs or workers.
 func New(opt Options) *Core {
 	return &Core{
@@ -140,7 +127,7 @@
 	c.learnedAt = now
 	data, err := c.tails.Encode()
 	if err != nil {
-		c.note(DecisionLearn, "tails", err.Error())
+		c.note(event.Learn, "tails", err.Error())
 		return
 	}
 	b.Records = append(b.Records, store.Record{Key: LearnedKey, Value: data})
@@ -220,7 +207,7 @@
 }
 
 // note keeps a decision for the log.
-func (c *Core) note(decision, subject, reason string) {
+func (c *Core) note(decision event.Message, subject, reason string) {
 	c.notes = append(c.notes, Note{decision, subject, reason})
 }
 
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
 )
 
@@ -322,7 +323,7 @@
 		Traits: t.traits(), Payload: j.spec.Payload, Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.id].text,
 	})
 	c.health.started(now, w.id, t)
-	c.note(DecisionPlace, t.id.String(), fmt.Sprintf("run=%d worker=%s free=%d spare=%d pace=%d slack=%s",
+	c.note(event.Place, t.id.String(), fmt.Sprintf("run=%d worker=%s free=%d spare=%d pace=%d slack=%s",
 		run, w.id, w.free().MilliCPU, w.spare(), w.pace, j.due.Sub(now).Round(time.Millisecond)))
 }
 
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/resource"
@@ -138,7 +139,7 @@
 	if info.Draining {
 		w.drainSeen = now
 	}
-	c.note(DecisionWorker, info.ID, fmt.Sprintf("attached running=%d ended=%d held=%d", len(running), len(ended), len(w.held)))
+	c.note(event.Worker, info.ID, fmt.Sprintf("attached running=%d ended=%d held=%d", len(running), len(ended), len(w.held)))
 	listed := map[link.RunRef]bool{}
 	for _, r := range running {
 		listed[r.RunRef] = true
@@ -181,7 +182,7 @@
 	}
 	if info.Draining && !w.info.Draining {
 		c.swept = time.Time{}
-		c.note(DecisionWorker, info.ID, fmt.Sprintf("draining remaining_ms=%d", info.RemainingMS))
+		c.note(event.Worker, info.ID, fmt.Sprintf("draining remaining_ms=%d", info.RemainingMS))
 	}
 	if info.Draining {
 		w.drainSeen = now
@@ -197,7 +198,7 @@
 	}
 	if mute && !w.mute {
 		w.muteAt = now
-		c.note(DecisionWorker, id, fmt.Sprintf("not answering held=%d", len(w.held)))
+		c.note(event.Worker, id, fmt.Sprintf("not answering held=%d", len(w.held)))
 	}
 	w.pace, w.mute = pace, mute
 }
@@ -210,7 +211,7 @@
 	}
 	w.attached = false
 	w.lapseAt = now.Add(c.opt.lapse())
-	c.note(DecisionWorker, id, fmt.Sprintf("detached held=%d lapse_in=%s", len(w.held), c.opt.lapse()))
+	c.note(event.Worker, id, fmt.Sprintf("detached held=%d lapse_in=%s", len(w.held), c.opt.lapse()))
 }
 
 // Gone says that a life of a worker is surely over and nothing runs in it.
@@ -219,7 +220,7 @@
 	if w == nil {
 		return
 	}
-	c.note(DecisionWorker, id, fmt.Sprintf("gone held=%d", len(w.held)))
+	c.note(event.Worker, id, fmt.Sprintf("gone held=%d", len(w.held)))
 	c.evacuated(now, w)
 	c.remove(w)
 }
@@ -244,7 +245,7 @@
 			continue
 		}
 		if len(w.held) > 0 {
-			c.note(DecisionLapse, w.id, fmt.Sprintf("held=%d", len(w.held)))
+			c.note(event.Lapse, w.id, fmt.Sprintf("held=%d", len(w.held)))
 		}
 		c.evacuated(now, w)
 		c.remove(w)
@@ -254,7 +255,7 @@
 // lapseMute ends the runs of a worker that its guard has not been able to renew for a whole lease.
 func (c *Core) lapseMute(now time.Time, w *worker) {
 	if w.mute && len(w.held) > 0 && now.Sub(w.muteAt) > c.opt.lapse() {
-		c.note(DecisionLapse, w.id, fmt.Sprintf("not answering held=%d", len(w.held)))
+		c.note(event.Lapse, w.id, fmt.Sprintf("not answering held=%d", len(w.held)))
 		c.evacuated(now, w)
 	}
 }
--- a/internal/trace/order.go
+++ b/internal/trace/order.go
@@ -5,21 +5,23 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/event"
 )
 
 // pairs are messages that follow from others about the same job or run.
 var pairs = []struct {
-	cause, effect string
+	cause, effect event.Message
 	// sameRun says that both must name the same run of the same task.
 	sameRun bool
 }{
-	{"job submitted", "accept", false},
-	{"accept", "place", false},
-	{"job cancelled", "cancel", false},
-	{"place", "start not done", true},
-	{"place", "end", true},
-	{"accept", "complete", false},
-	{"accept", "fail", false},
+	{event.JobSubmitted, event.Accept, false},
+	{event.Accept, event.Place, false},
+	{event.JobCancelled, event.Cancel, false},
+	{event.Place, event.StartNotDone, true},
+	{event.Place, event.End, true},
+	{event.Accept, event.Complete, false},
+	{event.Accept, event.Fail, false},
 }
 
 // key names what a line is about: the run of a task, or the job.
--- a/internal/trace/read.go
+++ b/internal/trace/read.go
@@ -9,6 +9,8 @@
 	"io"
 	"strings"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/event"
 )
 
 // Line is one log line.
@@ -18,9 +20,9 @@
 	Number  int
 	// Time is by the clock of the process.
 	Time time.Time
-	// Part and Message are the prefix and the kind of the line, Fields the rest.
-	Part, Message string
-	Fields        map[string]any
+	// Message is the kind of the line, Fields all but its time and level.
+	Message event.Message
+	Fields  map[string]any
 }
 
 // maxLine is the longest line that is read, in bytes; processes write far shorter ones.
@@ -65,15 +67,15 @@
 		return Line{}, fmt.Errorf("parse log line: %w", err)
 	}
 	l := Line{Fields: fields}
-	l.Message, _ = fields["msg"].(string)
-	l.Part, _ = fields["prefix"].(string)
+	message, _ := fields["msg"].(string)
+	l.Message = event.Message(message)
 	stamp, _ := fields["time"].(string)
 	at, err := time.Parse(time.RFC3339Nano, stamp)
 	if err != nil {
 		return Line{}, fmt.Errorf("parse log line: %w", err)
 	}
 	l.Time = at
-	for _, k := range []string{"msg", "prefix", "time", "level"} {
+	for _, k := range []string{"msg", "time", "level"} {
 		delete(fields, k)
 	}
 	return l, nil
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/event"
 )
 
 // Event is one entry of a trace: a line, or a gap.
@@ -13,7 +15,7 @@
 	At time.Time `json:"at"`
 	// Process wrote the line; empty for a gap.
 	Process string         `json:"process,omitempty"`
-	Message string         `json:"message"`
+	Message event.Message  `json:"message"`
 	Fields  map[string]any `json:"fields,omitempty"`
 	Gap     bool           `json:"gap,omitempty"`
 }
@@ -24,12 +26,6 @@
 	Gap time.Duration
 }
 
-// Messages that concern every job while they last.
-const (
-	takenOver = "cell taken over"
-	leftOut   = "lines left out"
-)
-
 // Job returns the life of a job in the order of causes: its own lines, changes of the owner in between, and
 // gaps by name: time without a line, lines that were left out, and stages that no line tells of. It returns
 // nothing when no line is about the job.
@@ -49,7 +45,7 @@
 	var around []Line
 	for _, l := range lines {
 		t := at(off, l)
-		if (l.Message == takenOver || l.Message == leftOut) && !t.Before(begin) && !t.After(end) {
+		if (l.Message == event.CellTakenOver || l.Message == event.LinesLeftOut) && !t.Before(begin) && !t.After(end) {
 			around = append(around, l)
 		}
 	}
@@ -62,7 +58,7 @@
 			out = append(out, gap(last, "no line for %s", quiet.Round(time.Millisecond)))
 		}
 		last = t
-		if l.Message == leftOut {
+		if l.Message == event.LinesLeftOut {
 			out = append(out, gap(t, "%s left out %s lines of kind %q", l.Process, l.text("count"), l.text("kind")))
 			continue
 		}
@@ -73,7 +69,7 @@
 
 // gap returns an entry that says what is not known.
 func gap(t time.Time, format string, args ...any) Event {
-	return Event{At: t, Message: fmt.Sprintf(format, args...), Gap: true}
+	return Event{At: t, Message: event.Message(fmt.Sprintf(format, args...)), Gap: true}
 }
 
 // clockEvents tells which clocks had to be put forward.
@@ -87,21 +83,24 @@
 
 // missing names the stages that no line tells of.
 func missing(lines []Line, end time.Time) []Event {
-	seen := map[string]bool{}
+	seen := map[event.Message]bool{}
 	open := map[string]bool{}
 	for _, l := range lines {
 		seen[l.Message] = true
 		switch l.Message {
-		case "place":
+		case event.Place:
 			open[l.key(true)] = true
-		case "end":
+		case event.End:
 			delete(open, l.key(true))
 		}
 	}
 	var out []Event
-	for _, stage := range []struct{ message, text string }{
-		{"job submitted", "no entry tells of its submission"},
-		{"accept", "no owner tells that it learned of it"},
+	for _, stage := range []struct {
+		message event.Message
+		text    string
+	}{
+		{event.JobSubmitted, "no entry tells of its submission"},
+		{event.Accept, "no owner tells that it learned of it"},
 	} {
 		if !seen[stage.message] {
 			out = append(out, gap(end, "%s", stage.text))
@@ -110,7 +109,7 @@
 	for _, key := range slices.Sorted(maps.Keys(open)) {
 		out = append(out, gap(end, "no end of run %s", key))
 	}
-	if !seen["complete"] && !seen["fail"] && !seen["cancel"] {
+	if !seen[event.Complete] && !seen[event.Fail] && !seen[event.Cancel] {
 		out = append(out, gap(end, "no line tells how it ended"))
 	}
 	return out
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -30,7 +30,7 @@
 		if e.Gap {
 			name = "gap"
 		}
-		out = append(out, name+": "+e.Message)
+		out = append(out, name+": "+string(e.Message))
 	}
 	return strings.Join(out, "\n")
 }
