Fillers keep off serving tasks near their target, those of late jobs most

Cause: on the grown sites 50 to 70 of 390 serving tasks were over their target at any time, most beside fillers that had come within 1.5 s and were known to take a lot; half of them belonged to jobs that could not be on time any more. Fillers on workers whose guard slows them down stayed there. Change: a bound on the strain that a filler may put on the serving tasks of a worker, a lower one for late jobs; late jobs get no pinned task while the pool is busy; fillers that were slowed down for 1.2 s run elsewhere.

--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -15,6 +15,8 @@
 	stallAfter = 1500 * time.Millisecond
 	// fillerStallAfter is longer, since fillers may find little processor time left over.
 	fillerStallAfter = 4 * time.Second
+	// slowFor is how long a filler stays on a worker whose local control leaves it little.
+	slowFor = 1200 * time.Millisecond
 	// idleAfter is how long a lasting task may be away from its work after a start.
 	idleAfter = 2500 * time.Millisecond
 	// suspectFor is how long a worker gets no tasks after runs have stood still there.
@@ -100,6 +102,10 @@
 			continue
 		}
 		for _, t := range w.tasks {
+			if t.slowed(now, w) {
+				c.stop(now, t, "slowed down for serving tasks")
+				continue
+			}
 			if why := t.stalled(now, w); why != "" {
 				c.health.block(now.Add(suspectFor), w.id, "runs stand still")
 				c.note(event.Suspect, w.id, fmt.Sprintf("task=%s %s", t.id, why))
@@ -109,6 +115,14 @@
 	}
 }
 
+// slowed reports whether a filler has been slowed down for long enough to run elsewhere.
+func (t *task) slowed(now time.Time, w *worker) bool {
+	if !t.step.spec.Filler || t.state != stateRunning || t.pinned || w.pace >= fillerPace {
+		return false
+	}
+	return now.Sub(w.slowAt) > slowFor && now.Sub(t.assigned) > slowFor
+}
+
 // stalled returns why a run is taken to stand still, or an empty string.
 func (t *task) stalled(now time.Time, w *worker) string {
 	if t.state != stateRunning {
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -57,3 +57,67 @@
 		t.Errorf("started %+v, want the small job first", got)
 	}
 }
+
+// besideServing returns a core with one worker and a lasting task on it that has the headroom given.
+func besideServing(t *testing.T, now time.Time, headroom float64) *Core {
+	t.Helper()
+	c := pool(now, "a")
+	c.Submit(now, one("serve", 0, job.Step{Count: 1, Demand: cores(1), LongRunning: true, TailTargetMS: 100, Image: "s"}))
+	runs := started(settle(now, c))["a"]
+	if len(runs) != 1 {
+		t.Fatalf("started %+v, want the serving task", runs)
+	}
+	c.Report(now, "a", []link.RunStatus{{RunRef: runs[0].RunRef, Percent: 100, Figure: 100 / headroom}}, nil)
+	return c
+}
+
+// TestLateFillersKeepOff is a serving task near its target: a filler of a job that can be on time may take
+// a little of its headroom, one of a late job may not, and none may take much.
+func TestLateFillersKeepOff(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		headroom float64
+		late     time.Duration
+		cores    float64
+		want     int
+	}{
+		{"on time", 1.1, 0, 1, 1},
+		{"late", 1.1, 2 * time.Second, 1, 0},
+		{"late beside much headroom", 2, 2 * time.Second, 1, 1},
+		{"wide", 1.1, 0, 2.5, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			now := epoch0
+			c := besideServing(t, now, tt.headroom)
+			now = now.Add(fillerEvery)
+			j := filler("fill", 1)
+			j.AcceptedMS -= tt.late.Milliseconds()
+			j.Steps[0].Demand = cores(tt.cores)
+			c.Submit(now, j)
+			if got := started(settle(now, c))["a"]; len(got) != tt.want {
+				t.Errorf("started %+v, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestSlowedFillersMove is a worker whose guard slows its fillers down for serving tasks: they run
+// elsewhere after a while.
+func TestSlowedFillersMove(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, filler("fill", 1))
+	run := started(settle(now, c))["a"][0].RunRef
+	for range 3 {
+		c.Report(now, "a", []link.RunStatus{{RunRef: run, Percent: 10, Figure: 100}}, nil)
+		c.Pressure(now, "a", fillerPace-1, false)
+		if d := settle(now, c)["a"]; d != nil && len(d.Stop) > 0 {
+			t.Fatalf("stopped %v after %s", d.Stop, now.Sub(epoch0))
+		}
+		now = now.Add(slowFor / 3)
+	}
+	now = now.Add(sweepEvery)
+	if d := settle(now, c)["a"]; d == nil || len(d.Stop) != 1 {
+		t.Errorf("orders %+v, want the stop", d)
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -158,10 +158,19 @@
 type round struct {
 	now   time.Time
 	pools map[string]*poolRoom
-	// refused is the least demand of each filler image that no worker took.
-	refused map[string]resource.Vector
+	// refused is the least demand of each kind of filler that no worker took.
+	refused map[fillerKind]resource.Vector
 }
 
+// fillerKind is what the filters ask of a filler besides its demand.
+type fillerKind struct {
+	image string
+	late  bool
+}
+
+// kind returns the kind of a step's fillers.
+func (s *step) kind() fillerKind { return fillerKind{s.spec.Image, s.occ.job.lateness > 0} }
+
 // poolRoom is what the workers of a service have that take tasks at all.
 type poolRoom struct {
 	open []*worker
@@ -169,9 +178,12 @@
 	free, capacity int64
 }
 
+// busy reports whether more than half of the processors are reserved.
+func (p *poolRoom) busy() bool { return 2*p.free < p.capacity }
+
 // begin begins a round.
 func (c *Core) begin(now time.Time) {
-	c.round = round{now: now, pools: map[string]*poolRoom{}, refused: map[string]resource.Vector{}}
+	c.round = round{now: now, pools: map[string]*poolRoom{}, refused: map[fillerKind]resource.Vector{}}
 }
 
 // pool returns the workers that take tasks of a step's service at all.
@@ -206,7 +218,7 @@
 // feasible returns the workers that may take a task of a step.
 func (c *Core) feasible(now time.Time, s *step) []*worker {
 	if s.spec.Filler {
-		if least, ok := c.round.refused[s.spec.Image]; ok && least.Fits(s.spec.Demand) {
+		if least, ok := c.round.refused[s.kind()]; ok && least.Fits(s.spec.Demand) {
 			return nil
 		}
 	}
@@ -217,7 +229,7 @@
 		}
 	}
 	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" {
-		c.round.refused[s.spec.Image] = s.spec.Demand
+		c.round.refused[s.kind()] = s.spec.Demand
 	}
 	return out
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -223,7 +223,7 @@
 		}
 		return
 	}
-	if s.occ.job.held > 0 || !s.starved(now) {
+	if s.occ.job.held > 0 || !s.starved(now) || s.occ.job.lateness > 0 && c.pool(s).busy() {
 		return
 	}
 	if w := c.leastDisturbed(now, t); w != nil {
--- a/internal/sched/tails.go
+++ b/internal/sched/tails.go
@@ -27,6 +27,11 @@
 	// roomHard is the headroom below which a filler must not bring a serving task. Between that and
 	// roomAfter it goes there only if there is nothing better.
 	roomHard = 0.0
+	// mostStrain is the most strain that a filler may put on the serving tasks of a worker, lateStrain that
+	// of a job which can't be on time any more and is worth little. A serving task over its target costs
+	// more than a filler gains.
+	mostStrain = 0.3
+	lateStrain = 0.1
 	// tailSettle is how long figures take to show that fillers came or were moved away.
 	tailSettle = 800 * time.Millisecond
 	// effectUnsure is the variance of an effect, per core, above which one filler of an image at a time
@@ -185,9 +190,20 @@
 			return "would disturb serving tasks"
 		}
 	}
+	if c.strain(now, s.spec, w) > s.strainBound() {
+		return "would strain serving tasks"
+	}
 	return ""
 }
 
+// strainBound returns the most strain that a filler of a step may put on the serving tasks of a worker.
+func (s *step) strainBound() float64 {
+	if s.occ.job.lateness > 0 {
+		return lateStrain
+	}
+	return mostStrain
+}
+
 // strain sums what a filler would take of the headroom that serving tasks on a worker should be left with.
 func (c *Core) strain(now time.Time, s *job.Step, w *worker) float64 {
 	sum := 0.0
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -31,8 +31,10 @@
 	strangers map[link.RunRef]resource.Vector
 	// forget is the newest end that has been taken note of.
 	forget int64
-	// pace is what local control leaves to fillers, in percent.
-	pace int
+	// pace is what local control leaves to fillers, in percent; slowAt is since when that is less than
+	// fillerPace.
+	pace   int
+	slowAt time.Time
 	// mute says that the worker doesn't answer its guard, since muteAt.
 	mute   bool
 	muteAt time.Time
@@ -200,6 +202,9 @@
 		w.muteAt = now
 		c.note(event.Worker, id, fmt.Sprintf("not answering held=%d", len(w.held)))
 	}
+	if pace >= fillerPace || w.pace >= fillerPace {
+		w.slowAt = now
+	}
 	w.pace, w.mute = pace, mute
 }
 
