--- a/internal/load/soak.go
+++ b/internal/load/soak.go
@@ -92,13 +92,18 @@
 func (t *tool) soakCommand() *ff.Command {
 	var seed, minutes, only int64
 	var lg logs.Options
+	var p processes
 	set := settings.New("soak")
 	set.Int(&seed, "seed", 1, 0, 1<<62, "seed of the schedule")
 	set.Int(&minutes, "minutes", 2, 1, 7*24*60, "how long rounds are begun for, in minutes")
 	set.Int(&only, "round", 0, 0, 1<<40, "run this round alone; 0 for all")
 	set.Choice(&lg.Level, "log-level", "error", []string{"debug", "info", "warn", "error"}, "least level of log lines")
+	p.flags(set)
 	return command("soak", "[flags]", "draw faults at random and judge what was seen", set,
 		func(ctx context.Context, _ []string) error {
+			if p.on {
+				return t.soakProcesses(ctx, uint64(seed), time.Duration(minutes)*time.Minute, p)
+			}
 			if only > 0 {
 				return t.soakRound(ctx, draw(uint64(seed), int(only)), lg)
 			}
--- a/internal/standin/execstand/execstand.go
+++ b/internal/standin/execstand/execstand.go
@@ -26,10 +26,46 @@
 	until   time.Time
 	running map[link.RunRef]*run
 	ended   []link.RunEnd
+	endedAt map[int64]time.Time
 	next    int64
 	fence   map[job.TaskID]int
 	changed chan struct{}
 	starts  []link.RunRef
+	// lapsed is when a lease ended last that had not been renewed.
+	lapsed time.Time
+	// observe is told of ends; see Observe.
+	observe func(End)
+}
+
+// End is the end of a run as an observer sees it.
+type End struct {
+	link.RunEnd
+	Life string
+	At   time.Time
+	// Noted says that the worker may forget the end now; Lapsed that its lease has lapsed in between.
+	Noted, Lapsed bool
+}
+
+// Observe sets what is told of each end, and again when it is forgotten; it is called under a lock.
+func (e *Executor) Observe(f func(End)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.observe = f
+}
+
+// tell tells the observer. The caller holds the lock.
+func (e *Executor) tell(end End) {
+	if e.observe != nil {
+		e.observe(end)
+	}
+}
+
+// Running returns what runs now.
+func (e *Executor) Running() []link.RunRef {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	return e.order()
 }
 
 // run is one run that is there.
@@ -48,7 +84,7 @@
 	defer e.mu.Unlock()
 	e.life, e.began, e.token, e.until = life, time.Now(), 0, time.Time{}
 	e.running, e.fence = map[link.RunRef]*run{}, map[job.TaskID]int{}
-	e.ended, e.next = nil, 0
+	e.ended, e.endedAt, e.next = nil, map[int64]time.Time{}, 0
 	e.signal()
 }
 
@@ -83,6 +119,9 @@
 // renew extends the lease to a time on the executor's clock. The caller holds the lock.
 func (e *Executor) renew(untilMS int64) {
 	until := e.began.Add(time.Duration(untilMS) * time.Millisecond)
+	if now := time.Now(); !e.until.IsZero() && now.After(e.until) {
+		e.lapsed = now
+	}
 	if untilMS > 0 && until.After(e.until) {
 		e.until = until
 	}
@@ -117,10 +156,26 @@
 	delete(e.running, ref)
 	e.next++
 	e.fence[ref.Task] = max(e.fence[ref.Task], ref.Run)
-	e.ended = append(e.ended, link.RunEnd{N: e.next, RunRef: ref, Outcome: o})
+	end := link.RunEnd{N: e.next, RunRef: ref, Outcome: o}
+	e.ended = append(e.ended, end)
+	e.endedAt[e.next] = time.Now()
+	e.tell(End{RunEnd: end, Life: e.life, At: e.endedAt[e.next]})
 	e.signal()
 }
 
+// forget drops the ends up to a number. The caller holds the lock.
+func (e *Executor) forget(lastSeen int64) {
+	e.ended = slices.DeleteFunc(e.ended, func(end link.RunEnd) bool {
+		if end.N > lastSeen {
+			return false
+		}
+		at := e.endedAt[end.N]
+		delete(e.endedAt, end.N)
+		e.tell(End{RunEnd: end, Life: e.life, At: at, Noted: true, Lapsed: e.lapsed.After(at)})
+		return true
+	})
+}
+
 // Look implements guard.Executor.
 func (e *Executor) Look(ctx context.Context, q guard.Look) (guard.Listing, error) {
 	deadline := time.Now().Add(q.Wait)
@@ -146,9 +201,9 @@
 	if err := e.check(q.Life, q.Token); err != nil {
 		return guard.Listing{}, e.changed, err
 	}
-	e.renew(q.UntilMS)
 	e.advance()
-	e.ended = slices.DeleteFunc(e.ended, func(end link.RunEnd) bool { return end.N <= q.LastSeen })
+	e.renew(q.UntilMS)
+	e.forget(q.LastSeen)
 	l := guard.Listing{Life: e.life, ClockMS: e.clock(), Ended: slices.Clone(e.ended)}
 	for _, ref := range e.order() {
 		done := time.Since(e.running[ref].since)
@@ -164,8 +219,8 @@
 	if err := e.check(o.Life, o.Token); err != nil {
 		return err
 	}
-	e.renew(o.UntilMS)
 	e.advance()
+	e.renew(o.UntilMS)
 	ref := o.Start.RunRef
 	switch {
 	case e.running[ref] != nil:
