--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -338,6 +338,9 @@
 	return Order{Life: c.life, Token: c.epoch, Start: link.Start{Traits: link.Traits{RunRef: s}}}
 }
 
+// Pace returns the pace of all fillers, in percent.
+func (c *Core) Pace() int { return c.pace.share() }
+
 // Epoch returns the highest ownership seen.
 func (c *Core) Epoch() int64 { return c.epoch }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/pause"
 )
 
@@ -46,6 +48,7 @@
 	owner Owner
 	// clock reads milliseconds of a clock that counts while the machine is suspended.
 	clock func() int64
+	scope tally.Scope
 	log   *log.Logger
 
 	mu      sync.Mutex
@@ -63,9 +66,9 @@
 }
 
 // New returns a guard.
-func New(opt Options, exec Executor, owner Owner, clock func() int64, l *log.Logger) *Guard {
+func New(opt Options, exec Executor, owner Owner, clock func() int64, scope tally.Scope, l *log.Logger) *Guard {
 	return &Guard{
-		exec: exec, owner: owner, clock: clock, log: l, core: NewCore(opt), node: opt.Node,
+		exec: exec, owner: owner, clock: clock, scope: scope, log: l, core: NewCore(opt), node: opt.Node,
 		changed: make(chan struct{}, 1), forgot: make(chan struct{}, 1),
 		heard: make(chan struct{}, 1),
 	}
@@ -170,6 +173,7 @@
 func (g *Guard) listed(q Look, settled map[link.RunRef]bool, l Listing) bool {
 	g.mu.Lock()
 	g.core.Listed(g.clock(), settled, l)
+	g.scope.Gauge("filler_pace_percent").Update(float64(g.core.Pace()))
 	g.listing, g.full = &l, q.Token == g.core.Epoch() && q.Token > 0
 	g.act()
 	pending := len(l.Ended) > 0
@@ -209,8 +213,11 @@
 
 // start gives the order to start.
 func (g *Guard) start(o Order) {
+	began := time.Now()
 	err := g.call(func(ctx context.Context) error { return g.exec.Start(ctx, o) })
 	refused, reason := refusal(err)
+	g.scope.Tagged(map[string]string{"outcome": startOutcome(err, refused)}).
+		Histogram("start_seconds", metrics.Seconds()).RecordValue(time.Since(began).Seconds())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.core.Began(o.Start.RunRef, err, refused, reason)
@@ -223,6 +230,17 @@
 	}
 }
 
+// startOutcome names what became of an order to start.
+func startOutcome(err error, refused bool) string {
+	switch {
+	case err == nil:
+		return "started"
+	case refused:
+		return "refused"
+	}
+	return "unanswered"
+}
+
 // refusal reports whether an error says that the worker has done nothing, and why.
 func refusal(err error) (bool, string) {
 	var refused *RefusedError
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -225,6 +225,7 @@
 	b, ok := c.core.Flush(time.Now())
 	at := c.end
 	c.explain()
+	c.measure()
 	c.ask()
 	c.send()
 	c.mu.Unlock()
@@ -243,6 +244,14 @@
 	return nil
 }
 
+// measure hands on the times that the scheduler measured. The caller holds the lock.
+func (c *Cell) measure() {
+	c.scope.Gauge("view_age_seconds").Update(time.Since(c.read).Seconds())
+	for _, s := range c.core.Samples() {
+		c.scope.Histogram(string(s.Measure)+"_seconds", metrics.Seconds()).RecordValue(s.Time.Seconds())
+	}
+}
+
 // explain writes the decisions of the scheduler to the log. The caller holds the lock.
 func (c *Cell) explain() {
 	for _, n := range c.core.Notes() {
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -98,7 +98,7 @@
 	lease := common.lease(true)
 	cell := owner.New(common.schedOptions(), c.store, lease, nil, common.scope(), c.log)
 	clock := func() int64 { return time.Since(c.began).Milliseconds() + 1 }
-	g := guard.New(guard.Options{Node: n.Name, RunLease: runLease, MaxHold: runLease}, n.Executor, lease, clock, c.log)
+	g := guard.New(guard.Options{Node: n.Name, RunLease: runLease, MaxHold: runLease}, n.Executor, lease, clock, common.scope(), c.log)
 	mux := http.NewServeMux()
 	cell.Routes(mux)
 	mux.HandleFunc("POST "+owner.HintPath, owner.ServeHint(lease))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -135,7 +135,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	lease := e.lease(false)
-	tables := queues.NewFollower(e.Store, e.Queues, e.Log.WithPrefix("config"))
+	tables := queues.NewFollower(e.Store, e.Queues, e.scope(), e.Log.WithPrefix("config"))
 	in := intake.New(e.Store, owner.NewClient(), lease, e.scope(), e.Log.WithPrefix("intake"))
 	front := newServer(e.Handler(tables, in))
 	stopping := make(chan struct{})
@@ -284,7 +284,7 @@
 	lease := g.lease(true)
 	cell := owner.New(g.schedOptions(), g.Store, lease, g.Adviser, g.scope(), g.Log.WithPrefix("cell"))
 	local := guard.New(guard.Options{Node: g.Node, RunLease: runLease, MaxHold: g.MaxHold},
-		g.Executor, lease, g.Clock, g.Log.WithPrefix("guard"))
+		g.Executor, lease, g.Clock, g.scope(), g.Log.WithPrefix("guard"))
 	inner := http.NewServeMux()
 	cell.Routes(inner)
 	inner.HandleFunc("POST "+owner.HintPath, owner.ServeHint(lease))
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
@@ -65,13 +66,14 @@
 	store  store.Store
 	source Source
 	log    *log.Logger
+	scope  tally.Scope
 	mu     sync.Mutex
 	table  *Table
 }
 
 // NewFollower returns a follower.
-func NewFollower(s store.Store, source Source, l *log.Logger) *Follower {
-	return &Follower{store: s, source: source, log: l}
+func NewFollower(s store.Store, source Source, scope tally.Scope, l *log.Logger) *Follower {
+	return &Follower{store: s, source: source, scope: scope, log: l}
 }
 
 // Table returns the newest table; nil before there is one.
@@ -84,7 +86,9 @@
 // Run follows the configuration until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	next, known := store.Offset(0), false
+	read := time.Now()
 	for ctx.Err() == nil {
+		f.scope.Gauge("configuration_age_seconds").Update(time.Since(read).Seconds())
 		var err error
 		if !known {
 			next, err = f.newest(ctx)
@@ -97,7 +101,7 @@
 			pause.For(ctx, retryPause)
 			continue
 		}
-		known = true
+		known, read = true, time.Now()
 	}
 	return nil
 }
--- a/internal/queues/queues_test.go
+++ b/internal/queues/queues_test.go
@@ -12,6 +12,7 @@
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/store"
 	"github.com/crocusspring/crocusspring/internal/store/memstore"
+	"github.com/uber-go/tally/v4"
 )
 
 // decode reads a version from a text; anything else can't be read.
@@ -39,7 +40,7 @@
 func TestFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := memstore.New()
-		f := NewFollower(mem, source, logs.Discard())
+		f := NewFollower(mem, source, tally.NoopScope, logs.Discard())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/event"
@@ -129,7 +130,7 @@
 		return ""
 	}
 	if t.step.spec.LongRunning {
-		since := later(t.appeared, t.atWork)
+		since := slices.MaxFunc([]time.Time{t.appeared, t.atWork}, time.Time.Compare)
 		return when(now.Sub(since) > idleAfter, "not at work")
 	}
 	if t.step.spec.Gang {
@@ -145,14 +146,6 @@
 	return when(now.Sub(t.progress) > limit, "no progress")
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // evacuate moves tasks off draining workers when they can't end there in the time that is left.
 func (c *Core) evacuate(now time.Time) {
 	for _, w := range c.order {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -133,6 +133,12 @@
 	c.note(event.End, t.id.String(), fmt.Sprintf("run=%d worker=%s outcome=%s percent=%.0f held=%s %s",
 		t.run, id, e.Outcome, t.percent, now.Sub(t.assigned).Round(time.Millisecond), e.Reason))
 	c.learn(now, t, e.Outcome)
+	switch e.Outcome {
+	case link.Done:
+		c.sample(MeasureRun, now.Sub(t.assigned))
+	case link.Stopped:
+		c.sample(MeasureStop, now.Sub(t.assigned))
+	}
 	wasStopping := t.state == stateStopping
 	if e.Outcome == link.Done {
 		t.move(eventFinish)
--- /dev/null
+++ b/internal/sched/samples.go
@@ -0,0 +1,32 @@
+package sched
+
+import "time"
+
+// Measure is a kind of time that the scheduler measures.
+type Measure string
+
+// Measures of a scheduler.
+const (
+	// MeasureWait is from a job's acceptance until its first task got a run.
+	MeasureWait Measure = "wait"
+	// MeasureRun is from the placement of a run until its success.
+	MeasureRun Measure = "run"
+	// MeasureStop is from the placement of a run until its end by order.
+	MeasureStop Measure = "stopped_run"
+)
+
+// Sample is one measured time.
+type Sample struct {
+	Measure Measure
+	Time    time.Duration
+}
+
+// sample keeps a measured time.
+func (c *Core) sample(m Measure, d time.Duration) { c.samples = append(c.samples, Sample{m, d}) }
+
+// Samples returns the times measured since the last call.
+func (c *Core) Samples() []Sample {
+	out := c.samples
+	c.samples = nil
+	return out
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -67,6 +67,8 @@
 	seq    int64
 	ready  Orders
 	notes  []Note
+	// samples are the times measured since they were asked for.
+	samples []Sample
 	// durations holds what was learned about the duration of tasks.
 	durations durations
 	health    *health
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -317,6 +317,7 @@
 		p.free -= t.step.spec.Reserve().MilliCPU
 	}
 	if j.state == Queued {
+		c.sample(MeasureWait, time.Duration(now.UnixMilli()-j.spec.AcceptedMS)*time.Millisecond)
 		j.state = Running
 	}
 	c.touch(j)
