Guards leave orders for a life of their worker that is over

Ends forgotten by the old life's numbers could also have been lost in the new one. Messages name the life that their orders are for; a guard of another life leaves them, and the owner voids what it had not sent. TestOrdersForOldLife failed before.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 	LifeOver             Message = "life of the worker over"
 	OwnerLinked          Message = "linked to owner"
 	OwnerLost            Message = "no link to owner"
+	OrdersVoid           Message = "orders void"
 	StartNotDone         Message = "start not done"
 	LinesLeftOut         Message = "lines left out"
 	PartEnded            Message = "part ended"
@@ -127,6 +128,7 @@
 	{LifeOver, "warn", "guard", "guard", []string{"worker"}, "another life of the worker has answered; nothing runs in the old one"},
 	{OwnerLinked, "info", "guard", "guard", []string{"owner"}, "the guard takes orders from this owner"},
 	{OwnerLost, "warn", "guard", "guard", []string{"owner", "err"}, "the guard's link to the owner has ended or can't be opened"},
+	{OrdersVoid, "info", "guard", "guard", []string{"worker", "starts"}, "orders for a life of the worker that is over"},
 	{StartNotDone, "warn", "guard", "guard", []string{"task", "run", "refused", "err"}, "an order to start was refused, or got no answer and is being settled"},
 	{LinesLeftOut, "warn", "all", "logs", []string{"kind", "count"}, "lines of a kind over its rate, or that found the buffer full"},
 	{PartEnded, "error", "crocus-dev", "cell", []string{"err"}, "a part of an in-process cell has ended by itself"},
--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -91,6 +91,10 @@
 // Draining reports whether the worker takes no new runs.
 func (c *Core) Draining() bool { return c.info != nil && c.info.Draining }
 
+// Meant reports whether orders are for the life of the worker that runs; the owner may not know yet that
+// another one has begun.
+func (c *Core) Meant(d link.Down) bool { return d.Worker != "" && d.Worker == c.life }
+
 // Vouch takes the authority of an owner; it returns false for an owner that was replaced.
 func (c *Core) Vouch(d link.Down) bool {
 	if d.Epoch < c.epoch {
@@ -103,6 +107,9 @@
 	if d.EchoMS > 0 {
 		c.deadline = max(c.deadline, d.EchoMS+c.opt.RunLease.Milliseconds())
 	}
+	if !c.Meant(d) {
+		return true
+	}
 	c.forget = max(c.forget, d.Forget)
 	for _, k := range d.Known {
 		if r := c.runs[k.RunRef]; r != nil {
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -169,6 +169,31 @@
 	}
 }
 
+// TestOrdersForOldLife checks that orders which the owner gave before it knew of a new life of the worker
+// change nothing in the new one: a start would run beside the one that replaces it, and ends would be
+// forgotten that nobody has seen.
+func TestOrdersForOldLife(t *testing.T) {
+	c := newTestCore(t)
+	c.OtherLife("life-1")
+	c.Describe(worker("life-2"))
+	c.Listed(1200, nil, Listing{Life: "life-2", ClockMS: 7})
+	d := link.Down{Epoch: 1, EchoMS: 1300, Worker: "life-1", Start: []link.Start{start(0, 1)}, Forget: 5}
+	if !c.Vouch(d) {
+		t.Fatal("owner is refused")
+	}
+	if c.Meant(d) {
+		t.Error("a start for the old life is taken for the new one")
+	}
+	if q, _ := c.Looking(1300, 0); q.LastSeen != 0 {
+		t.Errorf("ends up to %d are forgotten in the new life", q.LastSeen)
+	}
+	d.Worker = "life-2"
+	c.Vouch(d)
+	if q, _ := c.Looking(1300, 0); !c.Meant(d) || q.LastSeen != 5 {
+		t.Errorf("orders for the new life are left, forgets up to %d", q.LastSeen)
+	}
+}
+
 // TestDelayedAnnouncement checks that a late word of an old life changes nothing.
 func TestDelayedAnnouncement(t *testing.T) {
 	c := newTestCore(t)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -377,6 +377,12 @@
 	if !g.core.Vouch(d) {
 		return errReplaced
 	}
+	if !g.core.Meant(d) {
+		if len(d.Start) > 0 {
+			g.log.Info(event.OrdersVoid, "worker", d.Worker, "starts", len(d.Start))
+		}
+		return nil
+	}
 	if d.Forget > 0 {
 		signal(g.forgot)
 	}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -108,7 +108,9 @@
 	// Epoch numbers the ownership; a guard that knows a higher one refuses the message.
 	Epoch int64 `json:"epoch"`
 	// EchoMS is the newest clock reading received from the guard; authority counts from it.
-	EchoMS int64    `json:"echo"`
+	EchoMS int64 `json:"echo"`
+	// Worker is the life of the worker that the orders below are for; a guard of another life leaves them.
+	Worker string   `json:"worker,omitempty"`
 	Start  []Start  `json:"start,omitempty"`
 	Stop   []RunRef `json:"stop,omitempty"`
 	Known  []Traits `json:"known,omitempty"`
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -107,12 +107,19 @@
 func (c *Cell) over(now time.Time, p *peer, id string) {
 	c.core.Gone(now, id)
 	if p.worker == id {
-		p.worker = ""
+		p.speakFor("")
 		delete(c.links, id)
 	}
 	c.wake()
 }
 
+// speakFor says which life of a worker the peer speaks for. Orders for another one are void.
+func (p *peer) speakFor(life string) {
+	if p.worker != life {
+		p.worker, p.out = life, link.Down{}
+	}
+}
+
 // attach takes the inventory of a guard. A new life of the worker says that the one before is over.
 func (c *Cell) attach(now time.Time, p *peer, up link.Up) {
 	id := up.Worker.ID
@@ -121,13 +128,13 @@
 		delete(c.links, p.worker)
 	}
 	if old := c.links[id]; old != nil && old != p {
-		old.worker = ""
+		old.speakFor("")
 		old.conn.Close()
 	}
 	for _, w := range c.core.OtherLives(id, p.node) {
 		c.core.Gone(now, w)
 	}
-	p.worker = id
+	p.speakFor(id)
 	c.links[id] = p
 	c.core.Attach(now, p.node, *up.Worker, up.Running, up.Ended)
 	c.core.Pressure(now, id, up.Pace, up.Mute)
@@ -166,7 +173,7 @@
 		return link.Down{}, err
 	}
 	d := p.out
-	d.Epoch, d.EchoMS = epoch, p.echo
+	d.Epoch, d.EchoMS, d.Worker = epoch, p.echo, p.worker
 	p.out = link.Down{}
 	return d, nil
 }
