--- /dev/null
+++ b/internal/sched/world_test.go
@@ -0,0 +1,480 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/resource"
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+// options are those of the tests; the times are short so that lapses come often.
+var options = Options{RunLease: time.Second, EchoStretch: time.Second, Margin: 100 * time.Millisecond, Keep: time.Hour}
+
+// executor is a worker of the model: it starts what it is told, keeps what ended until it may be
+// forgotten, and ends everything when nobody vouches for it.
+type executor struct {
+	id      string
+	node    string
+	cap     resource.Vector
+	running map[link.RunRef]*modelRun
+	ended   []link.RunEnd
+	next    int64
+	forgot  int64
+	// fence is the highest run stopped or ended of each task.
+	fence map[job.TaskID]int
+	// until is when the lease ends, up whether this life still runs.
+	until time.Time
+	up    bool
+	// lapses counts how often the lease has run out, and lapsedAt how often it had when each end came.
+	lapses   int
+	lapsedAt map[int64]int
+}
+
+// modelRun is a run of the model.
+type modelRun struct{ left int }
+
+// world is a cell with its store, its workers and what is on its way between them.
+type world struct {
+	t    *rapid.T
+	now  time.Time
+	core *Core
+	// log holds the stored records of jobs, in order; a takeover reads them.
+	log     map[string][]byte
+	specs   []*job.Spec
+	cancels map[string]bool
+	execs   []*executor
+	// attached names the life that each node's link speaks for.
+	attached map[string]*executor
+	flying   *Batch
+	// late holds orders that will be carried out although their link is gone.
+	late []lateStart
+	// done counts successful ends that were taken note of, by task.
+	done    map[job.TaskID]bool
+	failed  map[job.TaskID]int
+	counter int
+}
+
+// lateStart is an order that is still on its way.
+type lateStart struct {
+	to    *executor
+	start link.Start
+	until time.Time
+}
+
+// newWorld returns a world with workers and no jobs.
+func newWorld(t *rapid.T, workers int) *world {
+	w := &world{
+		t: t, now: time.Unix(1_800_000_000, 0), log: map[string][]byte{}, cancels: map[string]bool{},
+		attached: map[string]*executor{}, done: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
+	}
+	w.core = New(options)
+	for i := range workers {
+		w.boot(fmt.Sprintf("node-%d", i))
+	}
+	return w
+}
+
+// boot starts a new life of a node's worker.
+func (w *world) boot(node string) *executor {
+	w.counter++
+	e := &executor{
+		id: fmt.Sprintf("life-%d", w.counter), node: node, cap: resource.Vector{MilliCPU: 4000, MemoryMB: 8000},
+		running: map[link.RunRef]*modelRun{}, fence: map[job.TaskID]int{}, up: true, until: w.now,
+		lapsedAt: map[int64]int{},
+	}
+	w.execs = append(w.execs, e)
+	return e
+}
+
+// info describes a life as its guard would.
+func (e *executor) info() link.Worker {
+	return link.Worker{ID: e.id, Service: "pool", Capacity: e.cap, Kind: "a", Rack: "r-" + e.node}
+}
+
+// listing returns what a life lists.
+func (e *executor) listing() ([]link.RunStatus, []link.RunEnd) {
+	var rows []link.RunStatus
+	for ref, r := range e.running {
+		rows = append(rows, link.RunStatus{RunRef: ref, Percent: float64(100 - r.left*25)})
+	}
+	slices.SortFunc(rows, func(a, b link.RunStatus) int { return strings.Compare(a.Task.String(), b.Task.String()) })
+	var ends []link.RunEnd
+	for _, end := range e.ended {
+		if end.N > e.forgot {
+			ends = append(ends, end)
+		}
+	}
+	return rows, ends
+}
+
+// end ends a run on a life.
+func (e *executor) end(ref link.RunRef, o link.Outcome) {
+	delete(e.running, ref)
+	e.next++
+	e.fence[ref.Task] = max(e.fence[ref.Task], ref.Run)
+	e.lapsedAt[e.next] = e.lapses
+	e.ended = append(e.ended, link.RunEnd{N: e.next, RunRef: ref, Outcome: o})
+}
+
+// start carries an order out, unless it came too late.
+func (w *world) start(e *executor, s link.Start, until time.Time, late bool) bool {
+	if !e.up || s.Run <= e.fence[s.Task] || !w.now.Before(until) {
+		return false
+	}
+	if until.After(e.until) {
+		e.until = until
+	}
+	if e.running[s.RunRef] != nil {
+		return true
+	}
+	w.judgeStart(e, s, late)
+	e.running[s.RunRef] = &modelRun{left: 4}
+	return true
+}
+
+// judgeStart holds a start to the promises.
+func (w *world) judgeStart(e *executor, s link.Start, late bool) {
+	spec := w.spec(s.Task.Job)
+	if spec == nil {
+		w.t.Fatalf("%s started, and nobody submitted it", s.Task)
+	}
+	step := spec.Steps[s.Task.Step]
+	// Copies of speculative tasks may run at the same time, and one that was ordered before the success of
+	// another may begin after it.
+	late = late && step.Speculative
+	if w.done[s.Task] && !late {
+		w.t.Fatalf("%s run %d started on %s after its success was taken note of", s.Task, s.Run, e.id)
+	}
+	if !step.LongRunning && !late && w.failed[s.Task] >= spec.Policy.MaxAttempts {
+		w.t.Fatalf("%s run %d started after %d failures", s.Task, s.Run, w.failed[s.Task])
+	}
+	for _, other := range w.execs {
+		for ref := range other.running {
+			if other.up && ref.Task == s.Task && ref != s.RunRef && !step.Speculative {
+				w.t.Fatalf("%s runs twice: run %d on %s and run %d on %s", s.Task, ref.Run, other.id, s.Run, e.id)
+			}
+		}
+	}
+	for _, d := range step.DependsOn {
+		for i := range spec.Steps[d].Count {
+			if id := (job.TaskID{Job: s.Task.Job, Step: d, Index: i}); !w.succeeded(id) {
+				w.t.Fatalf("%s started before %s had succeeded", s.Task, id)
+			}
+		}
+	}
+	used := spec.Steps[s.Task.Step].Reserve()
+	same := 1
+	for ref := range e.running {
+		used = used.Add(w.spec(ref.Task.Job).Steps[ref.Task.Step].Reserve())
+		if ref.Task.Job == s.Task.Job && ref.Task.Step == s.Task.Step {
+			same++
+		}
+	}
+	if !used.Fits(e.cap) {
+		w.t.Fatalf("%s brings %s over its capacity: %s of %s", s.Task, e.id, used, e.cap)
+	}
+	if step.AntiAffinity > 0 && same > step.AntiAffinity {
+		w.t.Fatalf("%s is number %d of its step on %s, %d allowed", s.Task, same, e.id, step.AntiAffinity)
+	}
+}
+
+// succeeded reports whether some life listed a success of a task.
+func (w *world) succeeded(id job.TaskID) bool {
+	for _, e := range w.execs {
+		for _, end := range e.ended {
+			same := end.Task == id || w.stepOf(id).Gang && end.Task.Job == id.Job && end.Task.Step == id.Step
+			if same && end.Outcome == link.Done {
+				return true
+			}
+		}
+	}
+	return w.done[id]
+}
+
+// spec returns a submitted job.
+func (w *world) spec(id string) *job.Spec {
+	for _, s := range w.specs {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// deliver carries orders out. Some are lost, some are kept for later.
+func (w *world) deliver(orders Orders, faults *rapid.Generator[int]) {
+	for _, id := range slices.Sorted(maps.Keys(orders)) {
+		d := orders[id]
+		e := w.life(id)
+		if e == nil || w.attached[e.node] != e {
+			continue
+		}
+		for _, s := range d.Start {
+			w.order(e, s, faults.Draw(w.t, "fate of a start"))
+		}
+		for _, ref := range d.Stop {
+			if faults.Draw(w.t, "fate of a stop") == 0 {
+				continue
+			}
+			w.stop(e, ref)
+		}
+		if d.Forget > e.forgot {
+			w.forget(e, d.Forget)
+		}
+	}
+}
+
+// forget lets a life forget ends, which counts as taking note of them.
+func (w *world) forget(e *executor, upTo int64) {
+	for _, end := range e.ended {
+		if end.N <= e.forgot || end.N > upTo {
+			continue
+		}
+		switch end.Outcome {
+		case link.Done:
+			// A success counts for good unless the lease ran out before it was taken note of.
+			w.done[end.Task] = w.done[end.Task] || e.lapsedAt[end.N] == e.lapses
+		case link.Failed:
+			w.failed[end.Task]++
+		}
+	}
+	e.forgot = upTo
+}
+
+// order gives an order to start: 0 keeps it for later without an answer, 1 has it refused, and 2 keeps it
+// for later while the guard that gave it dies, so that nobody has settled it when the next one attaches.
+func (w *world) order(e *executor, s link.Start, fate int) {
+	until := w.now.Add(options.RunLease)
+	switch fate {
+	case 0:
+		// The guard settles an unanswered start by a stop, so that it can't begin after that.
+		w.late = append(w.late, lateStart{e, s, until})
+		w.stop(e, s.RunRef)
+	case 2:
+		w.late = append(w.late, lateStart{e, s, until})
+		w.detach(e.node)
+	case 1:
+		w.core.Ended(w.now, e.id, []link.RunEnd{{RunRef: s.RunRef, Outcome: link.Absent, Reason: "room"}})
+	default:
+		w.start(e, s, until, false)
+	}
+}
+
+// stop ends a run by order; a run that isn't there is reported absent.
+func (w *world) stop(e *executor, ref link.RunRef) {
+	if e.running[ref] != nil {
+		e.end(ref, link.Stopped)
+		w.breakGang(ref)
+		return
+	}
+	e.fence[ref.Task] = max(e.fence[ref.Task], ref.Run)
+	for _, end := range e.ended {
+		if end.RunRef == ref {
+			return
+		}
+	}
+	w.core.Ended(w.now, e.id, []link.RunEnd{{RunRef: ref, Outcome: link.Absent}})
+}
+
+// life returns a life by its id.
+func (w *world) life(id string) *executor {
+	for _, e := range w.execs {
+		if e.id == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// step lets time pass: runs advance, leases lapse, and links vouch for their workers.
+func (w *world) step(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, e := range w.execs {
+		if !e.up {
+			continue
+		}
+		if !w.now.Before(e.until) {
+			e.lapses++
+		}
+		lapsed := !w.now.Before(e.until)
+		if w.attached[e.node] == e {
+			e.until = w.now.Add(options.RunLease)
+		}
+		for _, ref := range refs(e) {
+			r := e.running[ref]
+			if r == nil {
+				continue
+			}
+			switch r.left--; {
+			case lapsed:
+				e.end(ref, link.Lapsed)
+				w.breakGang(ref)
+			case r.left <= 0 && !w.spec(ref.Task.Job).Steps[ref.Task.Step].LongRunning:
+				w.finish(e, ref)
+			}
+		}
+	}
+	w.core.Schedule(w.now)
+}
+
+// refs returns the runs of a life in order.
+func refs(e *executor) []link.RunRef {
+	var out []link.RunRef
+	for ref := range e.running {
+		out = append(out, ref)
+	}
+	slices.SortFunc(out, func(a, b link.RunRef) int { return strings.Compare(a.Task.String(), b.Task.String()) })
+	return out
+}
+
+// finish ends a run by itself. The members of a gang succeed together, and one failure breaks them all.
+func (w *world) finish(e *executor, ref link.RunRef) {
+	outcome, others := link.Done, link.Done
+	if rapid.IntRange(0, 5).Draw(w.t, "outcome") == 0 {
+		outcome, others = link.Failed, link.Broken
+	}
+	if w.stepOf(ref.Task).Gang && !w.together(ref) {
+		e.running[ref].left = 1
+		return
+	}
+	e.end(ref, outcome)
+	if w.stepOf(ref.Task).Gang {
+		w.endMembers(ref, others)
+	}
+}
+
+// stepOf returns the step of a task.
+func (w *world) stepOf(id job.TaskID) *job.Step { return &w.spec(id.Job).Steps[id.Step] }
+
+// member reports whether two runs belong to one run of a gang.
+func member(a, b link.RunRef) bool {
+	return a.Run == b.Run && a.Task.Job == b.Task.Job && a.Task.Step == b.Task.Step
+}
+
+// together reports whether all members of a gang run.
+func (w *world) together(ref link.RunRef) bool {
+	n := 0
+	for _, e := range w.execs {
+		for other := range e.running {
+			if e.up && member(ref, other) {
+				n++
+			}
+		}
+	}
+	return n == w.stepOf(ref.Task).Count
+}
+
+// breakGang ends the other members of a gang, one of which has ended.
+func (w *world) breakGang(ref link.RunRef) {
+	if w.stepOf(ref.Task).Gang {
+		w.endMembers(ref, link.Broken)
+	}
+}
+
+// endMembers ends the members of a gang that still run.
+func (w *world) endMembers(ref link.RunRef, o link.Outcome) {
+	for _, e := range w.execs {
+		for _, other := range refs(e) {
+			if e.up && member(ref, other) {
+				e.end(other, o)
+			}
+		}
+	}
+}
+
+// attach links a node's newest life.
+func (w *world) attach(node string) {
+	var newest *executor
+	for _, e := range w.execs {
+		if e.node == node {
+			newest = e
+		}
+	}
+	if newest == nil || !newest.up || w.attached[node] == newest {
+		return
+	}
+	for _, other := range w.core.OtherLives(newest.id, node) {
+		w.core.Gone(w.now, other)
+	}
+	w.attached[node] = newest
+	newest.until = w.now.Add(options.RunLease)
+	rows, ends := newest.listing()
+	w.core.Attach(w.now, node, newest.info(), rows, ends)
+}
+
+// detach cuts a node's link.
+func (w *world) detach(node string) {
+	if e := w.attached[node]; e != nil {
+		delete(w.attached, node)
+		w.core.Detach(w.now, e.id)
+	}
+}
+
+// flush hands the next batch to the store; it isn't answered yet.
+func (w *world) flush() {
+	if w.flying != nil {
+		return
+	}
+	if b, ok := w.core.Flush(w.now); ok {
+		w.flying = &b
+	}
+}
+
+// stored answers the batch that is on its way.
+func (w *world) stored() {
+	if w.flying == nil {
+		return
+	}
+	w.write(w.flying.Records)
+	w.core.Stored(w.flying.Seq)
+	w.flying = nil
+}
+
+// write puts records into the log.
+func (w *world) write(records []store.Record) {
+	for _, r := range records {
+		w.log[r.Key] = r.Value
+	}
+}
+
+// takeover lets a new owner begin from what was stored; the batch on its way may have made it.
+func (w *world) takeover(made bool) {
+	if w.flying != nil && made {
+		w.write(w.flying.Records)
+	}
+	w.flying = nil
+	for node := range w.attached {
+		delete(w.attached, node)
+	}
+	w.core = New(options)
+	for _, s := range w.specs {
+		w.core.Submit(w.now, s)
+	}
+	for _, s := range w.specs {
+		if v, ok := w.log[s.ID]; ok {
+			if err := w.core.Restore(w.now, s.ID, v); err != nil {
+				w.t.Fatal(err)
+			}
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(w.log)) {
+		if w.spec(key) != nil || len(w.log[key]) == 0 {
+			continue
+		}
+		if err := w.core.Restore(w.now, key, w.log[key]); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.cancels)) {
+		w.core.Cancel(w.now, id)
+	}
+}
+
