--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -190,4 +190,3 @@
 	case <-ctx.Done():
 	}
 }
-
--- a/internal/guard/orders.go
+++ b/internal/guard/orders.go
@@ -132,4 +132,3 @@
 	g.core.Paced(o.Start.RunRef, percent, err)
 	g.act()
 }
-
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -477,4 +477,3 @@
 		w.core.Cancel(w.now, id)
 	}
 }
-
