--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -5,7 +5,6 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
-	"io/fs"
 	"os"
 	"path/filepath"
 	"slices"
@@ -67,13 +66,20 @@
 func calls(t *testing.T, dir string) []call {
 	t.Helper()
 	set := token.NewFileSet()
-	pkgs, err := parser.ParseDir(set, dir, func(f fs.FileInfo) bool { return !strings.HasSuffix(f.Name(), "_test.go") }, 0)
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	var out []call
-	for _, p := range pkgs {
-		ast.Inspect(p, func(n ast.Node) bool {
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		f, err := parser.ParseFile(set, name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
 			c, ok := n.(*ast.CallExpr)
 			if !ok {
 				return true
