A new owner gives guards time to connect before it copies speculative tasks

Found in the last read of the diff: to a new owner every worker counted as cut off for long, so each speculative task that ran would have got a copy at a takeover. TestTakeoverWaitsForGuards failed before.

--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -106,3 +106,24 @@
 		t.Errorf("the run on %s is not known after the takeover", first)
 	}
 }
+
+// TestTakeoverWaitsForGuards checks that a new owner gives no task a copy before the guards of what runs had
+// time to connect.
+func TestTakeoverWaitsForGuards(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	speculate(t, now, c, true)
+	next := New(options)
+	next.Submit(now, c.jobs["job"].spec)
+	if err := next.Restore(now, "job", c.jobs["job"].encode()); err != nil {
+		t.Fatal(err)
+	}
+	next.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, nil, nil)
+	if got := started(settle(now, next)); len(got) != 0 {
+		t.Errorf("started %+v at the takeover", got)
+	}
+	now = now.Add(copyAfter + sweepEvery)
+	if got := started(settle(now, next)); len(got) != 1 {
+		t.Errorf("started %+v while the guard of the run stays away, want a copy", got)
+	}
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -31,7 +31,7 @@
 	strangers map[link.RunRef]resource.Vector
 	// copies are earlier runs of speculative tasks that may go on here.
 	copies map[link.RunRef]*copied
-	// detached is when the connection to the guard was lost.
+	// detached is when the connection to the guard was lost, or the worker became known without one.
 	detached time.Time
 	// forget is the newest end that has been taken note of.
 	forget int64
@@ -64,7 +64,7 @@
 	w := c.workers[id]
 	if w == nil {
 		w = &worker{id: id, held: map[job.TaskID]*task{}, strangers: map[link.RunRef]resource.Vector{}, copies: map[link.RunRef]*copied{}, pace: 100}
-		w.lapseAt = now.Add(c.opt.lapse() + c.opt.EchoStretch)
+		w.lapseAt, w.detached = now.Add(c.opt.lapse()+c.opt.EchoStretch), now
 		c.workers[id] = w
 		i, _ := slices.BinarySearchFunc(c.order, id, func(o *worker, id string) int { return strings.Compare(o.id, id) })
 		c.order = slices.Insert(c.order, i, w)
