Scripts of crocusctl wait until both entries are ready

Cause (KNOWN-RED, TestScripts/outage): the first command of a script was sent before its entry had read the configuration, which the entry says in its answer; on a busy machine the race is lost now and then. An operator waits for /readyz; so do the scripts now. No check of a script has changed.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -22,6 +22,7 @@
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/node"
 	"github.com/crocusspring/crocusspring/internal/operator"
+	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/standin/logstand"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
 	"github.com/crocusspring/crocusspring/internal/tlsconf"
@@ -53,6 +54,9 @@
 			if err != nil {
 				return err
 			}
+			if err := in.waitReady(); err != nil {
+				return err
+			}
 			env.Values["installation"] = in
 			env.Setenv("CROCUS_NODE", in.addrs[0])
 			env.Setenv("OTHER", in.addrs[1])
@@ -122,6 +126,38 @@
 	return in, nil
 }
 
+// readyTimeout bounds the wait for the entries of a script; it is far more than they need.
+const readyTimeout = time.Minute
+
+// waitReady waits until both entries report that they are ready. An entry that has not read the configuration
+// refuses changes.
+func (in *installation) waitReady() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for _, addr := range in.addrs {
+		for !isReady(ctx, addr) {
+			if !pause.For(ctx, 10*time.Millisecond) {
+				return fmt.Errorf("entry %s is not ready: %w", addr, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// isReady reports whether an entry answers that it is ready.
+func isReady(ctx context.Context, addr string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // exits runs a program and checks its exit code: exits CODE PROGRAM ARGS...
 func exits(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
