--- a/internal/dev/fault.go
+++ b/internal/dev/fault.go
@@ -79,18 +79,24 @@
 // eventCount returns how many events there were.
 func (in *Injector) eventCount() int { return int(in.events.Load()) }
 
+// searchInterval is the delay before a fault that found nothing to strike is tried again.
+const searchInterval = 50 * time.Millisecond
+
 // cycle injects a fault repeatedly until ctx ends: it waits a fifth of the run, injects the fault, holds
-// it and restores the normal state. An injected fault is held for the whole time even if ctx ends, unless
-// the cluster stops.
+// it and restores the normal state. A fault that finds nothing to strike is tried again after searchInterval.
+// An injected fault is held for the whole time even if ctx ends, unless the cluster stops.
 func (in *Injector) cycle(ctx context.Context, hold time.Duration, inject func() (restore func() error, err error)) error {
-	for pause.For(ctx, in.plan.Length/5) {
+	calm := in.plan.Length / 5
+	for wait := calm; pause.For(ctx, wait); {
 		restore, err := inject()
 		if err != nil {
 			return err
 		}
 		if restore == nil {
+			wait = searchInterval
 			continue
 		}
+		wait = calm
 		pause.For(in.ctx, hold)
 		if err := restore(); err != nil {
 			return err
--- a/internal/dev/fault_log.go
+++ b/internal/dev/fault_log.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/history"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/standin/logstand"
 )
@@ -18,30 +20,42 @@
 	raceInterval   = 300 * time.Millisecond
 )
 
-// logOutage takes the log down. One event is one call it refused.
+// logOutage takes the log down while at least one accepted job depends on it. One event is one call it refused.
 func logOutage() Fault {
 	return Fault{
 		Name: "log-outage", About: "the log service refuses everything for a while; counts calls it refused",
 		Run: func(ctx context.Context, in *Injector) error {
-			return in.logFault(ctx, outageHold, logstand.Faults{Down: true}, logstand.CountRefused)
+			return in.logFault(ctx, outageHold, logstand.Faults{Down: true}, logstand.CountRefused, in.jobAccepted)
 		},
 	}
 }
 
+// jobAccepted reports whether any job has been accepted.
+func (in *Injector) jobAccepted() bool {
+	return slices.ContainsFunc(in.Recorder.Jobs(), func(j history.Job) bool { return j.Outcome == history.Accepted })
+}
+
+// always is the condition of a fault that may strike at any time.
+func always() bool { return true }
+
 // logLostAnswer loses the answers to appends. One event is one lost answer.
 func logLostAnswer() Fault {
 	return Fault{
 		Name: "log-lost-answer", About: "appends take effect and their answers are lost for a while; counts lost answers",
 		Run: func(ctx context.Context, in *Injector) error {
-			return in.logFault(ctx, lostAnswerHold, logstand.Faults{LoseAnswers: true}, logstand.CountAnswerLost)
+			return in.logFault(ctx, lostAnswerHold, logstand.Faults{LoseAnswers: true}, logstand.CountAnswerLost, always)
 		},
 	}
 }
 
-// logFault injects a fault into the log repeatedly and counts its events by the named counter of the log.
-func (in *Injector) logFault(ctx context.Context, hold time.Duration, f logstand.Faults, counter string) error {
+// logFault injects a fault into the log repeatedly, while a condition holds, and counts its events by the named
+// counter of the log.
+func (in *Injector) logFault(ctx context.Context, hold time.Duration, f logstand.Faults, counter string, condition func() bool) error {
 	before := in.Log.FaultCounts()[counter]
 	err := in.cycle(ctx, hold, func() (func() error, error) {
+		if !condition() {
+			return nil, nil
+		}
 		in.Log.SetFaults(f)
 		return func() error { in.Log.SetFaults(logstand.Faults{}); return nil }, nil
 	})
