Callers aren't held while the store is away

The first append after an outage began was always unknown, since nothing told the entry of the outage.

- While no way to the store is known jobs are refused at once, entries answer not ready, and a search goes on.
A job with an unknown outcome isn't refused when it comes again.
- Retry-After is spread over two seconds after a long outage; it comes with 504 too.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,10 +1,13 @@
 // Package directory keeps the addresses of all processes in the store, so that an owner can notify processes
-// that can't read the lease of its takeover.
+// that can't read the lease of its takeover, and a process that can't reach the store finds one that can.
 package directory
 
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -19,6 +22,8 @@
 	callTimeout = 600 * time.Millisecond
 	// retryPause is the delay after a failed call.
 	retryPause = 500 * time.Millisecond
+	// refreshInterval is the time between two reads of the addresses by a Follower.
+	refreshInterval = 30 * time.Second
 )
 
 // Register stores the address of a process and retries until it is stored or the context ends.
@@ -52,3 +57,55 @@
 	}
 	return out, nil
 }
+
+// Follower keeps the addresses of the other processes for when the store can't be reached. Use NewFollower to make
+// one.
+type Follower struct {
+	store store.Store
+	self  string
+	mu    sync.Mutex
+	addrs []string
+}
+
+// NewFollower returns a follower for the process at the address self.
+func NewFollower(s store.Store, self string) *Follower { return &Follower{store: s, self: self} }
+
+// Run reads the addresses at intervals until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for {
+		wait := refreshInterval
+		if nodes, err := Nodes(ctx, f.store); err != nil {
+			wait = retryPause
+		} else {
+			f.set(nodes)
+		}
+		if !pause.For(ctx, wait) {
+			return nil
+		}
+	}
+}
+
+// set replaces the addresses.
+func (f *Follower) set(nodes map[string]string) {
+	var addrs []string
+	for _, addr := range nodes {
+		if addr != f.self {
+			addrs = append(addrs, addr)
+		}
+	}
+	slices.Sort(addrs)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addrs = addrs
+}
+
+// Pick returns up to n different addresses, chosen at random. Some of the processes may no longer run.
+func (f *Follower) Pick(n int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]string, 0, n)
+	for _, i := range rand.Perm(len(f.addrs))[:min(n, len(f.addrs))] {
+		out = append(out, f.addrs[i])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/intake/away.go
@@ -0,0 +1,135 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/event"
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+const (
+	// findDelay is the time between two searches for a way to the store while none is known.
+	findDelay = 150 * time.Millisecond
+	// findTimeout bounds one search.
+	findTimeout = 400 * time.Millisecond
+)
+
+// loseStore records that a batch couldn't be stored by any way. Until a way is found, pending and further records
+// are refused at once, since none of them was sent. Records with an unknown outcome are stored as soon as a way is
+// found, so that a caller who asks again learns one answer.
+func (in *Intake) loseStore(records []store.Record, cause error) {
+	in.mu.Lock()
+	if errors.Is(cause, ErrUnknown) {
+		for _, r := range records {
+			in.unresolved[r.Key] = r
+		}
+	}
+	unknown := len(in.unresolved)
+	pending := in.pending
+	in.pending = nil
+	refusals := make([]error, len(pending))
+	for i, k := range pending {
+		refusals[i] = in.refusal(k.record)
+	}
+	first := !in.away
+	if first {
+		in.away, in.awaySince = true, time.Now()
+	}
+	in.mu.Unlock()
+	for i, k := range pending {
+		k.done <- refusals[i]
+	}
+	if first {
+		in.log.Warn(event.StoreLost, "unknown", unknown, "err", cause)
+		go in.findStore()
+	}
+}
+
+// findStore searches for a way to the store, stores what is unresolved, and then lets jobs be accepted again.
+func (in *Intake) findStore() {
+	for {
+		time.Sleep(findDelay)
+		if in.findOnce() && in.resolve() {
+			in.log.Info(event.StoreRegained)
+			return
+		}
+	}
+}
+
+// findOnce reports whether this node or another one that it can reach has a way to the store.
+func (in *Intake) findOnce() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), findTimeout)
+	defer cancel()
+	addrs := in.relays()
+	found := make(chan bool, 1+len(addrs))
+	go func() {
+		_, err := in.store.Newest(ctx, store.TopicOwner)
+		found <- err == nil
+	}()
+	for _, addr := range addrs {
+		go func() { found <- in.client.CheckStore(ctx, addr) == nil }()
+	}
+	for range 1 + len(addrs) {
+		if <-found {
+			return true
+		}
+	}
+	return false
+}
+
+// resolve stores the records whose outcome is unknown. It reports whether none is left; then jobs are accepted
+// again.
+func (in *Intake) resolve() bool {
+	for {
+		in.mu.Lock()
+		var records []store.Record
+		for _, r := range in.unresolved {
+			records = append(records, r)
+		}
+		if len(records) == 0 {
+			in.away = false
+			in.mu.Unlock()
+			return true
+		}
+		in.mu.Unlock()
+		for batch := range slices.Chunk(records, maxBatch) {
+			if in.storeAnyWay(batch) != nil {
+				return false
+			}
+			in.mu.Lock()
+			for _, r := range batch {
+				delete(in.unresolved, r.Key)
+			}
+			in.mu.Unlock()
+		}
+	}
+}
+
+// Available reports whether a way to the store is known, so that jobs are accepted.
+func (in *Intake) Available() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return !in.away
+}
+
+const (
+	// minRetryAfter is the shortest Retry-After: callers learn it in whole seconds.
+	minRetryAfter = time.Second
+	// longAway is how long the store must be away before callers are spread over two seconds, so that they don't
+	// all return at the same time.
+	longAway = 2 * time.Second
+)
+
+// RetryAfter returns when a refused caller should return, in whole seconds.
+func (in *Intake) RetryAfter() time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if !in.away || time.Since(in.awaySince) < longAway {
+		return minRetryAfter
+	}
+	return minRetryAfter * time.Duration(1+rand.IntN(2))
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,5 +1,5 @@
 // Package intake accepts jobs for an entry. It accepts a job by one append to the store, relays the append
-// through the owner when the entry can't reach the store, and queries the owner for the state of jobs.
+// through other nodes when the entry can't reach the store, and queries the owner for the state of jobs.
 package intake
 
 import (
@@ -13,21 +13,14 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/metrics"
-	"github.com/crocusspring/crocusspring/internal/owner"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/sched"
 	"github.com/crocusspring/crocusspring/internal/store"
 )
 
 const (
-	// appendTimeout bounds one append; a healthy store answers within milliseconds, a slow one within a few
-	// hundred.
-	appendTimeout = 600 * time.Millisecond
-	// unknownRetryDelay is the delay before an append whose outcome is unknown is retried.
-	unknownRetryDelay = 150 * time.Millisecond
 	// queryTimeout bounds one query of the owner.
 	queryTimeout = 500 * time.Millisecond
 	// queryRetryTime is how long a query is retried, to outlast a change of the cell's owner.
@@ -36,8 +29,6 @@
 	queryRetryDelay = 100 * time.Millisecond
 	// waitingCacheTTL is how long the counts of waiting jobs are cached.
 	waitingCacheTTL = 400 * time.Millisecond
-	// maxBatch is the most records in one append.
-	maxBatch = 100
 )
 
 // Errors of an intake.
@@ -53,34 +44,47 @@
 // Locator returns the address of the owner; empty while it isn't known.
 type Locator interface{ OwnerAddr() string }
 
+// Peers returns the addresses of up to n nodes that may reach the store, in an order that varies.
+type Peers interface{ Pick(n int) []string }
+
+// Client calls other nodes. Relay returns a store.ErrRefused when the records are certain not to be stored, and
+// CheckStore whether a node can reach the store.
+type Client interface {
+	Job(ctx context.Context, addr, id string) (v sched.View, found bool, err error)
+	Explain(ctx context.Context, addr, id string) (v sched.View, found bool, err error)
+	Waiting(ctx context.Context, addr string) (map[string]int, error)
+	Relay(ctx context.Context, addr string, records []store.Record) error
+	CheckStore(ctx context.Context, addr string) error
+}
+
 // Intake accepts, cancels and queries jobs. Use New to make one.
 type Intake struct {
 	store   store.Store
-	client  *owner.Client
+	client  Client
 	locator Locator
+	peers   Peers
 	scope   tally.Scope
 	log     *log.Logger
 
 	mu       sync.Mutex
 	pending  []*pendingAppend
 	draining bool // drain is running
-	// storeUnavailable means that the outcome of an append is unknown; jobs are refused without an append until a
-	// retry succeeds.
-	storeUnavailable bool
+	// directFailed says that the store didn't answer the last append that was sent to it directly, or not soon.
+	directFailed bool
+	// away says that no way to the store is known since awaySince; jobs are refused without an append until one
+	// is found.
+	away      bool
+	awaySince time.Time
+	// unresolved holds the records whose outcome is unknown, by key.
+	unresolved map[string]store.Record
 	// counts is the cached number of waiting jobs by queue, queried at countsAt.
 	counts   map[string]int
 	countsAt time.Time
 }
 
-// pendingAppend is one record that waits for its append, and the channel for the result.
-type pendingAppend struct {
-	record store.Record
-	done   chan error
-}
-
 // New returns an intake.
-func New(s store.Store, client *owner.Client, locator Locator, scope tally.Scope, l *log.Logger) *Intake {
-	return &Intake{store: s, client: client, locator: locator, scope: scope, log: l}
+func New(s store.Store, client Client, locator Locator, peers Peers, scope tally.Scope, l *log.Logger) *Intake {
+	return &Intake{store: s, client: client, locator: locator, peers: peers, scope: scope, log: l, unresolved: map[string]store.Record{}}
 }
 
 // Submit accepts a job. It is idempotent.
@@ -178,131 +182,3 @@
 	in.mu.Unlock()
 	return counts[queue], nil
 }
-
-// append stores one record, in a batch with those of concurrent calls. While the store is unavailable nothing is
-// sent, so that the refusal is certain.
-func (in *Intake) append(ctx context.Context, r store.Record) error {
-	k := &pendingAppend{record: r, done: make(chan error, 1)}
-	in.mu.Lock()
-	if in.storeUnavailable {
-		in.mu.Unlock()
-		return fmt.Errorf("%w: the store doesn't answer", ErrNotAccepted)
-	}
-	in.pending = append(in.pending, k)
-	if !in.draining {
-		in.draining = true
-		go in.drain()
-	}
-	in.mu.Unlock()
-	select {
-	case err := <-k.done:
-		return err
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", ErrUnknown, ctx.Err())
-	}
-}
-
-// drain stores pending records in batches until none is left.
-func (in *Intake) drain() {
-	for {
-		in.mu.Lock()
-		n := min(len(in.pending), maxBatch)
-		batch := in.pending[:n:n]
-		in.pending = in.pending[n:]
-		in.draining = n > 0
-		in.mu.Unlock()
-		if n == 0 {
-			return
-		}
-		in.write(batch)
-	}
-}
-
-// write stores one batch and completes its calls.
-func (in *Intake) write(batch []*pendingAppend) {
-	records := make([]store.Record, len(batch))
-	for i, k := range batch {
-		records[i] = k.record
-	}
-	err := in.appendOrRelay(records)
-	if errors.Is(err, ErrUnknown) {
-		in.retryUnknown(batch, records)
-		return
-	}
-	complete(batch, err)
-}
-
-// complete completes the calls of a batch with a result.
-func complete(batch []*pendingAppend, err error) {
-	for _, k := range batch {
-		k.done <- err
-	}
-}
-
-// retryUnknown retries a batch whose outcome is unknown, concurrently with others, until it is stored: only then
-// can its callers get a definite result. Until a retry succeeds, pending and further records are refused.
-func (in *Intake) retryUnknown(batch []*pendingAppend, records []store.Record) {
-	in.mu.Lock()
-	first := !in.storeUnavailable
-	in.storeUnavailable = true
-	pending := in.pending
-	in.pending = nil
-	in.mu.Unlock()
-	complete(pending, fmt.Errorf("%w: the store doesn't answer", ErrNotAccepted))
-	if first {
-		in.log.Warn(event.StoreLost, "unknown", len(records))
-	}
-	go func() {
-		for {
-			time.Sleep(unknownRetryDelay)
-			err := in.appendOrRelay(records)
-			if err == nil {
-				in.markAvailable()
-				complete(batch, nil)
-				return
-			}
-		}
-	}()
-}
-
-// markAvailable marks the store as available again.
-func (in *Intake) markAvailable() {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.storeUnavailable {
-		in.log.Info(event.StoreRegained)
-	}
-	in.storeUnavailable = false
-}
-
-// appendOrRelay stores records directly, and through the owner when that fails. Storing a record again is
-// idempotent, so the relay is safe after an unknown outcome.
-func (in *Intake) appendOrRelay(records []store.Record) error {
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	_, direct := in.store.Append(ctx, store.TopicJobs, store.AnyOffset, records)
-	cancel()
-	if direct == nil {
-		return nil
-	}
-	relayed := in.relay(records)
-	if relayed == nil {
-		in.log.Info(event.JobsRelayed, "records", len(records), "cause", direct)
-		return nil
-	}
-	in.log.Warn(event.JobsNotStored, "records", len(records), "direct", direct, "relayed", relayed)
-	if errors.Is(direct, store.ErrRefused) && errors.Is(relayed, store.ErrRefused) {
-		return fmt.Errorf("%w: %w", ErrNotAccepted, direct)
-	}
-	return fmt.Errorf("%w: %w", ErrUnknown, errors.Join(direct, relayed))
-}
-
-// relay stores records through the owner.
-func (in *Intake) relay(records []store.Record) error {
-	addr := in.locator.OwnerAddr()
-	if addr == "" {
-		return fmt.Errorf("owner not known: %w", store.ErrRefused)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	defer cancel()
-	return in.client.Relay(ctx, addr, records)
-}
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -21,9 +21,6 @@
 // maxBody bounds the body of a submission, in bytes.
 const maxBody = 1 << 20
 
-// retryAfter is the Retry-After value of a refused request; the store is retried well within that time.
-const retryAfter = time.Second
-
 // Routes adds the handlers of the interface to mux.
 func Routes(mux *http.ServeMux, in *intake.Intake) {
 	mux.HandleFunc("POST "+Path, func(w http.ResponseWriter, r *http.Request) { submit(w, r, in) })
@@ -44,19 +41,21 @@
 		jsonhttp.WriteError(w, http.StatusBadRequest, err)
 		return
 	}
-	writeAppendResult(w, in.Submit(r.Context(), &s), http.StatusCreated, s.ID)
+	writeAppendResult(w, in, in.Submit(r.Context(), &s), http.StatusCreated, s.ID)
 }
 
 // writeAppendResult responds with the result of an append to the store: 503 when it was surely not
 // accepted, 502 when the outcome is unknown.
-func writeAppendResult(w http.ResponseWriter, err error, status int, id string) {
+func writeAppendResult(w http.ResponseWriter, in *intake.Intake, err error, status int, id string) {
+	if err != nil {
+		w.Header().Set("Retry-After", strconv.Itoa(int(in.RetryAfter().Seconds())))
+	}
 	switch {
 	case err == nil:
 		jsonhttp.Write(w, status, struct {
 			ID string `json:"id"`
 		}{id})
 	case errors.Is(err, intake.ErrNotAccepted):
-		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
 		jsonhttp.WriteProblem(w, jsonhttp.Problem{
 			Title: "Service Unavailable", Status: http.StatusServiceUnavailable, Detail: err.Error(), Outcome: "not-run",
 		})
@@ -87,5 +86,5 @@
 		jsonhttp.WriteError(w, http.StatusNotFound, fmt.Errorf("job %s is not known", r.PathValue("id")))
 		return
 	}
-	writeAppendResult(w, err, http.StatusOK, r.PathValue("id"))
+	writeAppendResult(w, in, err, http.StatusOK, r.PathValue("id"))
 }
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -36,6 +36,7 @@
 	mux.HandleFunc("GET "+pathJob+"{id}/explain", func(w http.ResponseWriter, r *http.Request) { serveJob(w, r, c.Explain) })
 	mux.HandleFunc("GET "+pathWaiting, c.serveWaiting)
 	mux.HandleFunc("POST "+pathRelay, c.serveRelay)
+	mux.HandleFunc("GET "+pathRelay, c.serveCheckStore)
 }
 
 // serveJob answers with the state of a job.
@@ -81,6 +82,17 @@
 	}
 }
 
+// serveCheckStore answers whether this node can reach the store.
+func (c *Cell) serveCheckStore(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	if _, err := c.store.Newest(ctx, store.TopicOwner); err != nil {
+		jsonhttp.WriteError(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, struct{}{})
+}
+
 // ServeTakeover returns the handler for notices of a takeover.
 func ServeTakeover(lease *ownership.Runner) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -133,7 +145,7 @@
 	return out, err
 }
 
-// Relay appends jobs through the owner. The error is a store.ErrRefused when they are certain not to be stored.
+// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored.
 func (c *Client) Relay(ctx context.Context, addr string, records []store.Record) error {
 	status, err := c.do(ctx, http.MethodPost, addr, pathRelay, records, nil)
 	if status == http.StatusServiceUnavailable || status == http.StatusNotFound {
@@ -142,6 +154,12 @@
 	return err
 }
 
+// CheckStore returns nil if a node can reach the store.
+func (c *Client) CheckStore(ctx context.Context, addr string) error {
+	_, err := c.do(ctx, http.MethodGet, addr, pathRelay, nil, nil)
+	return err
+}
+
 // AnnounceTakeover notifies a node of a takeover.
 func (c *Client) AnnounceTakeover(ctx context.Context, addr string, l ownership.Lease) error {
 	_, err := c.do(ctx, http.MethodPost, addr, pathOwner, l, nil)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -140,10 +140,11 @@
 	defer stop()
 	lease := e.lease(false)
 	tables := queues.NewFollower(e.Store, e.Queues, e.scope(), e.Log.WithPrefix("config"))
-	in := intake.New(e.Store, owner.NewClient(), lease, e.scope(), e.Log.WithPrefix("intake"))
+	peers := directory.NewFollower(e.Store, e.Inner)
+	in := intake.New(e.Store, owner.NewClient(), lease, peers, e.scope(), e.Log.WithPrefix("intake"))
 	front := newServer(e.Handler(tables, in))
 	stopping := make(chan struct{})
-	ready := newServer(readiness(tables, stopping))
+	ready := newServer(readiness(tables, in, stopping))
 	inner := http.NewServeMux()
 	inner.HandleFunc("POST "+owner.TakeoverPath, owner.ServeTakeover(lease))
 	jobapi.Routes(inner, in)
@@ -152,6 +153,7 @@
 	grp.Go(func() error { return lease.Run(ctx) })
 	grp.Go(func() error { return directory.Register(ctx, e.Store, e.Node, e.Inner, e.Log.WithPrefix("directory")) })
 	grp.Go(func() error { return tables.Run(ctx) })
+	grp.Go(func() error { return peers.Run(ctx) })
 	e.serveMetrics(ctx, grp)
 	serve(ctx, grp, front, e.Front)
 	serve(ctx, grp, ready, e.Ready)
@@ -208,8 +210,8 @@
 }
 
 // readiness returns the handler of readiness checks. The process is ready from the time it has a queue
-// configuration until it receives a signal to stop.
-func readiness(tables *queues.Follower, stopping <-chan struct{}) http.Handler {
+// configuration until it receives a signal to stop, except while it knows no way to the store.
+func readiness(tables *queues.Follower, in *intake.Intake, stopping <-chan struct{}) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		select {
 		case <-stopping:
@@ -221,6 +223,10 @@
 			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 			return
 		}
+		if !in.Available() {
+			http.Error(w, "the store can't be reached", http.StatusServiceUnavailable)
+			return
+		}
 		w.WriteHeader(http.StatusOK)
 	})
 }
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -10,6 +10,9 @@
 	"github.com/crocusspring/crocusspring/internal/store"
 )
 
+// errHangs means that a read must not be answered.
+var errHangs = errors.New("read hangs")
+
 // ErrLost is returned for a call whose answer was lost.
 var ErrLost = errors.New("no answer")
 
@@ -32,8 +35,8 @@
 // Fault is the fault to inject into one call.
 type Fault struct {
 	// Refuse fails the call with store.ErrRefused, without an effect. Lose carries out an append but fails
-	// it with ErrLost.
-	Refuse, Lose bool
+	// it with ErrLost. Hang leaves the call without an effect and an answer until its context ends.
+	Refuse, Lose, Hang bool
 }
 
 // topic holds the records of one topic. The channel grown is closed and replaced at each append.
@@ -69,10 +72,14 @@
 }
 
 // Append implements store.Store.
-func (s *Store) Append(_ context.Context, name string, at store.Offset, records []store.Record) (store.Offset, error) {
+func (s *Store) Append(ctx context.Context, name string, at store.Offset, records []store.Record) (store.Offset, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	f := s.fault("append", name)
+	if f.Hang {
+		s.mu.Unlock()
+		return 0, hang(ctx)
+	}
+	defer s.mu.Unlock()
 	if f.Refuse {
 		return 0, store.ErrRefused
 	}
@@ -92,6 +99,12 @@
 	return first, nil
 }
 
+// hang waits until the context ends and returns its error.
+func hang(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // add appends one record.
 func (t *topic) add(r store.Record) {
 	r.Offset = t.end()
@@ -109,6 +122,9 @@
 	defer timer.Stop()
 	for {
 		b, grown, err := s.batch(name, from)
+		if errors.Is(err, errHangs) {
+			return b, hang(ctx)
+		}
 		if err != nil || len(b.Records) > 0 {
 			return b, err
 		}
@@ -127,8 +143,11 @@
 func (s *Store) batch(name string, from store.Offset) (store.Batch, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.fault("read", name).Refuse {
+	switch f := s.fault("read", name); {
+	case f.Refuse:
 		return store.Batch{}, nil, store.ErrRefused
+	case f.Hang:
+		return store.Batch{}, nil, errHangs
 	}
 	t := s.topic(name)
 	if from < t.first {
@@ -143,10 +162,15 @@
 }
 
 // Newest implements store.Store.
-func (s *Store) Newest(_ context.Context, name string) (store.Snapshot, error) {
+func (s *Store) Newest(ctx context.Context, name string) (store.Snapshot, error) {
 	s.mu.Lock()
+	f := s.fault("newest", name)
+	if f.Hang {
+		s.mu.Unlock()
+		return store.Snapshot{}, hang(ctx)
+	}
 	defer s.mu.Unlock()
-	if s.fault("newest", name).Refuse {
+	if f.Refuse {
 		return store.Snapshot{}, store.ErrRefused
 	}
 	t := s.topic(name)
