Logs: every decision is there in a burst

Decisions of one kind in one round share a line (count, decisions); crocusctl trace reads it as lines of their own. A row of failed renewals is one line at its begin and one at its end, with the count. A takeover no longer decodes all jobs twice.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -26,6 +26,7 @@
 	OwnerChanged          Message = "owner changed"
 	LeaseUnreadable       Message = "lease unreadable"
 	LeaseNotRenewed       Message = "lease not renewed"
+	LeaseStoreAnswers     Message = "lease can be renewed"
 	CellTakenOver         Message = "cell taken over"
 	TakeoverFailed        Message = "takeover failed"
 	TakeoverNotAnnounced  Message = "takeover not announced"
@@ -76,6 +77,9 @@
 	Meaning string
 }
 
+// decisionFields are the fields of a decision: subject and inputs, or count and decisions for several at once.
+var decisionFields = []string{"subject", "epoch", "inputs", "count", FieldDecisions}
+
 // All lists every kind of line.
 var All = []Line{
 	{ProcessStarted, "info", "all", "", []string{"node", "front", "inner", "control"}, "a process has started; its addresses"},
@@ -96,7 +100,8 @@
 	{JobsNotStored, "warn", "entry", "intake", []string{"records", "err"}, "records were stored neither directly nor through another node; err has the reason of each way"},
 	{OwnerChanged, "info", "all", "lease", []string{"owner", "addr", "epoch", "held"}, "this process has learned of a new owner of the cell"},
 	{LeaseUnreadable, "error", "all", "lease", []string{"err"}, "the record of the lease can't be parsed; the lease is treated as free"},
-	{LeaseNotRenewed, "warn", "guard", "lease", []string{"err"}, "the owner couldn't renew its lease in time"},
+	{LeaseNotRenewed, "warn", "guard", "lease", []string{"err"}, "the store didn't answer the owner's renewal of its lease, or a candidate's attempt to take it; further failures are counted"},
+	{LeaseStoreAnswers, "info", "guard", "lease", []string{"failures"}, "the store answers again; failures is the number of failed attempts in between"},
 	{CellTakenOver, "info", "guard", "cell", []string{"epoch", "took", "jobs"}, "this process is now the owner; took is the time spent loading the cell"},
 	{TakeoverFailed, "warn", "guard", "cell", []string{"epoch", "err"}, "the cell couldn't be loaded and is released"},
 	{TakeoverNotAnnounced, "warn", "guard", "cell", []string{"err"}, "the other processes could not be notified of the takeover; they learn of it from the store"},
@@ -108,19 +113,19 @@
 	{EndedNotDropped, "warn", "guard", "cell", []string{"topic", "jobs", "err"}, "records of ended jobs stay until the next sweep"},
 	{LinkRefused, "warn", "guard", "cell", []string{"err"}, "a guard's connection couldn't be accepted"},
 	{LinkEnded, "warn", "guard", "cell", []string{"guard", "worker", "peer", "err"}, "a guard's connection has ended; the lease of its runs expires unless the guard reconnects in time"},
-	{Accept, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "the owner learned of a job; age is the time since its acceptance"},
-	{Place, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "a task is placed on a worker as a run: the worker's free and unused CPU in thousandths of a core, its pace in percent, the time left to the objective"},
-	{End, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "a run has ended: outcome, percent done, how long the worker had it"},
-	{LeaseExpired, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "the lease of a worker's runs is known to have expired"},
-	{Stop, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "a run is to be stopped, and why"},
-	{Complete, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "all tasks of a job are done; slack is the time left to its objective"},
-	{Fail, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "a job has failed: the task, its failures and the workers they were on"},
-	{Cancel, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "the owner learned of a cancellation"},
-	{Copy, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "a speculative task gets another run while this one may go on, and why"},
-	{Suspect, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "a worker on which a run makes no progress gets no tasks for a while"},
-	{Worker, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "a worker has joined, drains, doesn't answer, or was removed"},
-	{Learn, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "learned data can't be stored"},
-	{Advice, "info", "guard", "cell", []string{"subject", "epoch", "inputs"}, "a response of the policy service about a step"},
+	{Accept, "info", "guard", "cell", decisionFields, "the owner learned of a job; age is the time since its acceptance"},
+	{Place, "info", "guard", "cell", decisionFields, "a task is placed on a worker as a run: the worker's free and unused CPU in thousandths of a core, its pace in percent, the time left to the objective"},
+	{End, "info", "guard", "cell", decisionFields, "a run has ended: outcome, percent done, how long the worker had it"},
+	{LeaseExpired, "info", "guard", "cell", decisionFields, "the lease of a worker's runs is known to have expired"},
+	{Stop, "info", "guard", "cell", decisionFields, "a run is to be stopped, and why"},
+	{Complete, "info", "guard", "cell", decisionFields, "all tasks of a job are done; slack is the time left to its objective"},
+	{Fail, "info", "guard", "cell", decisionFields, "a job has failed: the task, its failures and the workers they were on"},
+	{Cancel, "info", "guard", "cell", decisionFields, "the owner learned of a cancellation"},
+	{Copy, "info", "guard", "cell", decisionFields, "a speculative task gets another run while this one may go on, and why"},
+	{Suspect, "info", "guard", "cell", decisionFields, "a worker on which a run makes no progress gets no tasks for a while"},
+	{Worker, "info", "guard", "cell", decisionFields, "a worker has joined, drains, doesn't answer, or was removed"},
+	{Learn, "info", "guard", "cell", decisionFields, "learned data can't be stored"},
+	{Advice, "info", "guard", "cell", decisionFields, "a response of the policy service about a step"},
 	{WorkerDrains, "info", "guard", "guard", []string{"worker", "remaining_ms"}, "the worker has reported that it will leave"},
 	{WorkerLeaves, "info", "guard", "control", []string{"worker"}, "the worker has reported that it leaves now"},
 	{AnnouncementSkipped, "warn", "guard", "control", []string{"worker", "err"}, "an announcement can't be parsed; its worker is not used"},
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -65,7 +65,7 @@
 	}
 	now := time.Now()
 	core := sched.New(c.opt)
-	c.applyRecords(core, now, jobs.Records)
+	c.submitJobs(core, now, jobs.Records)
 	for _, r := range runs.Records {
 		if r.Key == ownerKey {
 			continue
@@ -74,18 +74,28 @@
 			c.log.Error(event.RecordSkipped, "topic", store.TopicRuns, "offset", r.Offset, "err", err)
 		}
 	}
-	// Cancellations must be applied again after the progress of jobs was restored.
-	c.applyRecords(core, now, jobs.Records)
+	// A cancellation applies to the progress of its job.
+	applyCancellations(core, now, jobs.Records)
 	return core, jobs.End, at + 1, nil
 }
 
 // applyRecords applies records of TopicJobs to a core, jobs before cancellations.
 func (c *Cell) applyRecords(core *sched.Core, now time.Time, records []store.Record) {
+	c.submitJobs(core, now, records)
+	applyCancellations(core, now, records)
+}
+
+// submitJobs submits the jobs among records of TopicJobs.
+func (c *Cell) submitJobs(core *sched.Core, now time.Time, records []store.Record) {
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key, store.PrefixJob); ok && len(r.Value) > 0 {
 			c.submit(core, now, id, r)
 		}
 	}
+}
+
+// applyCancellations cancels the jobs that records of TopicJobs say are cancelled.
+func applyCancellations(core *sched.Core, now time.Time, records []store.Record) {
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key, store.PrefixCancel); ok && len(r.Value) > 0 {
 			core.Cancel(now, id)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -253,11 +253,3 @@
 		c.scope.Histogram(string(s.Measure)+"_seconds", metrics.Seconds()).RecordValue(s.Time.Seconds())
 	}
 }
-
-// logDecisions logs and counts the scheduler's decisions. The caller holds the lock.
-func (c *Cell) logDecisions() {
-	for _, n := range c.core.Decisions() {
-		c.scope.Tagged(map[string]string{"decision": string(n.Decision)}).Counter("decisions").Inc(1)
-		c.log.Info(n.Decision, "subject", n.Subject, "epoch", c.epoch, "inputs", n.Reason)
-	}
-}
--- a/internal/ownership/runner.go
+++ b/internal/ownership/runner.go
@@ -35,6 +35,8 @@
 	// announced is the newest lease that another process has announced; nil before the first.
 	announced *Lease
 	changed   chan struct{}
+	// failures counts the appends that have failed since the store last answered one or the lease was read.
+	failures int
 }
 
 // NewRunner returns a runner that hasn't read the lease yet.
@@ -102,6 +104,9 @@
 	if err := r.core.Observe(time.Now(), records, end); err != nil {
 		r.log.Error(event.LeaseUnreadable, "err", err)
 	}
+	if len(records) > 0 {
+		r.noteAnswer()
+	}
 	after, ok := r.core.Holder()
 	if before.Epoch != after.Epoch {
 		r.log.Info(event.OwnerChanged, "owner", after.Node, "addr", after.Addr, "epoch", after.Epoch, "held", ok)
@@ -138,16 +143,38 @@
 	switch {
 	case err == nil:
 		r.mu.Lock()
+		r.noteAnswer()
 		if err := r.core.Appended(time.Now(), rec, first); err != nil {
 			r.log.Error(event.LeaseUnreadable, "err", err)
 		}
 		r.signal()
 		r.mu.Unlock()
 	case errors.As(err, &conflict):
+		r.mu.Lock()
+		r.noteAnswer()
+		r.mu.Unlock()
 		r.log.Debug("lease was renewed or taken by another", "end", conflict.End)
 	default:
+		r.noteFailure(err)
+	}
+}
+
+// noteFailure counts an append that failed, and logs the first of a row.
+func (r *Runner) noteFailure(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failures == 0 {
 		r.log.Warn(event.LeaseNotRenewed, "err", err)
 	}
+	r.failures++
+}
+
+// noteAnswer logs the end of a row of failed appends. The caller holds the lock.
+func (r *Runner) noteAnswer() {
+	if r.failures > 0 {
+		r.log.Info(event.LeaseStoreAnswers, "failures", r.failures)
+	}
+	r.failures = 0
 }
 
 // Owner reports whether this process owns the cell now with an unexpired lease, and its epoch.
--- a/internal/trace/read.go
+++ b/internal/trace/read.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"strings"
 	"time"
 
@@ -52,7 +53,7 @@
 		}
 		count[l.Process]++
 		l.Number = count[l.Process]
-		lines = append(lines, l)
+		lines = append(lines, l.split()...)
 	}
 	if err := s.Err(); err != nil {
 		return nil, skipped, fmt.Errorf("read log of %s: %w", process, err)
@@ -81,6 +82,24 @@
 	return l, nil
 }
 
+// split returns one line for each decision of a line that reports several, otherwise the line itself.
+func (l *Line) split() []Line {
+	joined := l.text(event.FieldDecisions)
+	if joined == "" {
+		return []Line{*l}
+	}
+	var out []Line
+	for _, d := range event.SplitDecisions(joined) {
+		one := *l
+		one.Fields = maps.Clone(l.Fields)
+		delete(one.Fields, event.FieldDecisions)
+		delete(one.Fields, "count")
+		one.Fields["subject"], one.Fields["inputs"] = d.Subject, d.Inputs
+		out = append(out, one)
+	}
+	return out
+}
+
 // text returns a field as text, or an empty string if it is missing.
 func (l *Line) text(field string) string {
 	switch v := l.Fields[field].(type) {
