A slot isn't used again before its attempt has surely ended

The first attempt at a target carried no deadline at all, since the target's clock wasn't known yet.

Ruled out by reading: loans (renewed while in use), fences, answers (written after the slot is free).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -105,10 +105,13 @@
 	// Proof is what is known about an attempt without an answer; Reason says why there is no answer.
 	Proof  retry.Proof
 	Reason string
+	// ByDeadline is true if the end is known only from the deadline that the target enforces.
+	ByDeadline bool
 }
 
-// over reports whether the attempt is known to have ended.
-func (r Result) over() bool { return r.Answered || r.Proof != retry.None }
+// freesSlot reports whether the slot of the attempt is certainly free. A target that ends an attempt by its
+// deadline may be a moment late.
+func (r Result) freesSlot() bool { return r.Answered || r.Proof != retry.None && !r.ByDeadline }
 
 // Ended records the end of an attempt. If the attempt may still be running, its slot stays in use until
 // FreeSlot is called. The request has ended if the result is an answer or the actions hold a Final for it;
@@ -123,7 +126,7 @@
 	if t := c.targets[st.Target]; t != nil {
 		delete(t.running, r.ID)
 	}
-	if res.over() {
+	if res.freesSlot() {
 		c.credits.Return(st.Token)
 	}
 	if res.Answered {
@@ -167,7 +170,7 @@
 	if t == nil {
 		return
 	}
-	if res.over() && res.Proof != retry.NeverSent {
+	if (res.Answered || res.Proof != retry.None) && res.Proof != retry.NeverSent {
 		s.queue.RecordServiceTime(took)
 	}
 	t.latency.Sample(now, took)
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -137,8 +137,9 @@
 		} else {
 			res.Proof = retry.Proof(rapid.IntRange(0, 3).Draw(m.t, "proof"))
 			l.proofs = append(l.proofs, res.Proof)
+			res.ByDeadline = res.Proof == retry.Over && rapid.Bool().Draw(m.t, "by deadline")
 		}
-		if res.over() {
+		if res.freesSlot() {
 			m.running[st.Target]--
 		} else {
 			m.unfreed = append(m.unfreed, st)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -22,6 +22,10 @@
 	probeTimeout = 300 * time.Millisecond
 	// settleInterval is the time between two probes of an attempt whose connection was lost.
 	settleInterval = 20 * time.Millisecond
+	// overdueInterval is the time between two probes of an attempt whose deadline has passed, maxOverdueProbes how
+	// many there are at most.
+	overdueInterval  = 50 * time.Millisecond
+	maxOverdueProbes = 40
 	// lateAnswerGrace is how long to wait for an answer in transit after a probe found that the attempt
 	// has ended.
 	lateAnswerGrace = 50 * time.Millisecond
@@ -53,7 +57,7 @@
 }
 
 // ended reports the result of an attempt to the core and the answer to the caller. If the attempt may
-// still be running, its slot is freed creditMargin after its deadline.
+// still be running, its slot is freed later.
 func (d *Dispatcher) ended(st Start, service string, f *finding) {
 	d.step(func(now time.Time) Actions {
 		if f.result.Answered {
@@ -61,14 +65,26 @@
 		}
 		return d.core.Ended(now, st, f.result)
 	})
-	if f.result.over() {
+	if f.result.freesSlot() {
 		return
 	}
 	d.attempts.Add(1)
-	time.AfterFunc(time.Until(st.Until)+creditMargin, func() {
-		defer d.attempts.Done()
-		d.step(func(now time.Time) Actions { return d.core.FreeSlot(now, service, st.Token) })
-	})
+	go d.freeLater(st, service)
+}
+
+// freeLater frees the slot of an attempt that may still be running: creditMargin after its deadline, or later if
+// its target still reports it as running then, as a busy one may.
+func (d *Dispatcher) freeLater(st Start, service string) {
+	defer d.attempts.Done()
+	time.Sleep(time.Until(st.Until) + creditMargin)
+	for range maxOverdueProbes {
+		p, err := d.probe(d.runCtx, st, st.Request, probeTimeout)
+		if err != nil || p.State != targetapi.AttemptRunning {
+			break
+		}
+		sleep(d.runCtx, overdueInterval)
+	}
+	d.step(func(now time.Time) Actions { return d.core.FreeSlot(now, service, st.Token) })
 }
 
 // settle determines the result of an attempt whose call failed. It probes the target on new connections
@@ -77,7 +93,7 @@
 func (d *Dispatcher) settle(st Start, request string, err error) *finding {
 	f := classifyError(err)
 	for f.result.Proof == retry.None && time.Now().Before(st.Until) && d.runCtx.Err() == nil {
-		p, perr := d.probe(st, request)
+		p, perr := d.probeInTime(st, request)
 		if errors.Is(perr, targetapi.ErrNoProbe) {
 			return f
 		}
@@ -100,7 +116,7 @@
 	case errors.As(err, &notRun):
 		res.Proof = retry.NeverSent
 	case errors.As(err, &unknown) && unknown.Ended:
-		res.Proof = retry.Over
+		res.Proof, res.ByDeadline = retry.Over, unknown.ByDeadline
 	}
 	return &finding{result: res}
 }
@@ -121,9 +137,14 @@
 	return nil
 }
 
+// probeInTime queries a target for the state of an attempt, until its deadline at the latest.
+func (d *Dispatcher) probeInTime(st Start, request string) (targetapi.Probe, error) {
+	return d.probe(d.runCtx, st, request, min(probeTimeout, max(time.Millisecond, time.Until(st.Until))))
+}
+
 // probe queries a target for the state of an attempt.
-func (d *Dispatcher) probe(st Start, request string) (targetapi.Probe, error) {
-	ctx, cancel := context.WithTimeout(d.runCtx, min(probeTimeout, max(time.Millisecond, time.Until(st.Until))))
+func (d *Dispatcher) probe(ctx context.Context, st Start, request string, timeout time.Duration) (targetapi.Probe, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	p, err := d.caller.Probe(ctx, st.Address, request, st.Attempt)
 	if err != nil {
@@ -160,7 +181,7 @@
 // be in transit. Otherwise the next probe follows after twice the delay, unless the target supports no
 // probes.
 func (w *watchdog) fire(after time.Duration) {
-	p, err := w.d.probe(w.st, w.request)
+	p, err := w.d.probeInTime(w.st, w.request)
 	if errors.Is(err, targetapi.ErrNoProbe) {
 		return
 	}
--- a/internal/targetapi/clock.go
+++ b/internal/targetapi/clock.go
@@ -43,6 +43,13 @@
 	return start, time.Duration(n) * time.Millisecond, true
 }
 
+// known reports whether there was a reading.
+func (c *clock) known() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.startID != ""
+}
+
 // update applies a reading that arrived now. One that was delayed too long to raise the bound is ignored.
 func (c *clock) update(now time.Time, text string) {
 	start, since, ok := ParseClock(text)
--- a/internal/targetapi/http.go
+++ b/internal/targetapi/http.go
@@ -44,8 +44,12 @@
 	return ans, err
 }
 
-// callOn runs an attempt on one connection.
+// callOn runs an attempt on one connection. Before the first attempt at a target it reads the target's clock:
+// without a reading the target can't enforce the deadline of an attempt that arrives late.
 func (h *HTTP) callOn(ctx context.Context, conn *clientConn, p *pool, addr string, c Call, began time.Time) (Answer, error) {
+	if !p.clock.known() && !p.ping(ctx, conn) {
+		return Answer{}, &NotRunError{Reason: "no connection to the target"}
+	}
 	remaining := c.Budget - time.Since(began)
 	if remaining <= 0 {
 		return Answer{}, &NotRunError{Reason: "no budget left"}
@@ -65,7 +69,7 @@
 	}
 	if err != nil {
 		ended := enforced && errors.Is(ctx.Err(), context.DeadlineExceeded)
-		return Answer{}, &UnknownError{Err: err, Ended: ended}
+		return Answer{}, &UnknownError{Err: err, Ended: ended, ByDeadline: ended}
 	}
 	defer resp.Body.Close()
 	p.clock.update(time.Now(), resp.Header.Get(HeaderClock))
--- a/internal/targetapi/targetapi.go
+++ b/internal/targetapi/targetapi.go
@@ -74,6 +74,9 @@
 	Err error
 	// Ended is true when the attempt certainly runs no more, whether it ran or not.
 	Ended bool
+	// ByDeadline is true when that is known only from the deadline, which the target enforces by its own clock. A
+	// busy target may take a moment longer.
+	ByDeadline bool
 }
 
 // Error gives the cause.
