--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -95,7 +96,7 @@
 	if !t.notified {
 		t.notified = true
 		d := c.commandsFor(c.readyCommands, w.id)
-		d.KnownRuns = append(d.KnownRuns, t.traits())
+		d.KnownRuns = append(d.KnownRuns, c.traits(t, w))
 	}
 	if r.Percent > t.percent {
 		t.progressAt = now
@@ -104,6 +105,9 @@
 		t.lastActive = now
 	}
 	t.percent, t.measurement = r.Percent, r.Measurement
+	if t.slowedPercent = r.SlowedPercent; t.slowedPercent < maxSlowdown {
+		t.slowedSince = now
+	}
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
@@ -121,10 +125,26 @@
 	c.logDecision(event.Stop, r.Task.String(), fmt.Sprintf("run=%d worker=%s reason=%q", r.Run, w.id, "not assigned there"))
 }
 
-// traits returns what local control needs to know about the newest run.
-func (t *task) traits() link.Traits {
+// traits returns what local control needs to know about the newest run of a task on a worker.
+func (c *Core) traits(t *task, w *worker) link.Traits {
 	s := t.step.spec
-	return link.Traits{RunRef: t.ref(), Filler: s.Filler, TailTargetMS: s.TailTargetMS, Image: s.Image}
+	out := link.Traits{RunRef: t.ref(), Filler: s.Filler, TailTargetMS: s.TailTargetMS, Image: s.Image}
+	if !s.Filler {
+		return out
+	}
+	for _, o := range w.tasks {
+		image := o.step.spec.Image
+		if o.step.spec.TailTargetMS == 0 {
+			continue
+		}
+		if out.Effects == nil {
+			out.Effects = map[string]float64{}
+		}
+		if _, ok := out.Effects[image]; !ok {
+			out.Effects[image] = math.Round(c.interference(image, s)*100) / 100
+		}
+	}
+	return out
 }
 
 // endRun handles the end of the newest run of a task.
