--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/link"
@@ -70,15 +69,13 @@
 	// commandPending reports whether a command about the run is in progress.
 	commandPending bool
 	pacePercent    int // last pace that the worker confirmed, in percent
-	// wantPace is the pace that the run should have, in percent.
-	wantPace    float64
-	measurement float64
-	reason      string // reported if the run turns out to be absent
+	measurement    float64
+	reason         string // reported if the run turns out to be absent
 }
 
 // NewCore returns a core without a worker or an owner.
 func NewCore(opt Options) *Core {
-	return &Core{opt: opt, runs: map[link.RunRef]*run{}}
+	return &Core{opt: opt, runs: map[link.RunRef]*run{}, pacer: newPacer()}
 }
 
 // Describe records an announcement of the worker. While one incarnation of the worker answers, the
@@ -149,7 +146,7 @@
 		c.absent = append(c.absent, link.RunEnd{RunRef: s.RunRef, Outcome: link.Absent, Reason: "not accepting runs"})
 		return Command{}, false
 	}
-	c.runs[s.RunRef] = &run{Traits: s.Traits, traitsKnown: true, commandPending: true, pacePercent: fullPace, wantPace: fullPace}
+	c.runs[s.RunRef] = &run{Traits: s.Traits, traitsKnown: true, commandPending: true, pacePercent: fullPace}
 	return Command{Incarnation: c.incarnation, Token: c.epoch, UntilMS: until, Start: s}, true
 }
 
@@ -175,7 +172,7 @@
 func (c *Core) RequestStop(s link.RunRef) {
 	r := c.runs[s]
 	if r == nil {
-		r = &run{Traits: link.Traits{RunRef: s}, pacePercent: fullPace, wantPace: fullPace}
+		r = &run{Traits: link.Traits{RunRef: s}, pacePercent: fullPace}
 		c.runs[s] = r
 	}
 	if r.phase != stopped {
@@ -247,7 +244,7 @@
 		seen[s.RunRef] = true
 		r := c.runs[s.RunRef]
 		if r == nil {
-			r = &run{Traits: link.Traits{RunRef: s.RunRef}, pacePercent: fullPace, wantPace: fullPace}
+			r = &run{Traits: link.Traits{RunRef: s.RunRef}, pacePercent: fullPace}
 			c.runs[s.RunRef] = r
 		}
 		if r.phase == starting || r.phase == startUnanswered {
@@ -307,7 +304,7 @@
 	c.absent = nil
 	c.ackedEnd = 0
 	c.workerClock = 0
-	c.pacer = pacer{}
+	c.pacer = newPacer()
 	c.inventoryDue, c.described = true, false
 }
 
@@ -319,7 +316,7 @@
 func (c *Core) DuePaceChanges() map[link.RunRef]int {
 	var out map[link.RunRef]int
 	for ref, r := range c.runs {
-		want := int(r.wantPace)
+		want := c.pacer.wholePercent()
 		if !r.traitsKnown || !r.Filler || r.commandPending || r.phase != listed || r.pacePercent == want {
 			continue
 		}
@@ -359,33 +356,22 @@
 	return Command{Incarnation: c.incarnation, Token: c.epoch, Start: link.Start{Traits: link.Traits{RunRef: s}}}
 }
 
-// Pace returns the mean pace of the fillers, in percent.
-func (c *Core) Pace() int { return meanPace(c.runs) }
+// Pace returns the pace that applies to all fillers, in percent.
+func (c *Core) Pace() int { return c.pacer.wholePercent() }
 
 // Epoch returns the highest ownership epoch seen.
 func (c *Core) Epoch() int64 { return c.epoch }
 
-// withSlowdowns returns a listing of runs with how much each is slowed.
-func (c *Core) withSlowdowns(listing []link.RunStatus) []link.RunStatus {
-	out := slices.Clone(listing)
-	for i := range out {
-		if r := c.runs[out[i].RunRef]; r != nil {
-			out[i].SlowedPercent = fullPace - int(r.wantPace)
-		}
-	}
-	return out
-}
-
 // Report returns the next message to the owner; l is the newest listing, or nil when there is no new one. With
 // full set, the message is a complete inventory.
 func (c *Core) Report(nowMS int64, l *Listing, full bool) link.GuardMessage {
-	u := link.GuardMessage{ClockMS: nowMS, Pace: c.Pace(), Unresponsive: c.unresponsive, EndedIncarnations: c.endedIncarnations}
+	u := link.GuardMessage{ClockMS: nowMS, Pace: c.pacer.wholePercent(), Unresponsive: c.unresponsive, EndedIncarnations: c.endedIncarnations}
 	c.endedIncarnations = nil
 	if c.incarnation == "" || c.info == nil {
 		return u
 	}
 	if l != nil && l.Incarnation == c.incarnation {
-		u.Reported, u.Running, u.Ended = true, c.withSlowdowns(l.Running), l.Ended
+		u.Reported, u.Running, u.Ended = true, l.Running, l.Ended
 		u.Inventory = full
 	}
 	u.Ended = append(u.Ended[:len(u.Ended):len(u.Ended)], c.absent...)
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -206,17 +206,16 @@
 	}
 }
 
-// TestPacer checks that fillers with unknown effects are slowed beside a serving task that stays over its target, after the time
+// TestPacer checks that fillers are slowed beside a serving task that stays over its target, after the time
 // left to the owner to act, and regain their pace when the tail latency has fallen.
 func TestPacer(t *testing.T) {
-	p := pacer{}
-	filler := &run{Traits: link.Traits{Filler: true}, phase: listed, wantPace: fullPace}
+	p := newPacer()
 	runs := map[link.RunRef]*run{
 		ref(0, 1): {Traits: link.Traits{TailTargetMS: 100}, phase: listed, measurement: 150},
-		ref(1, 1): filler,
+		ref(1, 1): {Traits: link.Traits{Filler: true}, phase: listed},
 	}
 	now := int64(10_000)
-	for filler.wantPace == fullPace && now < 20_000 {
+	for p.percent == fullPace && now < 20_000 {
 		p.observe(now, runs)
 		now += 100
 	}
@@ -227,15 +226,15 @@
 		p.observe(now, runs)
 		now += 100
 	}
-	if filler.wantPace != 0 {
-		t.Errorf("fillers at %v percent beside a task that stays over its target", filler.wantPace)
+	if p.percent != 0 {
+		t.Errorf("fillers at %v percent beside a task that stays over its target", p.percent)
 	}
 	runs[ref(0, 1)].measurement = 95
 	for range 30 {
 		p.observe(now, runs)
 		now += 100
 	}
-	if filler.wantPace != fullPace {
-		t.Errorf("fillers at %v percent after the tail has fallen below its target", filler.wantPace)
+	if p.percent != fullPace {
+		t.Errorf("fillers at %v percent after the tail has fallen below its target", p.percent)
 	}
 }
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -36,8 +36,6 @@
 	// Measurement is the tail latency in milliseconds of a serving task, and for other tasks the processor use
 	// in thousandths of a core; both over the last half second.
 	Measurement float64 `json:"f,omitempty"`
-	// SlowedPercent is by how much the guard slows the run: 0 at full pace, 100 when it stands still.
-	SlowedPercent int `json:"s,omitempty"`
 }
 
 // Outcome is how a run ended.
@@ -83,9 +81,6 @@
 	Filler       bool   `json:"filler,omitempty"`
 	TailTargetMS int64  `json:"target,omitempty"`
 	Image        string `json:"image,omitempty"`
-	// Effects is how much headroom a filler at full pace is expected to take from the serving tasks on its worker,
-	// by their image.
-	Effects map[string]float64 `json:"effects,omitempty"`
 }
 
 // GuardMessage is one message of a guard.
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -16,9 +16,8 @@
 	stallTimeout = 1500 * time.Millisecond
 	// fillerStallTimeout is longer, since fillers may find little spare processor time.
 	fillerStallTimeout = 4 * time.Second
-	// slowFillerTimeout is how long a filler stays where local control slows it by maxSlowdown percent or more.
+	// slowFillerTimeout is how long a filler stays on a worker whose local control throttles it.
 	slowFillerTimeout = 1200 * time.Millisecond
-	maxSlowdown       = 60
 	// idleTimeout is how long a long-running task may be idle, from its start or from when it was last at work.
 	idleTimeout = 2500 * time.Millisecond
 	// suspectDuration is how long a worker gets no tasks after a run has stalled there.
@@ -104,11 +103,11 @@
 			continue
 		}
 		for _, t := range w.tasks {
-			if t.throttled(now) {
+			if t.throttled(now, w) {
 				c.stopRun(now, t, "slowed down for serving tasks")
 				continue
 			}
-			if reason := t.stallReason(now); reason != "" {
+			if reason := t.stallReason(now, w); reason != "" {
 				c.health.block(now.Add(suspectDuration), w.id, "runs stand still")
 				c.logDecision(event.Suspect, w.id, fmt.Sprintf("task=%s %s", t.id, reason))
 				c.stopRun(now, t, reason)
@@ -118,15 +117,15 @@
 }
 
 // throttled reports whether a filler has been throttled for long enough to run elsewhere.
-func (t *task) throttled(now time.Time) bool {
-	if !t.step.spec.Filler || t.state != stateRunning || t.pinned || t.slowedPercent < maxSlowdown {
+func (t *task) throttled(now time.Time, w *worker) bool {
+	if !t.step.spec.Filler || t.state != stateRunning || t.pinned || w.pace >= minFillerPace {
 		return false
 	}
-	return now.Sub(t.slowedSince) > slowFillerTimeout && now.Sub(t.assignedAt) > slowFillerTimeout
+	return now.Sub(w.slowSince) > slowFillerTimeout && now.Sub(t.assignedAt) > slowFillerTimeout
 }
 
 // stallReason returns why a run counts as stalled, or an empty string.
-func (t *task) stallReason(now time.Time) string {
+func (t *task) stallReason(now time.Time, w *worker) string {
 	if t.state != stateRunning {
 		return ""
 	}
@@ -140,7 +139,7 @@
 	limit := stallTimeout
 	if t.step.spec.Filler {
 		limit = fillerStallTimeout
-		if t.slowedPercent > 0 {
+		if w.pace < minFillerPace {
 			return ""
 		}
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -118,13 +118,10 @@
 	// The worker's latest report on the run; percent and measurement are explained at link.RunStatus.
 	percent     float64
 	measurement float64
-	// slowedPercent is by how much the guard slows the run, slowedSince since when that is at least maxSlowdown.
-	slowedPercent int
-	slowedSince   time.Time
-	appearedAt    time.Time
-	progressAt    time.Time // when percent last grew
-	assignedAt    time.Time
-	stopSentAt    time.Time
+	appearedAt  time.Time
+	progressAt  time.Time // when percent last grew
+	assignedAt  time.Time
+	stopSentAt  time.Time
 	// notified says that the guard has received the run's traits over its current link.
 	notified bool
 	// pinned runs are not stopped for the tail latency of serving tasks; local control throttles them instead.
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -109,7 +109,7 @@
 	c.Submit(now, filler("fill", 1))
 	run := started(settle(now, c))["a"][0].RunRef
 	for range 3 {
-		c.Report(now, "a", []link.RunStatus{{RunRef: run, Percent: 10, Measurement: 100, SlowedPercent: maxSlowdown}}, nil)
+		c.Report(now, "a", []link.RunStatus{{RunRef: run, Percent: 10, Measurement: 100}}, nil)
 		c.UpdatePressure(now, "a", minFillerPace-1, false)
 		if d := settle(now, c)["a"]; d != nil && len(d.Stop) > 0 {
 			t.Fatalf("stopped %v after %s", d.Stop, now.Sub(epoch0))
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -96,7 +95,7 @@
 	if !t.notified {
 		t.notified = true
 		d := c.commandsFor(c.readyCommands, w.id)
-		d.KnownRuns = append(d.KnownRuns, c.traits(t, w))
+		d.KnownRuns = append(d.KnownRuns, t.traits())
 	}
 	if r.Percent > t.percent {
 		t.progressAt = now
@@ -105,9 +104,6 @@
 		t.lastActive = now
 	}
 	t.percent, t.measurement = r.Percent, r.Measurement
-	if t.slowedPercent = r.SlowedPercent; t.slowedPercent < maxSlowdown {
-		t.slowedSince = now
-	}
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
@@ -125,26 +121,10 @@
 	c.logDecision(event.Stop, r.Task.String(), fmt.Sprintf("run=%d worker=%s reason=%q", r.Run, w.id, "not assigned there"))
 }
 
-// traits returns what local control needs to know about the newest run of a task on a worker.
-func (c *Core) traits(t *task, w *worker) link.Traits {
+// traits returns what local control needs to know about the newest run.
+func (t *task) traits() link.Traits {
 	s := t.step.spec
-	out := link.Traits{RunRef: t.ref(), Filler: s.Filler, TailTargetMS: s.TailTargetMS, Image: s.Image}
-	if !s.Filler {
-		return out
-	}
-	for _, o := range w.tasks {
-		image := o.step.spec.Image
-		if o.step.spec.TailTargetMS == 0 {
-			continue
-		}
-		if out.Effects == nil {
-			out.Effects = map[string]float64{}
-		}
-		if _, ok := out.Effects[image]; !ok {
-			out.Effects[image] = math.Round(c.interference(image, s)*100) / 100
-		}
-	}
-	return out
+	return link.Traits{RunRef: t.ref(), Filler: s.Filler, TailTargetMS: s.TailTargetMS, Image: s.Image}
 }
 
 // endRun handles the end of the newest run of a task.
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -307,7 +307,6 @@
 	}
 	t.run, t.worker, t.assignedAt = run, w.id, now
 	t.appearedAt, t.progressAt, t.lastActive = time.Time{}, now, time.Time{}
-	t.slowedPercent, t.slowedSince = 0, now
 	t.percent, t.pinned = 0, false
 	if !t.step.spec.LongRunning {
 		t.step.unplacedSince = time.Time{}
@@ -325,7 +324,7 @@
 	c.markDirty(j)
 	d := c.commandsFor(c.gatedCommands, w.id)
 	d.Start = append(d.Start, link.Start{
-		Traits: c.traits(t, w), Payload: j.spec.Payload, Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.id].text,
+		Traits: t.traits(), Payload: j.spec.Payload, Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.id].text,
 	})
 	c.health.started(now, w.id, t)
 	c.logDecision(event.Place, t.id.String(), fmt.Sprintf("run=%d worker=%s free=%d spare=%d pace=%d slack=%s",
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -35,8 +35,10 @@
 	detachedAt time.Time
 	// acknowledged is the number of the newest end whose acknowledgement is queued or sent.
 	acknowledged int64
-	// pace is the mean pace that local control allows fillers, in percent.
-	pace int
+	// pace is the rate that local control allows fillers, in percent; slowSince is when it fell below
+	// minFillerPace.
+	pace      int
+	slowSince time.Time
 	// unresponsive says that the worker doesn't answer its guard, since unresponsiveSince.
 	unresponsive      bool
 	unresponsiveSince time.Time
@@ -209,6 +211,9 @@
 		w.unresponsiveSince = now
 		c.logDecision(event.Worker, id, fmt.Sprintf("not answering held=%d", len(w.held)))
 	}
+	if pace >= minFillerPace || w.pace >= minFillerPace {
+		w.slowSince = now
+	}
 	w.pace, w.unresponsive = pace, unresponsive
 }
 
