The time of day comes from the clocks of all guards

Cause: an owner opened occurrences by its own time of day, and took the age of a job from the clock of the entry that accepted it.

Guards send their time of day every 2 s; the owner takes the median, held against the steady clock, so that a jump of its own clock or of a minority moves nothing. The age of a job that comes by the stream is bounded by the time since the stream was read before.

--- a/internal/guard/links.go
+++ b/internal/guard/links.go
@@ -105,6 +105,19 @@
 	tailSum float64
 	lastEnd int64
 	sentAt  time.Time
+	// unixSentAt is when the time of day was last sent.
+	unixSentAt time.Time
+}
+
+// unixInterval is the time between two reports of the time of day.
+const unixInterval = 2 * time.Second
+
+// addUnixTime adds the time of day to a message when it is due.
+func (l *reportState) addUnixTime(up *link.GuardMessage) {
+	if now := time.Now(); now.Sub(l.unixSentAt) >= unixInterval {
+		l.unixSentAt = now
+		up.UnixMS = now.UnixMilli()
+	}
 }
 
 // report sends changes as they come, and a heartbeat when there are none.
@@ -126,6 +139,7 @@
 			continue
 		}
 		last.sentAt = time.Now()
+		last.addUnixTime(&up)
 		if err := conn.Send(up); err != nil {
 			return err
 		}
@@ -145,7 +159,7 @@
 	case g.listingUnderEpoch && g.listing != nil:
 		up := g.core.Report(g.clock(), g.listing, true)
 		g.core.inventoryDue, g.listing, *complete = false, nil, true
-		*last = reportState{}
+		*last = reportState{unixSentAt: last.unixSentAt}
 		last.trim(&up, g.core.TailSum())
 		return up, true
 	}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -104,6 +104,8 @@
 	Unresponsive bool `json:"mute,omitempty"`
 	// ClockMS is the guard's monotonic clock when the message was made, in milliseconds.
 	ClockMS int64 `json:"clock"`
+	// UnixMS is the guard's time of day, in Unix milliseconds; it is sent from time to time, otherwise 0.
+	UnixMS int64 `json:"unix,omitempty"`
 }
 
 // OwnerMessage is one message of the owner.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -18,6 +18,7 @@
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/sched"
 	"github.com/crocusspring/crocusspring/internal/store"
+	"github.com/crocusspring/crocusspring/internal/wallclock"
 )
 
 const (
@@ -29,6 +30,8 @@
 	jobsReadWait = 700 * time.Millisecond
 	// maxViewAge is how long after a read of TopicJobs the owner's view of the jobs counts as current.
 	maxViewAge = 2 * time.Second
+	// maxAppendDelay bounds the time from the acceptance of a job at an entry until its record can be read.
+	maxAppendDelay = time.Second
 	// retryPause is the delay after a failed call.
 	retryPause = 100 * time.Millisecond
 	// maxRoundInterval is the longest time between two scheduling rounds, and minRoundInterval the shortest: what
@@ -59,7 +62,8 @@
 	runsEnd    store.Offset     // where the next record of TopicRuns goes
 	jobsReadAt time.Time        // of the last successful read of TopicJobs
 	links      map[string]*peer // by worker ID
-	roundDue   chan struct{}    // starts the next round at once
+	clock      *wallclock.Estimate
+	roundDue   chan struct{} // starts the next round at once
 	// approvalRequests holds requests that wait for the policy service.
 	approvalRequests chan sched.ApprovalRequest
 	adviser          Adviser
@@ -68,7 +72,7 @@
 // New returns a cell that this process doesn't own yet.
 func New(opt sched.Options, s store.Store, lease *ownership.Runner, adviser Adviser, scope tally.Scope, l *log.Logger) *Cell {
 	return &Cell{
-		opt: opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, roundDue: make(chan struct{}, 1),
+		opt: opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
 		approvalRequests: make(chan sched.ApprovalRequest, maxApprovalRequests), adviser: adviser,
 	}
 }
@@ -154,8 +158,11 @@
 		}
 		from = next
 		c.mu.Lock()
-		c.jobsReadAt = time.Now()
-		c.applyRecords(c.core, c.jobsReadAt, records)
+		now := time.Now()
+		c.core.SetTimeOfDay(now, c.clock.UnixMS(now))
+		c.core.SetMaxAge(now.Sub(c.jobsReadAt) + maxAppendDelay)
+		c.jobsReadAt = now
+		c.applyRecords(c.core, now, records)
 		c.mu.Unlock()
 		if len(records) > 0 {
 			c.wake()
@@ -223,6 +230,7 @@
 	}
 	began := time.Now()
 	c.mu.Lock()
+	c.core.SetTimeOfDay(began, c.clock.UnixMS(began))
 	c.core.Schedule(began)
 	b, ok := c.core.Flush(time.Now())
 	at := c.runsEnd
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -81,6 +81,9 @@
 	if up.Node != "" {
 		p.node = up.Node
 	}
+	if up.UnixMS > 0 {
+		c.clock.Observe(now, p.node, up.UnixMS)
+	}
 	for _, id := range up.EndedIncarnations {
 		c.incarnationEnded(now, p, id)
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -53,8 +53,8 @@
 	occurrences map[int]*occurrence
 	// next is the next occurrence to come due, finished the number of complete ones.
 	next, finished int
-	// due is when the job misses its objective, for jobs that run at once.
-	due time.Time
+	// acceptedAt is when the job was accepted, due when it misses its objective, for jobs that run at once.
+	acceptedAt, due time.Time
 	// lateness is that of the latest round; see Core.lateness.
 	lateness int
 	// fillerWork is that of the latest round; see remainingFillerWork.
@@ -174,8 +174,9 @@
 		return
 	}
 	j := &jobState{spec: spec, state: Queued, storedState: Queued, occurrences: map[int]*occurrence{}}
-	age := time.Duration(now.UnixMilli()-spec.AcceptedMS) * time.Millisecond
-	j.due = now.Add(spec.Objective() - max(0, age))
+	age := c.age(now, spec)
+	j.acceptedAt = now.Add(-age)
+	j.due = j.acceptedAt.Add(spec.Objective())
 	c.jobs[spec.ID] = j
 	c.openJobs = append(c.openJobs, j)
 	c.logDecision(event.Accept, spec.ID, fmt.Sprintf("queue=%s steps=%d age=%s", spec.Policy.Queue, len(spec.Steps), age))
@@ -184,7 +185,7 @@
 
 // openDueOccurrences opens the occurrences of a job that are due.
 func (c *Core) openDueOccurrences(now time.Time, j *jobState) {
-	for j.next < j.spec.Occurrences() && now.UnixMilli() >= j.spec.Due(j.next) {
+	for j.next < j.spec.Occurrences() && c.timeOfDay(now) >= j.spec.Due(j.next) {
 		j.occurrences[j.next] = newOccurrence(j, j.next)
 		j.next++
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -41,6 +41,31 @@
 // expiryDelay returns how long after the last echo all runs of a worker must have ended.
 func (o Options) expiryDelay() time.Duration { return o.RunLease + o.RunLease/clockDrift + o.Margin }
 
+// SetTimeOfDay sets the time of day, in Unix milliseconds, at the time now. Without it the one that now carries is
+// used. A time of day that jumps opens occurrences too early or too late.
+func (c *Core) SetTimeOfDay(now time.Time, unixMS int64) { c.unixAt, c.unixMS = now, unixMS }
+
+// timeOfDay returns the time of day in Unix milliseconds.
+func (c *Core) timeOfDay(now time.Time) int64 {
+	if c.unixAt.IsZero() {
+		return now.UnixMilli()
+	}
+	return c.unixMS + now.Sub(c.unixAt).Milliseconds()
+}
+
+// SetMaxAge bounds the age of jobs that are submitted from now on: the caller knows that they were accepted since. The
+// clocks of the entries that accepted them may be wrong.
+func (c *Core) SetMaxAge(d time.Duration) { c.maxAge = d }
+
+// age returns the time since a job was accepted.
+func (c *Core) age(now time.Time, spec *job.Spec) time.Duration {
+	age := max(0, time.Duration(c.timeOfDay(now)-spec.AcceptedMS)*time.Millisecond)
+	if c.maxAge > 0 {
+		age = min(age, c.maxAge)
+	}
+	return age
+}
+
 // Batch is a set of records that are stored together.
 type Batch struct {
 	Seq     int64
@@ -85,6 +110,11 @@
 	lastSweep time.Time
 	// nextFillerRound is when fillers are placed next.
 	nextFillerRound time.Time
+	// unixMS is the time of day, in Unix milliseconds, at the time unixAt; see SetTimeOfDay.
+	unixMS int64
+	unixAt time.Time
+	// maxAge bounds the age of a job that is submitted, by the time of day of its entry; 0 for no bound.
+	maxAge time.Duration
 	// interferenceSavedAt is when the interference estimates were stored last.
 	interferenceSavedAt time.Time
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -318,7 +318,7 @@
 		p.free -= t.step.spec.Reserve().MilliCPU
 	}
 	if j.state == Queued {
-		c.sample(MeasureWait, time.Duration(now.UnixMilli()-j.spec.AcceptedMS)*time.Millisecond)
+		c.sample(MeasureWait, now.Sub(j.acceptedAt))
 		j.state = Running
 	}
 	c.markDirty(j)
