Effects of fillers are told from the load of serving tasks

interfere.Tails follows the headroom alone of each step as a level with a slope, and learns effects from what its tasks lack to it. Placement looks at the mean of the measured headroom and of that model, 0.6 s ahead; fillers are stopped when a task is measured over its target and the model agrees.

--- a/internal/interfere/tails.go
+++ b/internal/interfere/tails.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
+	"time"
 )
 
 // Tails learns how much filler tasks raise the tail latency of serving tasks beside them.
@@ -14,15 +14,16 @@
 // A reading is the headroom of a serving task: its target divided by its tail latency, so that 1 is at the
 // target and less is over it. The tail latency of a queue grows with the inverse of its remaining capacity, so
 // headroom falls linearly with the capacity that others take: it is the headroom that the task would have
-// alone, which varies with its own load, minus an interference for each core that fillers of an image use.
+// alone, less an interference for each core that fillers of an image use.
 //
-// The load of the task itself can't be separated from fillers that are always there, so interference is learned
-// from changes between two readings: fillers come and go at once, loads change slowly. Each estimate has a
+// The tasks of one step share a load, which rises and falls within seconds and takes more headroom than most fillers
+// do. Their readings together tell the headroom that each would have alone: a Group follows it as a level with a
+// slope. What a task lacks to that is the interference of the fillers beside it. Each estimate of a pair has a
 // variance and is corrected by the gain of a Kalman filter with independent components: a prediction error is
 // attributed mostly to uncertain estimates and little to well-known ones.
 type Tails struct {
-	estimates    map[tailPair]*estimate
-	lastReadings map[string]Reading
+	estimates map[tailPair]*estimate
+	groups    map[string]*group
 }
 
 // tailPair is a pair of a serving image and a filler image.
@@ -37,17 +38,12 @@
 	// Many pairs interfere little, and some take all headroom with two cores.
 	priorMean     = 0.15
 	priorVariance = 0.4
-	// driftVariance is how much the variance of an estimate grows between two readings, for each core by which
-	// the filler's use has changed.
-	driftVariance = 0.002
-	// changeVariance is the variance of the change between two readings of a task whose neighbours stay, as its
-	// own load varies, and readingVariance the variance of the relative error of a reading.
-	changeVariance  = 0.06
-	readingVariance = 0.01
-	// minChange is the smallest change of a filler image's use to learn from, in cores.
-	minChange = 0.05
-	// minHeadroom is the headroom below which a task is overloaded and its readings carry no information; a
-	// change between two such readings is ignored.
+	// driftVariance is how much the variance of an estimate grows with each reading.
+	driftVariance = 0.0005
+	// readingVariance and relativeVariance are the variance of a reading and that of its relative error.
+	readingVariance  = 0.02
+	relativeVariance = 0.005
+	// minHeadroom is the headroom below which a task is overloaded; its readings say only that it is.
 	minHeadroom = 0.3
 	// maxHeadroom bounds the headroom of one reading.
 	maxHeadroom = 8.0
@@ -55,62 +51,83 @@
 
 // NewTails returns an untrained model.
 func NewTails() *Tails {
-	return &Tails{estimates: map[tailPair]*estimate{}, lastReadings: map[string]Reading{}}
+	return &Tails{estimates: map[tailPair]*estimate{}, groups: map[string]*group{}}
 }
 
 // Reading is the headroom of one serving task beside fillers.
 type Reading struct {
-	// Task is the id of the task, and Image the image that it runs.
-	Task, Image string
-	Headroom    float64
+	// Group names the step of the task, and Image the image that it runs.
+	Group, Image string
+	Headroom     float64
 	// Fillers is the processor use by filler image, in cores.
 	Fillers map[string]float64
 }
 
-// Observe learns from the change between a reading and the previous one of the same task.
-func (m *Tails) Observe(r Reading) {
+// Observe learns from a reading that arrived now.
+func (m *Tails) Observe(now time.Time, r Reading) {
 	if math.IsNaN(r.Headroom) || r.Headroom <= 0 {
 		return
 	}
 	r.Headroom = min(r.Headroom, maxHeadroom)
-	r.Fillers = maps.Clone(r.Fillers)
-	before, ok := m.lastReadings[r.Task]
-	m.lastReadings[r.Task] = r
-	if !ok || r.Headroom < minHeadroom && before.Headroom < minHeadroom {
+	g := m.groups[r.Group]
+	if g == nil {
+		g = newGroup(now)
+		m.groups[r.Group] = g
+	}
+	g.advance(now)
+	noise := readingVariance + relativeVariance*r.Headroom*r.Headroom
+	if g.known() {
+		m.learn(g, r, noise)
+	}
+	if r.Headroom < minHeadroom {
 		return
 	}
-	changes := changes(before.Fillers, r.Fillers)
-	predictionError := r.Headroom - before.Headroom
-	errorVariance := changeVariance + readingVariance*(r.Headroom*r.Headroom+before.Headroom*before.Headroom)
-	for f, cores := range changes {
+	taken, variance := m.taken(r)
+	g.observe(r.Headroom+taken, noise+variance)
+}
+
+// taken returns how much headroom the fillers beside a task are expected to take, and the variance of that.
+func (m *Tails) taken(r Reading) (mean, variance float64) {
+	for f, cores := range r.Fillers {
 		e := m.estimate(r.Image, f)
-		predictionError += e.mean * cores
-		errorVariance += e.variance * cores * cores
+		mean += e.mean * cores
+		variance += e.variance * cores * cores
 	}
-	for f, cores := range changes {
+	return mean, variance
+}
+
+// learn attributes what a task lacks to the headroom of its group to the fillers beside it.
+func (m *Tails) learn(g *group, r Reading, noise float64) {
+	taken, variance := m.taken(r)
+	predictionError := g.level - r.Headroom - taken
+	if r.Headroom < minHeadroom && predictionError < 0 {
+		return
+	}
+	errorVariance := noise + g.levelVariance() + variance
+	for f, cores := range r.Fillers {
 		e := m.estimate(r.Image, f)
-		e.update(predictionError, errorVariance, -cores)
+		e.update(predictionError, errorVariance, cores)
 		e.mean = max(0, e.mean)
-		e.variance += driftVariance * math.Abs(cores)
+		e.variance = min(priorVariance, e.variance+driftVariance)
 	}
 }
 
-// changes returns by how many cores the use of each filler image has changed; changes below minChange are left
-// out.
-func changes(before, after map[string]float64) map[string]float64 {
-	out := map[string]float64{}
-	for f, cores := range after {
-		out[f] = cores
-	}
-	for f, cores := range before {
-		out[f] -= cores
+// Alone returns the headroom that tasks of a group would have now without fillers, and by how much it changes in a
+// second; false while it isn't known well.
+func (m *Tails) Alone(now time.Time, name string) (level, slope float64, ok bool) {
+	g := m.groups[name]
+	if g == nil {
+		return 0, 0, false
 	}
-	maps.DeleteFunc(out, func(_ string, cores float64) bool { return math.Abs(cores) < minChange })
-	return out
+	g.advance(now)
+	return g.level, g.slope, g.known()
 }
 
+// RemoveGroup drops a group whose job has ended.
+func (m *Tails) RemoveGroup(name string) { delete(m.groups, name) }
+
 // update corrects an estimate by its share of the prediction error. The caller gives the variance of the error,
-// and the weight of the estimate in the predicted headroom.
+// and the weight of the estimate in the predicted value.
 func (e *estimate) update(predictionError, errorVariance, weight float64) {
 	gain := e.variance * weight / errorVariance
 	e.mean += gain * predictionError
@@ -128,9 +145,6 @@
 	return e
 }
 
-// RemoveTask drops the last reading of a task that has ended.
-func (m *Tails) RemoveTask(task string) { delete(m.lastReadings, task) }
-
 // Interference returns how much headroom one core of a filler takes of a serving task, and the variance of
 // that estimate.
 func (m *Tails) Interference(serving, filler string) (mean, variance float64) {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -74,9 +74,11 @@
 
 // step is one step of an occurrence.
 type step struct {
-	occ       *occurrence
-	spec      *job.Step
-	index     int
+	occ   *occurrence
+	spec  *job.Step
+	index int
+	// group names the step to the model of interference: its tasks share a load.
+	group     string
 	tasks     []*task
 	openTasks int // tasks that are not done
 	// waiting counts the tasks that can be placed once the step is ready.
@@ -196,6 +198,7 @@
 	o := &occurrence{job: j, k: k, openSteps: len(j.spec.Steps)}
 	for i := range j.spec.Steps {
 		s := &step{occ: o, spec: &j.spec.Steps[i], index: i}
+		s.group = s.name()
 		s.openTasks, s.waiting = s.spec.Count, s.spec.Count
 		for n := range s.spec.Count {
 			id := job.TaskID{Job: j.spec.ID, Occurrence: k, Step: i, Index: n}
@@ -221,6 +224,7 @@
 	j.state, j.reason, j.endedAt = s, reason, now
 	for _, o := range j.inOrder() {
 		for _, st := range o.steps {
+			c.interferenceModel.RemoveGroup(st.group)
 			for _, t := range st.tasks {
 				if t.held() {
 					c.stopRun(now, t, reason)
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -157,7 +157,6 @@
 		}
 	}
 	c.health.ended(now, id, t, e.Outcome, wasStopping)
-	c.interferenceModel.RemoveTask(t.id.String())
 	if j.state.Terminal() {
 		t.transition(eventDrop)
 		return
--- a/internal/sched/tails.go
+++ b/internal/sched/tails.go
@@ -21,7 +21,7 @@
 	// 1 because its own load varies.
 	targetHeadroom = 1.1
 	// lowHeadroom is the headroom below which fillers are stopped, until targetHeadroom should be restored.
-	lowHeadroom = 0.9
+	lowHeadroom = 1.0
 	// minorInterference is the interference below which a filler is neither refused for lack of headroom nor
 	// stopped; from half of it on, interference counts towards the cost.
 	minorInterference = 0.3
@@ -35,6 +35,10 @@
 	maxLateInterferenceCost = 0.1
 	// tailSettleTime is how long measurements take to reflect that fillers were placed or stopped.
 	tailSettleTime = 800 * time.Millisecond
+	// placementHorizon is how far ahead the load of serving tasks is looked at when a filler is placed beside them,
+	// reliefHorizon when it is decided whether to stop fillers: a stop shows in the tails after about that time.
+	placementHorizon = 600 * time.Millisecond
+	reliefHorizon    = 600 * time.Millisecond
 	// uncertainVariance is the variance of an interference estimate, per core, above which only one filler of an
 	// image at a time is tried on a worker.
 	uncertainVariance = 0.1
@@ -57,8 +61,7 @@
 type servingGroup struct {
 	image string
 	count int
-	// headroom is the least among them, less the expected interference of fillers placed too recently to
-	// show in the measurements.
+	// headroom is the least that is expected of them within placementHorizon.
 	headroom float64
 }
 
@@ -70,22 +73,39 @@
 	w.tails.stale = false
 	w.tails.groups = w.tails.groups[:0]
 	for _, t := range w.tasks {
-		headroom, ok := t.headroom()
-		if !ok {
-			continue
+		if headroom, ok := c.expectedHeadroom(now, w, t, placementHorizon); ok {
+			w.tails.addServing(t.step.spec.Image, headroom)
 		}
-		w.tails.addServing(t.step.spec.Image, headroom)
 	}
-	for _, t := range w.tasks {
-		if !t.step.spec.Filler || now.Sub(t.assignedAt) >= tailSettleTime {
+	return w.tails.groups
+}
+
+// expectedHeadroom returns the least headroom that a serving task on a worker is expected to have within a horizon,
+// beside the fillers that are there now; false when its tail latency isn't known. It is the mean of two estimates: the
+// task's measurement, less what was placed too recently to show in it, and the headroom of its step alone, less what
+// all fillers take. The first knows this task, the second is less noisy.
+func (c *Core) expectedHeadroom(now time.Time, w *worker, t *task, horizon time.Duration) (float64, bool) {
+	measured, ok := t.headroom()
+	if !ok {
+		return 0, false
+	}
+	image := t.step.spec.Image
+	all := 0.0
+	for _, o := range w.tasks {
+		if !o.step.spec.Filler || o.state == stateStopping {
 			continue
 		}
-		for i := range w.tails.groups {
-			g := &w.tails.groups[i]
-			g.headroom -= c.interference(g.image, t.step.spec)
+		interference := c.interference(image, o.step.spec)
+		all += interference
+		if now.Sub(o.assignedAt) < tailSettleTime {
+			measured -= interference
 		}
 	}
-	return w.tails.groups
+	alone, slope, ok := c.interferenceModel.Alone(now, t.step.group)
+	if !ok {
+		return measured, true
+	}
+	return (measured+alone-all)/2 + min(0, slope)*horizon.Seconds(), true
 }
 
 // addServing adds one serving task.
@@ -127,16 +147,16 @@
 		w.tails.learnedAt = now
 	}
 	for _, t := range w.tasks {
-		headroom, ok := t.headroom()
+		measured, ok := t.headroom()
 		if !ok {
 			continue
 		}
 		if fresh {
-			c.interferenceModel.Observe(interfere.Reading{
-				Task: t.id.String(), Image: t.step.spec.Image, Headroom: headroom, Fillers: w.tails.fillerUsage,
+			c.interferenceModel.Observe(now, interfere.Reading{
+				Group: t.step.group, Image: t.step.spec.Image, Headroom: measured, Fillers: w.tails.fillerUsage,
 			})
 		}
-		if headroom < lowHeadroom {
+		if headroom, ok := c.expectedHeadroom(now, w, t, reliefHorizon); ok && measured < 1 && headroom < lowHeadroom {
 			c.relieve(now, w, t, headroom)
 		}
 	}
