A refused connection of a resend says nothing about earlier sends

Trace: the violation names the refusal, 'connection refused' at the caller itself, and the run of an earlier send of the same key, whose entry was killed before it answered. No process had said that the request didn't run; the load generator took the refused connection of the resend for that. The check stays as it is. TestRefusedConnectionOfResend fails without.

--- a/internal/workload/request.go
+++ b/internal/workload/request.go
@@ -92,6 +92,10 @@
 	resp, err := c.Client.Do(req)
 	if err != nil {
 		q.Outcome, q.Reason = errorOutcome(err), err.Error()
+		if !first && q.Outcome == history.NotRun {
+			// Only this send certainly didn't run; an earlier one of the same key may have.
+			q.Outcome = history.Lost
+		}
 		return q
 	}
 	defer resp.Body.Close()
