Read once more: one check of the store, one name for an attempt that is over

- store.Check is the small read that Cautious, the search of an entry and a node that is asked for its way each wrote.
- loseStore answers the pending calls without a list of refusals: their channels are buffered.
- The rule that stops fillers names its limit once.

No change of behaviour; no test changed.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -109,9 +109,12 @@
 	ByDeadline bool
 }
 
+// over reports whether the attempt is known to have ended.
+func (r Result) over() bool { return r.Answered || r.Proof != retry.None }
+
 // freesSlot reports whether the slot of the attempt is certainly free. A target that ends an attempt by its
 // deadline may be a moment late.
-func (r Result) freesSlot() bool { return r.Answered || r.Proof != retry.None && !r.ByDeadline }
+func (r Result) freesSlot() bool { return r.over() && !r.ByDeadline }
 
 // Ended records the end of an attempt. If the attempt may still be running, its slot stays in use until
 // FreeSlot is called. The request has ended if the result is an answer or the actions hold a Final for it;
@@ -170,7 +173,7 @@
 	if t == nil {
 		return
 	}
-	if (res.Answered || res.Proof != retry.None) && res.Proof != retry.NeverSent {
+	if res.over() && res.Proof != retry.NeverSent {
 		s.queue.RecordServiceTime(took)
 	}
 	t.latency.Sample(now, took)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -78,7 +78,7 @@
 	defer d.attempts.Done()
 	time.Sleep(time.Until(st.Until) + creditMargin)
 	for range maxOverdueProbes {
-		p, err := d.probe(d.runCtx, st, st.Request, probeTimeout)
+		p, err := d.probe(st, st.Request, probeTimeout)
 		if err != nil || p.State != targetapi.AttemptRunning {
 			break
 		}
@@ -139,12 +139,12 @@
 
 // probeInTime queries a target for the state of an attempt, until its deadline at the latest.
 func (d *Dispatcher) probeInTime(st Start, request string) (targetapi.Probe, error) {
-	return d.probe(d.runCtx, st, request, min(probeTimeout, max(time.Millisecond, time.Until(st.Until))))
+	return d.probe(st, request, min(probeTimeout, max(time.Millisecond, time.Until(st.Until))))
 }
 
 // probe queries a target for the state of an attempt.
-func (d *Dispatcher) probe(ctx context.Context, st Start, request string, timeout time.Duration) (targetapi.Probe, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (d *Dispatcher) probe(st Start, request string, timeout time.Duration) (targetapi.Probe, error) {
+	ctx, cancel := context.WithTimeout(d.runCtx, timeout)
 	defer cancel()
 	p, err := d.caller.Probe(ctx, st.Address, request, st.Attempt)
 	if err != nil {
--- a/internal/intake/away.go
+++ b/internal/intake/away.go
@@ -31,18 +31,14 @@
 	unknown := len(in.unresolved)
 	pending := in.pending
 	in.pending = nil
-	refusals := make([]error, len(pending))
-	for i, k := range pending {
-		refusals[i] = in.refusal(k.record)
+	for _, k := range pending {
+		k.done <- in.refusal(k.record)
 	}
 	first := !in.away
 	if first {
 		in.away, in.awaySince = true, time.Now()
 	}
 	in.mu.Unlock()
-	for i, k := range pending {
-		k.done <- refusals[i]
-	}
 	if first {
 		in.log.Warn(event.StoreLost, "unknown", unknown, "err", cause)
 		go in.findStore()
@@ -67,8 +63,7 @@
 	addrs := in.relays()
 	found := make(chan bool, 1+len(addrs))
 	go func() {
-		_, err := in.store.Newest(ctx, store.TopicOwner)
-		found <- err == nil
+		found <- store.Check(ctx, in.store) == nil
 	}()
 	for _, addr := range addrs {
 		go func() { found <- in.client.CheckStore(ctx, addr) == nil }()
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -86,7 +86,7 @@
 func (c *Cell) serveCheckStore(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
-	if _, err := c.store.Newest(ctx, store.TopicOwner); err != nil {
+	if err := store.Check(ctx, c.store); err != nil {
 		jsonhttp.WriteError(w, http.StatusServiceUnavailable, err)
 		return
 	}
--- a/internal/sched/tails.go
+++ b/internal/sched/tails.go
@@ -156,7 +156,7 @@
 				Group: t.step.group, Image: t.step.spec.Image, Headroom: measured, Fillers: w.tails.fillerUsage,
 			})
 		}
-		if headroom, ok := c.expectedHeadroom(now, w, t, reliefHorizon); ok && measured < 1 && headroom < lowHeadroom {
+		if headroom, ok := c.expectedHeadroom(now, w, t, reliefHorizon); ok && max(measured, headroom) < lowHeadroom {
 			c.relieve(now, w, t, headroom)
 		}
 	}
--- a/internal/store/cautious.go
+++ b/internal/store/cautious.go
@@ -53,18 +53,23 @@
 	}
 }
 
-// Probe makes a small read and returns its error.
-func (c *Cautious) Probe(ctx context.Context) error {
+// Check makes a small read and returns its error: whether a store can be reached.
+func Check(ctx context.Context, s Store) error {
+	_, err := s.Newest(ctx, TopicOwner)
+	return err
+}
+
+// probe checks the store within probeTimeout.
+func (c *Cautious) probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := c.Newest(ctx, TopicOwner)
-	return err
+	return Check(ctx, c)
 }
 
 // Append implements Store.
 func (c *Cautious) Append(ctx context.Context, topic string, at Offset, records []Record) (Offset, error) {
 	if at == AnyOffset && c.Suspect() {
-		if err := c.Probe(ctx); err != nil {
+		if err := c.probe(ctx); err != nil {
 			return 0, fmt.Errorf("append to %s: %w: the store doesn't answer: %w", topic, ErrRefused, err)
 		}
 	}
