Data centres are drained on request of the operator

Guards follow the requests in the store; the owner starts nothing there, nor anywhere while its view is older than the bound allows, withdraws starts whose record was still being stored, and moves long-running tasks a few at a time. A guard refuses starts by itself, also those of an owner that doesn't know yet. Switched on by the bound in the settings.

--- /dev/null
+++ b/internal/drains/drains_test.go
@@ -0,0 +1,128 @@
+package drains
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/store"
+	"github.com/crocusspring/crocusspring/internal/store/memstore"
+)
+
+// source takes keys that begin with "drain/".
+var source = Source{Topic: "keyed.requests", DataCentre: func(key string) (string, bool, error) {
+	name, ok := strings.CutPrefix(key, "drain/")
+	if ok && name == "" {
+		return "", false, errors.New("no name")
+	}
+	return name, ok, nil
+}}
+
+// follow runs a follower of a store for the length of a test.
+func follow(t *testing.T, s store.Store) *Follower {
+	t.Helper()
+	f := NewFollower(s, source, tally.NoopScope, logs.Discard())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f
+}
+
+// write stores a record; an empty value deletes the key.
+func write(t *testing.T, s *memstore.Store, key, value string) {
+	t.Helper()
+	if _, err := s.Append(t.Context(), source.Topic, store.AnyOffset, []store.Record{{Key: key, Value: []byte(value)}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestFollow checks that requests take effect and end, that a repeated one changes nothing, that one which is
+// withdrawn within a second ends, and that keys without a name or of other requests are ignored.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		f := follow(t, mem)
+		for _, c := range []struct{ key, value, want string }{
+			{"config", "{}", ""},
+			{"drain/a", "{}", "a"},
+			{"drain/a", "{}", "a"},
+			{"drain/", "{}", "a"},
+			{"drain/b", "{}", "a b"},
+			{"drain/b", "", "a"},
+			{"drain/nowhere", "", "a"},
+			{"drain/a", "", ""},
+		} {
+			write(t, mem, c.key, c.value)
+			time.Sleep(100 * time.Millisecond)
+			if got := strings.Join(slices.Sorted(maps.Keys(f.View().Drained)), " "); got != c.want {
+				t.Errorf("drained %q after %s=%s, want %q", got, c.key, c.value, c.want)
+			}
+		}
+	})
+}
+
+// TestRestartAndExpiry guards against a data centre that is in use again because its request was read long ago or
+// has expired from the history, and against one that stays drained because its deletion was not read.
+func TestRestartAndExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		write(t, mem, "drain/a", "{}")
+		mem.Expire(source.Topic)
+		f := follow(t, mem)
+		time.Sleep(100 * time.Millisecond)
+		if !f.Drained("a") {
+			t.Error("a is not drained after a restart")
+		}
+		mem.SetFaults(func(string, string) memstore.Fault { return memstore.Fault{Refuse: true} })
+		time.Sleep(5 * time.Second)
+		mem.SetFaults(nil)
+		write(t, mem, "drain/a", "")
+		write(t, mem, "drain/b", "{}")
+		mem.Expire(source.Topic)
+		time.Sleep(time.Second)
+		if f.Drained("a") || !f.Drained("b") {
+			t.Errorf("drained %v, want b", f.View().Drained)
+		}
+	})
+}
+
+// TestAge checks that a view is not current before the first read and while the store doesn't answer, and that it
+// stays current without changes.
+func TestAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		mem.SetFaults(func(string, string) memstore.Fault { return memstore.Fault{Hang: true} })
+		f := follow(t, mem)
+		time.Sleep(time.Second)
+		if _, ok := f.View().Age(time.Now()); ok {
+			t.Error("current before the first read")
+		}
+		mem.SetFaults(nil)
+		for range 20 {
+			time.Sleep(time.Second)
+			if age, ok := f.View().Age(time.Now()); !ok || age > followWait+callTimeout {
+				t.Fatalf("view is %s old without changes, current %v", age, ok)
+			}
+		}
+		mem.SetFaults(func(string, string) memstore.Fault { return memstore.Fault{Hang: true} })
+		time.Sleep(10 * time.Second)
+		if age, _ := f.View().Age(time.Now()); age < 7*time.Second {
+			t.Errorf("view of a store that doesn't answer is %s old", age)
+		}
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -16,6 +16,9 @@
 	AddressNotStored      Message = "address not stored"
 	ConfigurationInEffect Message = "configuration in force"
 	ConfigurationSkipped  Message = "configuration left out"
+	DrainInEffect         Message = "drain in effect"
+	DrainEnded            Message = "drain ended"
+	DrainSkipped          Message = "drain left out"
 	JobSubmitted          Message = "job submitted"
 	JobCancelled          Message = "job cancelled"
 	RequestRefused        Message = "request refused"
@@ -50,6 +53,7 @@
 	Suspect               Message = "suspect"
 	Worker                Message = "worker"
 	Learn                 Message = "learn"
+	Drain                 Message = "drain"
 	Advice                Message = "advice"
 	WorkerDrains          Message = "worker drains"
 	WorkerLeaves          Message = "worker leaves"
@@ -91,6 +95,9 @@
 	{AddressNotStored, "warn", "all", "", []string{"addr", "err"}, "the address of this process was not stored, so a new owner can't notify it of a takeover"},
 	{ConfigurationInEffect, "info", "entry", "config", []string{"version", "queues"}, "a newer configuration is in effect from now on"},
 	{ConfigurationSkipped, "error", "entry", "config", []string{"offset", "err"}, "a configuration can't be parsed; the previous one stays in effect"},
+	{DrainInEffect, "info", "guard", "drains", []string{"data_centre"}, "no task starts in this data centre from now on"},
+	{DrainEnded, "info", "guard", "drains", []string{"data_centre"}, "tasks may start in this data centre again"},
+	{DrainSkipped, "error", "guard", "drains", []string{"key", "offset", "err"}, "a request to drain names no data centre and is ignored"},
 	{JobSubmitted, "info", "entry", "front", []string{"job", "queue", "version", "err"}, "a submission was answered; without err the job is accepted"},
 	{JobCancelled, "info", "entry", "front", []string{"job", "found", "err"}, "a cancellation was answered; without err it is stored"},
 	{RequestRefused, "info", "entry", "front", []string{"method", "path", "status", "reason"}, "a request was answered with an error status"},
@@ -125,6 +132,7 @@
 	{Suspect, "info", "guard", "cell", decisionFields, "a worker on which a run makes no progress gets no tasks for a while"},
 	{Worker, "info", "guard", "cell", decisionFields, "a worker has joined, drains, doesn't answer, or was removed"},
 	{Learn, "info", "guard", "cell", decisionFields, "learned data can't be stored"},
+	{Drain, "info", "guard", "cell", decisionFields, "the scheduler's view of the drained data centres has changed, or has become too old to start tasks; workers is the number of workers there"},
 	{Advice, "info", "guard", "cell", decisionFields, "a response of the policy service about a step"},
 	{WorkerDrains, "info", "guard", "guard", []string{"worker", "remaining_ms"}, "the worker has reported that it will leave"},
 	{WorkerLeaves, "info", "guard", "control", []string{"worker"}, "the worker has reported that it leaves now"},
--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -15,6 +15,9 @@
 	RunLease time.Duration
 	// MaxLease is the longest lease that a worker accepts.
 	MaxLease time.Duration
+	// Drained reports whether this process knows that a data centre is drained; nil where none can be. The owner
+	// starts nothing there; this second check holds also for the commands of an owner that doesn't know it yet.
+	Drained func(dataCentre string) bool
 }
 
 // Core is the state machine of a guard: the state of its worker and the authority of the owner. It does no
@@ -142,14 +145,29 @@
 		return Command{}, false
 	}
 	until := c.LeaseEnd(nowMS)
-	if c.Draining() || until == 0 || c.info == nil {
-		c.absent = append(c.absent, link.RunEnd{RunRef: s.RunRef, Outcome: link.Absent, Reason: "not accepting runs"})
+	if reason := c.startRefusal(until); reason != "" {
+		c.absent = append(c.absent, link.RunEnd{RunRef: s.RunRef, Outcome: link.Absent, Reason: reason})
 		return Command{}, false
 	}
 	c.runs[s.RunRef] = &run{Traits: s.Traits, traitsKnown: true, commandPending: true, pacePercent: fullPace}
 	return Command{Incarnation: c.incarnation, Token: c.epoch, UntilMS: until, Start: s}, true
 }
 
+// startRefusal returns why no run may start on the worker now, or an empty string; until is the end of the lease.
+func (c *Core) startRefusal(until int64) string {
+	switch {
+	case c.info == nil:
+		return "the worker hasn't announced itself"
+	case until == 0:
+		return "no lease"
+	case c.info.Draining:
+		return "the worker drains"
+	case c.opt.Drained != nil && c.opt.Drained(c.info.DataCentre):
+		return "the data centre is drained"
+	}
+	return ""
+}
+
 // StartAnswered records the outcome of a start command.
 func (c *Core) StartAnswered(s link.RunRef, err error, refused bool, reason string) {
 	r := c.runs[s]
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -238,3 +238,16 @@
 		t.Errorf("fillers at %v percent after the tail has fallen below its target", p.percent)
 	}
 }
+
+// TestDrainedDataCentre checks that a guard that knows of a drain refuses the start of an owner that doesn't, and
+// that the run is reported absent.
+func TestDrainedDataCentre(t *testing.T) {
+	c := newTestCore(t)
+	c.opt.Drained = func(dataCentre string) bool { return dataCentre == c.info.DataCentre }
+	if _, ok := c.BeginStart(1000, start(0, 1)); ok {
+		t.Error("started in a drained data centre")
+	}
+	if up := c.Report(1000, nil, false); len(up.Ended) != 1 || up.Ended[0].Outcome != link.Absent {
+		t.Errorf("reported %+v, want the run to be absent", up.Ended)
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -44,10 +44,13 @@
 	TailTargetMS int64 `json:"tail_target_ms,omitempty"`
 	// Filler tasks use the processor time that other tasks leave idle; no processors are reserved for them.
 	Filler bool `json:"filler,omitempty"`
-	// MayMiss is how many tasks the system itself may make unavailable at the same time; -1 for no limit.
+	// MayMiss is how many tasks the system itself may make unavailable at the same time, or NoMissLimit.
 	MayMiss int `json:"may_miss"`
 }
 
+// NoMissLimit is the MayMiss of a step that sets no limit.
+const NoMissLimit = -1
+
 // Reserve returns the part of a worker's capacity that a task of the step reserves.
 func (s *Step) Reserve() resource.Vector {
 	r := s.Demand
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocusspring/crocusspring/internal/drains"
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/ownership"
@@ -67,6 +68,10 @@
 	// approvalRequests holds requests that wait for the policy service.
 	approvalRequests chan sched.ApprovalRequest
 	adviser          Adviser
+	// drains is nil where data centres can't be drained.
+	drains *drains.Follower
+	// maxDrainAge is how old the view of the drains may be for tasks to start.
+	maxDrainAge time.Duration
 }
 
 // New returns a cell that this process doesn't own yet.
@@ -77,6 +82,34 @@
 	}
 }
 
+// drainMargin is the part of the bound for drains to be in effect that is reserved for a decision to be stored and
+// carried out.
+const drainMargin = time.Second
+
+// UseDrains makes the cell observe drains of data centres, each of which must be in effect within a time of its
+// storage. It must be called before Run.
+func (c *Cell) UseDrains(f *drains.Follower, within time.Duration) {
+	c.drains, c.maxDrainAge = f, max(0, within-drainMargin)
+}
+
+// applyDrains passes the current view of the drains to the scheduler. The caller holds the lock.
+func (c *Cell) applyDrains(now time.Time) {
+	if c.drains == nil {
+		return
+	}
+	view := c.drains.View()
+	age, ok := view.Age(now)
+	c.core.SetDrains(view.Drained, ok && age <= c.maxDrainAge)
+}
+
+// drainsChanged returns a channel that receives a signal when drains have changed; nil without drains.
+func (c *Cell) drainsChanged() <-chan struct{} {
+	if c.drains == nil {
+		return nil
+	}
+	return c.drains.Changed()
+}
+
 // Run runs the cell whenever this process holds the lease, until the context ends.
 func (c *Cell) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -209,6 +242,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-c.roundDue:
+		case <-c.drainsChanged():
 		case <-timer.C:
 		}
 		if err := c.round(ctx); err != nil {
@@ -231,6 +265,7 @@
 	began := time.Now()
 	c.mu.Lock()
 	c.core.SetTimeOfDay(began, c.clock.UnixMS(began))
+	c.applyDrains(began)
 	c.core.Schedule(began)
 	b, ok := c.core.Flush(time.Now())
 	at := c.runsEnd
@@ -249,7 +284,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runsEnd += store.Offset(len(b.Records))
-	c.core.Stored(b.Seq)
+	stored := time.Now()
+	c.applyDrains(stored)
+	c.core.Stored(stored, b.Seq)
 	c.queueCommands()
 	return nil
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/crocusspring/crocusspring/internal/directory"
+	"github.com/crocusspring/crocusspring/internal/drains"
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/guard"
 	"github.com/crocusspring/crocusspring/internal/intake"
@@ -284,6 +285,10 @@
 	MaxLease time.Duration
 	// Clock reads, in milliseconds, a clock that also advances while the machine is suspended.
 	Clock func() int64
+	// Drains defines the requests to drain data centres, which must be in effect within DrainWithin; 0 where they
+	// can't be drained.
+	Drains      drains.Source
+	DrainWithin time.Duration
 	// Announcements returns the handler of the worker's announcements, which passes each to take.
 	Announcements func(take func(link.Worker)) http.Handler
 }
@@ -294,13 +299,19 @@
 	defer stop()
 	lease := g.lease(true)
 	cell := owner.New(g.schedOptions(), g.Store, lease, g.Adviser, g.scope(), g.Log.WithPrefix("cell"))
-	local := guard.New(guard.Options{Node: g.Node, RunLease: runLease, MaxLease: g.MaxLease},
-		g.Executor, lease, g.Clock, g.scope(), g.Log.WithPrefix("guard"))
+	opt := guard.Options{Node: g.Node, RunLease: runLease, MaxLease: g.MaxLease}
+	grp, ctx := errgroup.WithContext(ctx)
+	if g.DrainWithin > 0 {
+		drained := drains.NewFollower(g.Store, g.Drains, g.scope(), g.Log.WithPrefix("drains"))
+		cell.UseDrains(drained, g.DrainWithin)
+		opt.Drained = drained.Drained
+		grp.Go(func() error { return drained.Run(ctx) })
+	}
+	local := guard.New(opt, g.Executor, lease, g.Clock, g.scope(), g.Log.WithPrefix("guard"))
 	inner := http.NewServeMux()
 	cell.Routes(inner)
 	inner.HandleFunc("POST "+owner.TakeoverPath, owner.ServeTakeover(lease))
 	g.Log.Info(event.ProcessStarted, "node", g.Node, "control", g.Control, "inner", g.Inner)
-	grp, ctx := errgroup.WithContext(ctx)
 	g.serveMetrics(ctx, grp)
 	serve(ctx, grp, newServer(inner), g.Inner)
 	serve(ctx, grp, newServer(g.Announcements(local.Describe)), g.Control)
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -13,7 +12,6 @@
 
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
-	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/store"
 )
 
@@ -85,51 +83,23 @@
 
 // Run follows the configuration until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
-	next, synced := store.Offset(0), false
+	age := f.scope.Gauge("configuration_age_seconds")
 	lastRead := time.Now()
-	for ctx.Err() == nil {
-		f.scope.Gauge("configuration_age_seconds").Update(time.Since(lastRead).Seconds())
-		var err error
-		if !synced {
-			next, err = f.newest(ctx)
-		} else {
-			next, err = f.readChanges(ctx, next)
-		}
-		if err != nil {
-			synced = synced && !errors.Is(err, store.ErrExpired)
+	store.Follow{
+		Store: f.store, Topic: f.source.Topic, Wait: followWait, CallTimeout: callTimeout, RetryPause: retryPause,
+		Apply: func(records []store.Record, _ bool) {
+			lastRead = time.Now()
+			age.Update(0)
+			f.applyRecords(records)
+		},
+		Failed: func(err error) {
+			age.Update(time.Since(lastRead).Seconds())
 			f.log.Debug("configuration not read", "err", err)
-			pause.For(ctx, retryPause)
-			continue
-		}
-		synced, lastRead = true, time.Now()
-	}
+		},
+	}.Run(ctx)
 	return nil
 }
 
-// newest reads and applies the newest records, and returns the end of the topic.
-func (f *Follower) newest(ctx context.Context) (store.Offset, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	s, err := f.store.Newest(ctx, f.source.Topic)
-	if err != nil {
-		return 0, err
-	}
-	f.applyRecords(s.Records)
-	return s.End, nil
-}
-
-// readChanges waits for records from an offset on and applies them.
-func (f *Follower) readChanges(ctx context.Context, from store.Offset) (store.Offset, error) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
-	defer cancel()
-	b, err := f.store.Read(ctx, f.source.Topic, from, followWait)
-	if err != nil {
-		return from, err
-	}
-	f.applyRecords(b.Records)
-	return b.Next, nil
-}
-
 // applyRecords decodes and applies records of the configuration; other keys and records that can't be decoded are
 // skipped.
 func (f *Follower) applyRecords(records []store.Record) {
--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -26,7 +26,7 @@
 func settle(now time.Time, c *Core) Commands {
 	c.Schedule(now)
 	if b, ok := c.Flush(now); ok {
-		c.Stored(b.Seq)
+		c.Stored(now, b.Seq)
 	}
 	return c.Commands()
 }
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -71,7 +71,7 @@
 	c.Submit(now, spec)
 	c.Schedule(now)
 	b, _ := c.Flush(now)
-	c.Stored(b.Seq)
+	c.Stored(now, b.Seq)
 
 	next := New(options)
 	next.Submit(now, spec)
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -38,9 +38,10 @@
 	return s
 }
 
-// TestPromises drives the core through crashes, takeovers, lost and late commands, expired leases and
-// cancellations, and checks every start against the invariants: one run at a time, none after an acknowledged
-// success, steps in order, attempts bounded, capacity and anti-affinity kept.
+// TestPromises drives the core through crashes, takeovers, lost and late commands, expired leases,
+// drains and cancellations, and checks every start against the invariants: one run at a time, none after an
+// acknowledged success, steps in order, attempts bounded, none in a drained data centre, capacity and anti-affinity
+// kept.
 func TestPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const workers = 3
@@ -49,7 +50,7 @@
 		nodes := []string{"node-0", "node-1", "node-2"}
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
 			node := rapid.SampledFrom(nodes).Draw(t, "node")
-			switch rapid.IntRange(0, 15).Draw(t, "event") {
+			switch rapid.IntRange(0, 17).Draw(t, "event") {
 			case 0, 1:
 				if len(w.specs) < 8 {
 					s := drawSpec(t, len(w.specs))
@@ -72,6 +73,10 @@
 				w.deliverLate()
 			case 7, 8, 9:
 				w.attach(node)
+			case 10, 11:
+				dataCentre := "dc-" + node
+				w.drained[dataCentre] = !w.drained[dataCentre]
+				w.setDrains(rapid.IntRange(0, 3).Draw(t, "view") > 0)
 			default:
 				w.report()
 			}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -24,6 +24,7 @@
 		return when(!w.described || !w.attached, "guard not connected")
 	}},
 	{"draining", func(_ *Core, _ time.Time, _ *step, w *worker) string { return when(w.info.Draining, "draining") }},
+	{"data centre", func(c *Core, _ time.Time, _ *step, w *worker) string { return c.drainRefusal(w) }},
 	{"mute", func(_ *Core, _ time.Time, _ *step, w *worker) string { return when(w.unresponsive, "not answering") }},
 	{"health", func(c *Core, now time.Time, _ *step, w *worker) string { return c.health.refusal(now, w.id) }},
 	{"label", func(_ *Core, _ time.Time, s *step, w *worker) string {
@@ -158,7 +159,7 @@
 }
 
 // poolFilters is the number of leading filters that depend on nothing of a step but its service.
-const poolFilters = 5
+const poolFilters = 6
 
 // round is the state of one scheduling round. Free capacity only shrinks within it.
 type round struct {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -106,6 +106,9 @@
 	awaitingApproval map[string]*step
 	// capacityEvents counts the runs that have ended and the workers that have attached.
 	capacityEvents int
+	// drained holds the data centres in which no task starts; while drainsKnown is false, none starts anywhere.
+	drained     map[string]bool
+	drainsKnown bool
 	// lastSweep is when the checks that depend on time alone ran last.
 	lastSweep time.Time
 	// nextFillerRound is when fillers are placed next.
@@ -140,7 +143,7 @@
 	return &Core{
 		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{},
 		dirty: map[string]*jobState{}, dirtyNodes: map[string]string{}, gatedCommands: Commands{}, readyCommands: Commands{}, durationRatios: durationRatios{},
-		health: newHealth(), awaitingApproval: map[string]*step{}, interferenceModel: interfere.NewTails(),
+		health: newHealth(), drainsKnown: true, awaitingApproval: map[string]*step{}, interferenceModel: interfere.NewTails(),
 	}
 }
 
@@ -194,7 +197,7 @@
 }
 
 // Stored reports that a batch has been stored.
-func (c *Core) Stored(seq int64) {
+func (c *Core) Stored(now time.Time, seq int64) {
 	f := c.inFlight
 	if f == nil || f.seq != seq {
 		return
@@ -204,22 +207,30 @@
 		j.storedState = s
 	}
 	for id, d := range f.commands {
-		c.releaseCommands(id, d)
+		c.releaseCommands(now, id, d)
 	}
 }
 
-// releaseCommands makes gated commands ready to send. Starts of runs stopped in the meantime are dropped.
-func (c *Core) releaseCommands(id string, d *link.OwnerMessage) {
+// releaseCommands makes gated commands ready to send. Starts of runs stopped in the meantime are dropped, and those on
+// workers whose data centre was drained in the meantime are withdrawn.
+func (c *Core) releaseCommands(now time.Time, id string, d *link.OwnerMessage) {
 	w := c.workers[id]
 	if w == nil || !w.attached {
 		return
 	}
 	out := c.commandsFor(c.readyCommands, id)
 	for _, s := range d.Start {
-		if t := c.task(s.Task); t != nil && t.run == s.Run && t.state == stateAssigned {
-			t.notified = true
-			out.Start = append(out.Start, s)
+		t := c.task(s.Task)
+		if t == nil || t.run != s.Run || t.state != stateAssigned {
+			continue
 		}
+		if reason := c.drainRefusal(w); reason != "" {
+			// The drain came while the record was being stored. The guard confirms that the run doesn't exist.
+			c.stopRun(now, t, reason)
+			continue
+		}
+		t.notified = true
+		out.Start = append(out.Start, s)
 	}
 	out.Stop = append(out.Stop, d.Stop...)
 	out.AckedEnd = max(out.AckedEnd, d.AckedEnd)
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -34,6 +34,7 @@
 		c.lastSweep = now
 		c.expireLeases(now)
 		c.evacuate(now)
+		c.moveOffDrained(now)
 		c.stopStalled(now)
 		c.startCopies(now)
 		c.stopCopies(now)
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -54,6 +54,8 @@
 	// attached names the incarnation that each node's link represents.
 	attached map[string]*executor
 	inFlight *Batch
+	// drained holds the data centres that operators have drained; each node is in one of its own.
+	drained map[string]bool
 	// late holds starts that will be carried out although their link is gone.
 	late []lateStart
 	// done marks the tasks with an acknowledged successful end, failed counts the acknowledged failures.
@@ -73,7 +75,7 @@
 func newWorld(t *rapid.T, workers int) *world {
 	w := &world{
 		t: t, now: time.Unix(1_800_000_000, 0), log: map[string][]byte{}, cancels: map[string]bool{},
-		attached: map[string]*executor{}, done: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
+		attached: map[string]*executor{}, drained: map[string]bool{}, done: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
 	}
 	w.core = New(options)
 	for i := range workers {
@@ -96,7 +98,7 @@
 
 // info describes an incarnation as its guard would.
 func (e *executor) info() link.Worker {
-	return link.Worker{ID: e.id, Service: "pool", Capacity: e.cap, Kind: "a", Rack: "r-" + e.node}
+	return link.Worker{ID: e.id, Service: "pool", Capacity: e.cap, Kind: "a", Rack: "r-" + e.node, DataCentre: "dc-" + e.node}
 }
 
 // listing returns the runs and ends that an incarnation lists.
@@ -136,6 +138,9 @@
 		return true
 	}
 	w.checkStart(e, s, late)
+	if w.drained[e.info().DataCentre] && !late {
+		w.t.Fatalf("%s started on %s in a drained data centre", s.Task, e.id)
+	}
 	e.running[s.RunRef] = &modelRun{left: 4}
 	return true
 }
@@ -410,6 +415,9 @@
 	w.core.Attach(w.now, node, newest.info(), rows, ends)
 }
 
+// setDrains passes the drains to the core, which may not know them.
+func (w *world) setDrains(known bool) { w.core.SetDrains(maps.Clone(w.drained), known) }
+
 // detach cuts a node's link.
 func (w *world) detach(node string) {
 	if e := w.attached[node]; e != nil {
@@ -434,7 +442,7 @@
 		return
 	}
 	w.write(w.inFlight.Records)
-	w.core.Stored(w.inFlight.Seq)
+	w.core.Stored(w.now, w.inFlight.Seq)
 	w.inFlight = nil
 }
 
@@ -455,6 +463,7 @@
 		delete(w.attached, node)
 	}
 	w.core = New(options)
+	w.setDrains(true)
 	for _, s := range w.specs {
 		w.core.Submit(w.now, s)
 	}
