Work on a worker that is slow to report isn't given up

A run counted as standing still by the time since its last progress, also while no listing came: a worker that was silent for 1.5 s while its guard stayed connected lost its running work. Now the time up to the latest listing counts, without gaps of over a second.

Workers that start again under their ID are told apart by their birth: the incarnation is ID and birth from the adapter to the stored records; records without a birth are adopted. Calls name the ID only, so a start for the earlier incarnation may run in the next: guards stop such runs before they report the end of the earlier one. Delayed announcements and listings of an earlier birth, and announcements out of order, are dropped.

--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -44,6 +44,9 @@
 	described                  bool          // the owner has the latest announcement
 	// successor is the latest announcement of an incarnation that hasn't answered yet.
 	successor *link.Worker
+	// announcedSeq numbers the latest announcement of the incarnation announcedBy; 0 without numbers.
+	announcedSeq int64
+	announcedBy  string
 	// endedIncarnations lists incarnations that have ended and are still to be reported to the owner.
 	endedIncarnations []string
 }
@@ -74,6 +77,9 @@
 	pacePercent    int // last pace that the worker confirmed, in percent
 	measurement    float64
 	reason         string // reported if the run turns out to be absent
+	// inherited means that the run was commanded to the incarnation before the current one, of the same ID, and may
+	// have started in the current one. It is stopped, and the end of that incarnation is reported after that.
+	inherited bool
 }
 
 // NewCore returns a core without a worker or an owner.
@@ -81,10 +87,14 @@
 	return &Core{opt: opt, runs: map[link.RunRef]*run{}, pacer: newPacer()}
 }
 
-// Describe records an announcement of the worker. While one incarnation of the worker answers, the
-// announcement of another is set aside: it may be a delayed message of an earlier incarnation or the first
-// one of a new incarnation.
-func (c *Core) Describe(w link.Worker) {
+// Describe records an announcement of the worker; seq numbers the announcements of an incarnation, or is 0. A delayed
+// one is ignored. While one incarnation of the worker answers, the announcement of another is set aside: it may be a
+// delayed message of an earlier incarnation or the first one of a new incarnation.
+func (c *Core) Describe(w link.Worker, seq int64) {
+	if seq > 0 && w.ID == c.announcedBy && seq <= c.announcedSeq || link.Reborn(c.incarnation, w.ID) {
+		return
+	}
+	c.announcedBy, c.announcedSeq = w.ID, seq
 	if c.incarnation != "" && w.ID != c.incarnation {
 		c.successor = &w
 		return
@@ -95,6 +105,9 @@
 	c.info, c.described = &w, false
 }
 
+// Described reports whether the current incarnation of the worker has announced itself.
+func (c *Core) Described() bool { return c.info != nil && c.info.ID == c.incarnation }
+
 // Draining reports whether the worker accepts no new runs.
 func (c *Core) Draining() bool { return c.info != nil && c.info.Draining }
 
@@ -225,18 +238,36 @@
 	}
 }
 
+// polled returns the incarnation that polls address: the one that answered last, otherwise the one that was announced;
+// empty while none is known.
+func (c *Core) polled() string {
+	switch {
+	case c.incarnation != "":
+		return c.incarnation
+	case c.info != nil:
+		return c.info.ID
+	}
+	return ""
+}
+
 // NextPoll returns the next poll of the worker; false while no incarnation of it is known.
 func (c *Core) NextPoll(nowMS int64, wait time.Duration) (Poll, bool) {
-	if c.info == nil {
+	incarnation := c.polled()
+	if incarnation == "" {
 		return Poll{}, false
 	}
-	return Poll{Incarnation: c.info.ID, Token: c.epoch, UntilMS: c.LeaseEnd(nowMS), AckedEnd: c.ackedEnd, Wait: wait}, true
+	q := Poll{Incarnation: incarnation, Token: c.epoch, UntilMS: c.LeaseEnd(nowMS), AckedEnd: c.ackedEnd, Wait: wait}
+	if c.successor != nil && link.Reborn(c.successor.ID, incarnation) {
+		// A later start of the same ID will answer; its clock and the numbers of its ends are others.
+		q.UntilMS, q.AckedEnd = 0, 0
+	}
+	return q, true
 }
 
 // IncarnationEnded records that an incarnation of the worker has ended, because another one answered a call
 // that was meant for it.
 func (c *Core) IncarnationEnded(incarnation string) {
-	if c.info == nil || c.info.ID != incarnation {
+	if incarnation == "" || c.polled() != incarnation {
 		return
 	}
 	if c.incarnation == incarnation {
@@ -249,10 +280,13 @@
 // ObserveListing processes the worker's answer to a poll; resolvable is what Resolvable returned before the poll
 // was sent. A run whose stop had been answered by then and that isn't listed will never exist.
 func (c *Core) ObserveListing(nowMS int64, resolvable map[link.RunRef]bool, l Listing) {
+	if polled := c.polled(); l.Incarnation != polled && !link.Reborn(l.Incarnation, polled) {
+		// A delayed answer of an earlier incarnation.
+		return
+	}
 	c.unresponsive = false
 	if l.Incarnation != c.incarnation {
-		c.incarnation = l.Incarnation
-		c.reset()
+		c.begin(resolvable, l)
 	}
 	// The polled incarnation has answered, so the announcement of another one was a delayed message.
 	c.successor = nil
@@ -291,6 +325,64 @@
 	c.pacer.observe(nowMS, c.runs)
 }
 
+// begin makes the incarnation that has answered a poll the current one.
+func (c *Core) begin(resolvable map[link.RunRef]bool, l Listing) {
+	var inherited []link.RunRef
+	if link.Reborn(l.Incarnation, c.incarnation) {
+		inherited = c.mayBeInherited(resolvable, l)
+	}
+	if c.incarnation != "" {
+		c.endedIncarnations = append(c.endedIncarnations, c.incarnation)
+	}
+	pending := map[link.RunRef]bool{}
+	for _, ref := range inherited {
+		pending[ref] = c.runs[ref] != nil && c.runs[ref].commandPending
+	}
+	c.incarnation = l.Incarnation
+	c.reset()
+	for _, ref := range inherited {
+		c.runs[ref] = &run{
+			Traits: link.Traits{RunRef: ref}, phase: stopping, commandPending: pending[ref], pacePercent: fullPace,
+			reason: "commanded to an earlier incarnation", inherited: true,
+		}
+	}
+	if c.info != nil && c.info.ID != c.incarnation {
+		c.info = nil
+	}
+	if c.successor != nil && c.successor.ID == c.incarnation {
+		c.info = c.successor
+	}
+}
+
+// mayBeInherited returns the runs that a worker which has started again under its ID may have or still get, although
+// they were commanded to its earlier incarnation: those it lists, and those whose start wasn't confirmed before the
+// poll was sent. Calls name the ID only, so that the new incarnation accepts them.
+func (c *Core) mayBeInherited(resolvable map[link.RunRef]bool, l Listing) []link.RunRef {
+	var out []link.RunRef
+	for ref, r := range c.runs {
+		if !(r.phase == listed && resolvable[ref]) {
+			out = append(out, ref)
+		}
+	}
+	for _, s := range l.Running {
+		if r := c.runs[s.RunRef]; r == nil || r.phase == listed && resolvable[s.RunRef] {
+			out = append(out, s.RunRef)
+		}
+	}
+	return out
+}
+
+// Settling reports whether runs that were commanded to an earlier incarnation may be in the current one. Until they
+// are known not to be, the end of the earlier one isn't reported, since the owner would start their tasks elsewhere.
+func (c *Core) Settling() bool {
+	for _, r := range c.runs {
+		if r.inherited {
+			return true
+		}
+	}
+	return false
+}
+
 // Resolvable returns the runs about which a poll sent now gives a valid answer, as no command about them is in
 // progress.
 func (c *Core) Resolvable() map[link.RunRef]bool {
@@ -380,11 +472,23 @@
 // Epoch returns the highest ownership epoch seen.
 func (c *Core) Epoch() int64 { return c.epoch }
 
+// Heartbeat returns a message without a report on the current incarnation.
+func (c *Core) Heartbeat(nowMS int64) link.GuardMessage {
+	u := link.GuardMessage{ClockMS: nowMS, Pace: fullPace}
+	if !c.Settling() {
+		u.EndedIncarnations, c.endedIncarnations = c.endedIncarnations, nil
+	}
+	return u
+}
+
 // Report returns the next message to the owner; l is the newest listing, or nil when there is no new one. With
 // full set, the message is a complete inventory.
 func (c *Core) Report(nowMS int64, l *Listing, full bool) link.GuardMessage {
-	u := link.GuardMessage{ClockMS: nowMS, Pace: c.pacer.wholePercent(), Unresponsive: c.unresponsive, EndedIncarnations: c.endedIncarnations}
-	c.endedIncarnations = nil
+	u := link.GuardMessage{ClockMS: nowMS, Pace: c.pacer.wholePercent(), Unresponsive: c.unresponsive}
+	if c.Settling() {
+		return u
+	}
+	u.EndedIncarnations, c.endedIncarnations = c.endedIncarnations, nil
 	if c.incarnation == "" || c.info == nil {
 		return u
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -75,10 +75,11 @@
 }
 
 // Describe records the worker's announcement of itself.
-func (g *Guard) Describe(w link.Worker) {
+// It may be called with delayed announcements; seq numbers those of an incarnation, or is 0.
+func (g *Guard) Describe(w link.Worker, seq int64) {
 	g.mu.Lock()
 	draining := g.core.Draining()
-	g.core.Describe(w)
+	g.core.Describe(w, seq)
 	drainingNow := g.core.Draining()
 	g.mu.Unlock()
 	if drainingNow && !draining {
--- a/internal/guard/links.go
+++ b/internal/guard/links.go
@@ -152,18 +152,20 @@
 // due, it returns heartbeats until there is a listing for a complete inventory. The caller holds the lock.
 func (g *Guard) nextReport(complete *bool, last *reportState) (link.GuardMessage, bool) {
 	switch {
+	case g.core.Settling():
 	case *complete && !g.core.inventoryDue:
 		up := g.core.Report(g.clock(), g.listing, false)
 		g.listing = nil
 		return up, last.trim(&up, g.core.TailSum())
-	case g.listingUnderEpoch && g.listing != nil:
+	case g.listingUnderEpoch && g.listing != nil && g.core.Described():
 		up := g.core.Report(g.clock(), g.listing, true)
 		g.core.inventoryDue, g.listing, *complete = false, nil, true
 		*last = reportState{unixSentAt: last.unixSentAt}
 		last.trim(&up, g.core.TailSum())
 		return up, true
 	}
-	return link.GuardMessage{ClockMS: g.clock(), Pace: fullPace}, false
+	up := g.core.Heartbeat(g.clock())
+	return up, len(up.EndedIncarnations) > 0
 }
 
 // trim removes from a message what was reported before on this link; it reports whether anything new is left.
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -13,8 +13,9 @@
 	Run  int        `json:"r"`
 }
 
-// Worker describes one incarnation of a worker; a worker that restarts has a new ID.
+// Worker describes one incarnation of a worker.
 type Worker struct {
+	// ID is the text form of the worker's Incarnation.
 	ID         string          `json:"id"`
 	Service    string          `json:"service"`
 	DataCentre string          `json:"data_centre"`
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -118,7 +118,7 @@
 	for _, part := range []func(context.Context) error{lease.Run, cell.Run, g.Run} {
 		c.runPart(ctx, &n.done, part)
 	}
-	g.Describe(link.Worker{ID: n.incarnation, Service: "pool", Capacity: localCapacity})
+	g.Describe(link.Worker{ID: n.incarnation, Service: "pool", Capacity: localCapacity}, 0)
 	return nil
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -289,8 +289,9 @@
 	// can't be drained.
 	Drains      drains.Source
 	DrainWithin time.Duration
-	// Announcements returns the handler of the worker's announcements, which passes each to take.
-	Announcements func(take func(link.Worker)) http.Handler
+	// Announcements returns the handler of the worker's announcements, which passes each to take with its number within the
+	// incarnation, or 0.
+	Announcements func(take func(w link.Worker, seq int64)) http.Handler
 }
 
 // RunGuard runs a guard until the process receives a signal to stop or a component fails.
--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -14,7 +14,7 @@
 	// maxDrainMoves bounds the long-running tasks that are between two workers because of drains. Each is away for
 	// about a second, and one that arrives changes the headroom beside it; a few at a time let the fillers there
 	// be moved first.
-	maxDrainMoves = 4
+	maxDrainMoves = 2
 	// drainPatience is how long a finite task on a drained worker may still take before it is moved, if it saves
 	// checkpoints. A move costs a stop, a start and what was not saved, about two seconds.
 	drainPatience = 4 * time.Second
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -402,3 +402,48 @@
 		t.Errorf("started %+v, want both long-running tasks that fit, at once", got)
 	}
 }
+
+// TestSilentWorkerKeepsRuns guards against giving up work on a worker that is only slow to report: without a listing
+// nothing is known of the progress of its runs, so that none of them may be stopped for standing still.
+func TestSilentWorkerKeepsRuns(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 500}))
+	c.Submit(now, one("lasting", 0, job.Step{Count: 1, Demand: cores(1), LongRunning: true}))
+	rows := map[string][]link.RunStatus{}
+	for id, starts := range started(settle(now, c)) {
+		for _, s := range starts {
+			rows[id] = append(rows[id], link.RunStatus{RunRef: s.RunRef, Percent: 30})
+		}
+	}
+	for id, listed := range rows {
+		c.Report(now, id, listed, nil)
+	}
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		for id, d := range settle(now, c) {
+			if len(d.Stop) > 0 || len(d.Start) > 0 {
+				t.Fatalf("commands %+v for %s after %s without a report", d, id, now.Sub(epoch0))
+			}
+		}
+	}
+	stops := func() (n int) {
+		for id, listed := range rows {
+			c.Report(now, id, listed, nil)
+		}
+		for _, d := range settle(now, c) {
+			n += len(d.Stop)
+		}
+		return n
+	}
+	if n := stops(); n > 0 {
+		t.Errorf("stopped %d runs at the first report after the silence", n)
+	}
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		if stops() > 0 {
+			return
+		}
+	}
+	t.Error("runs that stand still in every report are not stopped")
+}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -107,7 +107,7 @@
 				c.stopRun(now, t, "slowed down for serving tasks")
 				continue
 			}
-			if reason := t.stallReason(now, w); reason != "" {
+			if reason := t.stallReason(w); reason != "" {
 				c.health.block(now.Add(suspectDuration), w.id, "runs stand still")
 				c.logDecision(event.Suspect, w.id, fmt.Sprintf("task=%s %s", t.id, reason))
 				c.stopRun(now, t, reason)
@@ -124,14 +124,14 @@
 	return now.Sub(w.slowSince) > slowFillerTimeout && now.Sub(t.assignedAt) > slowFillerTimeout
 }
 
-// stallReason returns why a run counts as stalled, or an empty string.
-func (t *task) stallReason(now time.Time, w *worker) string {
+// stallReason returns why a run counts as stalled, or an empty string. It counts up to the worker's latest listing:
+// what a worker that is slow to report does since then isn't known.
+func (t *task) stallReason(w *worker) string {
 	if t.state != stateRunning {
 		return ""
 	}
 	if t.step.spec.LongRunning {
-		since := slices.MaxFunc([]time.Time{t.appearedAt, t.lastActive}, time.Time.Compare)
-		return when(now.Sub(since) > idleTimeout, "not at work")
+		return when(w.listedAt.Sub(t.idleSince()) > idleTimeout, "not at work")
 	}
 	if t.step.spec.Gang {
 		return ""
@@ -143,7 +143,28 @@
 			return ""
 		}
 	}
-	return when(now.Sub(t.progressAt) > limit, "no progress")
+	return when(w.listedAt.Sub(t.progressAt) > limit, "no progress")
+}
+
+// idleSince returns when a long-running task was last reported at work, or else when it appeared.
+func (t *task) idleSince() time.Time {
+	return slices.MaxFunc([]time.Time{t.appearedAt, t.lastActive}, time.Time.Compare)
+}
+
+// maxListingGap is the longest time between two listings that counts towards a stall; a guard reports several times a
+// second, and its link ends after 1.5 s without a message.
+const maxListingGap = 2 * time.Second
+
+// excuseSilence keeps the time for which a worker was silent from counting as a stall of its runs: it may have been
+// suspended.
+func (w *worker) excuseSilence(now time.Time) {
+	gap := now.Sub(w.listedAt)
+	if w.listedAt.IsZero() || gap <= maxListingGap {
+		return
+	}
+	for _, t := range w.tasks {
+		t.progressAt, t.lastActive = t.progressAt.Add(gap), t.idleSince().Add(gap)
+	}
 }
 
 // evacuate stops the tasks on draining workers that are long-running or can't end in the time remaining.
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -19,6 +19,8 @@
 	if w == nil || !w.attached {
 		return
 	}
+	w.excuseSilence(now)
+	w.listedAt = now
 	clear(w.unknownRuns)
 	for _, r := range running {
 		c.handleListed(now, w, r)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -31,6 +31,8 @@
 	unknownRuns map[link.RunRef]resource.Vector
 	// copies are earlier runs of speculative tasks that may continue here.
 	copies map[link.RunRef]*runCopy
+	// listedAt is when the worker's runs were reported last.
+	listedAt time.Time
 	// detachedAt is when the connection to the guard was lost, or the worker became known without one.
 	detachedAt time.Time
 	// acknowledged is the number of the newest end whose acknowledgement is queued or sent.
@@ -65,13 +67,18 @@
 	if w == nil {
 		w = &worker{id: id, held: map[job.TaskID]*task{}, unknownRuns: map[link.RunRef]resource.Vector{}, copies: map[link.RunRef]*runCopy{}, pace: 100}
 		w.expiresAt, w.detachedAt = now.Add(c.opt.expiryDelay()+c.opt.RunLeaseExtension), now
-		c.workers[id] = w
-		i, _ := slices.BinarySearchFunc(c.sortedWorkers, id, func(o *worker, id string) int { return strings.Compare(o.id, id) })
-		c.sortedWorkers = slices.Insert(c.sortedWorkers, i, w)
+		c.insertWorker(w)
 	}
 	return w
 }
 
+// insertWorker adds a worker to the state.
+func (c *Core) insertWorker(w *worker) {
+	c.workers[w.id] = w
+	i, _ := slices.BinarySearchFunc(c.sortedWorkers, w.id, func(o *worker, id string) int { return strings.Compare(o.id, id) })
+	c.sortedWorkers = slices.Insert(slices.Clone(c.sortedWorkers), i, w)
+}
+
 // holdRun records that a worker may have the newest run of a task.
 func (c *Core) holdRun(now time.Time, t *task) {
 	w := c.ensureWorker(now, t.worker)
@@ -140,6 +147,7 @@
 
 // Attach takes the inventory of a worker whose guard has connected under this ownership.
 func (c *Core) Attach(now time.Time, node string, info link.Worker, running []link.RunStatus, ended []link.RunEnd) {
+	c.adoptUnborn(info.ID)
 	w := c.ensureWorker(now, info.ID)
 	if w.node != node {
 		w.node, c.dirtyNodes[info.ID] = node, node
@@ -175,13 +183,44 @@
 func (c *Core) SupersededWorkers(id, node string) []string {
 	var out []string
 	for _, w := range c.sortedWorkers {
-		if w.id != id && node != "" && w.node == node {
+		if w.id != id && node != "" && w.node == node && w.id != unborn(id) {
 			out = append(out, w.id)
 		}
 	}
 	return out
 }
 
+// unborn returns the key of an incarnation in records that were stored before births were; it is the key itself for a
+// worker that reports none.
+func unborn(id string) string { return link.ParseIncarnation(id).ID }
+
+// adoptUnborn gives a worker that was stored without its birth the key with the birth. It may be the same incarnation,
+// so that its runs are compared with the inventory like any other's.
+func (c *Core) adoptUnborn(id string) {
+	w := c.workers[unborn(id)]
+	if w == nil || w.id == id || c.workers[id] != nil {
+		return
+	}
+	c.deleteWorker(w)
+	w.id = id
+	c.insertWorker(w)
+	for _, t := range w.tasks {
+		t.worker = id
+		c.markDirty(t.step.occ.job)
+	}
+	for ref, cp := range w.copies {
+		for i := range cp.task.copies {
+			if cp.task.copies[i].Run == ref.Run {
+				cp.task.copies[i].Worker = id
+			}
+		}
+		c.markDirty(cp.task.step.occ.job)
+	}
+	if w.node != "" {
+		c.dirtyNodes[id] = w.node
+	}
+}
+
 // Jobs returns the number of known jobs.
 func (c *Core) Jobs() int { return len(c.jobs) }
 
