Panics and malformed messages don't end a process

Cause: any panic in a scheduling round or in a guard's message ended the owner's process, and with a stored record as its cause every next owner's. Job sizes could be chosen so that their sum overflows (two steps of 2^62 tasks passed the check) or so that a billion occurrences open at once. Change: records, messages and rounds are handled under recover; the cell is then loaded anew. Counts, amounts, durations and occurrences are bounded at the door. A replaced owner deletes no records of ended jobs.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -66,6 +66,7 @@
 	CommandsIgnored       Message = "orders void"
 	StartNotDone          Message = "start not done"
 	LinesDropped          Message = "lines left out"
+	Panic                 Message = "panic"
 	PartEnded             Message = "part ended"
 )
 
@@ -145,5 +146,6 @@
 	{CommandsIgnored, "info", "guard", "guard", []string{"worker", "starts"}, "commands for an incarnation of the worker that has ended were ignored"},
 	{StartNotDone, "warn", "guard", "guard", []string{"task", "run", "refused", "err"}, "a command to start a run was refused, or got no answer and its outcome is being determined"},
 	{LinesDropped, "warn", "all", "logs", []string{"kind", "count"}, "lines of a kind were dropped, since they exceeded its rate or the buffer was full"},
+	{Panic, "error", "guard", "cell", []string{"task", "err"}, "the scheduler has panicked; the owner loads the cell anew. err has the stack"},
 	{PartEnded, "error", "crocus-dev", "cell", []string{"err"}, "a part of an in-process cell has ended unexpectedly"},
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -172,15 +172,14 @@
 
 // handleListing processes an answer; it reports whether it lists run ends, which are there until acknowledged.
 func (g *Guard) handleListing(q Poll, resolvable map[link.RunRef]bool, l Listing) bool {
+	defer signal(g.changed)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.core.ObserveListing(g.clock(), resolvable, l)
 	g.scope.Gauge("filler_pace_percent").Update(float64(g.core.Pace()))
 	g.listing, g.listingUnderEpoch = &l, q.Token == g.core.Epoch() && q.Token > 0
 	g.sendDueCommands()
-	pending := len(l.Ended) > 0
-	g.mu.Unlock()
-	signal(g.changed)
-	return pending
+	return len(l.Ended) > 0
 }
 
 // wait waits for a signal, a time or the end of the context, whichever comes first.
--- a/internal/guard/links.go
+++ b/internal/guard/links.go
@@ -11,6 +11,7 @@
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/pause"
+	"github.com/crocusspring/crocusspring/internal/safe"
 )
 
 // linkLoop keeps a link to the owner open until the context ends.
@@ -61,7 +62,7 @@
 		if err := conn.Receive(&d); err != nil {
 			return err
 		}
-		if err := g.handle(d); err != nil {
+		if err := safe.Call("handle a message of the owner", func() error { return g.handle(d) }); err != nil {
 			return err
 		}
 	}
--- a/internal/job/check.go
+++ b/internal/job/check.go
@@ -13,6 +13,14 @@
 	// MaxSteps and MaxTasks bound the size of a job, so that it fits into one record of the store.
 	MaxSteps = 64
 	MaxTasks = 5000
+	// MaxOccurrences bounds how often a job runs, and MaxOpenTasks the tasks of all its occurrences together: all of
+	// them may be due at once, and the owner holds each open task in memory.
+	MaxOccurrences = 10_000
+	MaxOpenTasks   = 100_000
+	// MaxAmount bounds each amount of a resource, in its unit, and MaxEstimateMS a declared duration or interval (a year), so
+	// that sums don't overflow.
+	MaxAmount     = 1 << 40
+	MaxEstimateMS = 365 * 24 * 3600 * 1000
 )
 
 // Check returns all problems of a job as a *finding.Error, or nil.
@@ -30,7 +38,8 @@
 	tasks := 0
 	for i := range s.Steps {
 		s.Steps[i].check(&l, i)
-		tasks += s.Steps[i].Count
+		// A count out of range has a finding of its own; the sum must not overflow.
+		tasks += min(max(0, s.Steps[i].Count), MaxTasks)
 	}
 	if tasks > MaxTasks {
 		l.Add("/steps", "", "have %d tasks, at most %d are allowed", tasks, MaxTasks)
@@ -38,18 +47,30 @@
 	if s.Schedule.Count < 0 || s.Schedule.IntervalMS < 0 {
 		l.Add("/schedule", "", "count and interval must not be negative")
 	}
+	if s.Schedule.IntervalMS > MaxEstimateMS {
+		l.Add("/schedule/interval_ms", "", "must be at most %d, is %d", MaxEstimateMS, s.Schedule.IntervalMS)
+	}
+	if n := s.Schedule.Count; n > MaxOccurrences || n > 0 && n*tasks > MaxOpenTasks {
+		l.Add("/schedule/count", "", "is %d: at most %d occurrences and %d tasks in all are allowed", n, MaxOccurrences, MaxOpenTasks)
+	}
 	return l.Err()
 }
 
 // check adds a finding for each problem of the step with index i.
 func (s *Step) check(l *finding.List, i int) {
 	at := fmt.Sprintf("/steps/%d", i)
-	if s.Count < 1 {
-		l.Add(at+"/count", "", "must be at least 1, is %d", s.Count)
+	if s.Count < 1 || s.Count > MaxTasks {
+		l.Add(at+"/count", "", "must be 1 to %d, is %d", MaxTasks, s.Count)
 	}
 	if s.Demand.Negative() || s.EstimateMS < 0 || s.AntiAffinity < 0 {
 		l.Add(at, "", "amounts must not be negative")
 	}
+	if d := s.Demand; max(d.MilliCPU, d.MemoryMB, d.Accelerators) > MaxAmount {
+		l.Add(at+"/demand", "", "amounts must be at most %d", MaxAmount)
+	}
+	if s.EstimateMS > MaxEstimateMS {
+		l.Add(at+"/estimate_ms", "", "must be at most %d, is %d", MaxEstimateMS, s.EstimateMS)
+	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= i {
 			l.Add(at+"/depends_on", "", "step %d is not an earlier step", d)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -12,6 +12,7 @@
 	"github.com/crocusspring/crocusspring/internal/directory"
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/safe"
 	"github.com/crocusspring/crocusspring/internal/sched"
 	"github.com/crocusspring/crocusspring/internal/store"
 )
@@ -70,7 +71,8 @@
 		if r.Key == ownerKey {
 			continue
 		}
-		if err := core.Restore(now, r.Key, r.Value); err != nil {
+		restore := func() error { return core.Restore(now, r.Key, r.Value) }
+		if err := safe.Call("restore "+r.Key, restore); err != nil {
 			c.log.Error(event.RecordSkipped, "topic", store.TopicRuns, "offset", r.Offset, "err", err)
 		}
 	}
@@ -114,5 +116,11 @@
 		c.log.Error(event.RecordSkipped, "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
 		return
 	}
-	core.Submit(now, spec)
+	err := safe.Call("submit "+id, func() error {
+		core.Submit(now, spec)
+		return nil
+	})
+	if err != nil {
+		c.log.Error(event.RecordSkipped, "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
+	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -17,6 +17,7 @@
 	"github.com/crocusspring/crocusspring/internal/metrics"
 	"github.com/crocusspring/crocusspring/internal/ownership"
 	"github.com/crocusspring/crocusspring/internal/pause"
+	"github.com/crocusspring/crocusspring/internal/safe"
 	"github.com/crocusspring/crocusspring/internal/sched"
 	"github.com/crocusspring/crocusspring/internal/store"
 	"github.com/crocusspring/crocusspring/internal/wallclock"
@@ -68,6 +69,8 @@
 	// approvalRequests holds requests that wait for the policy service.
 	approvalRequests chan sched.ApprovalRequest
 	adviser          Adviser
+	// broken is the panic after which the state of core may be inconsistent, or nil; the cell is then loaded anew.
+	broken error
 	// drains is nil where data centres can't be drained.
 	drains *drains.Follower
 	// maxDrainAge is how old the view of the drains may be for tasks to start.
@@ -136,7 +139,7 @@
 		return
 	}
 	c.mu.Lock()
-	c.core, c.epoch, c.runsEnd, c.jobsReadAt = core, epoch, runs, time.Now()
+	c.core, c.epoch, c.runsEnd, c.jobsReadAt, c.broken = core, epoch, runs, time.Now(), nil
 	c.mu.Unlock()
 	c.scope.Counter("takeovers").Inc(1)
 	c.log.Info(event.CellTakenOver, "epoch", epoch, "took", time.Since(began), "jobs", core.Jobs())
@@ -257,30 +260,68 @@
 	}
 }
 
+// protect calls f, which uses the scheduler's state. After a panic that state may be inconsistent: the next round
+// fails, and the cell is loaded anew from the store.
+func (c *Cell) protect(task string, f func() error) error {
+	err := safe.Call(task, f)
+	var panicked *safe.PanicError
+	if !errors.As(err, &panicked) {
+		return err
+	}
+	c.log.Error(event.Panic, "task", task, "err", err)
+	c.scope.Counter("panics").Inc(1)
+	c.mu.Lock()
+	c.broken = err
+	c.mu.Unlock()
+	c.wake()
+	return err
+}
+
 // round schedules once, stores the decisions, and sends the commands that depend on them.
 func (c *Cell) round(ctx context.Context) error {
 	if err := c.owns(); err != nil {
 		return err
 	}
+	var b sched.Batch
+	var at store.Offset
+	err := c.protect("schedule", func() (err error) {
+		b, at, err = c.schedule()
+		return err
+	})
+	if err != nil || b.Seq == 0 {
+		return err
+	}
+	if err := c.write(ctx, at, b.Records); err != nil {
+		return err
+	}
+	return c.protect("release commands", func() error {
+		c.release(b)
+		return nil
+	})
+}
+
+// schedule runs the scheduler once. It returns the batch to store, whose Seq is 0 if there is none, and its offset.
+func (c *Cell) schedule() (sched.Batch, store.Offset, error) {
 	began := time.Now()
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil {
+		return sched.Batch{}, 0, c.broken
+	}
 	c.core.SetTimeOfDay(began, c.clock.UnixMS(began))
 	c.applyDrains(began)
 	c.core.Schedule(began)
-	b, ok := c.core.Flush(time.Now())
-	at := c.runsEnd
+	b, _ := c.core.Flush(time.Now())
 	c.logDecisions()
 	c.recordMetrics()
 	c.queueApprovalRequests()
 	c.queueCommands()
-	c.mu.Unlock()
 	c.scope.Histogram("round_seconds", metrics.Seconds()).RecordValue(time.Since(began).Seconds())
-	if !ok {
-		return nil
-	}
-	if err := c.write(ctx, at, b.Records); err != nil {
-		return err
-	}
+	return b, c.runsEnd, nil
+}
+
+// release lets the decisions of a batch that was stored take effect.
+func (c *Cell) release(b sched.Batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.runsEnd += store.Offset(len(b.Records))
@@ -288,7 +329,6 @@
 	c.applyDrains(stored)
 	c.core.Stored(stored, b.Seq)
 	c.queueCommands()
-	return nil
 }
 
 // recordMetrics exports the age of the view and the scheduler's time samples as metrics. The caller holds the lock.
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -63,7 +63,7 @@
 		if err := p.conn.Receive(&up); err != nil {
 			return err
 		}
-		if err := c.report(p, epoch, up); err != nil {
+		if err := c.protect("handle a report of "+p.node, func() error { return c.report(p, epoch, up) }); err != nil {
 			return err
 		}
 	}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -74,6 +74,10 @@
 
 // sweep drops the stored records of ended jobs whose state can no longer be queried.
 func (c *Cell) sweep(ctx context.Context) {
+	if c.owns() != nil {
+		// The records of jobs are deleted without a condition.
+		return
+	}
 	c.mu.Lock()
 	ids := c.core.DropExpiredJobs(time.Now())
 	at := c.runsEnd
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -42,10 +42,23 @@
 	Name        string
 	Executor    *execstand.Executor
 	incarnation string
+	guard       *guard.Guard
 	stop        context.CancelFunc
 	done        sync.WaitGroup
 }
 
+// Reboot begins another incarnation of the worker, which announces itself to the node's guard.
+func (n *LocalNode) Reboot(incarnation string) {
+	n.Executor.Reboot(incarnation)
+	n.incarnation = incarnation
+	n.guard.Describe(n.worker(), 0)
+}
+
+// worker returns the announcement of the worker.
+func (n *LocalNode) worker() link.Worker {
+	return link.Worker{ID: n.incarnation, Service: "pool", Capacity: localCapacity}
+}
+
 // localCapacity is the resources of each stand-in worker.
 var localCapacity = resource.Vector{MilliCPU: 4000, MemoryMB: 4000}
 
@@ -118,7 +131,8 @@
 	for _, part := range []func(context.Context) error{lease.Run, cell.Run, g.Run} {
 		c.runPart(ctx, &n.done, part)
 	}
-	g.Describe(link.Worker{ID: n.incarnation, Service: "pool", Capacity: localCapacity}, 0)
+	n.guard = g
+	g.Describe(n.worker(), 0)
 	return nil
 }
 
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -219,3 +219,20 @@
 		t.Errorf("bad job: %d %s; want both findings", code, body)
 	}
 }
+
+// TestRebornWorkers restarts workers under the ID that they had while jobs are in progress: the jobs complete, and no
+// run of a task starts twice.
+func TestRebornWorkers(t *testing.T) {
+	c := newCluster(t, 3)
+	c.submit(spec("before"))
+	c.await("before", sched.Completed)
+	for i := range 6 {
+		c.submit(spec(fmt.Sprintf("job%d", i)))
+		n := c.Nodes[i%len(c.Nodes)]
+		n.Reboot(fmt.Sprintf("%s@%d", n.Name, 100+i))
+	}
+	for i := range 6 {
+		c.await(fmt.Sprintf("job%d", i), sched.Completed)
+		c.checkRuns(spec(fmt.Sprintf("job%d", i)))
+	}
+}
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -447,3 +447,33 @@
 	}
 	t.Error("runs that stand still in every report are not stopped")
 }
+
+// TestStoredWithoutBirth takes over from an owner that stored workers without their birth: a run on a worker that now
+// reports one goes on, and one that the worker doesn't list gets its next run only after that is confirmed.
+func TestStoredWithoutBirth(t *testing.T) {
+	now := epoch0
+	before := pool(now, "a")
+	spec := one("job", 0, job.Step{Count: 2, Demand: cores(1), EstimateMS: 1000})
+	before.Submit(now, spec)
+	before.Schedule(now)
+	b, _ := before.Flush(now)
+	c := New(options)
+	c.Submit(now, spec)
+	for _, r := range b.Records {
+		if err := c.Restore(now, r.Key, r.Value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := c.SupersededWorkers("a@77", "node-a"); len(got) != 0 {
+		t.Fatalf("%v counts as replaced, although it may be the same incarnation", got)
+	}
+	listed := link.RunRef{Task: job.TaskID{Job: "job"}, Run: 1}
+	c.Attach(now, "node-a", link.Worker{ID: "a@77", Service: "pool", Capacity: big}, []link.RunStatus{{RunRef: listed, Percent: 10}}, nil)
+	d := settle(now, c)["a@77"]
+	if d == nil || len(d.Start) != 0 || len(d.Stop) != 1 || d.Stop[0].Task.Index != 1 {
+		t.Fatalf("commands %+v, want only a stop of the run that isn't listed", d)
+	}
+	if c.workers["a"] != nil || len(c.workers["a@77"].held) != 2 {
+		t.Errorf("the worker is known by both keys, or has lost runs")
+	}
+}
