--- a/internal/drains/drains.go
+++ b/internal/drains/drains.go
@@ -17,10 +17,7 @@
 )
 
 const (
-	// followWait is how long one read waits for a change and callTimeout bounds a call beyond its wait: an
-	// unresponsive connection hides a change for their sum, which leaves a margin to the 5 s within which a drain
-	// must be in effect.
-	followWait  = 2 * time.Second
+	// callTimeout bounds a call to the store beyond its wait for a change.
 	callTimeout = 500 * time.Millisecond
 	// retryPause is the delay after a failed call.
 	retryPause = 200 * time.Millisecond
@@ -34,43 +31,50 @@
 	DataCentre func(key string) (name string, ok bool, err error)
 }
 
-// View is what a process knows of the drains.
-type View struct {
-	// Drained holds the names of the drained data centres; it is never modified.
-	Drained map[string]bool
-	// ReadAt is when the store last confirmed the view; zero before the first time.
-	ReadAt time.Time
-}
-
-// Age returns how old the view is at a time; false before the first read.
-func (v View) Age(now time.Time) (time.Duration, bool) { return now.Sub(v.ReadAt), !v.ReadAt.IsZero() }
-
-// Follower keeps a View up to date. Use NewFollower to make one.
+// Follower keeps the set of drained data centres up to date. Use NewFollower to make one.
 type Follower struct {
 	store  store.Store
 	source Source
+	within time.Duration
 	scope  tally.Scope
 	log    *log.Logger
 	// changed receives a signal when the set of drained data centres has changed.
 	changed chan struct{}
-	mu      sync.Mutex
-	view    View
+
+	mu sync.Mutex
+	// drained holds the names of the drained data centres; the map is replaced, never modified.
+	drained map[string]bool
+	// readAt is when the store last confirmed drained; zero before the first time.
+	readAt time.Time
 }
 
-// NewFollower returns a follower that has read nothing yet.
-func NewFollower(s store.Store, source Source, scope tally.Scope, l *log.Logger) *Follower {
-	return &Follower{store: s, source: source, scope: scope, log: l, changed: make(chan struct{}, 1)}
+// NewFollower returns a follower that has read nothing yet; a drain must be in effect within a time of its storage.
+func NewFollower(s store.Store, source Source, within time.Duration, scope tally.Scope, l *log.Logger) *Follower {
+	return &Follower{store: s, source: source, within: within, scope: scope, log: l, changed: make(chan struct{}, 1)}
 }
 
-// View returns the current view.
-func (f *Follower) View() View {
+// followWait returns how long one read waits for a change. An unresponsive connection hides a change for that time
+// and callTimeout.
+func (f *Follower) followWait() time.Duration { return f.within * 2 / 5 }
+
+// maxAge returns how old the view may be for a decision to rest on it. The rest of the time within which a drain must
+// be in effect is for the decision to be stored and carried out.
+func (f *Follower) maxAge() time.Duration { return f.within * 4 / 5 }
+
+// Current returns the names of the drained data centres, and whether the view is recent enough to decide by. The map
+// must not be modified.
+func (f *Follower) Current(now time.Time) (drained map[string]bool, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view
+	return f.drained, !f.readAt.IsZero() && now.Sub(f.readAt) <= f.maxAge()
 }
 
-// Drained reports whether a data centre is known to be drained.
-func (f *Follower) Drained(dataCentre string) bool { return f.View().Drained[dataCentre] }
+// Drained reports whether a data centre is drained as far as this process knows.
+func (f *Follower) Drained(dataCentre string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.drained[dataCentre]
+}
 
 // Changed returns a channel that receives a signal when the set of drained data centres has changed.
 func (f *Follower) Changed() <-chan struct{} { return f.changed }
@@ -78,7 +82,7 @@
 // Run follows the drains until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	store.Follow{
-		Store: f.store, Topic: f.source.Topic, Wait: followWait, CallTimeout: callTimeout, RetryPause: retryPause,
+		Store: f.store, Topic: f.source.Topic, Wait: f.followWait(), CallTimeout: callTimeout, RetryPause: retryPause,
 		Apply:  f.apply,
 		Failed: func(err error) { f.log.Debug("drains not read", "err", err) },
 	}.Run(ctx)
@@ -91,7 +95,7 @@
 	defer f.mu.Unlock()
 	drained := map[string]bool{}
 	if !complete {
-		maps.Copy(drained, f.view.Drained)
+		maps.Copy(drained, f.drained)
 	}
 	for _, r := range records {
 		name, ok, err := f.source.DataCentre(r.Key)
@@ -105,20 +109,20 @@
 		}
 	}
 	f.logChanges(drained)
-	f.view = View{Drained: drained, ReadAt: time.Now()}
+	f.drained, f.readAt = drained, time.Now()
 }
 
-// logChanges logs and counts the differences between the current view and a new one. The caller holds the lock.
+// logChanges logs and counts the differences to a new set. The caller holds the lock.
 func (f *Follower) logChanges(drained map[string]bool) {
-	if maps.Equal(f.view.Drained, drained) {
+	if maps.Equal(f.drained, drained) {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(drained)) {
-		if !f.view.Drained[name] {
+		if !f.drained[name] {
 			f.log.Info(event.DrainInEffect, "data_centre", name)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(f.view.Drained)) {
+	for _, name := range slices.Sorted(maps.Keys(f.drained)) {
 		if !drained[name] {
 			f.log.Info(event.DrainEnded, "data_centre", name)
 		}
--- a/internal/drains/drains_test.go
+++ b/internal/drains/drains_test.go
@@ -26,10 +26,13 @@
 	return name, ok, nil
 }}
 
+// within is the time within which a drain must be in effect.
+const within = 5 * time.Second
+
 // follow runs a follower of a store for the length of a test.
 func follow(t *testing.T, s store.Store) *Follower {
 	t.Helper()
-	f := NewFollower(s, source, tally.NoopScope, logs.Discard())
+	f := NewFollower(s, source, within, tally.NoopScope, logs.Discard())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -69,7 +72,7 @@
 		} {
 			write(t, mem, c.key, c.value)
 			time.Sleep(100 * time.Millisecond)
-			if got := strings.Join(slices.Sorted(maps.Keys(f.View().Drained)), " "); got != c.want {
+			if got := strings.Join(slices.Sorted(maps.Keys(f.drained)), " "); got != c.want {
 				t.Errorf("drained %q after %s=%s, want %q", got, c.key, c.value, c.want)
 			}
 		}
@@ -96,33 +99,46 @@
 		mem.Expire(source.Topic)
 		time.Sleep(time.Second)
 		if f.Drained("a") || !f.Drained("b") {
-			t.Errorf("drained %v, want b", f.View().Drained)
+			t.Errorf("drained %v, want b", f.drained)
 		}
 	})
 }
 
-// TestAge checks that a view is not current before the first read and while the store doesn't answer, and that it
-// stays current without changes.
+// known reports whether the follower's view can be decided by now.
+func known(f *Follower) bool {
+	_, ok := f.Current(time.Now())
+	return ok
+}
+
+// TestAge checks that a view is not known before the first read, stays known without changes and through a connection
+// that has gone silent once, and no longer is once a drain may have been missed for most of its time.
 func TestAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := memstore.New()
-		mem.SetFaults(func(string, string) memstore.Fault { return memstore.Fault{Hang: true} })
+		hang := func(string, string) memstore.Fault { return memstore.Fault{Hang: true} }
+		mem.SetFaults(hang)
 		f := follow(t, mem)
 		time.Sleep(time.Second)
-		if _, ok := f.View().Age(time.Now()); ok {
-			t.Error("current before the first read")
+		if known(f) {
+			t.Error("known before the first read")
 		}
 		mem.SetFaults(nil)
+		time.Sleep(time.Second)
 		for range 20 {
 			time.Sleep(time.Second)
-			if age, ok := f.View().Age(time.Now()); !ok || age > followWait+callTimeout {
-				t.Fatalf("view is %s old without changes, current %v", age, ok)
+			if !known(f) {
+				t.Fatal("not known, although nothing has changed")
 			}
 		}
-		mem.SetFaults(func(string, string) memstore.Fault { return memstore.Fault{Hang: true} })
-		time.Sleep(10 * time.Second)
-		if age, _ := f.View().Age(time.Now()); age < 7*time.Second {
-			t.Errorf("view of a store that doesn't answer is %s old", age)
+		mem.SetFaults(hang)
+		time.Sleep(2500 * time.Millisecond)
+		if !known(f) {
+			t.Error("not known after one read without an answer")
+		}
+		// The read that was in progress was still answered, up to 2 s after the last one.
+		time.Sleep(4 * time.Second)
+		if known(f) {
+			t.Error("known although a drain may be in effect soon")
 		}
 	})
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -73,8 +73,6 @@
 	broken error
 	// drains is nil where data centres can't be drained.
 	drains *drains.Follower
-	// maxDrainAge is how old the view of the drains may be for tasks to start.
-	maxDrainAge time.Duration
 }
 
 // New returns a cell that this process doesn't own yet.
@@ -85,24 +83,14 @@
 	}
 }
 
-// drainMargin is the part of the bound for drains to be in effect that is reserved for a decision to be stored and
-// carried out.
-const drainMargin = time.Second
-
-// UseDrains makes the cell observe drains of data centres, each of which must be in effect within a time of its
-// storage. It must be called before Run.
-func (c *Cell) UseDrains(f *drains.Follower, within time.Duration) {
-	c.drains, c.maxDrainAge = f, max(0, within-drainMargin)
-}
+// UseDrains makes the cell observe drains of data centres. It must be called before Run.
+func (c *Cell) UseDrains(f *drains.Follower) { c.drains = f }
 
 // applyDrains passes the current view of the drains to the scheduler. The caller holds the lock.
 func (c *Cell) applyDrains(now time.Time) {
-	if c.drains == nil {
-		return
+	if c.drains != nil {
+		c.core.SetDrains(c.drains.Current(now))
 	}
-	view := c.drains.View()
-	age, ok := view.Age(now)
-	c.core.SetDrains(view.Drained, ok && age <= c.maxDrainAge)
 }
 
 // drainsChanged returns a channel that receives a signal when drains have changed; nil without drains.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -303,8 +303,8 @@
 	opt := guard.Options{Node: g.Node, RunLease: runLease, MaxLease: g.MaxLease}
 	grp, ctx := errgroup.WithContext(ctx)
 	if g.DrainWithin > 0 {
-		drained := drains.NewFollower(g.Store, g.Drains, g.scope(), g.Log.WithPrefix("drains"))
-		cell.UseDrains(drained, g.DrainWithin)
+		drained := drains.NewFollower(g.Store, g.Drains, g.DrainWithin, g.scope(), g.Log.WithPrefix("drains"))
+		cell.UseDrains(drained)
 		opt.Drained = drained.Drained
 		grp.Go(func() error { return drained.Run(ctx) })
 	}
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/resource"
 	"github.com/crocusspring/crocusspring/internal/standin/execstand"
 	"github.com/crocusspring/crocusspring/internal/store"
@@ -101,6 +102,17 @@
 	return err
 }
 
+// writeDrain stores or deletes the request to drain a data centre. Like an operator, it retries while the store is
+// unavailable.
+func (d *deployment) writeDrain(ctx context.Context, dataCentre string, drained bool) {
+	topic, r := standin.Drain(dataCentre, drained)
+	for {
+		if _, err := d.store.Append(ctx, topic, store.AnyOffset, []store.Record{r}); err == nil || !pause.For(ctx, retryInterval) {
+			return
+		}
+	}
+}
+
 // serve serves a handler on loopback until the deployment is closed and returns its address.
 func (d *deployment) serve(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -196,7 +208,7 @@
 func (d *deployment) heartbeats(ctx context.Context, h *host) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, heartbeatInterval)
-		_ = d.client.Heartbeat(call, h.addr, h.worker.currentIncarnation(), capacity)
+		_ = d.client.Heartbeat(call, h.addr, h.worker.name, h.worker.currentIncarnation(), capacity)
 		cancel()
 		select {
 		case <-time.After(heartbeatInterval):
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/store"
 	"github.com/crocusspring/crocusspring/internal/store/memstore"
@@ -72,6 +73,13 @@
 	{"worker crash", func(_ context.Context, d *deployment, rng *rand.Rand, _ time.Duration) {
 		pick(rng, d.guards).worker.reboot()
 	}},
+	{"drain", func(ctx context.Context, d *deployment, rng *rand.Rand, duration time.Duration) {
+		name := pick(rng, d.guards).worker.name
+		d.writeDrain(ctx, name, true)
+		pause.For(ctx, duration)
+		// Jobs must be able to complete after the faults have ended.
+		d.writeDrain(context.WithoutCancel(ctx), name, false)
+	}},
 	{"configuration", func(ctx context.Context, d *deployment, _ *rand.Rand, _ time.Duration) {
 		// Like an operator, retries while the store is unavailable.
 		for d.writeConfig(ctx) != nil && pause.For(ctx, retryInterval) {
@@ -147,7 +155,11 @@
 	defer w.checker.startMu.Unlock()
 	w.checker.stateMu.Lock()
 	w.reboots++
+	// Every second one has the ID of the one two before it.
 	w.incarnation = fmt.Sprintf("%s-life-%d", w.name, 1+w.reboots)
+	if w.reboots%2 == 1 {
+		w.incarnation = link.Incarnation{ID: w.name, BornMS: int64(w.reboots)}.String()
+	}
 	incarnation := w.incarnation
 	w.checker.stateMu.Unlock()
 	w.Reboot(incarnation)
