A step that is slow to start isn't taken for workers that stand still

A worker is now told from a slow image by the other tasks of the step. Shown by TestSlowStart, which failed after 2.8 s.

--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -85,7 +85,7 @@
 	if !s.spec.LongRunning {
 		return !s.spec.Gang && s.spec.Checkpoints && t.checkpoint != "" && t.remaining(now) > drainPatience
 	}
-	return moving < maxDrainMoves && s.mayMissAnother(now)
+	return moving < maxDrainMoves && s.mayMissAnother()
 }
 
 // longRunningBetweenWorkers counts the long-running tasks that have left a worker and aren't at work yet.
@@ -120,18 +120,9 @@
 // atWork reports whether a long-running task was at work in the latest report on it.
 func (t *task) atWork() bool { return t.state == stateRunning && t.percent >= 100 }
 
-// atWorkDelay is how long after a long-running task is at work again its step may miss another one: reports of the
-// task are up to half a second old.
-const atWorkDelay = 500 * time.Millisecond
-
-// mayMissAnother reports whether one more task of a long-running step may be stopped: no other one is away, or as
-// many may be as the step allows, and none has come back only just.
-func (s *step) mayMissAnother(now time.Time) bool {
-	for _, t := range s.tasks {
-		if t.atWork() && now.Sub(t.appearedAt) < atWorkDelay {
-			return false
-		}
-	}
+// mayMissAnother reports whether one more task of a long-running step may be stopped: fewer are away than the step
+// allows, or none where it sets no limit.
+func (s *step) mayMissAnother() bool {
 	allowed := s.spec.MayMiss
 	if allowed == job.NoMissLimit {
 		allowed = 1
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -477,3 +477,47 @@
 		t.Errorf("the worker is known by both keys, or has lost runs")
 	}
 }
+
+// TestSlowStart runs a long-running step whose tasks take 4 s until they are at work, beside short tasks: none of its
+// runs may be stopped and no worker avoided for that, since all of them are slow. A run that needs far longer than the
+// others is stopped, and its worker avoided.
+func TestSlowStart(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, one("slow", 0, job.Step{Count: 3, Demand: cores(2), LongRunning: true, AntiAffinity: 1}))
+	runs := started(settle(now, c))
+	if len(runs) != 3 {
+		t.Fatalf("started %v, want one task on each worker", runs)
+	}
+	report := func(percent map[string]float64) (stopped []string) {
+		now = now.Add(200 * time.Millisecond)
+		for id, starts := range runs {
+			c.Report(now, id, []link.RunStatus{{RunRef: starts[0].RunRef, Percent: percent[id]}}, nil)
+		}
+		for id, d := range settle(now, c) {
+			if len(d.Stop) > 0 {
+				stopped = append(stopped, id)
+			}
+		}
+		return stopped
+	}
+	for range 20 {
+		if got := report(nil); len(got) > 0 {
+			t.Fatalf("stopped on %v after %s", got, now.Sub(epoch0))
+		}
+	}
+	for range 18 {
+		if got := report(map[string]float64{"a": 100, "b": 100}); len(got) > 0 {
+			t.Fatalf("stopped on %v after %s, within twice the time of the others", got, now.Sub(epoch0))
+		}
+	}
+	for range 10 {
+		if got := report(map[string]float64{"a": 100, "b": 100}); len(got) > 0 {
+			if got[0] != "c" || c.health.refusal(now, "c") == "" || c.health.refusal(now, "a") != "" {
+				t.Errorf("stopped on %v; want c, and only c avoided", got)
+			}
+			return
+		}
+	}
+	t.Error("a run that takes far longer than the others of its step is not stopped")
+}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -18,8 +18,14 @@
 	fillerStallTimeout = 4 * time.Second
 	// slowFillerTimeout is how long a filler stays on a worker whose local control throttles it.
 	slowFillerTimeout = 1200 * time.Millisecond
-	// idleTimeout is how long a long-running task may be idle, from its start or from when it was last at work.
+	// idleTimeout is how long a long-running task may be idle after it was at work, and at least after its start.
 	idleTimeout = 2500 * time.Millisecond
+	// startupFactor is how many times the longest startup among the tasks of its step a long-running task may take
+	// until it is at work.
+	startupFactor = 2
+	// maxStartup is how long a long-running task may take until it is at work while no other task of its step shows
+	// how long that takes: images differ, and some take seconds.
+	maxStartup = 8 * time.Second
 	// suspectDuration is how long a worker gets no tasks after a run has stalled there.
 	suspectDuration = 5 * time.Second
 	// refusalBlock is how long a worker gets no tasks after it has refused one.
@@ -131,7 +137,7 @@
 		return ""
 	}
 	if t.step.spec.LongRunning {
-		return when(w.listedAt.Sub(t.idleSince()) > idleTimeout, "not at work")
+		return when(w.listedAt.Sub(t.idleSince()) > t.idleLimit(), "not at work")
 	}
 	if t.step.spec.Gang {
 		return ""
@@ -146,6 +152,18 @@
 	return when(w.listedAt.Sub(t.progressAt) > limit, "no progress")
 }
 
+// idleLimit returns how long a long-running task may be idle. A worker on which tasks stand still is told from an image
+// that is slow to start by the other tasks of the step.
+func (t *task) idleLimit() time.Duration {
+	switch {
+	case !t.lastActive.IsZero():
+		return idleTimeout
+	case t.step.startup > 0:
+		return max(idleTimeout, startupFactor*t.step.startup)
+	}
+	return maxStartup
+}
+
 // idleSince returns when a long-running task was last reported at work, or else when it appeared.
 func (t *task) idleSince() time.Time {
 	return slices.MaxFunc([]time.Time{t.appearedAt, t.lastActive}, time.Time.Compare)
@@ -163,7 +181,15 @@
 		return
 	}
 	for _, t := range w.tasks {
-		t.progressAt, t.lastActive = t.progressAt.Add(gap), t.idleSince().Add(gap)
+		t.progressAt = t.progressAt.Add(gap)
+		if !t.step.spec.LongRunning {
+			continue
+		}
+		for _, at := range []*time.Time{&t.appearedAt, &t.lastActive} {
+			if !at.IsZero() {
+				*at = at.Add(gap)
+			}
+		}
 	}
 }
 
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -83,6 +83,9 @@
 	openTasks int // tasks that are not done
 	// waiting counts the tasks that can be placed once the step is ready.
 	waiting int
+	// startup is the longest time that a task of a long-running step has taken from its start until it was at work;
+	// 0 before the first was.
+	startup time.Duration
 	// tickets are the approvals of the policy service, by worker.
 	tickets map[string]ticket
 	// denied are the workers that the policy service has not approved. approvalPending says that a request is
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -103,6 +103,9 @@
 		t.progressAt = now
 	}
 	if r.Percent >= 100 && t.step.spec.LongRunning {
+		if t.lastActive.IsZero() {
+			t.step.startup = max(t.step.startup, now.Sub(t.appearedAt))
+		}
 		t.lastActive = now
 	}
 	t.percent, t.measurement = r.Percent, r.Measurement
