Room is reserved for tasks that wait because they are large

Change: a step of which no worker takes a task for 0.2 s gets the workers on which room will be free first, by what runs there and how far it is.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,6 +54,7 @@
 	Worker                Message = "worker"
 	Learn                 Message = "learn"
 	Drain                 Message = "drain"
+	Reserve               Message = "reserve"
 	Advice                Message = "advice"
 	WorkerDrains          Message = "worker drains"
 	WorkerLeaves          Message = "worker leaves"
@@ -134,6 +135,7 @@
 	{Worker, "info", "guard", "cell", decisionFields, "a worker has joined, drains, doesn't answer, or was removed"},
 	{Learn, "info", "guard", "cell", decisionFields, "learned data can't be stored"},
 	{Drain, "info", "guard", "cell", decisionFields, "the scheduler's view of the drained data centres has changed, or has become too old to start tasks; workers is the number of workers there"},
+	{Reserve, "info", "guard", "cell", decisionFields, "room on a worker is reserved for a waiting task of a step: when it is expected to be free, how many tasks wait and since when"},
 	{Advice, "info", "guard", "cell", decisionFields, "a response of the policy service about a step"},
 	{WorkerDrains, "info", "guard", "guard", []string{"worker", "remaining_ms"}, "the worker has reported that it will leave"},
 	{WorkerLeaves, "info", "guard", "control", []string{"worker"}, "the worker has reported that it leaves now"},
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -44,6 +44,7 @@
 		}
 		return c.interferenceRefusal(now, s, w)
 	}},
+	{"reserved", func(c *Core, now time.Time, s *step, w *worker) string { return c.reservedRefusal(now, s, w) }},
 	{"anti-affinity", func(_ *Core, _ time.Time, s *step, w *worker) string {
 		limit := s.spec.AntiAffinity
 		return when(limit > 0 && s.countOn(w) >= limit, "has its share of the step")
@@ -142,6 +143,9 @@
 		v = float64(w.free().MilliCPU) / capacity
 	}
 	v -= c.health.penalty(c.round.now, w.id)
+	if c.delaysReservation(c.round.now, st, w) {
+		v -= reservedPenalty
+	}
 	if s.DataRack != "" && s.DataRack == w.info.Rack || s.RackLocality && st.usesRack(c, w.info.Rack) {
 		v += rackWeight
 	}
@@ -223,6 +227,16 @@
 	return true
 }
 
+// passesExcept is passes without the named filters.
+func passesExcept(fs []filter, c *Core, now time.Time, s *step, w *worker, without ...string) bool {
+	for i := range fs {
+		if !slices.Contains(without, fs[i].name) && fs[i].refuse(c, now, s, w) != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // feasible returns the workers that may take a task of a step.
 func (c *Core) feasible(now time.Time, s *step) []*worker {
 	if s.spec.Filler {
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -46,6 +46,7 @@
 		}
 	}
 	c.rankJobs(now)
+	c.reserve(now)
 	fillers := !now.Before(c.nextFillerRound)
 	if fillers {
 		c.nextFillerRound = now.Add(fillerInterval)
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -48,6 +48,10 @@
 	drainReportedAt time.Time
 	// load is updated whenever a task is assigned or dropped; see load.add.
 	load load
+	// reserved is the reservation of the current round, or nil; reservedFor is the step that had the
+	// one of the round before.
+	reserved    *reservation
+	reservedFor *step
 	// tails is derived from the measurements of its tasks; see observe.
 	tails tailState
 }
