A slow store is used by one writer for all entries

Appends of a topic are carried out one after the other; nine entries with up to four ways each kept its queue full, so that each gave up on appends that were carried out, and repeated them. Change: an entry that sees a slow or unanswered append sends its jobs to the owner, which stores those of all entries in common appends; other nodes are called on failure. While the store answers slowly, appends may take as long as its queue, and the outcome of one batch doesn't refuse the others. Jobs are accepted again before old ones are settled.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -65,6 +65,7 @@
 	peers   Peers
 	scope   tally.Scope
 	log     *log.Logger
+	pace    pace
 
 	mu       sync.Mutex
 	pending  []*pendingAppend
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -62,16 +62,14 @@
 	jsonhttp.Write(w, http.StatusOK, counts)
 }
 
-// serveRelay appends jobs for an entry that can't reach the store.
+// serveRelay appends jobs for an entry to which the store doesn't answer, or answers slowly.
 func (c *Cell) serveRelay(w http.ResponseWriter, r *http.Request) {
 	var records []store.Record
 	if err := jsonhttp.Read(w, r, maxBodyBytes, &records); err != nil {
 		jsonhttp.WriteError(w, http.StatusBadRequest, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-	defer cancel()
-	_, err := c.store.Append(ctx, store.TopicJobs, store.AnyOffset, records)
+	err := c.relayed.Append(r.Context(), records)
 	switch {
 	case err == nil:
 		jsonhttp.Write(w, http.StatusOK, struct{}{})
