--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +15,7 @@
 	store   Store
 	topic   string
 	timeout time.Duration
+	maxWait time.Duration
 
 	mu      sync.Mutex
 	pending []*groupedAppend
@@ -29,16 +32,18 @@
 // maxGroup is the most records in one common append.
 const maxGroup = 200
 
-// NewGroup returns a group for a topic; timeout bounds one append.
-func NewGroup(s Store, topic string, timeout time.Duration) *Group {
-	return &Group{store: s, topic: topic, timeout: timeout}
+// NewGroup returns a group for a topic; timeout bounds one append, and maxWait the time that records wait for the
+// append before theirs.
+func NewGroup(s Store, topic string, timeout, maxWait time.Duration) *Group {
+	return &Group{store: s, topic: topic, timeout: timeout, maxWait: maxWait}
 }
 
 // ErrGaveUp means that a caller's time ended before the outcome was known; the records may still be stored.
 var ErrGaveUp = errors.New("gave up before the outcome was known")
 
-// Append appends records and returns the result of the common append they were part of. The error is ErrGaveUp when
-// the context ends before.
+// Append appends records and returns the result of the common append they were part of. Records that would have to
+// wait for longer than maxWait are withdrawn: the error is then ErrRefused. It is ErrGaveUp when the context ends
+// while their append is in progress.
 func (g *Group) Append(ctx context.Context, records []Record) error {
 	a := &groupedAppend{records: records, done: make(chan error, 1)}
 	g.mu.Lock()
@@ -48,12 +53,35 @@
 		go g.drain()
 	}
 	g.mu.Unlock()
-	select {
-	case err := <-a.done:
-		return err
-	case <-ctx.Done():
-		return errors.Join(ErrGaveUp, ctx.Err())
+	wait := time.NewTimer(g.maxWait)
+	defer wait.Stop()
+	for {
+		select {
+		case err := <-a.done:
+			return err
+		case <-wait.C:
+			if g.withdraw(a) {
+				return fmt.Errorf("%w: the append before takes too long", ErrRefused)
+			}
+		case <-ctx.Done():
+			if g.withdraw(a) {
+				return fmt.Errorf("%w: %w", ErrRefused, ctx.Err())
+			}
+			return fmt.Errorf("%w: %w", ErrGaveUp, ctx.Err())
+		}
+	}
+}
+
+// withdraw removes a caller's records, and reports false if their append is in progress or over.
+func (g *Group) withdraw(a *groupedAppend) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := slices.Index(g.pending, a)
+	if i < 0 {
+		return false
 	}
+	g.pending = slices.Delete(slices.Clone(g.pending), i, i+1)
+	return true
 }
 
 // drain appends what is pending until nothing is left.
