--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -100,7 +100,7 @@
 	began := time.Now()
 	err := in.storeAnyWay(records)
 	if err != nil {
-		in.loseStore(records, err, in.pace.succeededSince(began))
+		in.loseStore(records, err, in.pace.succeededSince(began) || errors.Is(err, store.ErrBusy))
 	}
 	for _, k := range batch {
 		k.done <- in.answer(k.record, err)
@@ -153,6 +153,10 @@
 				return nil
 			}
 			failures = append(failures, r.err)
+			if errors.Is(r.err, store.ErrBusy) {
+				in.pace.succeeded(time.Now(), r.took)
+				plan = nil
+			}
 			if len(plan) > 0 && ctx.Err() == nil {
 				start()
 			}
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -73,6 +73,8 @@
 	switch {
 	case err == nil:
 		jsonhttp.Write(w, http.StatusOK, struct{}{})
+	case errors.Is(err, store.ErrBusy):
+		jsonhttp.WriteError(w, http.StatusTooManyRequests, err)
 	case errors.Is(err, store.ErrRefused):
 		jsonhttp.WriteError(w, http.StatusServiceUnavailable, err)
 	default:
@@ -143,10 +145,14 @@
 	return out, err
 }
 
-// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored.
+// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored, and
+// store.ErrBusy among these when the store is slow.
 func (c *Client) Relay(ctx context.Context, addr string, records []store.Record) error {
 	status, err := c.do(ctx, http.MethodPost, addr, pathRelay, records, nil)
-	if status == http.StatusServiceUnavailable || status == http.StatusNotFound {
+	switch status {
+	case http.StatusTooManyRequests:
+		return fmt.Errorf("relay: %w", store.ErrBusy)
+	case http.StatusServiceUnavailable, http.StatusNotFound:
 		return fmt.Errorf("relay: %w", store.ErrRefused)
 	}
 	return err
--- a/internal/store/group.go
+++ b/internal/store/group.go
@@ -42,7 +42,7 @@
 var ErrGaveUp = errors.New("gave up before the outcome was known")
 
 // Append appends records and returns the result of the common append they were part of. Records that would have to
-// wait for longer than maxWait are withdrawn: the error is then ErrRefused. It is ErrGaveUp when the context ends
+// wait for longer than maxWait are withdrawn: the error is then ErrBusy. It is ErrGaveUp when the context ends
 // while their append is in progress.
 func (g *Group) Append(ctx context.Context, records []Record) error {
 	a := &groupedAppend{records: records, done: make(chan error, 1)}
@@ -61,7 +61,7 @@
 			return err
 		case <-wait.C:
 			if g.withdraw(a) {
-				return fmt.Errorf("%w: the append before takes too long", ErrRefused)
+				return ErrBusy
 			}
 		case <-ctx.Done():
 			if g.withdraw(a) {
