--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -31,7 +31,8 @@
 
 // reserve plans the reservations of a round: for waiting tasks in the order of rank, on the workers where room for them
 // will be free first. A step keeps the workers that it had; if they changed with each run that ends, no gap would grow.
-// Fillers reserve no processors and aren't planned for.
+// Fillers reserve no processors and aren't planned for, nor are long-running tasks that room kept for short ones is
+// refused to.
 func (c *Core) reserve(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		w.reservedFor = nil
@@ -65,7 +66,7 @@
 	var rooms []backfill.Worker
 	left := s.waiting
 	for _, w := range p.workers {
-		if w.reserved != nil || !passesExcept(filters[poolFilters:], c, now, s, w, "capacity", "urgent") {
+		if w.reserved != nil || !passesExcept(filters[poolFilters:], c, now, s, w, "capacity") {
 			continue
 		}
 		room := w.room(now)
