--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -31,8 +31,8 @@
 
 // reserve plans the reservations of a round: for waiting tasks in the order of rank, on the workers where room for them
 // will be free first. A step keeps the workers that it had; if they changed with each run that ends, no gap would grow.
-// Fillers reserve no processors and aren't planned for, nor are long-running tasks that room kept for short ones is
-// refused to.
+// Fillers reserve no processors and aren't planned for. Nor are long-running tasks while the pool has hardly more room
+// than short urgent ones need: the sooner they get it, the longer those wait.
 func (c *Core) reserve(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		w.reservedFor = nil
@@ -60,6 +60,9 @@
 // reserveFor reserves room for the waiting tasks of a step; open counts the reservations by pool.
 func (c *Core) reserveFor(now time.Time, s *step, open map[*workerPool]int) {
 	p := c.pool(s)
+	if s.spec.LongRunning && !c.leavesUrgentCapacity(s) {
+		return
+	}
 	limit := min(maxReservations, max(1, int(maxReservedShare*float64(len(p.workers)))))
 	need := s.spec.Reserve()
 	var candidates []*worker
