Long-running tasks get reservations only in a fragmented pool

A long-running task that waits since the pool is full isn't helped by a plan; one that waits beside 16% of free processors is.

--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -18,6 +18,10 @@
 	// worker; short tasks have the others. One is always possible.
 	maxReservations  = 8
 	maxReservedShare = 0.2
+	// fragmentedShare is the part of a pool's processors that must be free for a long-running task to get a reservation,
+	// twice what is kept for short urgent tasks. With less, it waits since the pool is full, not since the gaps are
+	// small; the sooner it got the last room, the longer urgent tasks would wait.
+	fragmentedShare = 2 * urgentCPUShare
 	// reservedPenalty lowers the score of a worker for tasks that would delay the reservation there, below that of
 	// any other that takes them. Urgent tasks go there rather than wait.
 	reservedPenalty = 5.0
@@ -31,8 +35,7 @@
 
 // reserve plans the reservations of a round: for waiting tasks in the order of rank, on the workers where room for them
 // will be free first. A step keeps the workers that it had; if they changed with each run that ends, no gap would grow.
-// Fillers reserve no processors and aren't planned for. Nor are long-running tasks while the pool has hardly more room
-// than short urgent ones need: the sooner they get it, the longer those wait.
+// Fillers reserve no processors and aren't planned for, nor are long-running tasks while the pool is nearly full.
 func (c *Core) reserve(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		w.reservedFor = nil
@@ -60,7 +63,7 @@
 // reserveFor reserves room for the waiting tasks of a step; open counts the reservations by pool.
 func (c *Core) reserveFor(now time.Time, s *step, open map[*workerPool]int) {
 	p := c.pool(s)
-	if s.spec.LongRunning && !c.leavesUrgentCapacity(s) {
+	if s.spec.LongRunning && float64(p.free) < fragmentedShare*float64(p.capacity) {
 		return
 	}
 	limit := min(maxReservations, max(1, int(maxReservedShare*float64(len(p.workers)))))
