--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -238,18 +238,6 @@
 	}
 }
 
-// polled returns the incarnation that polls address: the one that answered last, otherwise the one that was announced;
-// empty while none is known.
-func (c *Core) polled() string {
-	switch {
-	case c.incarnation != "":
-		return c.incarnation
-	case c.info != nil:
-		return c.info.ID
-	}
-	return ""
-}
-
 // NextPoll returns the next poll of the worker; false while no incarnation of it is known.
 func (c *Core) NextPoll(nowMS int64, wait time.Duration) (Poll, bool) {
 	incarnation := c.polled()
@@ -264,19 +252,6 @@
 	return q, true
 }
 
-// IncarnationEnded records that an incarnation of the worker has ended, because another one answered a call
-// that was meant for it.
-func (c *Core) IncarnationEnded(incarnation string) {
-	if incarnation == "" || c.polled() != incarnation {
-		return
-	}
-	if c.incarnation == incarnation {
-		c.endedIncarnations = append(c.endedIncarnations, incarnation)
-	}
-	c.incarnation, c.info, c.successor = "", c.successor, nil
-	c.reset()
-}
-
 // ObserveListing processes the worker's answer to a poll; resolvable is what Resolvable returned before the poll
 // was sent. A run whose stop had been answered by then and that isn't listed will never exist.
 func (c *Core) ObserveListing(nowMS int64, resolvable map[link.RunRef]bool, l Listing) {
@@ -325,64 +300,6 @@
 	c.pacer.observe(nowMS, c.runs)
 }
 
-// begin makes the incarnation that has answered a poll the current one.
-func (c *Core) begin(resolvable map[link.RunRef]bool, l Listing) {
-	var inherited []link.RunRef
-	if link.Reborn(l.Incarnation, c.incarnation) {
-		inherited = c.mayBeInherited(resolvable, l)
-	}
-	if c.incarnation != "" {
-		c.endedIncarnations = append(c.endedIncarnations, c.incarnation)
-	}
-	pending := map[link.RunRef]bool{}
-	for _, ref := range inherited {
-		pending[ref] = c.runs[ref] != nil && c.runs[ref].commandPending
-	}
-	c.incarnation = l.Incarnation
-	c.reset()
-	for _, ref := range inherited {
-		c.runs[ref] = &run{
-			Traits: link.Traits{RunRef: ref}, phase: stopping, commandPending: pending[ref], pacePercent: fullPace,
-			reason: "commanded to an earlier incarnation", inherited: true,
-		}
-	}
-	if c.info != nil && c.info.ID != c.incarnation {
-		c.info = nil
-	}
-	if c.successor != nil && c.successor.ID == c.incarnation {
-		c.info = c.successor
-	}
-}
-
-// mayBeInherited returns the runs that a worker which has started again under its ID may have or still get, although
-// they were commanded to its earlier incarnation: those it lists, and those whose start wasn't confirmed before the
-// poll was sent. Calls name the ID only, so that the new incarnation accepts them.
-func (c *Core) mayBeInherited(resolvable map[link.RunRef]bool, l Listing) []link.RunRef {
-	var out []link.RunRef
-	for ref, r := range c.runs {
-		if !(r.phase == listed && resolvable[ref]) {
-			out = append(out, ref)
-		}
-	}
-	for _, s := range l.Running {
-		if r := c.runs[s.RunRef]; r == nil || r.phase == listed && resolvable[s.RunRef] {
-			out = append(out, s.RunRef)
-		}
-	}
-	return out
-}
-
-// Settling reports whether runs that were commanded to an earlier incarnation may be in the current one. Until they
-// are known not to be, the end of the earlier one isn't reported, since the owner would start their tasks elsewhere.
-func (c *Core) Settling() bool {
-	for _, r := range c.runs {
-		if r.inherited {
-			return true
-		}
-	}
-	return false
-}
-
 // Resolvable returns the runs about which a poll sent now gives a valid answer, as no command about them is in
 // progress.
 func (c *Core) Resolvable() map[link.RunRef]bool {
--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -18,6 +18,9 @@
 	// before it is relayed through another node.
 	relayDelay = 300 * time.Millisecond
 	peerDelay  = 500 * time.Millisecond
+	// slowPeerDelay replaces peerDelay while the store is slow; an owner that answers does so before, if only that it is
+	// busy.
+	slowPeerDelay = 2 * time.Second
 	// onFailure is the delay of a way that is tried only if an earlier one fails: longer than any append.
 	onFailure = time.Minute
 	// maxPeerRelays is the most nodes besides the owner that one append is relayed through.
@@ -154,6 +157,7 @@
 			}
 			failures = append(failures, r.err)
 			if errors.Is(r.err, store.ErrBusy) {
+				// The owner is there and the store is slow.
 				in.pace.succeeded(time.Now(), r.took)
 				plan = nil
 			}
@@ -221,7 +225,7 @@
 //   - Usually the store is called directly; the owner and then another node only if it doesn't answer soon.
 //   - While the store doesn't answer this node but others, the owner is called at the same time.
 //   - While it is slow or may be, the owner stores the records of all entries in common appends. Several ways would
-//     only make the store's queue longer, so that another node is called only if the owner fails.
+//     only make the store's queue longer, so that another node is called only if the owner fails or doesn't answer.
 func (in *Intake) plan(now time.Time) []stage {
 	direct := way{store: in.appendDirect}
 	in.mu.Lock()
@@ -231,8 +235,10 @@
 	switch {
 	case addr == "":
 		return append([]stage{{ways: []way{direct}}}, in.peerStages(relayDelay)...)
+	case in.pace.slow(now):
+		return append([]stage{{ways: []way{in.relayThrough(addr)}}}, in.peerStages(slowPeerDelay)...)
 	case in.pace.oneAtATime(now):
-		return append([]stage{{ways: []way{in.relayThrough(addr)}}}, in.peerStages(onFailure)...)
+		return append([]stage{{ways: []way{in.relayThrough(addr)}}}, in.peerStages(peerDelay)...)
 	case failed:
 		return append([]stage{{ways: []way{direct, in.relayThrough(addr)}}}, in.peerStages(relayDelay)...)
 	}
--- a/internal/intake/pace_test.go
+++ b/internal/intake/pace_test.go
@@ -69,7 +69,9 @@
 	groups map[string]*store.Group
 }
 
-func (n *groupingNodes) CheckStore(ctx context.Context, _ string) error { return store.Check(ctx, n.store) }
+func (n *groupingNodes) CheckStore(ctx context.Context, _ string) error {
+	return store.Check(ctx, n.store)
+}
 
 func (n *groupingNodes) Relay(ctx context.Context, addr string, records []store.Record) error {
 	return n.groups[addr].Append(ctx, records)
--- a/internal/owner/panic_test.go
+++ b/internal/owner/panic_test.go
@@ -20,9 +20,7 @@
 	err := c.protect("handle a report", func() error {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		var none map[string]int
-		none["x"]++
-		return nil
+		panic("a report that isn't handled")
 	})
 	if !errors.As(err, &panicked) {
 		t.Fatalf("error %v, want a panic", err)
