--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -14,15 +14,8 @@
 	// appendTimeout bounds one append by all ways together; a healthy store answers within milliseconds, a slow
 	// one within a few hundred.
 	appendTimeout = 700 * time.Millisecond
-	// relayDelay is how long the store has to answer before an append is also relayed through the owner, peerDelay
-	// before it is relayed through another node.
+	// relayDelay is how long the store has to answer before an append is also relayed.
 	relayDelay = 300 * time.Millisecond
-	peerDelay  = 500 * time.Millisecond
-	// slowPeerDelay replaces peerDelay while the store is slow; an owner that answers does so before, if only that it is
-	// busy.
-	slowPeerDelay = 2 * time.Second
-	// onFailure is the delay of a way that is tried only if an earlier one fails: longer than any append.
-	onFailure = time.Minute
 	// maxPeerRelays is the most nodes besides the owner that one append is relayed through.
 	maxPeerRelays = 2
 	// maxWays is the most ways that one append takes: directly, through the owner and through other nodes.
@@ -84,11 +77,6 @@
 		if n == 0 {
 			return
 		}
-		if in.pace.oneAtATime(time.Now()) {
-			// The owner groups them; here they would wait for each other.
-			go in.write(batch)
-			continue
-		}
 		in.write(batch)
 	}
 }
@@ -100,80 +88,50 @@
 	for i, k := range batch {
 		records[i] = k.record
 	}
-	began := time.Now()
 	err := in.storeAnyWay(records)
 	if err != nil {
-		in.loseStore(records, err, in.pace.succeededSince(began) || errors.Is(err, store.ErrBusy))
+		in.loseStore(records, err)
 	}
 	for _, k := range batch {
-		k.done <- in.answer(k.record, err)
+		k.done <- err
 	}
 }
 
-// answer returns the result for one record of an append that ended with err. A record that was certainly not stored
-// now may be by an earlier append whose outcome is unknown.
-func (in *Intake) answer(r store.Record, err error) error {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if _, ok := in.unresolved[r.Key]; ok && errors.Is(err, ErrNotAccepted) {
-		return fmt.Errorf("%w: %w", ErrUnknown, err)
-	}
-	return err
+// appendResult is the outcome of an append by one way.
+type appendResult struct {
+	relayed bool
+	err     error
 }
 
-// storeAnyWay stores records by the ways of the current plan. Storing a record twice is harmless. The error is
-// ErrNotAccepted when the records are certain not to be stored, otherwise ErrUnknown.
+// storeAnyWay stores records directly and, when that fails or takes long, also through other nodes. Storing a record
+// twice is harmless. The error is ErrNotAccepted when the records are certain not to be stored, otherwise
+// ErrUnknown.
 func (in *Intake) storeAnyWay(records []store.Record) error {
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), in.pace.timeout(began))
+	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
 	defer cancel()
-	plan := in.plan(began)
-	results := make(chan result, maxWays)
-	open := 0
-	start := func() {
-		for _, w := range plan[0].ways {
-			open++
-			started := time.Now()
-			go func() {
-				err := w.store(ctx, records)
-				results <- result{w.relayed, time.Since(started), err}
-			}()
-		}
-		plan = plan[1:]
-	}
-	start()
+	results := make(chan appendResult, maxWays)
+	go func() { results <- appendResult{err: in.appendDirect(ctx, records)} }()
+	hedge := time.NewTimer(in.hedgeDelay())
+	defer hedge.Stop()
 	var failures []error
-	for open > 0 {
-		var hedge <-chan time.Time
-		if len(plan) > 0 && ctx.Err() == nil {
-			hedge = time.After(time.Until(began.Add(plan[0].after)))
-		}
+	for open, relaying := 1, false; open > 0; {
 		select {
 		case r := <-results:
 			open--
 			if r.err == nil {
-				in.noteSuccess(len(records), r, failures)
+				in.noteRelay(len(records), r.relayed, failures)
 				return nil
 			}
 			failures = append(failures, r.err)
-			if errors.Is(r.err, store.ErrBusy) {
-				// The owner is there and the store is slow.
-				in.pace.succeeded(time.Now(), r.took)
-				plan = nil
-			}
-			if len(plan) > 0 && ctx.Err() == nil {
-				start()
-			}
-		case <-hedge:
-			in.pace.unanswered(time.Now())
-			start()
+		case <-hedge.C:
+		}
+		if !relaying {
+			relaying = true
+			open += in.startRelays(ctx, records, results)
 		}
 	}
 	err := verdict(failures)
-	if errors.Is(err, ErrUnknown) {
-		in.pace.unanswered(time.Now())
-	}
-	in.log.Warn(event.JobsNotStored, "records", len(records), "slow", in.pace.slow(began), "err", err)
+	in.log.Warn(event.JobsNotStored, "records", len(records), "err", err)
 	return err
 }
 
@@ -188,79 +146,21 @@
 	return fmt.Errorf("%w: %w", ErrNotAccepted, errors.Join(failures...))
 }
 
-// noteSuccess takes from a successful append how the store answers: slowly, or quickly through another node while it
-// doesn't answer this one.
-func (in *Intake) noteSuccess(records int, r result, failures []error) {
-	in.pace.succeeded(time.Now(), r.took)
-	if !r.relayed {
-		return
+// noteRelay logs that records were stored through another node.
+func (in *Intake) noteRelay(records int, relayed bool, failures []error) {
+	if relayed {
+		in.log.Info(event.JobsRelayed, "records", records, "cause", errors.Join(failures...))
 	}
-	if r.took < slowAppend {
-		in.setDirectFailed(!in.pace.slow(time.Now()))
-	}
-	in.log.Info(event.JobsRelayed, "records", records, "took", r.took.Round(time.Millisecond), "cause", errors.Join(failures...))
-}
-
-// way is a way to store records, directly or through another node. Its error is a store.ErrRefused if they are certain
-// not to be stored.
-type way struct {
-	relayed bool
-	store   func(ctx context.Context, records []store.Record) error
 }
 
-// result is the outcome of an append by one way.
-type result struct {
-	relayed bool
-	took    time.Duration
-	err     error
-}
-
-// stage is a set of ways that are tried at the same time, after a time without a result or when an earlier way fails.
-type stage struct {
-	after time.Duration
-	ways  []way
-}
-
-// plan returns the ways to store records now, in order.
-//   - Usually the store is called directly; the owner and then another node only if it doesn't answer soon.
-//   - While the store doesn't answer this node but others, the owner is called at the same time.
-//   - While it is slow or may be, the owner stores the records of all entries in common appends. Several ways would
-//     only make the store's queue longer, so that another node is called only if the owner fails or doesn't answer.
-func (in *Intake) plan(now time.Time) []stage {
-	direct := way{store: in.appendDirect}
+// hedgeDelay returns how long to wait for the store before an append is relayed.
+func (in *Intake) hedgeDelay() time.Duration {
 	in.mu.Lock()
-	failed := in.directFailed
-	in.mu.Unlock()
-	addr := in.locator.OwnerAddr()
-	switch {
-	case addr == "":
-		return append([]stage{{ways: []way{direct}}}, in.peerStages(relayDelay)...)
-	case in.pace.slow(now):
-		return append([]stage{{ways: []way{in.relayThrough(addr)}}}, in.peerStages(slowPeerDelay)...)
-	case in.pace.oneAtATime(now):
-		return append([]stage{{ways: []way{in.relayThrough(addr)}}}, in.peerStages(peerDelay)...)
-	case failed:
-		return append([]stage{{ways: []way{direct, in.relayThrough(addr)}}}, in.peerStages(relayDelay)...)
-	}
-	return append([]stage{{ways: []way{direct}}, {relayDelay, []way{in.relayThrough(addr)}}}, in.peerStages(peerDelay)...)
-}
-
-// peerStages returns the stages of other nodes than the owner: one after a time, the others only if it fails.
-func (in *Intake) peerStages(after time.Duration) []stage {
-	if in.peers == nil {
-		return nil
-	}
-	var out []stage
-	for _, addr := range in.peers.Pick(maxPeerRelays) {
-		out = append(out, stage{after, []way{in.relayThrough(addr)}})
-		after = onFailure
+	defer in.mu.Unlock()
+	if in.directFailed {
+		return 0
 	}
-	return out
-}
-
-// relayThrough returns the way through another node.
-func (in *Intake) relayThrough(addr string) way {
-	return way{true, func(ctx context.Context, records []store.Record) error { return in.client.Relay(ctx, addr, records) }}
+	return relayDelay
 }
 
 // appendDirect stores records by a call to the store.
@@ -279,6 +179,16 @@
 	in.directFailed = failed
 }
 
+// startRelays starts to store records through the owner and other nodes, and returns how many results will come.
+func (in *Intake) startRelays(ctx context.Context, records []store.Record, results chan<- appendResult) int {
+	in.setDirectFailed(true)
+	addrs := in.relays()
+	for _, addr := range addrs {
+		go func() { results <- appendResult{true, in.client.Relay(ctx, addr, records)} }()
+	}
+	return len(addrs)
+}
+
 // relays returns the addresses of the nodes to relay through: the owner and a few others.
 func (in *Intake) relays() []string {
 	var out []string
--- a/internal/intake/away.go
+++ b/internal/intake/away.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,9 +19,9 @@
 )
 
 // loseStore records that a batch couldn't be stored by any way. Until a way is found, pending and further records
-// are refused at once, since none of them was sent; but not when others were stored meanwhile. Records with an unknown
-// outcome are stored as soon as there is a way, so that a caller who asks again learns one answer.
-func (in *Intake) loseStore(records []store.Record, cause error, othersStored bool) {
+// are refused at once, since none of them was sent. Records with an unknown outcome are stored as soon as a way is
+// found, so that a caller who asks again learns one answer.
+func (in *Intake) loseStore(records []store.Record, cause error) {
 	in.mu.Lock()
 	if errors.Is(cause, ErrUnknown) {
 		for _, r := range records {
@@ -30,13 +29,6 @@
 		}
 	}
 	unknown := len(in.unresolved)
-	if othersStored {
-		in.mu.Unlock()
-		if errors.Is(cause, ErrUnknown) {
-			go in.settle()
-		}
-		return
-	}
 	pending := in.pending
 	in.pending = nil
 	for _, k := range pending {
@@ -53,23 +45,14 @@
 	}
 }
 
-// findStore searches for a way to the store and lets jobs be accepted again. Then it stores what is unresolved.
+// findStore searches for a way to the store, stores what is unresolved, and then lets jobs be accepted again.
 func (in *Intake) findStore() {
-	for found := false; !found; found = in.findOnce() {
-		time.Sleep(findDelay)
-	}
-	in.mu.Lock()
-	in.away = false
-	unknown := len(in.unresolved)
-	in.mu.Unlock()
-	in.log.Info(event.StoreRegained, "unknown", unknown)
-	in.settle()
-}
-
-// settle stores what is unresolved, unless the store is lost again.
-func (in *Intake) settle() {
-	for in.Available() && !in.resolve() {
+	for {
 		time.Sleep(findDelay)
+		if in.findOnce() && in.resolve() {
+			in.log.Info(event.StoreRegained)
+			return
+		}
 	}
 }
 
@@ -79,16 +62,11 @@
 	defer cancel()
 	addrs := in.relays()
 	found := make(chan bool, 1+len(addrs))
-	began := time.Now()
-	check := func(err error) {
-		if err == nil {
-			in.pace.succeeded(time.Now(), time.Since(began))
-		}
-		found <- err == nil
-	}
-	go func() { check(store.Check(ctx, in.store)) }()
+	go func() {
+		found <- store.Check(ctx, in.store) == nil
+	}()
 	for _, addr := range addrs {
-		go func() { check(in.client.CheckStore(ctx, addr)) }()
+		go func() { found <- in.client.CheckStore(ctx, addr) == nil }()
 	}
 	for range 1 + len(addrs) {
 		if <-found {
@@ -98,22 +76,32 @@
 	return false
 }
 
-// resolve stores the records whose outcome is unknown. It reports whether none is left.
+// resolve stores the records whose outcome is unknown. It reports whether none is left; then jobs are accepted
+// again.
 func (in *Intake) resolve() bool {
-	in.mu.Lock()
-	records := slices.Collect(maps.Values(in.unresolved))
-	in.mu.Unlock()
-	for batch := range slices.Chunk(records, maxBatch) {
-		if in.storeAnyWay(batch) != nil {
-			return false
-		}
+	for {
 		in.mu.Lock()
-		for _, r := range batch {
-			delete(in.unresolved, r.Key)
+		var records []store.Record
+		for _, r := range in.unresolved {
+			records = append(records, r)
+		}
+		if len(records) == 0 {
+			in.away = false
+			in.mu.Unlock()
+			return true
 		}
 		in.mu.Unlock()
+		for batch := range slices.Chunk(records, maxBatch) {
+			if in.storeAnyWay(batch) != nil {
+				return false
+			}
+			in.mu.Lock()
+			for _, r := range batch {
+				delete(in.unresolved, r.Key)
+			}
+			in.mu.Unlock()
+		}
 	}
-	return true
 }
 
 // Available reports whether a way to the store is known, so that jobs are accepted.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -65,7 +65,6 @@
 	peers   Peers
 	scope   tally.Scope
 	log     *log.Logger
-	pace    pace
 
 	mu       sync.Mutex
 	pending  []*pendingAppend
--- a/internal/intake/pace_test.go
+++ b/internal/intake/slow_test.go
@@ -25,6 +25,9 @@
 	appends              int
 }
 
+// slowTimeout is how long callers may wait for an answer of a slow store.
+const slowTimeout = 2800 * time.Millisecond
+
 // maxQueue is how long the queue of a serialStore may be.
 const maxQueue = 2 * time.Second
 
@@ -54,38 +57,33 @@
 
 // Newest implements store.Store.
 func (s *serialStore) Newest(ctx context.Context, topic string) (store.Snapshot, error) {
+	s.mu.Lock()
+	takes := s.readTime
+	s.mu.Unlock()
 	select {
-	case <-time.After(s.readTime):
+	case <-time.After(takes):
 		return s.Store.Newest(ctx, topic)
 	case <-ctx.Done():
 		return store.Snapshot{}, ctx.Err()
 	}
 }
 
-// groupingNodes is a Client whose nodes append for all entries together, as owners do.
-type groupingNodes struct {
+// slowNodes is a Client whose nodes append to a slow store, each for itself.
+type slowNodes struct {
 	nodes
-	store  store.Store
-	groups map[string]*store.Group
+	store store.Store
 }
 
-func (n *groupingNodes) CheckStore(ctx context.Context, _ string) error {
-	return store.Check(ctx, n.store)
-}
+func (n *slowNodes) CheckStore(ctx context.Context, _ string) error { return store.Check(ctx, n.store) }
 
-func (n *groupingNodes) Relay(ctx context.Context, addr string, records []store.Record) error {
-	return n.groups[addr].Append(ctx, records)
+func (n *slowNodes) Relay(ctx context.Context, _ string, records []store.Record) error {
+	_, err := n.store.Append(ctx, store.TopicJobs, store.AnyOffset, records)
+	return err
 }
 
-// relayWait is how long relayed jobs wait for the append before theirs.
-const relayWait = 800 * time.Millisecond
-
 // newSlowEntries returns entries on a slow store, with an owner and other nodes to relay through.
 func newSlowEntries(s store.Store, n int) []*entry {
-	relays := &groupingNodes{store: s, groups: map[string]*store.Group{}}
-	for _, addr := range []string{"owner", "peer-1", "peer-2"} {
-		relays.groups[addr] = store.NewGroup(s, store.TopicJobs, slowTimeout, relayWait)
-	}
+	relays := &slowNodes{store: s}
 	var out []*entry
 	for range n {
 		out = append(out, &entry{Intake: New(s, relays, relays, relays, tally.NoopScope, logs.Discard())})
@@ -103,9 +101,9 @@
 		entries := newSlowEntries(s, 9)
 		var mu sync.Mutex
 		accepted, late, refused := 0, 0, 0
-		// The first appends of all entries fill the store's queue. Jobs that come meanwhile may be refused, until the
-		// owner's append that waits behind it is answered: the queue, two appends, and the longest wait for the owner.
-		learning := maxQueue + 2*s.appendTime + relayWait
+		// The first appends of all entries fill the store's queue. Jobs that come meanwhile may be refused, until one
+		// that waits behind it is answered: the queue, two appends, and 0.8 s of waiting for them.
+		learning := maxQueue + 2*s.appendTime + 800*time.Millisecond
 		began := time.Now()
 		var wg sync.WaitGroup
 		for i := range 160 {
@@ -130,26 +128,9 @@
 			t.Errorf("%d accepted, %d late, %d refused after the store was known to be slow", accepted, late, refused)
 		}
 		t.Logf("%d appends for 160 jobs", s.appends)
-		time.Sleep(10 * time.Second)
-	})
-}
-
-// TestSlowStoreRecovers checks that entries call the store directly again after it has become fast.
-func TestSlowStoreRecovers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &serialStore{Store: memstore.New(), appendTime: 256 * time.Millisecond}
-		e := newSlowEntries(s, 1)[0]
-		for i := range 5 {
-			e.submit(t.Context(), fmt.Sprintf("%016x", i))
-		}
-		if !e.pace.slow(time.Now()) {
-			t.Error("the store doesn't count as slow")
-		}
-		s.appendTime = 4 * time.Millisecond
-		time.Sleep(slowMemory)
-		if a := e.submit(t.Context(), "00000000000000ff"); a.err != nil || a.took > 4*time.Millisecond || e.pace.slow(time.Now()) {
-			t.Errorf("after recovery: %v after %s", a.err, a.took)
-		}
-		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		s.appendTime, s.readTime = time.Millisecond, time.Millisecond
+		s.mu.Unlock()
+		time.Sleep(time.Minute)
 	})
 }
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -62,19 +62,19 @@
 	jsonhttp.Write(w, http.StatusOK, counts)
 }
 
-// serveRelay appends jobs for an entry to which the store doesn't answer, or answers slowly.
+// serveRelay appends jobs for an entry that can't reach the store.
 func (c *Cell) serveRelay(w http.ResponseWriter, r *http.Request) {
 	var records []store.Record
 	if err := jsonhttp.Read(w, r, maxBodyBytes, &records); err != nil {
 		jsonhttp.WriteError(w, http.StatusBadRequest, err)
 		return
 	}
-	err := c.relayed.Append(r.Context(), records)
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	_, err := c.store.Append(ctx, store.TopicJobs, store.AnyOffset, records)
 	switch {
 	case err == nil:
 		jsonhttp.Write(w, http.StatusOK, struct{}{})
-	case errors.Is(err, store.ErrBusy):
-		jsonhttp.WriteError(w, http.StatusTooManyRequests, err)
 	case errors.Is(err, store.ErrRefused):
 		jsonhttp.WriteError(w, http.StatusServiceUnavailable, err)
 	default:
@@ -145,14 +145,10 @@
 	return out, err
 }
 
-// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored, and
-// store.ErrBusy among these when the store is slow.
+// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored.
 func (c *Client) Relay(ctx context.Context, addr string, records []store.Record) error {
 	status, err := c.do(ctx, http.MethodPost, addr, pathRelay, records, nil)
-	switch status {
-	case http.StatusTooManyRequests:
-		return fmt.Errorf("relay: %w", store.ErrBusy)
-	case http.StatusServiceUnavailable, http.StatusNotFound:
+	if status == http.StatusServiceUnavailable || status == http.StatusNotFound {
 		return fmt.Errorf("relay: %w", store.ErrRefused)
 	}
 	return err
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -26,11 +26,6 @@
 const (
 	// callTimeout bounds one call to the store or to another node.
 	callTimeout = 600 * time.Millisecond
-	// relayTimeout bounds one append of relayed jobs: longer than the queue that a slow store lets build up.
-	relayTimeout = 2800 * time.Millisecond
-	// relayMaxWait bounds the time that relayed jobs wait for the append before theirs; a slow one takes about half a
-	// second. Callers that are refused sooner can return sooner.
-	relayMaxWait = 800 * time.Millisecond
 	// loadTimeout bounds the loading of the cell at a takeover.
 	loadTimeout = 3 * time.Second
 	// jobsReadWait is how long one read of the store waits for new jobs.
@@ -71,8 +66,6 @@
 	links      map[string]*peer // by worker ID
 	clock      *wallclock.Estimate
 	roundDue   chan struct{} // starts the next round at once
-	// relayed appends the jobs that entries relay through this node.
-	relayed *store.Group
 	// approvalRequests holds requests that wait for the policy service.
 	approvalRequests chan sched.ApprovalRequest
 	adviser          Adviser
@@ -86,7 +79,6 @@
 func New(opt sched.Options, s store.Store, lease *ownership.Runner, adviser Adviser, scope tally.Scope, l *log.Logger) *Cell {
 	return &Cell{
 		opt: opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
-		relayed:          store.NewGroup(s, store.TopicJobs, relayTimeout, relayMaxWait),
 		approvalRequests: make(chan sched.ApprovalRequest, maxApprovalRequests), adviser: adviser,
 	}
 }
