A flush of the log waits for the line that is being written

Flush waited until the buffer was empty; the last line has left it and is still being written then, so a process that stops could lose its last line. Shown by TestFlushWaitsForLastLine, which failed before.

--- a/internal/logs/bounded.go
+++ b/internal/logs/bounded.go
@@ -6,6 +6,7 @@
 	"io"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,8 @@
 	out   io.Writer
 	lines chan []byte
 	now   func() time.Time
+	// unwritten counts the lines that are buffered or being written.
+	unwritten atomic.Int64
 
 	mu         sync.Mutex
 	kinds      map[string]*tokenBucket
@@ -60,18 +63,17 @@
 // drain writes buffered lines to the output until the channel is closed.
 func (b *Bounded) drain() {
 	for line := range b.lines {
-		if _, err := b.out.Write(line); err != nil {
-			// There is nowhere else to report the error; later lines may succeed.
-			continue
-		}
+		// There is nowhere else to report an error; later lines may succeed.
+		_, _ = b.out.Write(line)
+		b.unwritten.Add(-1)
 	}
 }
 
-// Flush waits until the buffer is empty, for at most a given time. It is meant for a stopping process,
+// Flush waits until all lines are written, for at most a given time. It is meant for a stopping process,
 // which logs no further lines.
 func (b *Bounded) Flush(timeout time.Duration) {
 	const pollInterval = 5 * time.Millisecond
-	for waited := time.Duration(0); waited < timeout && len(b.lines) > 0; waited += pollInterval {
+	for waited := time.Duration(0); waited < timeout && b.unwritten.Load() > 0; waited += pollInterval {
 		time.Sleep(pollInterval)
 	}
 }
@@ -129,10 +131,20 @@
 
 // enqueue buffers a line, or counts it as dropped if the buffer is full. The caller holds the lock.
 func (b *Bounded) enqueue(kind string, line []byte) {
+	if !b.buffer(line) {
+		b.dropped[kind]++
+	}
+}
+
+// buffer buffers a line unless the buffer is full.
+func (b *Bounded) buffer(line []byte) bool {
+	b.unwritten.Add(1)
 	select {
 	case b.lines <- line:
+		return true
 	default:
-		b.dropped[kind]++
+		b.unwritten.Add(-1)
+		return false
 	}
 }
 
@@ -151,11 +163,9 @@
 	for _, k := range kinds {
 		line := fmt.Sprintf(`{"time":%q,"level":"warn","prefix":"logs","msg":"lines left out","kind":%q,"count":%d}`+"\n",
 			now.Format(timeFormat), k, b.dropped[k])
-		select {
-		case b.lines <- []byte(line):
-			delete(b.dropped, k)
-		default:
+		if !b.buffer([]byte(line)) {
 			return
 		}
+		delete(b.dropped, k)
 	}
 }
--- a/internal/logs/bounded_test.go
+++ b/internal/logs/bounded_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -64,3 +65,39 @@
 		t.Error("no line was dropped although the reader doesn't read")
 	}
 }
+
+// lateWriter records a line some time after Write was called.
+type lateWriter struct {
+	mu    sync.Mutex
+	lines int
+}
+
+// Write implements io.Writer.
+func (w *lateWriter) Write(line []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lines++
+	return len(line), nil
+}
+
+// TestFlushWaitsForLastLine guards against the loss of the last line of a process: it has left the buffer and is still
+// being written when Flush is called.
+func TestFlushWaitsForLastLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &lateWriter{}
+		b := NewBounded(out)
+		if _, err := b.Write([]byte(`{"msg":"process stopped"}`)); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		b.Flush(time.Second)
+		out.mu.Lock()
+		lines := out.lines
+		out.mu.Unlock()
+		if lines != 1 {
+			t.Errorf("%d lines written after the flush, want 1", lines)
+		}
+		close(b.lines)
+	})
+}
