--- /dev/null
+++ b/internal/sched/crashes_test.go
@@ -0,0 +1,246 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
+)
+
+// crashPool is a pool of workers with one task that crashes every worker that starts it, among short tasks that do no
+// harm. A worker is back as its next incarnation after downtime.
+type crashPool struct {
+	t     *testing.T
+	now   time.Time
+	core  *Core
+	specs []*job.Spec
+	log   map[string][]byte
+	// deadly is the job whose task with index 0 crashes its worker, starts the incarnations that it was started on.
+	deadly string
+	starts []string
+	// running are the runs on each incarnation that is up, with the time of their start; down says when the worker of
+	// a node is back, crashed which incarnation its guard has seen end last.
+	running map[string]map[link.RunRef]time.Time
+	down    map[string]time.Time
+	crashed map[string]string
+	born    int
+	ends    int64
+}
+
+// Times of a crashPool.
+const (
+	// crashPoolTask is how long a harmless task runs, and downtime how long a worker is away after a crash.
+	crashPoolTask = 600 * time.Millisecond
+	downtime      = 3 * time.Second
+	// crashPoolStep is the time between two rounds.
+	crashPoolStep = 50 * time.Millisecond
+)
+
+// newCrashPool returns a pool with as many workers.
+func newCrashPool(t *testing.T, workers int) *crashPool {
+	p := &crashPool{t: t, now: epoch0, core: New(options), log: map[string][]byte{}, running: map[string]map[link.RunRef]time.Time{}, down: map[string]time.Time{}, crashed: map[string]string{}}
+	for i := range workers {
+		p.boot(fmt.Sprintf("node-%d", i))
+	}
+	return p
+}
+
+// boot attaches a new incarnation of the worker beside a node. Every second one keeps its ID.
+func (p *crashPool) boot(node string) {
+	p.born++
+	id := fmt.Sprintf("w-%s-%d@%d", node, p.born/2, p.born)
+	p.running[id] = map[link.RunRef]time.Time{}
+	delete(p.down, node)
+	p.core.Attach(p.now, node, link.Worker{ID: id, Service: "pool", Capacity: big}, nil, nil)
+}
+
+// crash ends an incarnation with all its runs; its guard sees it.
+func (p *crashPool) crash(id string) {
+	node := p.core.workers[id].node
+	delete(p.running, id)
+	p.down[node], p.crashed[node] = p.now.Add(downtime), id
+	p.core.RemoveWorker(p.now, id)
+}
+
+// submit submits a job of some short tasks.
+func (p *crashPool) submit(id string, s job.Step) {
+	spec := one(id, 0, s)
+	p.specs = append(p.specs, spec)
+	p.core.Submit(p.now, spec)
+}
+
+// step runs one round and carries its commands out.
+func (p *crashPool) step() {
+	p.now = p.now.Add(crashPoolStep)
+	for _, node := range slices.Sorted(maps.Keys(p.down)) {
+		if !p.now.Before(p.down[node]) {
+			p.boot(node)
+		}
+	}
+	p.core.Schedule(p.now)
+	if b, ok := p.core.Flush(p.now); ok {
+		for _, r := range b.Records {
+			p.log[r.Key] = r.Value
+		}
+		p.core.Stored(p.now, b.Seq)
+	}
+	commands := p.core.Commands()
+	for _, id := range slices.Sorted(maps.Keys(commands)) {
+		for _, s := range commands[id].Start {
+			p.start(id, s)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.running)) {
+		p.report(id, p.running[id])
+	}
+}
+
+// start starts a run.
+func (p *crashPool) start(id string, s link.Start) {
+	if s.Task.Job == p.deadly && s.Task.Index == 0 {
+		p.starts = append(p.starts, id)
+	}
+	if p.running[id] != nil {
+		p.running[id][s.RunRef] = p.now
+	}
+}
+
+// report crashes a worker that has the deadly task; another lists its runs and ends.
+func (p *crashPool) report(id string, runs map[link.RunRef]time.Time) {
+	var rows []link.RunStatus
+	var ends []link.RunEnd
+	for _, ref := range inTaskOrder(runs) {
+		at := runs[ref]
+		if ref.Task.Job == p.deadly && ref.Task.Index == 0 {
+			p.crash(id)
+			return
+		}
+		if step := p.core.task(ref.Task); step != nil && !step.step.spec.LongRunning && p.now.Sub(at) >= crashPoolTask {
+			p.ends++
+			ends = append(ends, link.RunEnd{Number: p.ends, RunRef: ref, Outcome: link.Done})
+			delete(runs, ref)
+			continue
+		}
+		rows = append(rows, link.RunStatus{RunRef: ref, Percent: min(100, 100*float64(p.now.Sub(at))/float64(crashPoolTask))})
+	}
+	p.core.Report(p.now, id, rows, ends)
+}
+
+// takeover loads the cell into a new core, to which all guards link. They report the crashes that they have seen again.
+func (p *crashPool) takeover() {
+	next := New(options)
+	for _, s := range p.specs {
+		next.Submit(p.now, s)
+	}
+	for key, value := range p.log {
+		if len(value) == 0 {
+			continue
+		}
+		if err := next.Restore(p.now, key, value); err != nil {
+			p.t.Fatal(err)
+		}
+	}
+	nodes := map[string]string{}
+	for id := range p.running {
+		nodes[id] = p.core.workers[id].node
+	}
+	p.core = next
+	for _, node := range slices.Sorted(maps.Keys(p.crashed)) {
+		p.core.RemoveWorker(p.now, p.crashed[node])
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.running)) {
+		var rows []link.RunStatus
+		for _, ref := range inTaskOrder(p.running[id]) {
+			rows = append(rows, link.RunStatus{RunRef: ref, Percent: 50})
+		}
+		next.Attach(p.now, nodes[id], link.Worker{ID: id, Service: "pool", Capacity: big}, rows, nil)
+	}
+}
+
+// maxDeadlyStarts is how often a task that crashes every worker may be started: a task may be given up after two
+// crashes, and the start that reveals it may follow one whose crash isn't known yet.
+const maxDeadlyStarts = 3
+
+// check fails unless the deadly job has failed after few starts, and no other job has.
+func (p *crashPool) check() {
+	p.t.Helper()
+	if v, _ := p.core.Job(p.deadly); v.State != Failed {
+		p.t.Errorf("the job that crashes workers is %+v, want failed", v)
+	}
+	if len(p.starts) > maxDeadlyStarts {
+		p.t.Errorf("the task that crashes workers was started %d times: %v", len(p.starts), p.starts)
+	}
+	for _, s := range p.specs {
+		if v, _ := p.core.Job(s.ID); s.ID != p.deadly && v.State == Failed {
+			p.t.Errorf("%s has failed beside it: %s", s.ID, v.Reason)
+		}
+	}
+}
+
+// TestTaskThatCrashesWorkers guards against a task that takes down worker after worker: it crashes each one within
+// milliseconds of its start, together with all tasks that have just been started there and those that have run for
+// long. Its job must fail after few crashes, and no other job may. The count survives takeovers at any time, and speculative
+// tasks, which get copies, are no exception.
+func TestTaskThatCrashesWorkers(t *testing.T) {
+	for _, kind := range []struct {
+		name      string
+		step      job.Step
+		takeovers int
+	}{
+		{"short", job.Step{Count: 3, Demand: cores(0.3), EstimateMS: 600}, 0},
+		{"speculative", job.Step{Count: 3, Demand: cores(0.3), EstimateMS: 600, Speculative: true}, 0},
+		{"long-running", job.Step{Count: 3, Demand: cores(0.3), LongRunning: true}, 0},
+		{"filler", job.Step{Count: 3, Demand: cores(0.3), EstimateMS: 600, Filler: true}, 0},
+		{"takeovers", job.Step{Count: 3, Demand: cores(0.3), EstimateMS: 600}, 7},
+	} {
+		t.Run(kind.name, func(t *testing.T) {
+			p := newCrashPool(t, 6)
+			p.submit("lasting", job.Step{Count: 6, Demand: cores(0.5), LongRunning: true})
+			p.deadly = "deadly"
+			for n := range 400 {
+				if n%4 == 0 && n < 200 {
+					p.submit(fmt.Sprintf("job%d", n), job.Step{Count: 3, Demand: cores(0.3), EstimateMS: 600, Speculative: n%8 == 0})
+				}
+				if n == 40 {
+					p.submit(p.deadly, kind.step)
+				}
+				p.step()
+				if kind.takeovers > 0 && n%kind.takeovers == 0 {
+					p.takeover()
+				}
+			}
+			p.check()
+			for _, s := range p.specs {
+				if v, _ := p.core.Job(s.ID); !s.HasLongRunning() && s.ID != p.deadly && v.State != Completed {
+					t.Errorf("%s is %+v at the end", s.ID, v)
+				}
+			}
+			if held := len(p.held("lasting")); held != 6 {
+				t.Errorf("%d of 6 long-running tasks are at work at the end", held)
+			}
+		})
+	}
+}
+
+// held returns the runs of a job that are up.
+func (p *crashPool) held(id string) []link.RunRef {
+	var out []link.RunRef
+	for _, runs := range p.running {
+		for ref := range runs {
+			if ref.Task.Job == id {
+				out = append(out, ref)
+			}
+		}
+	}
+	return out
+}
+
+// inTaskOrder returns runs ordered by task.
+func inTaskOrder(runs map[link.RunRef]time.Time) []link.RunRef {
+	return slices.SortedFunc(maps.Keys(runs), func(a, b link.RunRef) int { return strings.Compare(a.Task.String(), b.Task.String()) })
+}
