--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -39,6 +39,7 @@
 	ackedEnd                   int64 // number of the newest run end that the owner acknowledged
 	pacer                      pacer
 	unresponsive               bool          // the worker doesn't answer
+	silentSinceMS              int64         // when the first of the polls since the last answer failed; 0 for none
 	absent                     []link.RunEnd // absent runs to report
 	inventoryDue               bool          // the next report must be a complete inventory
 	described                  bool          // the owner has the latest announcement
@@ -47,8 +48,10 @@
 	// announcedSeq numbers the latest announcement of the incarnation announcedBy; 0 without numbers.
 	announcedSeq int64
 	announcedBy  string
-	// endedIncarnations lists incarnations that have ended and are still to be reported to the owner.
-	endedIncarnations []string
+	// ended lists the latest incarnations that have ended; the first endedReported of them were reported on the current
+	// link.
+	ended         []endedIncarnation
+	endedReported int
 }
 
 // phase is the state of a run as its guard knows it.
@@ -77,6 +80,10 @@
 	pacePercent    int // last pace that the worker confirmed, in percent
 	measurement    float64
 	reason         string // reported if the run turns out to be absent
+	// startMS is when the start was sent, on the guard's clock; 0 for a run that this process didn't start. confirmed
+	// says that the worker has confirmed the start or listed the run.
+	startMS   int64
+	confirmed bool
 	// inherited means that the run was commanded to the incarnation before the current one, of the same ID, and may
 	// have started in the current one. It is stopped, and the end of that incarnation is reported after that.
 	inherited bool
@@ -162,7 +169,7 @@
 		c.absent = append(c.absent, link.RunEnd{RunRef: s.RunRef, Outcome: link.Absent, Reason: reason})
 		return Command{}, false
 	}
-	c.runs[s.RunRef] = &run{Traits: s.Traits, traitsKnown: true, commandPending: true, pacePercent: fullPace}
+	c.runs[s.RunRef] = &run{Traits: s.Traits, traitsKnown: true, commandPending: true, pacePercent: fullPace, startMS: nowMS}
 	return Command{Incarnation: c.incarnation, Token: c.epoch, UntilMS: until, Start: s}, true
 }
 
@@ -188,6 +195,7 @@
 		return
 	}
 	r.commandPending = false
+	r.confirmed = r.confirmed || err == nil
 	switch {
 	case refused:
 		delete(c.runs, s)
@@ -259,10 +267,10 @@
 		// A delayed answer of an earlier incarnation.
 		return
 	}
-	c.unresponsive = false
 	if l.Incarnation != c.incarnation {
 		c.begin(resolvable, l)
 	}
+	c.unresponsive, c.silentSinceMS = false, 0
 	// The polled incarnation has answered, so the announcement of another one was a delayed message.
 	c.successor = nil
 	c.workerClock, c.workerClockAt = l.ClockMS, nowMS
@@ -277,6 +285,7 @@
 		if r.phase == starting || r.phase == startUnanswered {
 			r.phase = listed
 		}
+		r.confirmed = true
 		r.measurement = s.Measurement
 	}
 	for _, e := range l.Ended {
@@ -330,11 +339,18 @@
 	clear(c.runs)
 	c.absent = nil
 	c.ackedEnd = 0
-	c.workerClock = 0
+	c.workerClock, c.silentSinceMS = 0, 0
 	c.pacer = newPacer()
 	c.inventoryDue, c.described = true, false
 }
 
+// PollFailed records that a poll wasn't answered.
+func (c *Core) PollFailed(nowMS int64) {
+	if c.silentSinceMS == 0 {
+		c.silentSinceMS = nowMS
+	}
+}
+
 // MarkUnresponsive records that the worker didn't answer in time.
 func (c *Core) MarkUnresponsive() { c.unresponsive = true }
 
@@ -393,7 +409,7 @@
 func (c *Core) Heartbeat(nowMS int64) link.GuardMessage {
 	u := link.GuardMessage{ClockMS: nowMS, Pace: fullPace}
 	if !c.Settling() {
-		u.EndedIncarnations, c.endedIncarnations = c.endedIncarnations, nil
+		c.reportEnded(&u)
 	}
 	return u
 }
@@ -405,7 +421,7 @@
 	if c.Settling() {
 		return u
 	}
-	u.EndedIncarnations, c.endedIncarnations = c.endedIncarnations, nil
+	c.reportEnded(&u)
 	if c.incarnation == "" || c.info == nil {
 		return u
 	}
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -345,3 +346,72 @@
 		t.Error("a delayed announcement has ended the drain of the worker")
 	}
 }
+
+// crashedCore returns a core whose worker has crashed at 3000 and was reborn: run 0 had been confirmed for two seconds,
+// run 1 had just been confirmed, run 2 was sent and not answered, and run 3 was sent after the crash.
+func crashedCore(t *testing.T, draining bool) *Core {
+	t.Helper()
+	c := NewCore(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second})
+	w := worker("w@10")
+	c.Describe(w, 1)
+	c.ExtendLease(link.OwnerMessage{Epoch: 1, EchoMS: 3000, Worker: "w@10"})
+	answer(c, 1000, "w@10")
+	begin := func(nowMS int64, i int) {
+		if _, ok := c.BeginStart(nowMS, start(i, 1)); !ok {
+			t.Fatalf("start %d refused", i)
+		}
+	}
+	begin(1000, 0)
+	c.StartAnswered(ref(0, 1), nil, false, "")
+	begin(2990, 1)
+	c.StartAnswered(ref(1, 1), nil, false, "")
+	begin(2995, 2)
+	if draining {
+		w.Draining = true
+		c.Describe(w, 2)
+	}
+	c.PollFailed(3000)
+	if !draining {
+		begin(3050, 3)
+		c.StartAnswered(ref(3, 1), errors.New("no answer"), false, "")
+	}
+	c.PollFailed(3150)
+	c.StartAnswered(ref(2, 1), errors.New("no answer"), false, "")
+	answer(c, 6000, "w@20")
+	for _, stop := range c.DueStops() {
+		c.StopAnswered(stop.Start.RunRef, nil)
+	}
+	answer(c, 6010, "w@20")
+	return c
+}
+
+// TestCrashReport guards against a crash that isn't told from another end of a worker, or is attributed to a run that
+// wasn't there: the guard knows which runs were confirmed and when their starts were sent. It reports the crash again
+// on each new link, since an owner that is replaced may not have stored it.
+func TestCrashReport(t *testing.T) {
+	c := crashedCore(t, false)
+	want := []link.CrashedRun{
+		{RunRef: ref(0, 1), AgeMS: 2000},
+		{RunRef: ref(1, 1), AgeMS: 10},
+		{RunRef: ref(2, 1), AgeMS: 5, Unsure: true},
+	}
+	for range 2 {
+		up := c.Heartbeat(6020)
+		if len(up.Crashed) != 1 || up.Crashed[0].Worker != "w@10" || !slices.Equal(up.Crashed[0].Runs, want) {
+			t.Fatalf("crashes %+v, want one of w@10 with %+v", up.Crashed, want)
+		}
+		if up = c.Heartbeat(6030); len(up.Crashed) != 0 || len(up.EndedIncarnations) != 0 {
+			t.Fatalf("crashes %+v reported twice on a link", up.Crashed)
+		}
+		c.Linked()
+	}
+}
+
+// TestEndOfDrainedWorker guards against counting the end of a worker that had announced that it would leave as a crash
+// under its runs.
+func TestEndOfDrainedWorker(t *testing.T) {
+	up := crashedCore(t, true).Heartbeat(6020)
+	if len(up.EndedIncarnations) != 1 || len(up.Crashed) != 0 {
+		t.Errorf("ended %v, crashed %+v; want an end that is no crash", up.EndedIncarnations, up.Crashed)
+	}
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -160,6 +160,9 @@
 		signal(g.changed)
 		return
 	}
+	g.mu.Lock()
+	g.core.PollFailed(g.clock())
+	g.mu.Unlock()
 	if failed == maxFailedPolls {
 		g.log.Warn(event.WorkerLost, "failed_looks", failed, "err", err)
 	}
--- a/internal/guard/incarnation.go
+++ b/internal/guard/incarnation.go
@@ -1,6 +1,69 @@
 package guard
 
-import "github.com/crocusspring/crocusspring/internal/link"
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/crocusspring/crocusspring/internal/link"
+)
+
+// maxEnded bounds the ended incarnations that a guard reports to each new owner. Older ones have long been over for
+// it.
+const maxEnded = 8
+
+// endedIncarnation is an incarnation of the worker that has ended.
+type endedIncarnation struct {
+	id string
+	// crash is nil if it had announced that it would leave.
+	crash *link.Crash
+}
+
+// noteEnd records the end of the current incarnation.
+func (c *Core) noteEnd() {
+	end := endedIncarnation{id: c.incarnation}
+	if c.info != nil && c.info.ID == c.incarnation && !c.info.Draining {
+		end.crash = &link.Crash{Worker: c.incarnation, Runs: c.crashedRuns()}
+	}
+	c.ended = append(c.ended, end)
+	if n := len(c.ended) - maxEnded; n > 0 {
+		c.ended, c.endedReported = c.ended[n:], max(0, c.endedReported-n)
+	}
+}
+
+// crashedRuns returns the runs that the current incarnation had when it stopped answering, in the order of their
+// start. One whose start was sent after that, and not answered, can't have been there.
+func (c *Core) crashedRuns() []link.CrashedRun {
+	at := c.silentSinceMS
+	if at == 0 {
+		at = c.workerClockAt
+	}
+	var out []link.CrashedRun
+	for ref, r := range c.runs {
+		if r.startMS > at && !r.confirmed || r.inherited {
+			continue
+		}
+		out = append(out, link.CrashedRun{RunRef: ref, AgeMS: max(0, at-r.startMS), Unsure: !r.confirmed})
+	}
+	slices.SortFunc(out, func(a, b link.CrashedRun) int {
+		return cmp.Or(-cmp.Compare(a.AgeMS, b.AgeMS), strings.Compare(a.Task.String(), b.Task.String()))
+	})
+	return out
+}
+
+// reportEnded adds the ended incarnations to a message that were not reported on this link.
+func (c *Core) reportEnded(u *link.GuardMessage) {
+	for _, e := range c.ended[c.endedReported:] {
+		u.EndedIncarnations = append(u.EndedIncarnations, e.id)
+		if e.crash != nil {
+			u.Crashed = append(u.Crashed, *e.crash)
+		}
+	}
+	c.endedReported = len(c.ended)
+}
+
+// Linked prepares for a new link: the owner at its end may know nothing of the worker.
+func (c *Core) Linked() { c.inventoryDue, c.endedReported = true, 0 }
 
 // polled returns the incarnation that polls address: the one that answered last, otherwise the one that was announced;
 // empty while none is known.
@@ -21,7 +84,7 @@
 		return
 	}
 	if c.incarnation == incarnation {
-		c.endedIncarnations = append(c.endedIncarnations, incarnation)
+		c.noteEnd()
 	}
 	c.incarnation, c.info, c.successor = "", c.successor, nil
 	c.reset()
@@ -34,7 +97,7 @@
 		inherited = c.mayBeInherited(resolvable, l)
 	}
 	if c.incarnation != "" {
-		c.endedIncarnations = append(c.endedIncarnations, c.incarnation)
+		c.noteEnd()
 	}
 	pending := map[link.RunRef]bool{}
 	for _, ref := range inherited {
--- a/internal/guard/links.go
+++ b/internal/guard/links.go
@@ -39,7 +39,7 @@
 func (g *Guard) serve(ctx context.Context, conn *link.Conn, addr string) error {
 	grp, ctx := errgroup.WithContext(ctx)
 	g.mu.Lock()
-	g.core.inventoryDue = true
+	g.core.Linked()
 	g.listing, g.listingUnderEpoch = nil, false
 	g.mu.Unlock()
 	grp.Go(func() error {
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -84,6 +84,23 @@
 	Image        string `json:"image,omitempty"`
 }
 
+// Crash is the end of an incarnation of a worker that hadn't announced that it would leave.
+type Crash struct {
+	// Worker is the incarnation.
+	Worker string `json:"w"`
+	// Runs are those that it had or may have had.
+	Runs []CrashedRun `json:"runs,omitempty"`
+}
+
+// CrashedRun is a run that a worker had when it crashed.
+type CrashedRun struct {
+	RunRef
+	// AgeMS is how long before the crash the start was sent to the worker, in milliseconds.
+	AgeMS int64 `json:"age"`
+	// Unsure means that the start wasn't answered: the run may not have been there.
+	Unsure bool `json:"unsure,omitempty"`
+}
+
 // GuardMessage is one message of a guard.
 type GuardMessage struct {
 	// Worker is set in every inventory and when it has changed. A new ID in an inventory means that the earlier
@@ -98,7 +115,10 @@
 	Running  []RunStatus `json:"running,omitempty"`
 	Ended    []RunEnd    `json:"ended,omitempty"`
 	// EndedIncarnations are incarnations of the worker that have ended; none of their runs exists any more.
+	// A guard reports the latest ones again on each new link.
 	EndedIncarnations []string `json:"over,omitempty"`
+	// Crashed tells of those of EndedIncarnations that hadn't announced that they would leave.
+	Crashed []Crash `json:"crashed,omitempty"`
 	// Pace is the pace that the guard sets for fillers, in percent of full pace.
 	Pace int `json:"pace"`
 	// Unresponsive means that the worker doesn't answer its guard.
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -84,6 +84,9 @@
 	if up.UnixMS > 0 {
 		c.clock.Observe(now, p.node, up.UnixMS)
 	}
+	for _, crash := range up.Crashed {
+		c.core.WorkerCrashed(now, crash)
+	}
 	for _, id := range up.EndedIncarnations {
 		c.incarnationEnded(now, p, id)
 	}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -31,6 +31,8 @@
 	task *task
 	// stopSentAt is when a stop was last sent for it; zero while it may continue.
 	stopSentAt time.Time
+	// fresh says that the run had not settled when it became a copy.
+	fresh bool
 }
 
 // startCopies gives speculative tasks another run where the newest one may be lost or is slow.
@@ -50,6 +52,10 @@
 	if !s.Speculative || s.Gang || s.LongRunning || s.Filler || len(t.copies) >= maxCopies || t.step.occ.job.state.Terminal() {
 		return ""
 	}
+	if t.startsAlone() && t.fresh(w) {
+		// Another run would crash another worker, if the task is the cause.
+		return ""
+	}
 	switch {
 	case !w.attached:
 		return when(now.Sub(w.detachedAt) > copyDelay, "guard not connected")
@@ -68,22 +74,27 @@
 // known.
 func (c *Core) copyRun(now time.Time, w *worker, t *task, reason string) {
 	c.logDecision(event.Copy, t.id.String(), fmt.Sprintf("run=%d worker=%s reason=%q held=%s", t.run, w.id, reason, now.Sub(t.assignedAt).Round(time.Millisecond)))
+	if w.unresponsive && t.fresh(w) {
+		c.addCrash(t, crash{Worker: w.id, Run: t.run, AgeMS: t.listedFor(w).Milliseconds(), Pending: true})
+	}
 	c.convertToCopy(w, t)
 	c.markDirty(t.step.occ.job)
 }
 
 // convertToCopy makes the newest run of a task a copy.
 func (c *Core) convertToCopy(w *worker, t *task) {
-	c.addCopy(w, t, t.run)
+	c.addCopy(w, t, t.run).fresh = t.fresh(w)
 	t.transition(eventEnd)
 	c.dropRun(t)
 }
 
 // addCopy registers an earlier run that a worker may have.
-func (c *Core) addCopy(w *worker, t *task, run int) {
-	w.copies[link.RunRef{Task: t.id, Run: run}] = &runCopy{task: t}
+func (c *Core) addCopy(w *worker, t *task, run int) *runCopy {
+	cp := &runCopy{task: t}
+	w.copies[link.RunRef{Task: t.id, Run: run}] = cp
 	t.copies = append(t.copies, copyRef{Run: run, Worker: w.id})
 	t.step.occ.job.held++
+	return cp
 }
 
 // dropCopy removes an earlier run that must have ended.
--- /dev/null
+++ b/internal/sched/crashes.go
@@ -0,0 +1,301 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/event"
+	"github.com/crocusspring/crocusspring/internal/link"
+)
+
+const (
+	// settleTime is the age from which on a run counts as settled: a task that crashes workers does so when it starts.
+	settleTime = 500 * time.Millisecond
+	// provenAge is the age of a run from which on a crash says nothing about its task, and earlier ones are forgotten.
+	provenAge = 10 * time.Second
+	// maxStartCrashes is how many workers may crash while a task starts on them, if it was the only one that did on at
+	// least one of them. maxSharedCrashes applies if it never was.
+	maxStartCrashes  = 2
+	maxSharedCrashes = 3
+	// maxCrashes bounds the crashes under a task in whatever state, including those that it may not have been there at:
+	// customers allow two starts after the third crash.
+	maxCrashes = 5
+	// isolationCrashes is the number of crashes from which on a task is started in isolation, although it was settled
+	// at each of them.
+	isolationCrashes = 3
+	// unstableCrashes are the unexplained crashes beside a node within unstableWindow from which on its worker counts
+	// as unstable: another crash there says little about a task.
+	unstableCrashes = 2
+	unstableWindow  = 15 * time.Second
+)
+
+// crash is the end of a worker under a run of a task.
+type crash struct {
+	// Worker is the incarnation that has ended.
+	Worker string `json:"w"`
+	Run    int    `json:"r"`
+	// AgeMS is how long the run had been there, in milliseconds.
+	AgeMS int64 `json:"a"`
+	// Sole means that no other run was starting on the worker.
+	Sole bool `json:"o,omitempty"`
+	// Unsure means that the start of the run was not answered, so that it may not have been there.
+	Unsure bool `json:"u,omitempty"`
+	// Pending means that the worker doesn't answer; it isn't known yet whether it has crashed.
+	Pending bool `json:"p,omitempty"`
+}
+
+// starting reports whether the run was starting when the worker crashed.
+func (cr *crash) starting() bool { return cr.AgeMS < settleTime.Milliseconds() }
+
+// counts reports whether the crash is certain to have happened under a start of the task. If no other run was starting,
+// one that wasn't answered is taken to be the cause.
+func (cr *crash) counts() bool { return cr.starting() && !cr.Pending && (!cr.Unsure || cr.Sole) }
+
+// nodeCrash is a crash of the worker beside a node that no task is known to have caused.
+type nodeCrash struct {
+	worker string
+	at     time.Time
+}
+
+// crashes tracks the tasks under which workers have crashed.
+type crashes struct {
+	// tasks are those with a crash.
+	tasks map[*task]bool
+	// byNode lists the crashes beside each node that no task is known to have caused.
+	byNode map[string][]nodeCrash
+}
+
+// newCrashes returns a crashes without any.
+func newCrashes() crashes {
+	return crashes{tasks: map[*task]bool{}, byNode: map[string][]nodeCrash{}}
+}
+
+// fresh reports whether the newest run of a task may just be starting on its worker. A run that was started under an
+// earlier owner most likely isn't.
+func (t *task) fresh(w *worker) bool { return !t.inherited && t.listedFor(w) < settleTime }
+
+// listedFor returns for how long a worker has listed the newest run of a task; 0 before its first listing.
+func (t *task) listedFor(w *worker) time.Duration {
+	if t.appearedAt.IsZero() {
+		return 0
+	}
+	return max(0, w.listedAt.Sub(t.appearedAt))
+}
+
+// startsAlone reports whether a task must be started in isolation: with no other run starting beside it, so that a
+// crash can be told to be its own.
+func (t *task) startsAlone() bool {
+	return len(t.crashes) >= isolationCrashes ||
+		slices.ContainsFunc(t.crashes, func(cr crash) bool { return cr.starting() })
+}
+
+// over reports whether no run of a task is needed any more.
+func (t *task) over() bool {
+	return t.state == stateDone || t.state == stateDropped || t.step.occ.job.state.Terminal()
+}
+
+// WorkerCrashed handles the end of an incarnation of a worker that had not announced that it would leave. The crash
+// counts for the tasks that its guard saw there. Another owner may have handled the same report.
+func (c *Core) WorkerCrashed(now time.Time, report link.Crash) {
+	id := report.Worker
+	if w := c.workers[id]; w != nil {
+		c.crashed.byNode[w.node] = append(c.recentCrashes(now, w.node), nodeCrash{id, now})
+		c.suspectCrash(w)
+	}
+	rows, starting := crashedRuns(report)
+	var affected []*task
+	for _, t := range c.tasksWithCrashes() {
+		i := t.crashOn(id)
+		if i < 0 || !t.crashes[i].Pending {
+			continue
+		}
+		row, ok := rows[link.RunRef{Task: t.id, Run: t.crashes[i].Run}]
+		if !ok {
+			c.removeCrash(t, i)
+			continue
+		}
+		t.crashes[i] = crash{
+			Worker: id, Run: row.Run, AgeMS: row.AgeMS, Unsure: row.Unsure,
+			Sole: len(starting) == 1 && starting[0] == row.RunRef,
+		}
+		c.markDirty(t.step.occ.job)
+		affected = append(affected, t)
+	}
+	c.logDecision(event.Crash, id, fmt.Sprintf("runs=%d starting=%v tasks=%d", len(rows), starting, len(affected)))
+	c.RemoveWorker(now, id)
+	for _, t := range affected {
+		c.judge(now, t)
+	}
+}
+
+// crashedRuns returns the runs of a report, and those among them that were starting.
+func crashedRuns(report link.Crash) (rows map[link.RunRef]link.CrashedRun, starting []link.RunRef) {
+	rows = map[link.RunRef]link.CrashedRun{}
+	for _, r := range report.Runs {
+		rows[r.RunRef] = r
+		if r.AgeMS < settleTime.Milliseconds() {
+			starting = append(starting, r.RunRef)
+		}
+	}
+	return rows, starting
+}
+
+// suspectCrash records for the runs on a worker of which nothing is heard that it may have crashed. If its guard isn't
+// connected, it is more likely that the guard or the network has failed.
+func (c *Core) suspectCrash(w *worker) {
+	settled := settleTime.Milliseconds()
+	for _, t := range w.tasks {
+		cr := crash{Worker: w.id, Run: t.run, AgeMS: settled, Pending: true}
+		if w.attached && t.fresh(w) {
+			cr.AgeMS = t.listedFor(w).Milliseconds()
+		}
+		c.addCrash(t, cr)
+	}
+	for ref, cp := range w.copies {
+		c.addCrash(cp.task, crash{Worker: w.id, Run: ref.Run, AgeMS: settled, Pending: true})
+	}
+}
+
+// suspectStart records that the worker on which a task was starting in isolation doesn't answer any more.
+func (c *Core) suspectStart(w *worker) {
+	if t := w.isolated; t != nil && w.held[t.id] == t && t.fresh(w) {
+		c.addCrash(t, crash{Worker: w.id, Run: t.run, Sole: true, Pending: true})
+		c.explainCrashes(t)
+	}
+}
+
+// crashOn returns the index of a task's crash on an incarnation of a worker, or -1.
+func (t *task) crashOn(worker string) int {
+	return slices.IndexFunc(t.crashes, func(cr crash) bool { return cr.Worker == worker })
+}
+
+// addCrash adds a crash to a task, once for each incarnation of a worker.
+func (c *Core) addCrash(t *task, cr crash) {
+	if t.over() || t.crashOn(cr.Worker) >= 0 {
+		return
+	}
+	t.crashes = append(t.crashes, cr)
+	c.crashed.tasks[t] = true
+	c.markDirty(t.step.occ.job)
+}
+
+// removeCrash removes a crash of a task.
+func (c *Core) removeCrash(t *task, i int) {
+	c.setCrashes(t, slices.Delete(slices.Clone(t.crashes), i, i+1))
+}
+
+// setCrashes replaces the crashes of a task.
+func (c *Core) setCrashes(t *task, crashes []crash) {
+	t.crashes = crashes
+	if len(crashes) == 0 {
+		delete(c.crashed.tasks, t)
+	}
+	c.markDirty(t.step.occ.job)
+}
+
+// dropPendingCrashes forgets the crash that was suspected of a worker: it has answered, or has ended in a way that its
+// guard hasn't seen.
+func (c *Core) dropPendingCrashes(worker string) {
+	for _, t := range c.tasksWithCrashes() {
+		if i := t.crashOn(worker); i >= 0 && t.crashes[i].Pending {
+			c.removeCrash(t, i)
+		}
+	}
+}
+
+// clearIfSettled notes that a worker lists a run that has settled: its task doesn't crash workers when it starts. Once
+// the run has reached provenAge, it doesn't at all.
+func (c *Core) clearIfSettled(t *task, w *worker) {
+	listed := t.listedFor(w)
+	if len(t.crashes) == 0 || listed < settleTime {
+		return
+	}
+	if listed >= provenAge {
+		c.setCrashes(t, nil)
+		return
+	}
+	if !slices.ContainsFunc(t.crashes, func(cr crash) bool { return cr.starting() }) {
+		return
+	}
+	out := slices.Clone(t.crashes)
+	for i := range out {
+		out[i].AgeMS, out[i].Sole = settleTime.Milliseconds(), false
+	}
+	c.setCrashes(t, out)
+}
+
+// crashing reports whether the crashes under a task are enough to give it up.
+func (t *task) crashing() bool {
+	starts, sole := 0, false
+	for i := range t.crashes {
+		if t.crashes[i].counts() {
+			starts++
+			sole = sole || t.crashes[i].Sole
+		}
+	}
+	return sole && starts >= maxStartCrashes || starts >= maxSharedCrashes || len(t.crashes) >= maxCrashes
+}
+
+// judge fails the job of a task that crashes workers.
+func (c *Core) judge(now time.Time, t *task) {
+	if t.over() || !t.crashing() {
+		return
+	}
+	j := t.step.occ.job
+	c.logDecision(event.Fail, j.spec.ID, fmt.Sprintf("task=%s crashes=%+v", t.id, t.crashes))
+	c.explainCrashes(t)
+	c.finishJob(now, j, Failed, fmt.Sprintf("%d workers have crashed under task %s", len(t.crashes), t.id))
+}
+
+// explainCrashes attributes the crashes under a task to it, if it was starting at two of them or more: they no longer
+// count for other tasks nor against the nodes. Another task that was the only one starting may be a cause all the same.
+func (c *Core) explainCrashes(cause *task) {
+	own := map[string]bool{}
+	for i := range cause.crashes {
+		if cr := &cause.crashes[i]; cr.starting() {
+			own[cr.Worker] = true
+		}
+	}
+	if len(own) < maxStartCrashes {
+		return
+	}
+	for _, t := range c.tasksWithCrashes() {
+		kept := slices.DeleteFunc(slices.Clone(t.crashes), func(cr crash) bool { return own[cr.Worker] && !cr.Sole && !cr.Pending })
+		if t != cause && len(kept) < len(t.crashes) {
+			c.setCrashes(t, kept)
+		}
+	}
+	for node, list := range c.crashed.byNode {
+		c.crashed.byNode[node] = slices.DeleteFunc(list, func(n nodeCrash) bool { return own[n.worker] })
+	}
+}
+
+// recentCrashes returns the unexplained crashes beside a node within unstableWindow.
+func (c *Core) recentCrashes(now time.Time, node string) []nodeCrash {
+	return slices.DeleteFunc(slices.Clone(c.crashed.byNode[node]), func(n nodeCrash) bool { return now.Sub(n.at) > unstableWindow })
+}
+
+// tasksWithCrashes returns the tasks under which workers have crashed, the likeliest causes first: those whose runs had
+// been started last.
+func (c *Core) tasksWithCrashes() []*task {
+	return slices.SortedFunc(maps.Keys(c.crashed.tasks), func(a, b *task) int {
+		return cmp.Or(
+			cmp.Compare(a.leastCrashAge(), b.leastCrashAge()),
+			cmp.Compare(a.step.occ.job.spec.Policy.Priority, b.step.occ.job.spec.Policy.Priority),
+			strings.Compare(a.id.String(), b.id.String()),
+		)
+	})
+}
+
+// leastCrashAge returns the least age of a run of the task at a crash, in milliseconds.
+func (t *task) leastCrashAge() int64 {
+	least := provenAge.Milliseconds()
+	for i := range t.crashes {
+		least = min(least, t.crashes[i].AgeMS)
+	}
+	return least
+}
--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -24,10 +24,10 @@
 	deadly string
 	starts []string
 	// running are the runs on each incarnation that is up, with the time of their start; down says when the worker of
-	// a node is back, crashed which incarnation its guard has seen end last.
+	// a node is back, crashed is the crash that its guard has seen last.
 	running map[string]map[link.RunRef]time.Time
 	down    map[string]time.Time
-	crashed map[string]string
+	crashed map[string]link.Crash
 	born    int
 	ends    int64
 }
@@ -43,7 +43,7 @@
 
 // newCrashPool returns a pool with as many workers.
 func newCrashPool(t *testing.T, workers int) *crashPool {
-	p := &crashPool{t: t, now: epoch0, core: New(options), log: map[string][]byte{}, running: map[string]map[link.RunRef]time.Time{}, down: map[string]time.Time{}, crashed: map[string]string{}}
+	p := &crashPool{t: t, now: epoch0, core: New(options), log: map[string][]byte{}, running: map[string]map[link.RunRef]time.Time{}, down: map[string]time.Time{}, crashed: map[string]link.Crash{}}
 	for i := range workers {
 		p.boot(fmt.Sprintf("node-%d", i))
 	}
@@ -62,9 +62,13 @@
 // crash ends an incarnation with all its runs; its guard sees it.
 func (p *crashPool) crash(id string) {
 	node := p.core.workers[id].node
+	report := link.Crash{Worker: id}
+	for _, ref := range inTaskOrder(p.running[id]) {
+		report.Runs = append(report.Runs, link.CrashedRun{RunRef: ref, AgeMS: p.now.Sub(p.running[id][ref]).Milliseconds()})
+	}
 	delete(p.running, id)
-	p.down[node], p.crashed[node] = p.now.Add(downtime), id
-	p.core.RemoveWorker(p.now, id)
+	p.down[node], p.crashed[node] = p.now.Add(downtime), report
+	p.core.WorkerCrashed(p.now, report)
 }
 
 // submit submits a job of some short tasks.
@@ -83,12 +87,7 @@
 		}
 	}
 	p.core.Schedule(p.now)
-	if b, ok := p.core.Flush(p.now); ok {
-		for _, r := range b.Records {
-			p.log[r.Key] = r.Value
-		}
-		p.core.Stored(p.now, b.Seq)
-	}
+	p.store()
 	commands := p.core.Commands()
 	for _, id := range slices.Sorted(maps.Keys(commands)) {
 		for _, s := range commands[id].Start {
@@ -100,6 +99,16 @@
 	}
 }
 
+// store stores what has changed.
+func (p *crashPool) store() {
+	if b, ok := p.core.Flush(p.now); ok {
+		for _, r := range b.Records {
+			p.log[r.Key] = r.Value
+		}
+		p.core.Stored(p.now, b.Seq)
+	}
+}
+
 // start starts a run.
 func (p *crashPool) start(id string, s link.Start) {
 	if s.Task.Job == p.deadly && s.Task.Index == 0 {
@@ -133,6 +142,7 @@
 
 // takeover loads the cell into a new core, to which all guards link. They report the crashes that they have seen again.
 func (p *crashPool) takeover() {
+	p.store()
 	next := New(options)
 	for _, s := range p.specs {
 		next.Submit(p.now, s)
@@ -151,7 +161,7 @@
 	}
 	p.core = next
 	for _, node := range slices.Sorted(maps.Keys(p.crashed)) {
-		p.core.RemoveWorker(p.now, p.crashed[node])
+		p.core.WorkerCrashed(p.now, p.crashed[node])
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.running)) {
 		var rows []link.RunStatus
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -119,6 +119,8 @@
 	// failedRuns are the runs that ended as failed, failedOn their workers, except for late ends.
 	failedRuns []int
 	failedOn   []string
+	// crashes are the workers that crashed under a run of the task, until it has proved to do no harm.
+	crashes []crash
 
 	// The worker's latest report on the run; percent and measurement are explained at link.RunStatus.
 	percent     float64
@@ -127,6 +129,8 @@
 	progressAt  time.Time // when percent last grew
 	assignedAt  time.Time
 	stopSentAt  time.Time
+	// inherited says that the newest run was assigned by an earlier owner.
+	inherited bool
 	// notified says that the guard has received the run's traits over its current link.
 	notified bool
 	// pinned runs are not stopped for the tail latency of serving tasks; local control throttles them instead.
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
@@ -39,9 +40,9 @@
 }
 
 // TestPromises drives the core through crashes, takeovers, lost and late commands, expired leases,
-// drains and cancellations, and checks every start against the invariants: one run at a time, none after an
-// acknowledged success, steps in order, attempts bounded, none in a drained data centre, capacity and anti-affinity
-// kept.
+// drains, cancellations and tasks that crash their workers, and checks every start against the invariants: one run at a
+// time, none after an acknowledged success, steps in order, attempts and crashes bounded, none in a drained data centre,
+// capacity and anti-affinity kept. No job may fail without a cause.
 func TestPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const workers = 3
@@ -55,6 +56,7 @@
 				if len(w.specs) < 8 {
 					s := drawSpec(t, len(w.specs))
 					w.specs = append(w.specs, s)
+					w.deadly[job.TaskID{Job: s.ID}] = rapid.IntRange(0, 5).Draw(t, "deadly") == 0
 					w.core.Submit(w.now, s)
 				}
 			case 2:
@@ -68,7 +70,7 @@
 			case 4:
 				w.takeover(rapid.Bool().Draw(t, "made it"))
 			case 5:
-				w.crash(node)
+				w.crash(node, rapid.Bool().Draw(t, "guard lives"))
 			case 6:
 				w.deliverLate()
 			case 7, 8, 9:
@@ -91,13 +93,25 @@
 	})
 }
 
-// crash ends an incarnation and starts a new one.
-func (w *world) crash(node string) {
+// crash ends an incarnation and starts a new one. If the guard lives, it reports the crash when it links.
+func (w *world) crash(node string, guardLives bool) {
+	if !guardLives {
+		delete(w.reports, node)
+	}
 	for _, e := range w.execs {
-		if e.node == node && e.up {
-			e.up = false
-			clear(e.running)
+		if e.node != node || !e.up {
+			continue
+		}
+		e.up = false
+		report := link.Crash{Worker: e.id}
+		for _, ref := range refs(e) {
+			w.crashed[ref.Task]++
+			report.Runs = append(report.Runs, link.CrashedRun{RunRef: ref, AgeMS: w.now.Sub(e.running[ref].started).Milliseconds()})
+		}
+		if guardLives {
+			w.reports[node] = append(w.reports[node], report)
 		}
+		clear(e.running)
 	}
 	if e := w.attached[node]; e != nil {
 		delete(w.attached, node)
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -32,6 +32,9 @@
 		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks the label")
 	}},
 	{"capacity", func(_ *Core, _ time.Time, s *step, w *worker) string { return s.spec.Reserve().Lacking(w.free()) }},
+	{"isolation", func(_ *Core, _ time.Time, _ *step, w *worker) string {
+		return when(w.isolated != nil, "kept for a task under which a worker has crashed")
+	}},
 	{"urgent", func(c *Core, now time.Time, s *step, _ *worker) string {
 		return when(s.spec.LongRunning && !s.starved(now) && !c.leavesUrgentCapacity(s), "the rest is for short tasks")
 	}},
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -34,6 +34,8 @@
 	Checkpoint string   `json:"c,omitempty"`
 	// Copies are earlier runs that may continue.
 	Copies []copyRef `json:"p,omitempty"`
+	// Crashes are the workers that crashed under a run of the task.
+	Crashes []crash `json:"k,omitempty"`
 }
 
 // encode returns the record of a job. An ended job needs only its state once no run of it may be on a worker.
@@ -64,6 +66,7 @@
 			}
 			tasks[i] = taskRecord{
 				Run: t.run, FailedRuns: t.failedRuns, FailedOn: t.failedOn, Checkpoint: t.checkpoint, Copies: t.copies,
+				Crashes: t.crashes,
 			}
 			if t.held() {
 				tasks[i].Worker = t.worker
@@ -128,6 +131,9 @@
 // restoreTask restores one task.
 func (c *Core) restoreTask(now time.Time, t *task, r taskRecord) {
 	t.run, t.failedRuns, t.failedOn, t.checkpoint = r.Run, r.FailedRuns, r.FailedOn, r.Checkpoint
+	if t.crashes = r.Crashes; len(t.crashes) > 0 {
+		c.crashed.tasks[t] = true
+	}
 	for _, cp := range r.Copies {
 		c.addCopy(c.ensureWorker(now, cp.Worker), t, cp.Run)
 	}
@@ -138,7 +144,7 @@
 		t.step.openTasks--
 		t.state = stateDone
 	case r.Worker != "":
-		t.worker, t.assignedAt = r.Worker, now
+		t.worker, t.assignedAt, t.inherited = r.Worker, now, true
 		t.transition(eventAssign)
 		c.holdRun(now, t)
 		if over {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -109,6 +109,7 @@
 		t.lastActive = now
 	}
 	t.percent, t.measurement = r.Percent, r.Measurement
+	c.clearIfSettled(t, w)
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -99,6 +99,7 @@
 	// durationRatios corrects the declared durations of tasks.
 	durationRatios    durationRatios
 	health            *health
+	crashed           crashes
 	interferenceModel *interfere.Tails
 	// approvalRequests are to be sent to the policy service; awaitingApproval holds the steps with a request
 	// pending, by step ID.
@@ -143,7 +144,7 @@
 	return &Core{
 		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{},
 		dirty: map[string]*jobState{}, dirtyNodes: map[string]string{}, gatedCommands: Commands{}, readyCommands: Commands{}, durationRatios: durationRatios{},
-		health: newHealth(), drainsKnown: true, awaitingApproval: map[string]*step{}, interferenceModel: interfere.NewTails(),
+		health: newHealth(), crashed: newCrashes(), drainsKnown: true, awaitingApproval: map[string]*step{}, interferenceModel: interfere.NewTails(),
 	}
 }
 
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -46,6 +46,7 @@
 		}
 	}
 	c.rankJobs(now)
+	c.startIsolated(now)
 	c.reserve(now)
 	fillers := !now.Before(c.nextFillerRound)
 	if fillers {
@@ -195,7 +196,7 @@
 	}
 	r := c.rankWorkers(now, s, candidates)
 	for _, t := range s.tasks {
-		if t.state != stateWaiting {
+		if t.state != stateWaiting || t.startsAlone() {
 			continue
 		}
 		i := r.best(t)
@@ -309,7 +310,7 @@
 	}
 	t.run, t.worker, t.assignedAt = run, w.id, now
 	t.appearedAt, t.progressAt, t.lastActive = time.Time{}, now, time.Time{}
-	t.percent, t.pinned = 0, false
+	t.percent, t.pinned, t.inherited = 0, false, false
 	if !t.step.spec.LongRunning {
 		t.step.unplacedSince = time.Time{}
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -54,6 +54,8 @@
 	reservedFor *step
 	// tails is derived from the measurements of its tasks; see observe.
 	tails tailState
+	// isolated is the task whose isolated start the worker is kept for, or nil.
+	isolated *task
 }
 
 // load sums the resources of the tasks on a worker.
@@ -152,6 +154,7 @@
 // Attach takes the inventory of a worker whose guard has connected under this ownership.
 func (c *Core) Attach(now time.Time, node string, info link.Worker, running []link.RunStatus, ended []link.RunEnd) {
 	c.adoptUnborn(info.ID)
+	c.dropPendingCrashes(info.ID)
 	w := c.ensureWorker(now, info.ID)
 	if w.node != node {
 		w.node, c.dirtyNodes[info.ID] = node, node
@@ -253,6 +256,7 @@
 	if unresponsive && !w.unresponsive {
 		w.unresponsiveSince = now
 		c.logDecision(event.Worker, id, fmt.Sprintf("not answering held=%d", len(w.held)))
+		c.suspectStart(w)
 	}
 	if pace >= minFillerPace || w.pace >= minFillerPace {
 		w.slowSince = now
@@ -280,6 +284,7 @@
 	c.logDecision(event.Worker, id, fmt.Sprintf("gone held=%d", len(w.held)))
 	c.expireRuns(now, w)
 	c.deleteWorker(w)
+	c.dropPendingCrashes(id)
 }
 
 // deleteWorker removes a worker from the state.
@@ -303,6 +308,7 @@
 		}
 		if len(w.held) > 0 {
 			c.logDecision(event.LeaseExpired, w.id, fmt.Sprintf("held=%d", len(w.held)))
+			c.suspectCrash(w)
 		}
 		c.expireRuns(now, w)
 		c.deleteWorker(w)
@@ -313,6 +319,7 @@
 func (c *Core) expireUnresponsive(now time.Time, w *worker) {
 	if w.unresponsive && len(w.held) > 0 && now.Sub(w.unresponsiveSince) > c.opt.expiryDelay() {
 		c.logDecision(event.LeaseExpired, w.id, fmt.Sprintf("not answering held=%d", len(w.held)))
+		c.suspectCrash(w)
 		c.expireRuns(now, w)
 	}
 }
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -39,7 +39,10 @@
 }
 
 // modelRun is a run of the model.
-type modelRun struct{ left int }
+type modelRun struct {
+	left    int
+	started time.Time
+}
 
 // world models a cell with its store, its workers and the messages in transit between them.
 type world struct {
@@ -62,6 +65,13 @@
 	done    map[job.TaskID]bool
 	failed  map[job.TaskID]int
 	counter int
+	// deadly marks the tasks that crash each worker that starts them, crashed counts the crashes under each task, and
+	// startsAfter its starts after the third.
+	deadly      map[job.TaskID]bool
+	crashed     map[job.TaskID]int
+	startsAfter map[job.TaskID]int
+	// reports are the crashes that the guard of each node has seen.
+	reports map[string][]link.Crash
 }
 
 // lateStart is a start command in transit.
@@ -76,6 +86,7 @@
 	w := &world{
 		t: t, now: time.Unix(1_800_000_000, 0), log: map[string][]byte{}, cancels: map[string]bool{},
 		attached: map[string]*executor{}, drained: map[string]bool{}, done: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
+		deadly: map[job.TaskID]bool{}, crashed: map[job.TaskID]int{}, startsAfter: map[job.TaskID]int{}, reports: map[string][]link.Crash{},
 	}
 	w.core = New(options)
 	for i := range workers {
@@ -146,7 +157,16 @@
 	if w.drained[e.info().DataCentre] && !late {
 		w.t.Fatalf("%s started on %s in a drained data centre", s.Task, e.id)
 	}
-	e.running[s.RunRef] = &modelRun{left: 4}
+	e.running[s.RunRef] = &modelRun{left: 4, started: w.now}
+	if w.deadly[s.Task] {
+		if w.crashed[s.Task] >= 3 && !late {
+			w.startsAfter[s.Task]++
+		}
+		if w.startsAfter[s.Task] >= 3 {
+			w.t.Fatalf("%s started three times more after three crashes under it", s.Task)
+		}
+		w.crash(e.node, true)
+	}
 	return true
 }
 
@@ -333,6 +353,41 @@
 		}
 	}
 	w.core.Schedule(w.now)
+	w.checkFailures()
+}
+
+// checkFailures checks that no job has failed without a cause: a task that failed as often as it may, or under which
+// two workers have crashed.
+func (w *world) checkFailures() {
+	for _, s := range w.specs {
+		if v, _ := w.core.Job(s.ID); v.State != Failed || w.hasCause(s) {
+			continue
+		}
+		w.t.Fatalf("%s has failed without a cause", s.ID)
+	}
+}
+
+// hasCause reports whether a job may be given up.
+func (w *world) hasCause(s *job.Spec) bool {
+	failures := map[job.TaskID]int{}
+	for _, e := range w.execs {
+		for _, end := range e.ended {
+			if end.Outcome == link.Failed && end.Task.Job == s.ID {
+				failures[end.Task]++
+			}
+		}
+	}
+	for id, n := range failures {
+		if n >= s.Policy.MaxAttempts && !w.stepOf(id).LongRunning {
+			return true
+		}
+	}
+	for id, n := range w.crashed {
+		if id.Job == s.ID && n >= 2 {
+			return true
+		}
+	}
+	return false
 }
 
 // refs returns the runs of an incarnation in order.
@@ -411,6 +466,9 @@
 	if newest == nil || !newest.up || w.attached[node] == newest {
 		return
 	}
+	for _, r := range w.reports[node] {
+		w.core.WorkerCrashed(w.now, r)
+	}
 	for _, other := range w.core.SupersededWorkers(newest.id, node) {
 		w.core.RemoveWorker(w.now, other)
 	}
