--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestPromises drives the core through crashes, takeovers, lost and late commands, expired leases,
-// drains, cancellations and tasks that crash their workers, and checks every start against the invariants: one run at a
+// capacities that shrink and grow, drains, cancellations and tasks that crash their workers, and checks every start against the invariants: one run at a
 // time, none after an acknowledged success, steps in order, attempts and crashes bounded, none in a drained data centre,
 // capacity and anti-affinity kept. No job may fail without a cause.
 func TestPromises(t *testing.T) {
@@ -51,7 +51,7 @@
 		nodes := []string{"node-0", "node-1", "node-2"}
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
 			node := rapid.SampledFrom(nodes).Draw(t, "node")
-			switch rapid.IntRange(0, 17).Draw(t, "event") {
+			switch rapid.IntRange(0, 18).Draw(t, "event") {
 			case 0, 1:
 				if len(w.specs) < 8 {
 					s := drawSpec(t, len(w.specs))
@@ -79,6 +79,8 @@
 				dataCentre := "dc-" + node
 				w.drained[dataCentre] = !w.drained[dataCentre]
 				w.setDrains(rapid.IntRange(0, 3).Draw(t, "view") > 0)
+			case 12:
+				w.resize(node, rapid.IntRange(0, 4).Draw(t, "capacity"))
 			default:
 				w.report()
 			}
@@ -123,15 +125,28 @@
 // deliverLate carries out the start commands that were delayed.
 func (w *world) deliverLate() {
 	for _, l := range w.late {
-		w.start(l.to, l.start, l.until, true)
+		w.start(l.to, l.start, l.until, l.capacity, true)
 	}
 	w.late = nil
 }
 
+// resize changes the capacity of the worker beside a node to some quarters of the full one.
+func (w *world) resize(node string, quarters int) {
+	for _, e := range w.execs {
+		if e.node == node && e.up {
+			e.cap = resource.Vector{MilliCPU: fullCapacity.MilliCPU * int64(quarters) / 4, MemoryMB: fullCapacity.MemoryMB}
+		}
+	}
+}
+
 // report reports what the attached incarnations list.
 func (w *world) report() {
 	for _, node := range slices.Sorted(maps.Keys(w.attached)) {
 		e := w.attached[node]
+		if e.told != e.cap {
+			e.told = e.cap
+			w.core.Update(w.now, e.info())
+		}
 		rows, ends := e.listing()
 		w.core.Report(w.now, e.id, rows, ends)
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -213,21 +213,28 @@
 }
 
 // releaseCommands makes gated commands ready to send. Starts of runs stopped in the meantime are dropped, and those on
-// workers whose data centre was drained in the meantime are withdrawn.
+// workers whose data centre was drained in the meantime, or that have shrunk, are withdrawn.
 func (c *Core) releaseCommands(now time.Time, id string, d *link.OwnerMessage) {
 	w := c.workers[id]
 	if w == nil || !w.attached {
 		return
 	}
 	out := c.commandsFor(c.readyCommands, id)
+	free := w.free()
 	for _, s := range d.Start {
 		t := c.task(s.Task)
 		if t == nil || t.run != s.Run || t.state != stateAssigned {
 			continue
 		}
-		if reason := c.drainRefusal(w); reason != "" {
-			// The drain came while the record was being stored. The guard confirms that the run doesn't exist.
+		reason := c.drainRefusal(w)
+		need := t.step.spec.Reserve()
+		if reason == "" && !need.Fits(free.Add(need)) {
+			reason = "the worker has shrunk"
+		}
+		if reason != "" {
+			// The worker has changed while the record was being stored. The guard confirms that the run doesn't exist.
 			c.stopRun(now, t, reason)
+			free = free.Add(need)
 			continue
 		}
 		t.notified = true
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -18,12 +18,16 @@
 // options are those of the tests; the times are short so that leases expire often.
 var options = Options{RunLease: time.Second, RunLeaseExtension: time.Second, Margin: 100 * time.Millisecond, JobRetention: time.Hour}
 
+// fullCapacity is the capacity of a worker at its start; it shrinks and grows while it runs.
+var fullCapacity = resource.Vector{MilliCPU: 4000, MemoryMB: 8000}
+
 // executor models a worker: it carries out commands, keeps ends until they are acknowledged, and ends all runs
 // when its lease expires.
 type executor struct {
 	id           string
 	node         string
-	cap          resource.Vector
+	// cap is the capacity, told the one that the core knows.
+	cap, told    resource.Vector
 	running      map[link.RunRef]*modelRun
 	ended        []link.RunEnd
 	next         int64
@@ -79,6 +83,8 @@
 	to    *executor
 	start link.Start
 	until time.Time
+	// capacity is the one that the core knew when it sent the command.
+	capacity resource.Vector
 }
 
 // newWorld returns a world with workers and no jobs.
@@ -104,7 +110,7 @@
 		id = fmt.Sprintf("worker-of-%s@%d", node, w.counter)
 	}
 	e := &executor{
-		id: id, node: node, cap: resource.Vector{MilliCPU: 4000, MemoryMB: 8000},
+		id: id, node: node, cap: fullCapacity, told: fullCapacity,
 		running: map[link.RunRef]*modelRun{}, fence: map[job.TaskID]int{}, up: true, until: w.now,
 		expiriesAtEnd: map[int64]int{},
 	}
@@ -143,7 +149,7 @@
 }
 
 // start carries a start command out, unless it came too late.
-func (w *world) start(e *executor, s link.Start, until time.Time, late bool) bool {
+func (w *world) start(e *executor, s link.Start, until time.Time, capacity resource.Vector, late bool) bool {
 	if !e.up || s.Run <= e.fence[s.Task] || !w.now.Before(until) {
 		return false
 	}
@@ -153,7 +159,7 @@
 	if e.running[s.RunRef] != nil {
 		return true
 	}
-	w.checkStart(e, s, late)
+	w.checkStart(e, s, capacity, late)
 	if w.drained[e.info().DataCentre] && !late {
 		w.t.Fatalf("%s started on %s in a drained data centre", s.Task, e.id)
 	}
@@ -171,7 +177,7 @@
 }
 
 // checkStart checks a start against the invariants.
-func (w *world) checkStart(e *executor, s link.Start, late bool) {
+func (w *world) checkStart(e *executor, s link.Start, capacity resource.Vector, late bool) {
 	spec := w.spec(s.Task.Job)
 	if spec == nil {
 		w.t.Fatalf("%s started, but no such job was submitted", s.Task)
@@ -208,8 +214,8 @@
 			same++
 		}
 	}
-	if !used.Fits(e.cap) {
-		w.t.Fatalf("%s exceeds the capacity of %s: %s of %s", s.Task, e.id, used, e.cap)
+	if !used.Fits(capacity) {
+		w.t.Fatalf("%s exceeds the capacity of %s: %s of %s", s.Task, e.id, used, capacity)
 	}
 	if step.AntiAffinity > 0 && same > step.AntiAffinity {
 		w.t.Fatalf("%s is number %d of its step on %s, %d allowed", s.Task, same, e.id, step.AntiAffinity)
@@ -286,15 +292,15 @@
 	switch fate {
 	case 0:
 		// The guard resolves an unanswered start with a stop, so that it can't begin after that.
-		w.late = append(w.late, lateStart{e, s, until})
+		w.late = append(w.late, lateStart{e, s, until, e.told})
 		w.stop(e, s.RunRef)
 	case 2:
-		w.late = append(w.late, lateStart{e, s, until})
+		w.late = append(w.late, lateStart{e, s, until, e.told})
 		w.detach(e.node)
 	case 1:
 		w.core.Ended(w.now, e.id, []link.RunEnd{{RunRef: s.RunRef, Outcome: link.Absent, Reason: "room"}})
 	default:
-		w.start(e, s, until, false)
+		w.start(e, s, until, e.told, false)
 	}
 }
 
@@ -473,6 +479,7 @@
 		w.core.RemoveWorker(w.now, other)
 	}
 	w.attached[node] = newest
+	newest.told = newest.cap
 	newest.until = w.now.Add(options.RunLease)
 	rows, ends := newest.listing()
 	w.core.Attach(w.now, node, newest.info(), rows, ends)
