--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -24,8 +24,8 @@
 // executor models a worker: it carries out commands, keeps ends until they are acknowledged, and ends all runs
 // when its lease expires.
 type executor struct {
-	id           string
-	node         string
+	id   string
+	node string
 	// cap is the capacity, told the one that the core knows.
 	cap, told    resource.Vector
 	running      map[link.RunRef]*modelRun
