--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -68,6 +68,7 @@
 	OwnerLost             Message = "no link to owner"
 	CommandsIgnored       Message = "orders void"
 	StartNotDone          Message = "start not done"
+	RunVanished           Message = "run vanished"
 	LinesDropped          Message = "lines left out"
 	Panic                 Message = "panic"
 	PartEnded             Message = "part ended"
@@ -151,6 +152,7 @@
 	{OwnerLost, "warn", "guard", "guard", []string{"owner", "err"}, "the guard's link to the owner has ended or can't be opened"},
 	{CommandsIgnored, "info", "guard", "guard", []string{"worker", "starts"}, "commands for an incarnation of the worker that has ended were ignored"},
 	{StartNotDone, "warn", "guard", "guard", []string{"task", "run", "refused", "err"}, "a command to start a run was refused, or got no answer and its outcome is being determined"},
+	{RunVanished, "warn", "guard", "guard", []string{"worker", "task", "run"}, "the worker lists a run no longer, and never listed its end: that was acknowledged unseen"},
 	{LinesDropped, "warn", "all", "logs", []string{"kind", "count"}, "lines of a kind were dropped, since they exceeded its rate or the buffer was full"},
 	{Panic, "error", "guard", "cell", []string{"task", "err"}, "the scheduler has panicked; the owner loads the cell anew. err has the stack"},
 	{PartEnded, "error", "crocus-dev", "cell", []string{"err"}, "a part of an in-process cell has ended unexpectedly"},
--- a/internal/guard/commands.go
+++ b/internal/guard/commands.go
@@ -115,7 +115,7 @@
 		g.log.Debug("no answer about runs in doubt", "err", err)
 		return
 	}
-	g.core.ObserveListing(g.clock(), resolvable, l)
+	g.observe(resolvable, l)
 	g.sendDueAndProbe()
 	signal(g.changed)
 }
--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -43,6 +43,8 @@
 	absent                     []link.RunEnd // absent runs to report
 	inventoryDue               bool          // the next report must be a complete inventory
 	described                  bool          // the owner has the latest announcement
+	// vanished are runs whose end no listing has shown; see TakeVanished.
+	vanished []link.RunRef
 	// successor is the latest announcement of an incarnation that hasn't answered yet.
 	successor *link.Worker
 	// announcedSeq numbers the latest announcement of the incarnation announcedBy; 0 without numbers.
@@ -302,13 +304,21 @@
 			delete(c.runs, ref)
 			c.absent = append(c.absent, link.RunEnd{RunRef: ref, Outcome: link.Absent, Reason: r.reason})
 		case r.phase == listed && resolvable[ref]:
-			// The run ended, and its end was acknowledged, between two polls; the owner has stored it.
+			// The run has ended, and its end was acknowledged before any listing showed it.
 			delete(c.runs, ref)
+			c.vanished = append(c.vanished, ref)
 		}
 	}
 	c.pacer.observe(nowMS, c.runs)
 }
 
+// TakeVanished returns the runs that have vanished from the worker's listings since the last call, without an end.
+func (c *Core) TakeVanished() []link.RunRef {
+	out := c.vanished
+	c.vanished = nil
+	return out
+}
+
 // Resolvable returns the runs about which a poll sent now gives a valid answer, as no command about them is in
 // progress.
 func (c *Core) Resolvable() map[link.RunRef]bool {
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -415,3 +415,15 @@
 		t.Errorf("ended %v, crashed %+v; want an end that is no crash", up.EndedIncarnations, up.Crashed)
 	}
 }
+
+// TestVanishedRun checks that a run which a worker lists no longer is noted if no listing has shown its end.
+func TestVanishedRun(t *testing.T) {
+	c := newRebornCore(t)
+	c.ObserveListing(1100, c.Resolvable(), Listing{Incarnation: "w@10", ClockMS: 1100})
+	if got := c.TakeVanished(); len(got) != 1 || got[0] != ref(0, 1) {
+		t.Errorf("vanished %v, want the run that was listed", got)
+	}
+	if got := c.TakeVanished(); len(got) != 0 {
+		t.Errorf("vanished %v again", got)
+	}
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -178,13 +178,21 @@
 	defer signal(g.changed)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.core.ObserveListing(g.clock(), resolvable, l)
+	g.observe(resolvable, l)
 	g.scope.Gauge("filler_pace_percent").Update(float64(g.core.Pace()))
 	g.listing, g.listingUnderEpoch = &l, q.Token == g.core.Epoch() && q.Token > 0
 	g.sendDueCommands()
 	return len(l.Ended) > 0
 }
 
+// observe passes a listing to the core, and logs what is wrong with it. The caller holds the lock.
+func (g *Guard) observe(resolvable map[link.RunRef]bool, l Listing) {
+	g.core.ObserveListing(g.clock(), resolvable, l)
+	for _, ref := range g.core.TakeVanished() {
+		g.log.Warn(event.RunVanished, "worker", l.Incarnation, "task", ref.Task.String(), "run", ref.Run)
+	}
+}
+
 // wait waits for a signal, a time or the end of the context, whichever comes first.
 func (g *Guard) wait(ctx context.Context, ch <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
