--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -427,3 +427,21 @@
 		t.Errorf("vanished %v again", got)
 	}
 }
+
+// TestPollAfterSilence guards against a poll that is valid for one incarnation and answered by the next, of the same ID,
+// before that has announced itself: it would acknowledge ends that nobody has seen, and set a lease by another clock.
+// After a poll without an answer nothing is acknowledged or renewed until the same incarnation has answered.
+func TestPollAfterSilence(t *testing.T) {
+	c := newRebornCore(t)
+	if q, _ := c.NextPoll(1020, 0); q.AckedEnd != 57 || q.UntilMS == 0 {
+		t.Fatalf("poll %+v, want the acknowledgement and the lease", q)
+	}
+	c.PollFailed(1030)
+	if q, _ := c.NextPoll(1040, 0); q.AckedEnd != 0 || q.UntilMS != 0 {
+		t.Errorf("poll %+v after a failed one, want no acknowledgement and no lease", q)
+	}
+	answer(c, 1050, "w@10", link.RunStatus{RunRef: ref(0, 1)})
+	if q, _ := c.NextPoll(1060, 0); q.AckedEnd != 57 || q.UntilMS == 0 {
+		t.Errorf("poll %+v after the same incarnation has answered, want the acknowledgement and the lease", q)
+	}
+}
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -49,11 +49,19 @@
 
 // Reboot begins another incarnation of the worker, which announces itself to the node's guard.
 func (n *LocalNode) Reboot(incarnation string) {
+	n.RebootSilently(incarnation)
+	n.Announce()
+}
+
+// RebootSilently begins another incarnation of the worker, which doesn't announce itself yet.
+func (n *LocalNode) RebootSilently(incarnation string) {
 	n.Executor.Reboot(incarnation)
 	n.incarnation = incarnation
-	n.guard.Describe(n.worker(), 0)
 }
 
+// Announce has the worker announce itself to the node's guard.
+func (n *LocalNode) Announce() { n.guard.Describe(n.worker(), 0) }
+
 // worker returns the announcement of the worker.
 func (n *LocalNode) worker() link.Worker {
 	return link.Worker{ID: n.incarnation, Service: "pool", Capacity: localCapacity}
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -236,3 +236,34 @@
 		c.checkRuns(spec(fmt.Sprintf("job%d", i)))
 	}
 }
+
+// TestRebornBeforeAnnouncement guards against losing the ends of runs on a worker that has crashed and started again under
+// its ID: a poll for the earlier incarnation reaches the next one before that has announced itself. If it acknowledges
+// ends by their numbers in the earlier one, the next drops its own ends of these numbers, and tasks that have succeeded
+// are started again.
+func TestRebornBeforeAnnouncement(t *testing.T) {
+	c := newCluster(t, 1)
+	n := c.Nodes[0]
+	n.Reboot("w@10")
+	c.submit(spec("before"))
+	c.await("before", sched.Completed)
+	n.Executor.Crash()
+	// At least one poll fails meanwhile.
+	time.Sleep(400 * time.Millisecond)
+	n.RebootSilently("w@20")
+	for !n.Executor.Listed() {
+		time.Sleep(time.Millisecond)
+	}
+	n.Announce()
+	c.submit(spec("after"))
+	for done := false; !done; time.Sleep(10 * time.Millisecond) {
+		v, _, err := c.Intake.Job(t.Context(), "after")
+		done = err == nil && v.State == sched.Completed
+		for _, ref := range n.Executor.Starts() {
+			if ref.Run > 1 {
+				t.Fatalf("run %d of %s started after run 1 had succeeded", ref.Run, ref.Task)
+			}
+		}
+	}
+	c.checkRuns(spec("after"))
+}
--- a/internal/standin/execstand/execstand.go
+++ b/internal/standin/execstand/execstand.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -28,6 +29,11 @@
 	ended       []link.RunEnd
 	endedAt     map[int64]time.Time
 	lastEnd     int64
+	// acked is the highest number up to which ends were acknowledged; ends up to it are dropped as they come.
+	acked int64
+	// down says that the executor has crashed and answers nothing; reboots counts its starts.
+	down    bool
+	reboots int
 	fence       map[job.TaskID]int
 	changed     chan struct{}
 	starts      []link.RunRef
@@ -60,6 +66,13 @@
 	}
 }
 
+// Listed reports whether the current incarnation has answered a call.
+func (e *Executor) Listed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.token > 0
+}
+
 // Running returns what runs now.
 func (e *Executor) Running() []link.RunRef {
 	e.mu.Lock()
@@ -78,13 +91,27 @@
 	return e
 }
 
+// errDown means that the executor has crashed: its calls in progress are broken off, and new ones aren't answered.
+var errDown = errors.New("executor is down")
+
+// Crash ends the current incarnation; no call is answered until the next Reboot.
+func (e *Executor) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down, e.running = true, map[link.RunRef]*run{}
+	e.reboots++
+	e.signal()
+}
+
 // Reboot ends the current incarnation and begins another one without any state.
 func (e *Executor) Reboot(incarnation string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.incarnation, e.began, e.token, e.leaseEnd = incarnation, time.Now(), 0, time.Time{}
 	e.running, e.fence = map[link.RunRef]*run{}, map[job.TaskID]int{}
-	e.ended, e.endedAt, e.lastEnd = nil, map[int64]time.Time{}, 0
+	e.ended, e.endedAt, e.lastEnd, e.acked = nil, map[int64]time.Time{}, 0, 0
+	e.down = false
+	e.reboots++
 	e.signal()
 }
 
@@ -107,6 +134,9 @@
 // check refuses calls for a worker of another ID or with an older fencing token; a call for an earlier incarnation of
 // the same ID is accepted, as a platform's executors do. The caller holds the lock.
 func (e *Executor) check(incarnation string, token int64) error {
+	if e.down {
+		return errDown
+	}
 	if incarnation != "" && link.ParseIncarnation(incarnation).ID != link.ParseIncarnation(e.incarnation).ID {
 		return guard.ErrOtherIncarnation
 	}
@@ -161,11 +191,13 @@
 	e.ended = append(e.ended, end)
 	e.endedAt[e.lastEnd] = time.Now()
 	e.notify(End{RunEnd: end, Incarnation: e.incarnation, At: e.endedAt[e.lastEnd]})
+	e.acknowledge(e.acked)
 	e.signal()
 }
 
 // acknowledge drops the ends up to a number. The caller holds the lock.
 func (e *Executor) acknowledge(ackedEnd int64) {
+	e.acked = max(e.acked, ackedEnd)
 	e.ended = slices.DeleteFunc(e.ended, func(end link.RunEnd) bool {
 		if end.Number > ackedEnd {
 			return false
@@ -180,8 +212,11 @@
 // Poll implements guard.Executor.
 func (e *Executor) Poll(ctx context.Context, q guard.Poll) (guard.Listing, error) {
 	deadline := time.Now().Add(q.Wait)
+	e.mu.Lock()
+	reboots := e.reboots
+	e.mu.Unlock()
 	for {
-		l, changed, err := e.poll(q)
+		l, changed, err := e.poll(q, reboots)
 		if err != nil || len(l.Ended) > 0 || !time.Now().Before(deadline) {
 			return l, err
 		}
@@ -195,10 +230,14 @@
 	}
 }
 
-// poll returns the current listing at once; the channel is closed at the next change.
-func (e *Executor) poll(q guard.Poll) (guard.Listing, <-chan struct{}, error) {
+// poll returns the current listing at once; the channel is closed at the next change. A call that began before the latest
+// reboot is broken off.
+func (e *Executor) poll(q guard.Poll, reboots int) (guard.Listing, <-chan struct{}, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.reboots != reboots {
+		return guard.Listing{}, e.changed, errDown
+	}
 	if err := e.check(q.Incarnation, q.Token); err != nil {
 		return guard.Listing{}, e.changed, err
 	}
