--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -433,6 +433,7 @@
 // After a poll without an answer nothing is acknowledged or renewed until the same incarnation has answered.
 func TestPollAfterSilence(t *testing.T) {
 	c := newRebornCore(t)
+	c.ExtendLease(link.OwnerMessage{Epoch: 1, EchoMS: 1015, Worker: "w@10", AckedEnd: 57})
 	if q, _ := c.NextPoll(1020, 0); q.AckedEnd != 57 || q.UntilMS == 0 {
 		t.Fatalf("poll %+v, want the acknowledgement and the lease", q)
 	}
--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -30,6 +30,12 @@
 
 // newCluster starts a cell of n nodes.
 func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	return newClusterWith(t, n, work)
+}
+
+// newClusterWith starts a cell of n nodes on which a run takes the time work.
+func newClusterWith(t *testing.T, n int, work time.Duration) *cluster {
 	t.Helper()
 	mem := memstore.New()
 	local, err := NewLocalCell(n, mem, work, logs.Discard())
@@ -242,7 +248,8 @@
 // ends by their numbers in the earlier one, the next drops its own ends of these numbers, and tasks that have succeeded
 // are started again.
 func TestRebornBeforeAnnouncement(t *testing.T) {
-	c := newCluster(t, 1)
+	// Runs last long enough to be reported before they end.
+	c := newClusterWith(t, 1, 700*time.Millisecond)
 	n := c.Nodes[0]
 	n.Reboot("w@10")
 	c.submit(spec("before"))
--- a/internal/standin/execstand/execstand.go
+++ b/internal/standin/execstand/execstand.go
@@ -34,9 +34,9 @@
 	// down says that the executor has crashed and answers nothing; reboots counts its starts.
 	down    bool
 	reboots int
-	fence       map[job.TaskID]int
-	changed     chan struct{}
-	starts      []link.RunRef
+	fence   map[job.TaskID]int
+	changed chan struct{}
+	starts  []link.RunRef
 	// expiredAt is when a renewal last found that the lease had expired.
 	expiredAt time.Time
 	// observer is called with ends; see Observe.
