--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -37,12 +37,15 @@
 	workerClock, workerClockAt int64
 	runs                       map[link.RunRef]*run
 	ackedEnd                   int64 // number of the newest run end that the owner acknowledged
-	pacer                      pacer
-	unresponsive               bool          // the worker doesn't answer
-	silentSinceMS              int64         // when the first of the polls since the last answer failed; 0 for none
-	absent                     []link.RunEnd // absent runs to report
-	inventoryDue               bool          // the next report must be a complete inventory
-	described                  bool          // the owner has the latest announcement
+	// listedEnd is the number of the newest end in the newest listing; 0 for none. Only listed ends are acknowledged, so
+	// that as few polls as possible can drop ends of another incarnation if they are carried out late.
+	listedEnd     int64
+	pacer         pacer
+	unresponsive  bool          // the worker doesn't answer
+	silentSinceMS int64         // when the first of the polls since the last answer failed; 0 for none
+	absent        []link.RunEnd // absent runs to report
+	inventoryDue  bool          // the next report must be a complete inventory
+	described     bool          // the owner has the latest announcement
 	// vanished are runs whose end no listing has shown; see TakeVanished.
 	vanished []link.RunRef
 	// successor is the latest announcement of an incarnation that hasn't answered yet.
@@ -151,9 +154,10 @@
 }
 
 // LeaseEnd returns the end of the lease on the worker's clock; 0 when the lease must not be renewed. A worker
-// that doesn't answer gets no renewal, so that its runs are certain to expire within one lease from then.
+// that doesn't answer gets no renewal: its runs are certain to expire within one lease from then, and the next answer
+// may come from another incarnation, which has another clock.
 func (c *Core) LeaseEnd(nowMS int64) int64 {
-	if c.workerClock == 0 || nowMS >= c.deadline || c.unresponsive {
+	if c.workerClock == 0 || nowMS >= c.deadline || c.unresponsive || c.silentSinceMS > 0 {
 		return 0
 	}
 	left := min(c.deadline-c.workerClockAt, nowMS-c.workerClockAt+c.opt.MaxLease.Milliseconds())
@@ -180,6 +184,8 @@
 	switch {
 	case c.info == nil:
 		return "the worker hasn't announced itself"
+	case c.silentSinceMS > 0:
+		return "the worker doesn't answer"
 	case until == 0:
 		return "no lease"
 	case c.info.Draining:
@@ -254,7 +260,11 @@
 	if incarnation == "" {
 		return Poll{}, false
 	}
-	q := Poll{Incarnation: incarnation, Token: c.epoch, UntilMS: c.LeaseEnd(nowMS), AckedEnd: c.ackedEnd, Wait: wait}
+	q := Poll{Incarnation: incarnation, Token: c.epoch, UntilMS: c.LeaseEnd(nowMS), AckedEnd: min(c.ackedEnd, c.listedEnd), Wait: wait}
+	if c.silentSinceMS > 0 {
+		// A later start of the same ID may answer, which can't be told before it does.
+		q.AckedEnd, q.Wait = 0, 0
+	}
 	if c.successor != nil && link.Reborn(c.successor.ID, incarnation) {
 		// A later start of the same ID will answer; its clock and the numbers of its ends are others.
 		q.UntilMS, q.AckedEnd = 0, 0
@@ -290,9 +300,11 @@
 		r.confirmed = true
 		r.measurement = s.Measurement
 	}
+	c.listedEnd = 0
 	for _, e := range l.Ended {
 		seen[e.RunRef] = true
 		delete(c.runs, e.RunRef)
+		c.listedEnd = max(c.listedEnd, e.Number)
 	}
 	for ref, r := range c.runs {
 		switch {
@@ -348,7 +360,7 @@
 func (c *Core) reset() {
 	clear(c.runs)
 	c.absent = nil
-	c.ackedEnd = 0
+	c.ackedEnd, c.listedEnd = 0, 0
 	c.workerClock, c.silentSinceMS = 0, 0
 	c.pacer = newPacer()
 	c.inventoryDue, c.described = true, false
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -190,6 +190,7 @@
 		t.Errorf("ends up to %d are acknowledged in the new incarnation", q.AckedEnd)
 	}
 	d.Worker = "life-2"
+	c.ObserveListing(1300, nil, Listing{Incarnation: "life-2", ClockMS: 107, Ended: []link.RunEnd{{Number: 5, RunRef: ref(1, 1), Outcome: link.Done}}})
 	c.ExtendLease(d)
 	if q, _ := c.NextPoll(1300, 0); !c.Matches(d) || q.AckedEnd != 5 {
 		t.Errorf("commands for the new incarnation are ignored, ends acknowledged up to %d", q.AckedEnd)
@@ -348,7 +349,7 @@
 }
 
 // crashedCore returns a core whose worker has crashed at 3000 and was reborn: run 0 had been confirmed for two seconds,
-// run 1 had just been confirmed, run 2 was sent and not answered, and run 3 was sent after the crash.
+// run 1 had just been confirmed, run 2 was sent and not answered, and run 3 was ordered after the crash.
 func crashedCore(t *testing.T, draining bool) *Core {
 	t.Helper()
 	c := NewCore(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second})
@@ -371,9 +372,8 @@
 		c.Describe(w, 2)
 	}
 	c.PollFailed(3000)
-	if !draining {
-		begin(3050, 3)
-		c.StartAnswered(ref(3, 1), errors.New("no answer"), false, "")
+	if _, ok := c.BeginStart(3050, start(3, 1)); ok {
+		t.Fatal("started on a worker that doesn't answer")
 	}
 	c.PollFailed(3150)
 	c.StartAnswered(ref(2, 1), errors.New("no answer"), false, "")
@@ -433,6 +433,11 @@
 // After a poll without an answer nothing is acknowledged or renewed until the same incarnation has answered.
 func TestPollAfterSilence(t *testing.T) {
 	c := newRebornCore(t)
+	listing := Listing{
+		Incarnation: "w@10", ClockMS: 1012, Running: []link.RunStatus{{RunRef: ref(0, 1)}},
+		Ended: []link.RunEnd{{Number: 57, RunRef: ref(4, 1), Outcome: link.Done}},
+	}
+	c.ObserveListing(1012, c.Resolvable(), listing)
 	c.ExtendLease(link.OwnerMessage{Epoch: 1, EchoMS: 1015, Worker: "w@10", AckedEnd: 57})
 	if q, _ := c.NextPoll(1020, 0); q.AckedEnd != 57 || q.UntilMS == 0 {
 		t.Fatalf("poll %+v, want the acknowledgement and the lease", q)
@@ -441,8 +446,13 @@
 	if q, _ := c.NextPoll(1040, 0); q.AckedEnd != 0 || q.UntilMS != 0 {
 		t.Errorf("poll %+v after a failed one, want no acknowledgement and no lease", q)
 	}
-	answer(c, 1050, "w@10", link.RunStatus{RunRef: ref(0, 1)})
+	c.ObserveListing(1050, c.Resolvable(), listing)
 	if q, _ := c.NextPoll(1060, 0); q.AckedEnd != 57 || q.UntilMS == 0 {
 		t.Errorf("poll %+v after the same incarnation has answered, want the acknowledgement and the lease", q)
 	}
+	listing.Ended = nil
+	c.ObserveListing(1070, c.Resolvable(), listing)
+	if q, _ := c.NextPoll(1080, 0); q.AckedEnd != 0 {
+		t.Errorf("poll %+v acknowledges ends that aren't listed any more", q)
+	}
 }
--- a/internal/guard/incarnation.go
+++ b/internal/guard/incarnation.go
@@ -32,7 +32,7 @@
 }
 
 // crashedRuns returns the runs that the current incarnation had when it stopped answering, in the order of their
-// start. One whose start was sent after that, and not answered, can't have been there.
+// start. No start is sent after that.
 func (c *Core) crashedRuns() []link.CrashedRun {
 	at := c.silentSinceMS
 	if at == 0 {
@@ -40,10 +40,9 @@
 	}
 	var out []link.CrashedRun
 	for ref, r := range c.runs {
-		if r.startMS > at && !r.confirmed || r.inherited {
-			continue
+		if !r.inherited {
+			out = append(out, link.CrashedRun{RunRef: ref, AgeMS: max(0, at-r.startMS), Unsure: !r.confirmed})
 		}
-		out = append(out, link.CrashedRun{RunRef: ref, AgeMS: max(0, at-r.startMS), Unsure: !r.confirmed})
 	}
 	slices.SortFunc(out, func(a, b link.CrashedRun) int {
 		return cmp.Or(-cmp.Compare(a.AgeMS, b.AgeMS), strings.Compare(a.Task.String(), b.Task.String()))
