--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -6,8 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
@@ -456,3 +459,24 @@
 		t.Errorf("poll %+v acknowledges ends that aren't listed any more", q)
 	}
 }
+
+// TestInventoryOfEarlierIncarnation guards against a worker that stays unknown to the owner: a listing of an earlier
+// incarnation, not yet reported when the next one answers, counted as the inventory that was due, and was then left out of
+// the message.
+func TestInventoryOfEarlierIncarnation(t *testing.T) {
+	g := New(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second}, nil, nil, func() int64 { return 1200 }, tally.NoopScope, logs.Discard())
+	g.core = newRebornCore(t)
+	g.listing, g.listingUnderEpoch = &Listing{Incarnation: "w@10", ClockMS: 1010}, true
+	g.core.StartAnswered(ref(1, 1), nil, true, "late")
+	g.core.StartAnswered(ref(2, 1), nil, true, "late")
+	answer(g.core, 1100, "w@20")
+	g.core.Describe(worker("w@20"), 1)
+	complete, last := false, reportState{}
+	if up, _ := g.nextReport(&complete, &last); up.Inventory || up.Worker != nil {
+		t.Fatalf("message %+v, want none about the worker before it is listed", up)
+	}
+	g.listing = &Listing{Incarnation: "w@20", ClockMS: 30}
+	if up, _ := g.nextReport(&complete, &last); !up.Inventory || up.Worker == nil || up.Worker.ID != "w@20" {
+		t.Errorf("message %+v, want the inventory of the incarnation that answers", up)
+	}
+}
--- a/internal/guard/links.go
+++ b/internal/guard/links.go
@@ -158,7 +158,7 @@
 		up := g.core.Report(g.clock(), g.listing, false)
 		g.listing = nil
 		return up, last.trim(&up, g.core.TailSum())
-	case g.listingUnderEpoch && g.listing != nil && g.core.Described():
+	case g.listingUnderEpoch && g.listing != nil && g.listing.Incarnation == g.core.incarnation && g.core.Described():
 		up := g.core.Report(g.clock(), g.listing, true)
 		g.core.inventoryDue, g.listing, *complete = false, nil, true
 		*last = reportState{unixSentAt: last.unixSentAt}
