--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -28,12 +28,22 @@
 	// job as completed; zero before that.
 	accepted, cancelled, completed time.Time
 	// refused says that every attempt to submit the job so far was definitely refused.
-	refused      bool
-	done         map[job.TaskID]time.Time
-	starts       []start
+	refused bool
+	done    map[job.TaskID]time.Time
+	starts  []start
+	// crashes counts the workers that crashed under each task, startsAfter the starts of a deadly task after the third.
+	crashes      map[job.TaskID]int
+	startsAfter  int
 	acknowledged map[job.TaskID]time.Time
 }
 
+// crashesToFail is the number of workers that must have crashed under a task of a job for it to be given up, and
+// startsAfterThird the number of starts that are allowed after three.
+const (
+	crashesToFail    = 2
+	startsAfterThird = 2
+)
+
 // start is one observed start of a run.
 type start struct {
 	ref link.RunRef
@@ -48,6 +58,8 @@
 	stateMu    sync.Mutex
 	jobs       map[string]*jobState
 	violations []string
+	// restarts counts the starts of processes after their first: a guard that restarts forgets the crash it has seen.
+	restarts int
 }
 
 // newChecker returns a checker without observations.
@@ -71,7 +83,7 @@
 func (c *checker) addJob(id string, steps []step) {
 	c.stateMu.Lock()
 	defer c.stateMu.Unlock()
-	c.jobs[id] = &jobState{steps: steps, refused: true, done: map[job.TaskID]time.Time{}, acknowledged: map[job.TaskID]time.Time{}}
+	c.jobs[id] = &jobState{steps: steps, refused: true, done: map[job.TaskID]time.Time{}, crashes: map[job.TaskID]int{}, acknowledged: map[job.TaskID]time.Time{}}
 }
 
 // updateJob applies f to the state of a job under the lock.
@@ -88,6 +100,17 @@
 	return *c.jobs[id]
 }
 
+// crashesUnder returns the largest number of workers that have crashed under one task of a job.
+func (c *checker) crashesUnder(id string) int {
+	c.stateMu.Lock()
+	defer c.stateMu.Unlock()
+	most := 0
+	for _, n := range c.jobs[id].crashes {
+		most = max(most, n)
+	}
+	return most
+}
+
 // missing returns a task of a job that has not ended as done; empty when there is none.
 func (c *checker) missing(id string) string {
 	c.stateMu.Lock()
@@ -138,6 +161,9 @@
 		return
 	}
 	k.starts = append(k.starts, start{ref, now})
+	if k.steps[ref.Task.Step].deadly && ref.Task.Index == 0 {
+		c.deadlyStarted(w, k, ref)
+	}
 	for _, d := range k.steps[ref.Task.Step].dependsOn {
 		for n := range k.steps[d].count {
 			if k.done[job.TaskID{Job: ref.Task.Job, Step: d, Index: n}].IsZero() {
@@ -154,6 +180,29 @@
 	}
 }
 
+// deadlyStarted checks the start of a task that crashes its workers, and crashes the worker shortly after. The caller
+// holds stateMu.
+func (c *checker) deadlyStarted(w *worker, k *jobState, ref link.RunRef) {
+	if k.crashes[ref.Task] >= 3 {
+		k.startsAfter++
+	}
+	if k.startsAfter > startsAfterThird+c.restarts {
+		c.violations = append(c.violations, fmt.Sprintf("%s is started %d times more after three crashes under it, with %d restarts", ref.Task, k.startsAfter, c.restarts))
+	}
+	time.AfterFunc(deadlyDelay, w.crash)
+}
+
+// workerCrashed records a crash for the tasks that ran on a worker.
+func (c *checker) workerCrashed(running []link.RunRef) {
+	c.stateMu.Lock()
+	defer c.stateMu.Unlock()
+	for _, ref := range running {
+		if k := c.jobs[ref.Task.Job]; k != nil {
+			k.crashes[ref.Task]++
+		}
+	}
+}
+
 // checkFinal checks what can only be decided at the end of the test.
 func (c *checker) checkFinal() {
 	c.stateMu.Lock()
@@ -174,13 +223,50 @@
 // worker is an executor that the checker observes.
 type worker struct {
 	*execstand.Executor
-	name     string
-	capacity resource.Vector
-	checker  *checker
-	// incarnation names the present incarnation, reboots counts the reboots; both are guarded by the checker's
-	// stateMu.
+	name    string
+	checker *checker
+	// The checker's stateMu guards the fields below. incarnation names the present incarnation, reboots counts the
+	// reboots, down says that it has crashed and isn't back.
 	incarnation string
 	reboots     int
+	down        bool
+	// sizes are the capacities that the worker has had, with the times from which on.
+	sizes []size
+}
+
+// size is a capacity of a worker from a time on.
+type size struct {
+	from     time.Time
+	capacity resource.Vector
+}
+
+// capacityGrace is how long after a worker has shrunk starts may exceed its capacity: the longest fault, the time in
+// which its guard and the owner learn of it, and a heartbeat.
+const capacityGrace = maxFault + 3*time.Second + heartbeatInterval
+
+// capacity returns the present capacity.
+func (w *worker) capacity() resource.Vector {
+	w.checker.stateMu.Lock()
+	defer w.checker.stateMu.Unlock()
+	return w.sizes[len(w.sizes)-1].capacity
+}
+
+// allowed returns the largest capacity that the worker has had within capacityGrace.
+func (w *worker) allowed() resource.Vector {
+	w.checker.stateMu.Lock()
+	defer w.checker.stateMu.Unlock()
+	out := w.sizes[len(w.sizes)-1].capacity
+	for i := len(w.sizes) - 1; i > 0 && time.Since(w.sizes[i].from) < capacityGrace; i-- {
+		out = out.Max(w.sizes[i-1].capacity)
+	}
+	return out
+}
+
+// resize changes the capacity, which the next heartbeat announces.
+func (w *worker) resize(capacity resource.Vector) {
+	w.checker.stateMu.Lock()
+	defer w.checker.stateMu.Unlock()
+	w.sizes = append(w.sizes, size{time.Now(), capacity})
 }
 
 // Start implements guard.Executor. Starts are checked one at a time over all workers.
@@ -205,7 +291,7 @@
 	for _, r := range w.Running() {
 		used = used.Add(w.checker.demand(r.Task))
 	}
-	return used.Lacking(w.capacity)
+	return used.Lacking(w.allowed())
 }
 
 // demand returns the resources that a task reserves.
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -30,7 +30,7 @@
 	internalPort = 7720
 )
 
-// capacity is the resources of each executor.
+// capacity is the resources of each executor at its start.
 var capacity = resource.Vector{MilliCPU: 4000, MemoryMB: 4000}
 
 // host is one machine: a process and the proxies on its network paths.
@@ -179,7 +179,8 @@
 		return err
 	}
 	incarnation := fmt.Sprintf("%s-life-1", h.name)
-	h.worker = &worker{Executor: execstand.New(incarnation, runDuration), name: h.name, capacity: capacity, checker: d.checker, incarnation: incarnation}
+	h.worker = &worker{Executor: execstand.New(incarnation, runDuration), name: h.name, checker: d.checker, incarnation: incarnation}
+	h.worker.resize(capacity)
 	h.worker.Observe(d.checker.runEnded)
 	d.checker.workers = append(d.checker.workers, h.worker)
 	executorAddr, err := d.serve(standin.Executor(h.worker))
@@ -207,9 +208,11 @@
 // heartbeat follows after heartbeatInterval.
 func (d *deployment) heartbeats(ctx context.Context, h *host) {
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, heartbeatInterval)
-		_ = d.client.Heartbeat(call, h.addr, h.worker.name, h.worker.currentIncarnation(), capacity)
-		cancel()
+		if incarnation, up := h.worker.currentIncarnation(); up {
+			call, cancel := context.WithTimeout(ctx, heartbeatInterval)
+			_ = d.client.Heartbeat(call, h.addr, h.worker.name, incarnation, h.worker.capacity())
+			cancel()
+		}
 		select {
 		case <-time.After(heartbeatInterval):
 		case <-ctx.Done():
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -71,7 +71,19 @@
 		}
 	}},
 	{"worker crash", func(_ context.Context, d *deployment, rng *rand.Rand, _ time.Duration) {
-		pick(rng, d.guards).worker.reboot()
+		w := pick(rng, d.guards).worker
+		if rng.IntN(2) == 0 {
+			w.crash()
+			return
+		}
+		d.checker.workerCrashed(w.Running())
+		w.reboot()
+	}},
+	{"worker resize", func(_ context.Context, d *deployment, rng *rand.Rand, _ time.Duration) {
+		// At least half is left, so that every job can be completed.
+		size := capacity
+		size.MilliCPU -= rng.Int64N(1 + capacity.MilliCPU/2)
+		pick(rng, d.guards).worker.resize(size)
 	}},
 	{"drain", func(ctx context.Context, d *deployment, rng *rand.Rand, duration time.Duration) {
 		name := pick(rng, d.guards).worker.name
@@ -104,6 +116,9 @@
 		<-ended
 	}
 	pause.For(ctx, duration)
+	d.checker.stateMu.Lock()
+	d.checker.restarts += len(hs)
+	d.checker.stateMu.Unlock()
 	for _, h := range hs {
 		if err := h.start(); err != nil {
 			d.checker.violation("%v", err)
@@ -142,11 +157,34 @@
 	d.store.SetFaults(nil)
 }
 
-// currentIncarnation returns the name of the worker's present incarnation.
-func (w *worker) currentIncarnation() string {
+// currentIncarnation returns the name of the worker's present incarnation, and whether it is up.
+func (w *worker) currentIncarnation() (string, bool) {
 	w.checker.stateMu.Lock()
 	defer w.checker.stateMu.Unlock()
-	return w.incarnation
+	return w.incarnation, !w.down
+}
+
+const (
+	// deadlyDelay is the time from the start of a task that crashes its worker until it does, and downtime how long a
+	// worker is away after a crash.
+	deadlyDelay = 20 * time.Millisecond
+	downtime    = 700 * time.Millisecond
+)
+
+// crash ends the worker's incarnation and begins the next one after downtime, unless it is down already.
+func (w *worker) crash() {
+	w.checker.startMu.Lock()
+	defer w.checker.startMu.Unlock()
+	w.checker.stateMu.Lock()
+	again := w.down
+	w.down = true
+	w.checker.stateMu.Unlock()
+	if again {
+		return
+	}
+	w.checker.workerCrashed(w.Running())
+	w.Crash()
+	time.AfterFunc(downtime, w.reboot)
 }
 
 // reboot ends the worker's incarnation and begins the next one.
@@ -155,6 +193,7 @@
 	defer w.checker.startMu.Unlock()
 	w.checker.stateMu.Lock()
 	w.reboots++
+	w.down = false
 	// Every second one has the ID of the one two before it.
 	w.incarnation = fmt.Sprintf("%s-life-%d", w.name, 1+w.reboots)
 	if w.reboots%2 == 1 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,6 +43,8 @@
 	// minFault and maxFault bound the duration of a fault.
 	minFault = 200 * time.Millisecond
 	maxFault = 4 * time.Second
+	// deadlyJobs is the number of jobs of which one, on average, has a task that crashes its workers.
+	deadlyJobs = 40
 	// jobInterval is the mean time between two jobs.
 	jobInterval = 60 * time.Millisecond
 	// responseTimeout is how long a client waits for a response.
@@ -64,6 +66,8 @@
 	demand      resource.Vector
 	dependsOn   []int
 	longRunning bool
+	// deadly says that the first task of the step crashes each worker that starts it.
+	deadly bool
 }
 
 // Run starts a deployment, submits jobs to it while faults are injected, and returns what was observed.
@@ -172,7 +176,7 @@
 	if cancelAfter > 0 && rng.IntN(2) == 0 {
 		return []step{{count: 1 + rng.IntN(3), demand: demand, longRunning: true}}, cancelAfter
 	}
-	steps := []step{{count: 1 + rng.IntN(3), demand: demand}}
+	steps := []step{{count: 1 + rng.IntN(3), demand: demand, deadly: rng.IntN(deadlyJobs) == 0}}
 	if rng.IntN(2) == 0 {
 		steps = append(steps, step{count: 1 + rng.IntN(4), demand: demand, dependsOn: []int{0}})
 	}
@@ -274,6 +278,8 @@
 	case state == "completed":
 		d.checker.jobCompleted(id)
 		return true
+	case state == "failed" && d.checker.crashesUnder(id) >= crashesToFail:
+		return true
 	case state == "cancelled" && k.cancelled.IsZero(), state == "failed":
 		d.checker.violation("job %s is reported as %s without a cause", id, state)
 		return true
