--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -230,14 +230,18 @@
 
 // crashing reports whether the crashes under a task are enough to give it up.
 func (t *task) crashing() bool {
-	starts, sole := 0, false
+	all, starts, sole := 0, 0, false
 	for i := range t.crashes {
-		if t.crashes[i].counts() {
+		cr := &t.crashes[i]
+		if !cr.Pending {
+			all++
+		}
+		if cr.counts() {
 			starts++
-			sole = sole || t.crashes[i].Sole
+			sole = sole || cr.Sole
 		}
 	}
-	return sole && starts >= maxStartCrashes || starts >= maxSharedCrashes || len(t.crashes) >= maxCrashes
+	return sole && starts >= maxStartCrashes || starts >= maxSharedCrashes || all >= maxCrashes
 }
 
 // judge fails the job of a task that crashes workers.
