--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -254,3 +254,122 @@
 func inTaskOrder(runs map[link.RunRef]time.Time) []link.RunRef {
 	return slices.SortedFunc(maps.Keys(runs), func(a, b link.RunRef) int { return strings.Compare(a.Task.String(), b.Task.String()) })
 }
+
+// TestUnstableWorker guards against giving up jobs that had bad luck: the worker beside one node crashes again and again
+// for reasons of its own, with other tasks each time. No job may fail, and all complete.
+func TestUnstableWorker(t *testing.T) {
+	p := newCrashPool(t, 5)
+	for n := range 400 {
+		if n%4 == 0 && n < 300 {
+			p.submit(fmt.Sprintf("job%d", n), job.Step{Count: 4, Demand: cores(0.3), EstimateMS: 600, Speculative: n%8 == 0})
+		}
+		p.step()
+		if n%30 != 0 {
+			continue
+		}
+		for _, id := range slices.Sorted(maps.Keys(p.running)) {
+			if p.core.workers[id].node == "node-0" {
+				p.crash(id)
+				p.down["node-0"] = p.now.Add(crashPoolStep)
+			}
+		}
+	}
+	for _, s := range p.specs {
+		if v, _ := p.core.Job(s.ID); v.State != Completed {
+			t.Errorf("%s is %+v at the end", s.ID, v)
+		}
+	}
+}
+
+// crashed returns a report of a crash under one run of a certain age.
+func crashed(worker string, ref link.RunRef, ageMS int64) link.Crash {
+	return link.Crash{Worker: worker, Runs: []link.CrashedRun{{RunRef: ref, AgeMS: ageMS}}}
+}
+
+// firstStart returns where the only task of a job was started.
+func firstStart(t *testing.T, commands Commands) (string, link.RunRef) {
+	t.Helper()
+	for id, s := range started(commands) {
+		return id, s[0].RunRef
+	}
+	t.Fatal("nothing was started")
+	return "", link.RunRef{}
+}
+
+// TestCrashKnownAfterLease guards against a crash that isn't counted since the lease of the run had expired before the
+// worker was back: its task had been given another run by then, which crashes the next worker.
+func TestCrashKnownAfterLease(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000}))
+	var workers []string
+	var runs []link.RunRef
+	for range 2 {
+		id, ref := firstStart(t, settle(now, c))
+		workers, runs = append(workers, id), append(runs, ref)
+		c.UpdatePressure(now, id, 100, true)
+		now = now.Add(options.expiryDelay() + 2*sweepInterval)
+		c.expireLeases(now)
+	}
+	for i, id := range workers {
+		if v, _ := c.Job("job"); v.State == Failed {
+			t.Fatalf("failed before the second crash is known: %s", v.Reason)
+		}
+		c.WorkerCrashed(now, crashed(id, runs[i], 10))
+		c.WorkerCrashed(now, crashed(id, runs[i], 10))
+	}
+	settle(now, c)
+	if v, _ := c.Job("job"); v.State != Failed {
+		t.Errorf("job is %+v after two crashes under its only task, want failed", v)
+	}
+}
+
+// TestCrashBeforeStart guards against counting crashes under a task that wasn't there: its start had not reached the
+// worker, it ended before, or the worker has only been cut off.
+func TestCrashBeforeStart(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000}))
+	for range 3 {
+		id, _ := firstStart(t, settle(now, c))
+		c.WorkerCrashed(now, link.Crash{Worker: id})
+		now = now.Add(sweepInterval)
+		c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, nil, nil)
+	}
+	id, ref := firstStart(t, settle(now, c))
+	c.UpdatePressure(now, id, 100, true)
+	now = now.Add(options.expiryDelay() + 2*sweepInterval)
+	c.expireLeases(now)
+	c.Attach(now, "node-"+id, link.Worker{ID: id, Service: "pool", Capacity: big}, nil, []link.RunEnd{{Number: 1, RunRef: ref, Outcome: link.Expired}})
+	if v, _ := c.Job("job"); v.State == Failed || len(c.crashed.tasks) != 0 {
+		t.Errorf("job is %+v with crashes under %d tasks, want none", v, len(c.crashed.tasks))
+	}
+}
+
+// TestGangThatCrashesWorkers checks that a gang fails after three crashes under its members: they start together, so that
+// none can be told to be the cause.
+func TestGangThatCrashesWorkers(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a@0")
+	c.Submit(now, one("gang", 0, job.Step{Count: 3, Demand: cores(1), EstimateMS: 1000, Gang: true}))
+	for n := range 3 {
+		if v, _ := c.Job("gang"); v.State == Failed {
+			t.Fatalf("failed after %d crashes", n)
+		}
+		id := fmt.Sprintf("a@%d", n)
+		report := link.Crash{Worker: id}
+		for _, s := range started(settle(now, c))[id] {
+			report.Runs = append(report.Runs, link.CrashedRun{RunRef: s.RunRef, AgeMS: 10})
+		}
+		if len(report.Runs) != 3 {
+			t.Fatalf("started %+v, want all members on the only worker", report.Runs)
+		}
+		c.WorkerCrashed(now, report)
+		c.Attach(now, "node-a", link.Worker{ID: fmt.Sprintf("a@%d", n+1), Service: "pool", Capacity: big}, nil, nil)
+		now = now.Add(time.Second)
+	}
+	settle(now, c)
+	if v, _ := c.Job("gang"); v.State != Failed {
+		t.Errorf("gang is %+v after three crashes, want failed", v)
+	}
+}
