--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -51,9 +50,9 @@
 // starting reports whether the run was starting when the worker crashed.
 func (cr *crash) starting() bool { return cr.AgeMS < settleTime.Milliseconds() }
 
-// counts reports whether the crash is certain to have happened under a start of the task. If no other run was starting,
-// one that wasn't answered is taken to be the cause.
-func (cr *crash) counts() bool { return cr.starting() && !cr.Pending && (!cr.Unsure || cr.Sole) }
+// counts reports whether the crash is certain to have happened under a start of the task. A worker may crash for another
+// reason while it holds back the answer to a start, or before it carries one out.
+func (cr *crash) counts() bool { return cr.starting() && !cr.Pending && !cr.Unsure }
 
 // nodeCrash is a crash of the worker beside a node that no task is known to have caused.
 type nodeCrash struct {
@@ -108,7 +107,7 @@
 	}
 	rows, starting := crashedRuns(report)
 	var affected []*task
-	for _, t := range c.tasksWithCrashes() {
+	for t := range c.crashed.tasks {
 		i := t.crashOn(id)
 		if i < 0 || !t.crashes[i].Pending {
 			continue
@@ -127,6 +126,7 @@
 	}
 	c.logDecision(event.Crash, id, fmt.Sprintf("runs=%d starting=%v tasks=%d", len(rows), starting, len(affected)))
 	c.RemoveWorker(now, id)
+	slices.SortFunc(affected, compareSuspects)
 	for _, t := range affected {
 		c.judge(now, t)
 	}
@@ -200,7 +200,7 @@
 // dropPendingCrashes forgets the crash that was suspected of a worker: it has answered, or has ended in a way that its
 // guard hasn't seen.
 func (c *Core) dropPendingCrashes(worker string) {
-	for _, t := range c.tasksWithCrashes() {
+	for t := range c.crashed.tasks {
 		if i := t.crashOn(worker); i >= 0 && t.crashes[i].Pending {
 			c.removeCrash(t, i)
 		}
@@ -267,7 +267,7 @@
 	if len(own) < maxStartCrashes {
 		return
 	}
-	for _, t := range c.tasksWithCrashes() {
+	for t := range c.crashed.tasks {
 		kept := slices.DeleteFunc(slices.Clone(t.crashes), func(cr crash) bool { return own[cr.Worker] && !cr.Sole && !cr.Pending })
 		if t != cause && len(kept) < len(t.crashes) {
 			c.setCrashes(t, kept)
@@ -283,16 +283,17 @@
 	return slices.DeleteFunc(slices.Clone(c.crashed.byNode[node]), func(n nodeCrash) bool { return now.Sub(n.at) > unstableWindow })
 }
 
-// tasksWithCrashes returns the tasks under which workers have crashed, the likeliest causes first: those whose runs had
-// been started last.
-func (c *Core) tasksWithCrashes() []*task {
-	return slices.SortedFunc(maps.Keys(c.crashed.tasks), func(a, b *task) int {
-		return cmp.Or(
-			cmp.Compare(a.leastCrashAge(), b.leastCrashAge()),
-			cmp.Compare(a.step.occ.job.spec.Policy.Priority, b.step.occ.job.spec.Policy.Priority),
-			strings.Compare(a.id.String(), b.id.String()),
-		)
-	})
+// compareSuspects orders tasks under which workers have crashed, the likeliest causes first: those whose runs had been
+// started last.
+func compareSuspects(a, b *task) int {
+	return cmp.Or(
+		cmp.Compare(a.leastCrashAge(), b.leastCrashAge()),
+		cmp.Compare(a.step.occ.job.spec.Policy.Priority, b.step.occ.job.spec.Policy.Priority),
+		strings.Compare(a.id.Job, b.id.Job),
+		cmp.Compare(a.id.Occurrence, b.id.Occurrence),
+		cmp.Compare(a.id.Step, b.id.Step),
+		cmp.Compare(a.id.Index, b.id.Index),
+	)
 }
 
 // leastCrashAge returns the least age of a run of the task at a crash, in milliseconds.
--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -346,6 +346,29 @@
 	}
 }
 
+// TestUnansweredStartsDontCount guards against giving up a task since workers crashed that hadn't carried its start out yet:
+// on a day on which answers to starts are held back, one was the only task starting on a worker that crashed for another
+// reason. Five such crashes are too many for chance.
+func TestUnansweredStartsDontCount(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000}))
+	for n := range maxCrashes {
+		if v, _ := c.Job("job"); v.State == Failed {
+			t.Fatalf("failed after %d crashes under unanswered starts", n)
+		}
+		id, ref := firstStart(t, settle(now, c))
+		report := crashed(id, ref, 10)
+		report.Runs[0].Unsure = true
+		c.WorkerCrashed(now, report)
+		now = now.Add(sweepInterval)
+		c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, nil, nil)
+	}
+	if v, _ := c.Job("job"); v.State != Failed {
+		t.Errorf("job is %+v after %d crashes, want failed", v, maxCrashes)
+	}
+}
+
 // TestGangThatCrashesWorkers checks that a gang fails after three crashes under its members: they start together, so that
 // none can be told to be the cause.
 func TestGangThatCrashesWorkers(t *testing.T) {
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -17,20 +17,35 @@
 // the choice has been made.
 var isolationChecks = []string{"isolation", "urgent", "filler", "tails", "reserved"}
 
-// startIsolated starts the tasks that must start in isolation. A worker is kept for each until its runs have settled, and
-// takes nothing else until the task has settled too.
-func (c *Core) startIsolated(now time.Time) {
+// startIsolated starts the tasks that must start in isolation; fillers says whether the round places fillers. A worker is
+// kept for each until its runs have settled, and takes nothing else until the task has settled too.
+func (c *Core) startIsolated(now time.Time, fillers bool) {
+	kept := map[*task]*worker{}
 	for _, w := range c.sortedWorkers {
 		if w.isolated != nil && c.isolationOver(now, w) {
 			w.isolated = nil
 		}
+		if w.isolated != nil {
+			kept[w.isolated] = w
+		}
 	}
-	for _, t := range c.tasksWithCrashes() {
+	var waiting []*task
+	for t := range c.crashed.tasks {
 		switch {
 		case t.over():
 			delete(c.crashed.tasks, t)
 		case t.state == stateWaiting && t.startsAlone() && !t.step.spec.Gang && t.step.ready():
-			c.startAlone(now, t)
+			waiting = append(waiting, t)
+		}
+	}
+	slices.SortFunc(waiting, compareSuspects)
+	for _, t := range waiting {
+		w := kept[t]
+		if w == nil && c.isDue(now, t.step, fillers) && c.mayKeepAnother(t.step) {
+			w = c.keepWorker(now, t)
+		}
+		if w != nil && w.quiet() {
+			c.assignAlone(now, t, w)
 		}
 	}
 }
@@ -47,28 +62,6 @@
 	return c.refusalExcept(now, t.step, w, isolationChecks...) != ""
 }
 
-// startAlone starts a task on the worker that is kept for it, once that is quiet, or looks for one to keep.
-func (c *Core) startAlone(now time.Time, t *task) {
-	i := slices.IndexFunc(c.sortedWorkers, func(w *worker) bool { return w.isolated == t })
-	if i < 0 {
-		w := c.workerToIsolate(now, t)
-		if w == nil {
-			c.retryIsolation(now, t)
-			return
-		}
-		w.isolated = t
-		c.logDecision(event.Isolate, t.id.String(), fmt.Sprintf("worker=%s held=%d crashes=%+v", w.id, len(w.held), t.crashes))
-		if !w.quiet() {
-			return
-		}
-		c.assignAlone(now, t, w)
-		return
-	}
-	if w := c.sortedWorkers[i]; w.quiet() {
-		c.assignAlone(now, t, w)
-	}
-}
-
 // assignAlone gives a task its next run on the worker that is kept for it.
 func (c *Core) assignAlone(now time.Time, t *task, w *worker) {
 	starved := t.step.spec.Filler && c.refusalExcept(now, t.step, w, "isolation") != ""
@@ -76,15 +69,35 @@
 	t.pinned = starved
 }
 
-// retryIsolation handles that no worker can be kept for a task now: urgent tasks preempt others, as at any start.
-func (c *Core) retryIsolation(now time.Time, t *task) {
+// mayKeepAnother reports whether one more worker of a step's pool may be kept for isolated starts.
+func (c *Core) mayKeepAnother(s *step) bool {
+	p := c.pool(s)
+	kept := 0
+	for _, w := range p.workers {
+		if w.isolated != nil {
+			kept++
+		}
+	}
+	return kept < max(1, int(maxIsolatedShare*float64(len(p.workers))))
+}
+
+// keepWorker keeps a worker for the isolated start of a task. Without one it returns nil, and urgent tasks preempt others as
+// at any start.
+func (c *Core) keepWorker(now time.Time, t *task) *worker {
+	w := c.workerToIsolate(now, t)
+	if w != nil {
+		w.isolated = t
+		c.logDecision(event.Isolate, t.id.String(), fmt.Sprintf("worker=%s held=%d crashes=%+v", w.id, len(w.held), t.crashes))
+		return w
+	}
 	s := t.step
 	if s.unplacedSince.IsZero() {
 		s.unplacedSince = now
 	}
-	if !s.spec.Filler && c.isDue(now, s, false) && len(c.feasible(now, s)) == 0 {
+	if !s.spec.Filler {
 		c.handleRefusal(now, t, nil)
 	}
+	return nil
 }
 
 // quiet reports whether all runs on a worker have settled.
@@ -105,16 +118,6 @@
 // workerToIsolate returns the worker to keep for the start of a task, or nil: a stable one on which a crash would cost
 // the fewest runs.
 func (c *Core) workerToIsolate(now time.Time, t *task) *worker {
-	p := c.pool(t.step)
-	kept := 0
-	for _, w := range p.workers {
-		if w.isolated != nil {
-			kept++
-		}
-	}
-	if kept >= max(1, int(maxIsolatedShare*float64(len(p.workers)))) {
-		return nil
-	}
 	candidates := slices.DeleteFunc(c.feasible(now, t.step), func(w *worker) bool { return w.hasCopy(t) })
 	if len(candidates) == 0 {
 		if t.step.spec.Filler && t.step.starved(now) {
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -46,12 +46,12 @@
 		}
 	}
 	c.rankJobs(now)
-	c.startIsolated(now)
-	c.reserve(now)
 	fillers := !now.Before(c.nextFillerRound)
 	if fillers {
 		c.nextFillerRound = now.Add(fillerInterval)
 	}
+	c.startIsolated(now, fillers)
+	c.reserve(now)
 	for _, j := range slices.Clone(c.openJobs) {
 		for _, o := range j.inOrder() {
 			for _, s := range o.steps {
