--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -364,6 +364,7 @@
 		now = now.Add(sweepInterval)
 		c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, nil, nil)
 	}
+	settle(now, c)
 	if v, _ := c.Job("job"); v.State != Failed {
 		t.Errorf("job is %+v after %d crashes, want failed", v, maxCrashes)
 	}
