--- a/internal/sched/world_crash_test.go
+++ b/internal/sched/world_crash_test.go
@@ -65,3 +65,14 @@
 	}
 	return false
 }
+
+// deadlyStarted crashes the worker that has started a task which crashes each one, and checks how often it is started.
+func (w *world) deadlyStarted(e *executor, id job.TaskID, late bool) {
+	if w.crashed[id] >= 3 && !late {
+		w.startsAfter[id]++
+	}
+	if w.startsAfter[id] >= 3 {
+		w.t.Fatalf("%s started three times more after three crashes under it", id)
+	}
+	w.crash(e.node, true)
+}
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -165,13 +165,7 @@
 	}
 	e.running[s.RunRef] = &modelRun{left: 4, started: w.now}
 	if w.deadly[s.Task] {
-		if w.crashed[s.Task] >= 3 && !late {
-			w.startsAfter[s.Task]++
-		}
-		if w.startsAfter[s.Task] >= 3 {
-			w.t.Fatalf("%s started three times more after three crashes under it", s.Task)
-		}
-		w.crash(e.node, true)
+		w.deadlyStarted(e, s.Task, late)
 	}
 	return true
 }
@@ -391,42 +385,6 @@
 // stepOf returns the step of a task.
 func (w *world) stepOf(id job.TaskID) *job.Step { return &w.spec(id.Job).Steps[id.Step] }
 
-// member reports whether two runs belong to one run of a gang.
-func member(a, b link.RunRef) bool {
-	return a.Run == b.Run && a.Task.Job == b.Task.Job && a.Task.Step == b.Task.Step
-}
-
-// together reports whether all members of a gang run.
-func (w *world) together(ref link.RunRef) bool {
-	n := 0
-	for _, e := range w.execs {
-		for other := range e.running {
-			if e.up && member(ref, other) {
-				n++
-			}
-		}
-	}
-	return n == w.stepOf(ref.Task).Count
-}
-
-// breakGang ends the remaining members of a gang after one has ended.
-func (w *world) breakGang(ref link.RunRef) {
-	if w.stepOf(ref.Task).Gang {
-		w.endMembers(ref, link.GangBroken)
-	}
-}
-
-// endMembers ends the members of a gang that still run.
-func (w *world) endMembers(ref link.RunRef, o link.Outcome) {
-	for _, e := range w.execs {
-		for _, other := range refs(e) {
-			if e.up && member(ref, other) {
-				e.end(other, o)
-			}
-		}
-	}
-}
-
 // attach connects a node's newest incarnation.
 func (w *world) attach(node string) {
 	var newest *executor
