--- /dev/null
+++ b/review/standin/executor.go
@@ -0,0 +1,358 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Figures of an executor.
+const (
+	holdMax      = 6 * time.Second
+	stopTime     = 50 * time.Millisecond
+	endsPerCall  = 500
+	beatInterval = 1500 * time.Millisecond
+)
+
+// Capacity is the room of an executor.
+type Capacity struct {
+	CPU   int `json:"cpu"`
+	MemMB int `json:"mem_mb"`
+	GPU   int `json:"gpu"`
+}
+
+// Executor is one executor on a side machine; it may crash and start again.
+type Executor struct {
+	name, addr, control, zone, rack string
+	capacity                        Capacity
+	world                           *World
+	// intercept may take over a call before it reaches the executor; it reports whether it has.
+	intercept func(w http.ResponseWriter, r *http.Request, body []byte) bool
+
+	mu     sync.Mutex
+	life   *life
+	server *http.Server
+	beat   context.CancelFunc
+}
+
+// life is one incarnation of an executor.
+type life struct {
+	e       *Executor
+	id      string
+	born    int64
+	started time.Time
+	seq     int
+	service string
+	token   int64
+	lease   time.Time // zero: none
+	running map[string]*run
+	barred  map[string]int // the highest run of a task that was stopped or has ended
+	ended   []end
+	numbers int
+	acked   int
+	changed chan struct{}
+	dead    bool
+}
+
+// run is one run of a task.
+type run struct {
+	task     string
+	number   int
+	started  time.Time
+	lasts    time.Duration // 0: until it is stopped
+	stopping bool
+}
+
+// end is one entry of the list of ends.
+type end struct {
+	number int
+	task   string
+	run    int
+	how    string
+	saved  string
+}
+
+// Start begins a new incarnation of the executor under an id.
+func (e *Executor) Start(id string) error {
+	l, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	n := &life{
+		e: e, id: id, born: now.UnixMilli(), started: now, service: service,
+		running: map[string]*run{}, barred: map[string]int{}, changed: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	for _, path := range []string{"/v1/run-start", "/v1/run-stop", "/v1/hold", "/v1/pace"} {
+		mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+			body := new(bytes.Buffer)
+			if _, err := body.ReadFrom(r.Body); err != nil {
+				return
+			}
+			if e.intercept != nil && e.intercept(w, r, body.Bytes()) {
+				return
+			}
+			n.serve(w, r.Context(), path, r.Header.Get("Expect-Instance"), body.Bytes())
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.mu.Lock()
+	e.life, e.server, e.beat = n, &http.Server{Handler: mux}, cancel
+	server := e.server
+	e.mu.Unlock()
+	go server.Serve(l)
+	go n.watch(ctx)
+	go n.heartbeats(ctx)
+	e.world.log("executor %s starts as %s born %d", e.name, id, n.born)
+	return nil
+}
+
+// Crash ends the current incarnation at once; what runs is gone.
+func (e *Executor) Crash() {
+	e.mu.Lock()
+	n, server, cancel := e.life, e.server, e.beat
+	e.mu.Unlock()
+	cancel()
+	server.Close()
+	n.mu().Lock()
+	n.dead = true
+	runs := len(n.running)
+	for t, r := range n.running {
+		e.world.runEnded(n, r, "crashed")
+		delete(n.running, t)
+	}
+	n.mu().Unlock()
+	e.world.log("executor %s (%s) crashes, %d runs gone", e.name, n.id, runs)
+}
+
+// current returns the current incarnation.
+func (e *Executor) current() *life {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// mu is the lock of all that the world judges.
+func (n *life) mu() *sync.Mutex { return &n.e.world.mu }
+
+// clock returns the executor's steady clock in milliseconds, which starts with the incarnation.
+func (n *life) clock() int64 { return time.Since(n.started).Milliseconds() }
+
+// call is the body of any call.
+type call struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	UntilMS    *int64 `json:"until_ms"`
+	Token      int64  `json:"fencing_token"`
+	Checkpoint string `json:"checkpoint"`
+	LastSeen   int    `json:"last_seen"`
+	WaitMS     int    `json:"wait_ms"`
+}
+
+// serve carries out one call.
+func (n *life) serve(w http.ResponseWriter, ctx context.Context, path, instance string, body []byte) {
+	var c call
+	if json.Unmarshal(body, &c) != nil {
+		writeJSON(w, http.StatusBadRequest, map[string]any{"clock_ms": n.clock()})
+		return
+	}
+	n.mu().Lock()
+	if n.dead {
+		n.mu().Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	if instance != "" && instance != n.id {
+		n.mu().Unlock()
+		writeJSON(w, http.StatusMisdirectedRequest, map[string]any{"clock_ms": n.clock()})
+		return
+	}
+	status, answer := http.StatusOK, map[string]any{}
+	if c.Token < n.token {
+		status, answer["reason"] = http.StatusConflict, "fence"
+	} else {
+		n.token = c.Token
+		n.extend(c.UntilMS)
+		switch path {
+		case "/v1/run-start":
+			status = n.start(c, answer)
+		case "/v1/run-stop":
+			n.stop(c)
+		case "/v1/hold":
+			n.forget(c.LastSeen)
+			n.mu().Unlock()
+			n.await(ctx, time.Duration(c.WaitMS)*time.Millisecond)
+			n.mu().Lock()
+			n.list(answer)
+		}
+	}
+	answer["clock_ms"] = n.clock()
+	n.mu().Unlock()
+	writeJSON(w, status, answer)
+}
+
+// extend extends the lease; it never shortens.
+func (n *life) extend(untilMS *int64) {
+	if untilMS == nil {
+		return
+	}
+	until := n.started.Add(time.Duration(min(*untilMS, n.clock()+holdMax.Milliseconds())) * time.Millisecond)
+	if until.After(n.lease) {
+		n.lease = until
+	}
+}
+
+// start carries out a start and returns the status of its answer.
+func (n *life) start(c call, answer map[string]any) int {
+	r := n.running[c.Task]
+	switch {
+	case r != nil && r.number == c.Run:
+		return http.StatusOK
+	case c.UntilMS == nil || *c.UntilMS <= n.clock():
+		answer["reason"] = "late"
+		return http.StatusConflict
+	case c.Run <= n.barred[c.Task] || r != nil:
+		answer["reason"] = "old"
+		return http.StatusConflict
+	}
+	r = &run{task: c.Task, number: c.Run, started: time.Now(), lasts: n.e.world.duration(c.Task, c.Spec)}
+	n.running[c.Task] = r
+	n.e.world.runStarted(n, r, c.Spec)
+	return http.StatusOK
+}
+
+// stop carries out a stop.
+func (n *life) stop(c call) {
+	n.barred[c.Task] = max(n.barred[c.Task], c.Run)
+	r := n.running[c.Task]
+	if r == nil || r.number > c.Run || r.stopping {
+		return
+	}
+	r.stopping = true
+	time.AfterFunc(stopTime, func() {
+		n.mu().Lock()
+		defer n.mu().Unlock()
+		n.finish(r, "stopped")
+	})
+}
+
+// finish lists the end of a run.
+func (n *life) finish(r *run, how string) {
+	if n.running[r.task] != r || n.dead {
+		return
+	}
+	delete(n.running, r.task)
+	n.barred[r.task] = max(n.barred[r.task], r.number)
+	n.numbers++
+	n.ended = append(n.ended, end{n.numbers, r.task, r.number, how, r.saved()})
+	n.e.world.runEnded(n, r, how)
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// saved returns the newest checkpoint of a run; one is made with each second of work.
+func (r *run) saved() string {
+	if s := int(time.Since(r.started) / time.Second); s > 0 && checkpoints {
+		return fmt.Sprintf("%08x%08x", s, len(r.task)*2654435761%(1<<32))
+	}
+	return ""
+}
+
+// forget drops the ends up to a number.
+func (n *life) forget(lastSeen int) {
+	if lastSeen > n.acked {
+		n.acked = lastSeen
+		n.e.world.acknowledged(n, lastSeen)
+	}
+	i := 0
+	for i < len(n.ended) && n.ended[i].number <= lastSeen {
+		i++
+	}
+	n.ended = n.ended[i:]
+}
+
+// await waits until an end is listed.
+func (n *life) await(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	n.mu().Lock()
+	any, changed := len(n.ended) > 0, n.changed
+	n.mu().Unlock()
+	if any {
+		return
+	}
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// list adds both lists to an answer, the first 500 ends.
+func (n *life) list(answer map[string]any) {
+	running, ended := [][]any{}, [][]any{}
+	for _, r := range n.running {
+		percent := 100
+		if r.lasts > 0 {
+			percent = int(min(99, 100*time.Since(r.started)/r.lasts))
+		}
+		running = append(running, []any{r.task, r.number, r.saved(), percent, 10})
+	}
+	for _, e := range n.ended[:min(len(n.ended), endsPerCall)] {
+		ended = append(ended, []any{e.number, e.task, e.run, e.how, e.saved})
+	}
+	answer["running"], answer["ended"], answer["born"] = running, ended, n.born
+}
+
+// watch ends runs whose work is done, and everything when the lease has expired.
+func (n *life) watch(ctx context.Context) {
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		<-tick.C
+		n.mu().Lock()
+		now := time.Now()
+		for _, r := range n.running {
+			switch {
+			case now.After(n.lease):
+				n.finish(r, "lapsed")
+			case r.lasts > 0 && now.Sub(r.started) >= r.lasts:
+				n.finish(r, "done")
+			}
+		}
+		n.mu().Unlock()
+	}
+}
+
+// heartbeats announces the executor to the guard on its machine.
+func (n *life) heartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.seq++
+		status, err := n.e.world.post(ctx, n.e.control, "/v1/instances/"+n.id+"/heartbeat", map[string]any{
+			"service": n.service, "address": n.e.addr, "zone": n.e.zone, "version": "v1", "slots": 8, "state": "ready",
+			"cold_left_ms": 0, "capacity": n.e.capacity, "labels": []string{"a", n.e.rack}, "clock_ms": n.clock(),
+			"seq": n.seq, "born": n.born,
+		})
+		wait := beatInterval
+		if err != nil || status != http.StatusOK {
+			wait = 300 * time.Millisecond
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// jobOf returns the id of a task's job.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
