--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -18,6 +18,10 @@
 	stopTime     = 50 * time.Millisecond
 	endsPerCall  = 500
 	beatInterval = 1500 * time.Millisecond
+	drainTime    = 2 * time.Second
+	gangTime     = 3 * time.Second
+	saveWork     = time.Second
+	failTime     = 300 * time.Millisecond
 )
 
 // Capacity is the room of an executor.
@@ -29,9 +33,11 @@
 
 // Executor is one executor on a side machine; it may crash and start again.
 type Executor struct {
-	name, addr, control, zone, rack string
-	capacity                        Capacity
-	world                           *World
+	name, addr, control, zone, kind, rack string
+	capacity                              Capacity
+	world                                 *World
+	// failing says that all that it starts fails; it is under the world's lock.
+	failing bool
 	// intercept may take over a call before it reaches the executor; it reports whether it has.
 	intercept func(w http.ResponseWriter, r *http.Request, body []byte) bool
 
@@ -49,6 +55,7 @@
 	started time.Time
 	seq     int
 	service string
+	drains  chan struct{} // closed once it reports that it drains
 	token   int64
 	lease   time.Time // zero: none
 	running map[string]*run
@@ -67,6 +74,8 @@
 	started  time.Time
 	lasts    time.Duration // 0: until it is stopped
 	stopping bool
+	fails    bool
+	gang     *gang // nil for a task that works alone
 }
 
 // end is one entry of the list of ends.
@@ -86,7 +95,7 @@
 	}
 	now := time.Now()
 	n := &life{
-		e: e, id: id, born: now.UnixMilli(), started: now, service: service,
+		e: e, id: id, born: now.UnixMilli(), started: now, service: service, drains: make(chan struct{}),
 		running: map[string]*run{}, barred: map[string]int{}, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -127,11 +136,23 @@
 	for t, r := range n.running {
 		e.world.runEnded(n, r, "crashed")
 		delete(n.running, t)
+		r.gang.leave(r, "crashed")
 	}
 	n.mu().Unlock()
 	e.world.log("executor %s (%s) crashes, %d runs gone", e.name, n.id, runs)
 }
 
+// Drain takes the executor away as planned: it reports that it drains, serves on for a while, leaves and ends.
+func (e *Executor) Drain() {
+	n := e.current()
+	close(n.drains)
+	e.world.log("executor %s (%s) drains", e.name, n.id)
+	time.Sleep(drainTime + time.Second)
+	status, err := e.world.post(context.Background(), e.control, "/v1/instances/"+n.id+"/leave", map[string]any{})
+	e.world.log("executor %s (%s) leaves: %d %v", e.name, n.id, status, err)
+	e.Crash()
+}
+
 // current returns the current incarnation.
 func (e *Executor) current() *life {
 	e.mu.Lock()
@@ -223,7 +244,9 @@
 		return http.StatusConflict
 	}
 	r = &run{task: c.Task, number: c.Run, started: time.Now(), lasts: n.e.world.duration(c.Task, c.Spec)}
+	r.fails = n.e.failing
 	n.running[c.Task] = r
+	n.e.world.joinGang(n, r, c.Checkpoint)
 	n.e.world.runStarted(n, r, c.Spec)
 	return http.StatusOK
 }
@@ -251,14 +274,22 @@
 	delete(n.running, r.task)
 	n.barred[r.task] = max(n.barred[r.task], r.number)
 	n.numbers++
-	n.ended = append(n.ended, end{n.numbers, r.task, r.number, how, r.saved()})
+	saved := r.saved()
+	if r.gang != nil && how == "stopped" {
+		saved = r.gang.value(r.gang.progress())
+	}
+	n.ended = append(n.ended, end{n.numbers, r.task, r.number, how, saved})
 	n.e.world.runEnded(n, r, how)
 	close(n.changed)
 	n.changed = make(chan struct{})
+	r.gang.leave(r, how)
 }
 
 // saved returns the newest checkpoint of a run; one is made with each second of work.
 func (r *run) saved() string {
+	if r.gang != nil {
+		return r.gang.value(r.gang.resumed + (r.gang.progress() - r.gang.resumed).Truncate(saveWork))
+	}
 	if s := int(time.Since(r.started) / time.Second); s > 0 && checkpoints {
 		return fmt.Sprintf("%08x%08x", s, len(r.task)*2654435761%(1<<32))
 	}
@@ -301,7 +332,7 @@
 	for _, r := range n.running {
 		percent := 100
 		if r.lasts > 0 {
-			percent = int(min(99, 100*time.Since(r.started)/r.lasts))
+			percent = int(min(99, 100*r.worked()/r.lasts))
 		}
 		running = append(running, []any{r.task, r.number, r.saved(), percent, 10})
 	}
@@ -323,8 +354,12 @@
 			switch {
 			case now.After(n.lease):
 				n.finish(r, "lapsed")
-			case r.lasts > 0 && now.Sub(r.started) >= r.lasts:
+			case r.fails && now.Sub(r.started) >= failTime:
+				n.finish(r, "failed")
+			case r.lasts > 0 && r.worked() >= r.lasts:
 				n.finish(r, "done")
+			case r.gang != nil && r.gang.began.IsZero() && now.Sub(r.started) >= gangTime:
+				n.finish(r, "alone")
 			}
 		}
 		n.mu().Unlock()
@@ -333,19 +368,26 @@
 
 // heartbeats announces the executor to the guard on its machine.
 func (n *life) heartbeats(ctx context.Context) {
+	drains, state := n.drains, "ready"
 	for ctx.Err() == nil {
 		n.seq++
-		status, err := n.e.world.post(ctx, n.e.control, "/v1/instances/"+n.id+"/heartbeat", map[string]any{
-			"service": n.service, "address": n.e.addr, "zone": n.e.zone, "version": "v1", "slots": 8, "state": "ready",
-			"cold_left_ms": 0, "capacity": n.e.capacity, "labels": []string{"a", n.e.rack}, "clock_ms": n.clock(),
+		body := map[string]any{
+			"service": n.service, "address": n.e.addr, "zone": n.e.zone, "version": "v1", "slots": 8, "state": state,
+			"cold_left_ms": 0, "capacity": n.e.capacity, "labels": []string{n.e.kind, n.e.rack}, "clock_ms": n.clock(),
 			"seq": n.seq, "born": n.born,
-		})
+		}
+		if state == "draining" {
+			body["remaining_ms"] = drainTime.Milliseconds()
+		}
+		status, err := n.e.world.post(ctx, n.e.control, "/v1/instances/"+n.id+"/heartbeat", body)
 		wait := beatInterval
 		if err != nil || status != http.StatusOK {
 			wait = 300 * time.Millisecond
 		}
 		select {
 		case <-time.After(wait):
+		case <-drains:
+			drains, state = nil, "draining"
 		case <-ctx.Done():
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,8 @@
 	"record":    recordCase,
 	"cancel":    cancelCase,
 	"reborn":    rebornCase,
+	"gang":      gangCase,
+	"trial":     trialCase,
 	"announced": announcedCase,
 }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -52,6 +52,9 @@
 	// current holds what runs now, by task.
 	current  map[string][]*seenRun
 	overlaps []string
+	// gangSize is the number of members of the gang of a job.
+	gangSize map[string]int
+	gangs    map[string]*gang
 	// quiet leaves the runs out of the record.
 	quiet bool
 }
@@ -79,11 +82,12 @@
 
 // NewWorld makes the store, the configuration and the settings of a deployment.
 func NewWorld(fronts, sides int, capacity Capacity) (*World, error) {
-	here, err := os.Getwd()
+	// The program stands in target/review.
+	program, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	root := filepath.Join(here, "..", "..")
+	root := filepath.Join(filepath.Dir(program), "..", "..")
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
@@ -94,6 +98,7 @@
 	}
 	w := &World{
 		root: root, dir: dir, record: record, began: time.Now(), store: NewStore(), current: map[string][]*seenRun{},
+		gangSize: map[string]int{}, gangs: map[string]*gang{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		lasts:  func(string, string) time.Duration { return time.Second },
 	}
@@ -123,7 +128,7 @@
 		w.sides = append(w.sides, p)
 		w.execs = append(w.execs, &Executor{
 			name: fmt.Sprintf("W%d", i+1), addr: app, control: ip + ":" + strconv.Itoa(portControl), zone: zone(i),
-			rack: fmt.Sprintf("r%d", i/3), capacity: capacity, world: w,
+			kind: "a", rack: fmt.Sprintf("r%d", i/3), capacity: capacity, world: w,
 		})
 	}
 	return w, nil
@@ -445,13 +450,15 @@
 
 // Step is one step of a job.
 type Step struct {
-	Count         int   `json:"count"`
-	CPU           int   `json:"cpu"`
-	MemMB         int   `json:"mem_mb"`
-	EstimateMS    int   `json:"estimate_ms"`
-	DependsOn     []int `json:"depends_on,omitempty"`
-	Checkpointing bool  `json:"checkpointing,omitempty"`
-	LongRunning   bool  `json:"long_running,omitempty"`
+	Count         int    `json:"count"`
+	CPU           int    `json:"cpu"`
+	MemMB         int    `json:"mem_mb"`
+	EstimateMS    int    `json:"estimate_ms"`
+	DependsOn     []int  `json:"depends_on,omitempty"`
+	Checkpointing bool   `json:"checkpointing,omitempty"`
+	LongRunning   bool   `json:"long_running,omitempty"`
+	Gang          bool   `json:"gang,omitempty"`
+	Requires      string `json:"requires,omitempty"`
 }
 
 // newID returns the id of a job.
