--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -15,7 +16,8 @@
 	return float64(h.Sum32()%1000) / 1000
 }
 
-// endsCase kills the owner of the cell while each executor has more ends to list than one answer holds.
+// endsCase lets the store fall silent while each executor has more ends to list than one answer holds. With
+// DISRUPTION=kill the owner of the cell is killed instead.
 func endsCase() (int, string) {
 	w, err := NewWorld(2, 3, Capacity{CPU: 16000, MemMB: 64000})
 	if err != nil {
@@ -35,7 +37,14 @@
 	first := w.firstStart(10 * time.Second)
 	time.Sleep(time.Until(first.Add(3400 * time.Millisecond)))
 	w.log("%d runs work", w.working(id))
-	if owner := w.Owner(); trouble && owner != nil {
+	owner := w.Owner()
+	switch {
+	case trouble && os.Getenv("DISRUPTION") != "kill":
+		w.log("the store is silent for 4.5 s")
+		for _, p := range append(append([]*Process{}, w.sides...), w.fronts...) {
+			p.gate.Shut(4500 * time.Millisecond)
+		}
+	case trouble && owner != nil:
 		w.Kill(owner)
 		time.Sleep(500 * time.Millisecond)
 		if err := w.Start(owner); err != nil {
@@ -50,7 +59,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	again := w.startsAfterDone()
-	for _, text := range again {
+	for _, text := range again[:min(len(again), 40)] {
 		w.log("AGAIN: %s", text)
 	}
 	w.log("%d runs in all, state %q", len(w.runs), state)
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -58,6 +58,7 @@
 	drains  chan struct{} // closed once it reports that it drains
 	token   int64
 	lease   time.Time // zero: none
+	lapsed  int       // the highest end that was listed when the lease lapsed
 	running map[string]*run
 	barred  map[string]int // the highest run of a task that was stopped or has ended
 	ended   []end
@@ -224,6 +225,9 @@
 	if untilMS == nil {
 		return
 	}
+	if n.lease.Before(time.Now()) {
+		n.lapsed = n.numbers
+	}
 	until := n.started.Add(time.Duration(min(*untilMS, n.clock()+holdMax.Milliseconds())) * time.Millisecond)
 	if until.After(n.lease) {
 		n.lease = until
@@ -350,6 +354,9 @@
 		<-tick.C
 		n.mu().Lock()
 		now := time.Now()
+		if n.lease.Before(now) {
+			n.lapsed = n.numbers
+		}
 		for _, r := range n.running {
 			switch {
 			case now.After(n.lease):
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -384,7 +384,7 @@
 	for _, s := range w.runs {
 		if s.life == n && s.how != "" && s.how != "crashed" && s.endNumber <= lastSeen && !s.noted {
 			s.noted = true
-			s.lapsed = n.lease.Before(time.Now())
+			s.lapsed = s.endNumber <= n.lapsed
 		}
 	}
 }
