--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Plays the case gang; see claim.txt. TROUBLE=0 leaves the disruption out.
+# Plays the case advice; see claim.txt. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
-exec ../../target/review/standin gang
+exec ../../target/review/standin advice
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -411,3 +411,53 @@
 	}
 	return finish(w, held, "all ran")
 }
+
+// adviceCase crashes one executor while small jobs come on a queue with advice.
+func adviceCase() (int, string) {
+	w, err := NewWorld(2, 7, Capacity{CPU: 16000, MemMB: 64000})
+	if err != nil {
+		return unable, err.Error()
+	}
+	w.prefix = advisedPrefix
+	if err := w.Up(); err != nil {
+		return finish(w, unable, err.Error())
+	}
+	var ids []string
+	crashed := make(chan error, 1)
+	for i := range 100 {
+		if i == 40 {
+			go func() {
+				if !trouble {
+					crashed <- nil
+					return
+				}
+				e := w.execs[2]
+				w.awaitStart(e, 2*time.Second)
+				e.Crash()
+				time.Sleep(4 * time.Second)
+				crashed <- e.Start("i-9c0b77e1")
+			}()
+		}
+		id := newID()
+		if w.Submit(i, id, "task", Step{Count: 8, CPU: 500, MemMB: 500, EstimateMS: 1000}) {
+			ids = append(ids, id)
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	if err := <-crashed; err != nil {
+		return finish(w, unable, err.Error())
+	}
+	time.Sleep(30 * time.Second)
+	stuck := 0
+	for i, id := range ids {
+		before := w.adviser.asked(id)
+		if _, state := w.State(i, id); state != "completed" && w.working(id) == 0 && w.startsOf(id, time.Now().Add(-25*time.Second)) == 0 {
+			stuck++
+			w.log("job %s: %s, no task started for 25 s, advice was asked %d times in all", id, state, before)
+		}
+	}
+	if stuck > 0 {
+		return finish(w, broken, fmt.Sprintf("LOST: %d of %d accepted jobs have a task that isn't started again for 25 s on empty executors", stuck, len(ids)))
+	}
+	return finish(w, held, fmt.Sprintf("all %d jobs completed", len(ids)))
+}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -175,6 +175,7 @@
 	UntilMS    *int64 `json:"until_ms"`
 	Token      int64  `json:"fencing_token"`
 	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
 	LastSeen   int    `json:"last_seen"`
 	WaitMS     int    `json:"wait_ms"`
 }
@@ -243,6 +244,9 @@
 	case c.UntilMS == nil || *c.UntilMS <= n.clock():
 		answer["reason"] = "late"
 		return http.StatusConflict
+	case n.e.world.prefix == advisedPrefix && !n.e.world.adviser.valid(c.Task, n.id, c.Ticket):
+		answer["reason"] = "ticket"
+		return http.StatusConflict
 	case c.Run <= n.barred[c.Task] || r != nil:
 		answer["reason"] = "old"
 		return http.StatusConflict
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"cancel":    cancelCase,
 	"reborn":    rebornCase,
 	"gang":      gangCase,
+	"advice":    adviceCase,
 	"trial":     trialCase,
 	"announced": announcedCase,
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -39,10 +39,13 @@
 	record    *os.File
 	began     time.Time
 	store     *Store
-	fronts    []*Process
-	sides     []*Process
-	execs     []*Executor
-	client    *http.Client
+	adviser   *Adviser
+	// adviserAddr is the address of the adviser, prefix the path of the queue that clients use.
+	adviserAddr, prefix string
+	fronts              []*Process
+	sides               []*Process
+	execs               []*Executor
+	client              *http.Client
 
 	mu       sync.Mutex
 	recordMu sync.Mutex
@@ -98,7 +101,7 @@
 	}
 	w := &World{
 		root: root, dir: dir, record: record, began: time.Now(), store: NewStore(), current: map[string][]*seenRun{},
-		gangSize: map[string]int{}, gangs: map[string]*gang{},
+		gangSize: map[string]int{}, gangs: map[string]*gang{}, adviser: NewAdviser(), prefix: prefix,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		lasts:  func(string, string) time.Duration { return time.Second },
 	}
@@ -109,6 +112,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if w.adviserAddr, err = w.serve(w.net+".2", w.adviser); err != nil {
+		return nil, err
+	}
 	w.configure(1)
 	internal := 20000 + rand.Intn(10000)
 	for i := range fronts {
@@ -177,6 +183,10 @@
 		"routes": []map[string]any{{
 			"name": "work", "host": host, "path_prefix": prefix, "service": service, "priority": 0,
 			"max_attempts": 4, "stretch": 4, "latency_target_ms": 1000,
+		}, {
+			"name": "advised", "host": host, "path_prefix": advisedPrefix, "service": service, "priority": 0,
+			"max_attempts": 4, "stretch": 4, "latency_target_ms": 1000,
+			"advice": map[string]any{"decide_ms": decideMS, "each_ms": eachMS, "valid_ms": validMS},
 		}},
 		"services": []map[string]any{{"name": service, "rejects_overload": false}},
 		"limits":   map[string]any{"max_body_bytes": 262144},
@@ -210,6 +220,7 @@
 bootstrap = true
 heartbeat_ms = 1500
 orders = "invocation"
+advice = %q
 %s[listen]
 %s[limits]
 cpu_share = 0.24
@@ -237,7 +248,7 @@
 record_bytes = %d
 call_bytes = %d
 keep_s = 300
-`, p.name, class, class, class, ip, zone(n-1), internal, internal+15, side, listen, holdMax.Milliseconds(), gate.addr, recordBytes, callBytes)
+`, p.name, class, class, class, ip, zone(n-1), internal, internal+15, w.adviserAddr, side, listen, holdMax.Milliseconds(), gate.addr, recordBytes, callBytes)
 	return p, os.WriteFile(p.file, []byte(text), 0o600)
 }
 
@@ -448,6 +459,20 @@
 	return time.Now()
 }
 
+// awaitStart waits until an executor has just started a run.
+func (w *World) awaitStart(e *Executor, limit time.Duration) {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		w.mu.Lock()
+		for _, r := range e.life.running {
+			if age := time.Since(r.started); age > 50*time.Millisecond && age < 150*time.Millisecond {
+				w.mu.Unlock()
+				return
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
 // Step is one step of a job.
 type Step struct {
 	Count         int    `json:"count"`
@@ -472,7 +497,7 @@
 	if body != nil {
 		data, _ = json.Marshal(body)
 	}
-	addr := fmt.Sprintf("http://%s:%d%s%s", w.fronts[front%len(w.fronts)].ip, portFront, prefix, id)
+	addr := fmt.Sprintf("http://%s:%d%s%s", w.fronts[front%len(w.fronts)].ip, portFront, w.prefix, id)
 	req, err := http.NewRequestWithContext(ctx, method, addr, bytes.NewReader(data))
 	if err != nil {
 		return 0, ""
