--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"net/http"
@@ -461,3 +462,108 @@
 	}
 	return finish(w, held, fmt.Sprintf("all %d jobs completed", len(ids)))
 }
+
+// latePollCase holds one hold up on its way; meanwhile the executor crashes and starts again under its id.
+func latePollCase() (int, string) {
+	w, err := NewWorld(2, 2, Capacity{CPU: 16000, MemMB: 64000})
+	if err != nil {
+		return unable, err.Error()
+	}
+	w.lasts = func(_, spec string) time.Duration {
+		if spec == "long" {
+			return 4 * time.Second
+		}
+		return 300 * time.Millisecond
+	}
+	const delay = 5 * time.Second
+	e := w.execs[0]
+	catch := make(chan struct{}, 1) // holds a token while the next hold shall be held up
+	caught := make(chan struct{}, 1)
+	e.intercept = func(rw http.ResponseWriter, r *http.Request, body []byte) bool {
+		var b call
+		if r.URL.Path != "/v1/hold" || json.Unmarshal(body, &b) != nil || b.LastSeen < 12 {
+			return false
+		}
+		select {
+		case <-catch:
+		default:
+			return false
+		}
+		w.log("a hold to %s is held up: %s", e.name, body)
+		instance := r.Header.Get("Expect-Instance")
+		time.AfterFunc(delay, func() {
+			w.log("the hold to %s arrives", e.name)
+			e.current().serve(discard{}, context.Background(), "/v1/hold", instance, body)
+		})
+		caught <- struct{}{}
+		<-r.Context().Done()
+		return true
+	}
+	if err := w.Up(); err != nil {
+		return finish(w, unable, err.Error())
+	}
+	for i := range 10 {
+		w.Submit(i, newID(), "short", Step{Count: 6, CPU: 1000, MemMB: 100, EstimateMS: 300})
+		time.Sleep(400 * time.Millisecond)
+	}
+	if trouble {
+		catch <- struct{}{}
+		w.Submit(0, newID(), "short", Step{Count: 6, CPU: 1000, MemMB: 100, EstimateMS: 300})
+		<-caught
+		time.Sleep(500 * time.Millisecond)
+		e.Crash()
+		time.Sleep(2 * time.Second)
+		if err := e.Start(e.life.id); err != nil {
+			return finish(w, unable, err.Error())
+		}
+		time.Sleep(700 * time.Millisecond)
+	}
+	id := newID()
+	if !w.Submit(0, id, "long", Step{Count: 12, CPU: 1000, MemMB: 100, EstimateMS: 4000}) {
+		return finish(w, unable, "the job was not accepted")
+	}
+	time.Sleep(20 * time.Second)
+	again := w.startsAfterDone()
+	for _, text := range again {
+		w.log("AGAIN: %s", text)
+	}
+	if n := len(again) + len(w.overlaps); n > 0 {
+		return finish(w, broken, fmt.Sprintf("TWICE: %d starts of tasks that had ended done, %d at the same time", len(again), len(w.overlaps)))
+	}
+	return finish(w, held, "no task ran again")
+}
+
+// deadlyCase runs a task that crashes each executor that starts it, after some seconds of work.
+func deadlyCase() (int, string) {
+	w, err := NewWorld(2, 4, Capacity{CPU: 16000, MemMB: 64000})
+	if err != nil {
+		return unable, err.Error()
+	}
+	w.lasts = func(string, string) time.Duration { return 14 * time.Second }
+	if err := w.Up(); err != nil {
+		return finish(w, unable, err.Error())
+	}
+	if trouble {
+		deadlyAfter = 10800 * time.Millisecond
+	}
+	id := newID()
+	if !w.Submit(0, id, "task", Step{Count: 1, CPU: 500, MemMB: 100, EstimateMS: 14000}) {
+		return finish(w, unable, "the job was not accepted")
+	}
+	state := ""
+	for end := time.Now().Add(95 * time.Second); time.Now().Before(end) && state != "completed" && state != "failed"; time.Sleep(2 * time.Second) {
+		_, state = w.State(0, id)
+	}
+	w.mu.Lock()
+	starts, crashes := len(w.runs), 0
+	for _, s := range w.runs {
+		if s.how == "crashed" {
+			crashes++
+		}
+	}
+	w.mu.Unlock()
+	if starts >= 6 {
+		return finish(w, broken, fmt.Sprintf("BUDGET: the task was started %d times, %d executors have crashed under it; the job is %s", starts, crashes, state))
+	}
+	return finish(w, held, fmt.Sprintf("%d starts, %d crashes, the job is %s", starts, crashes, state))
+}
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -63,7 +63,7 @@
 	barred  map[string]int // the highest run of a task that was stopped or has ended
 	ended   []end
 	numbers int
-	acked   int
+	acked   int // the highest last_seen; ends up to it are forgotten
 	changed chan struct{}
 	dead    bool
 }
@@ -143,6 +143,16 @@
 	e.world.log("executor %s (%s) crashes, %d runs gone", e.name, n.id, runs)
 }
 
+// crashAndReturn crashes the executor under a deadly task; it is back after two seconds.
+func (e *Executor) crashAndReturn() {
+	id := e.current().id
+	e.Crash()
+	time.Sleep(2 * time.Second)
+	if err := e.Start(id); err != nil {
+		e.world.log("executor %s doesn't start: %v", e.name, err)
+	}
+}
+
 // Drain takes the executor away as planned: it reports that it drains, serves on for a while, leaves and ends.
 func (e *Executor) Drain() {
 	n := e.current()
@@ -286,7 +296,9 @@
 	if r.gang != nil && how == "stopped" {
 		saved = r.gang.value(r.gang.progress())
 	}
-	n.ended = append(n.ended, end{n.numbers, r.task, r.number, how, saved})
+	if n.numbers > n.acked {
+		n.ended = append(n.ended, end{n.numbers, r.task, r.number, how, saved})
+	}
 	n.e.world.runEnded(n, r, how)
 	close(n.changed)
 	n.changed = make(chan struct{})
@@ -365,6 +377,10 @@
 			switch {
 			case now.After(n.lease):
 				n.finish(r, "lapsed")
+			case r.lasts > 0 && deadlyAfter > 0 && r.worked() >= deadlyAfter:
+				go n.e.crashAndReturn()
+				n.mu().Unlock()
+				return
 			case r.fails && now.Sub(r.started) >= failTime:
 				n.finish(r, "failed")
 			case r.lasts > 0 && r.worked() >= r.lasts:
@@ -404,6 +420,9 @@
 	}
 }
 
+// deadlyAfter is the age at which each run crashes its executor; 0 for never.
+var deadlyAfter time.Duration
+
 // jobOf returns the id of a task's job.
 func jobOf(task string) string {
 	id, _, _ := strings.Cut(task, ".")
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +26,8 @@
 	"cancel":    cancelCase,
 	"reborn":    rebornCase,
 	"gang":      gangCase,
+	"latepoll":  latePollCase,
+	"deadly":    deadlyCase,
 	"advice":    adviceCase,
 	"trial":     trialCase,
 	"announced": announcedCase,
@@ -33,15 +38,29 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE")
 		os.Exit(unable)
 	}
-	time.AfterFunc(118*time.Second, func() {
-		fmt.Println("the case took too long")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		why := "interrupted"
+		select {
+		case <-stop:
+		case <-time.After(117 * time.Second):
+			why = "the case took too long"
+		}
+		if w := world.Load(); w != nil {
+			w.Down()
+		}
+		fmt.Println(why)
 		os.Exit(unable)
-	})
+	}()
 	code, why := cases[os.Args[1]]()
 	fmt.Println(why)
 	os.Exit(code)
 }
 
+// world is the deployment that is up, so that it can be ended at any time.
+var world atomic.Pointer[World]
+
 // finish records the outcome and ends everything.
 func finish(w *World, code int, why string) (int, string) {
 	w.log("OUTCOME %d: %s", code, why)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -294,6 +294,7 @@
 
 // Up starts everything and waits until the fronts are ready and every executor can be given work.
 func (w *World) Up() error {
+	world.Store(w)
 	for i, e := range w.execs {
 		if err := e.Start(fmt.Sprintf("i-%08x", 0x7f3a0000+i)); err != nil {
 			return err
@@ -375,12 +376,20 @@
 	w.current[r.task] = append(w.current[r.task], s)
 }
 
+// noteForgotten marks an end that the executor has forgotten before it listed it. The caller holds the lock.
+func (w *World) noteForgotten(s *seenRun, n *life, how string) {
+	if how != "crashed" && n.numbers <= n.acked {
+		s.noted = true
+	}
+}
+
 // runEnded records the end of a run. The caller holds the lock.
 func (w *World) runEnded(n *life, r *run, how string) {
 	list := w.current[r.task]
 	for i, s := range list {
 		if s.life == n && s.number == r.number {
 			s.ended, s.how, s.endNumber = time.Now(), how, n.numbers
+			w.noteForgotten(s, n, how)
 			w.current[r.task] = append(list[:i:i], list[i+1:]...)
 			if !w.quiet {
 				w.log("%s ends %s run %d as %s, number %d", n.e.name, r.task, r.number, how, n.numbers)
