Scheduler: a refused isolated start no longer hides the request for approval

Cause: the isolated start of such a task is tried before placement. Its refusal set the retry time that both share, so that placement, which alone asked the policy service for new tickets, was never due in a round.

Evidence: TestSuspectTaskIsApprovedAgain fails on the old code with "ticket: not approved by the policy service x3" at every round and no request. With it failed TestSuspectTaskHoldsUpNoOthers, TestSuspectFillerStarves and TestGangAsksForMoreApprovals, which show the same cause on related paths.

Change: isolated starts and placement have a retry time each; each refusal asks for approvals; the time since when a step waits is kept while a suspect waits. All four tests pass, as do the others of internal/sched.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -33,10 +33,10 @@
 	Valid   time.Duration
 }
 
-// requestApproval queues an approval request for a step, unless one is pending. Workers that a response has
-// left out are never requested again for that step.
+// requestApproval queues an approval request for a step whose queue takes advice, unless one is pending. Workers that a
+// response has left out are never requested again for that step.
 func (c *Core) requestApproval(now time.Time, s *step) {
-	if s.approvalPending || now.Before(s.nextRequestAt) {
+	if s.occ.job.spec.Policy.Advice == nil || s.approvalPending || now.Before(s.nextRequestAt) {
 		return
 	}
 	var candidates []*worker
@@ -75,7 +75,7 @@
 		return
 	}
 	delete(c.awaitingApproval, req.Step)
-	s.approvalPending, s.retryAt = false, time.Time{}
+	s.approvalPending, s.placement, s.isolation = false, retry{}, retry{}
 	if err != nil {
 		s.nextRequestAt = now.Add(approvalRetryDelay)
 		c.logDecision(event.Advice, req.Step, fmt.Sprintf("workers=%d err=%q", len(req.Workers), err))
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -41,7 +41,7 @@
 	slices.SortFunc(waiting, compareSuspects)
 	for _, t := range waiting {
 		w := kept[t]
-		if w == nil && c.isDue(now, t.step, fillers) && c.mayKeepAnother(t.step) {
+		if w == nil && c.isDue(now, t.step, t.step.isolation, fillers) && c.mayKeepAnother(t.step) {
 			w = c.keepWorker(now, t)
 		}
 		if w != nil && w.quiet() {
@@ -67,6 +67,9 @@
 	starved := t.step.spec.Filler && c.refusalExcept(now, t.step, w, "isolation") != ""
 	c.assign(now, t, w, 0)
 	t.pinned = starved
+	if t.step.waiting == 0 {
+		t.step.unplacedSince = time.Time{}
+	}
 }
 
 // mayKeepAnother reports whether one more worker of a step's pool may be kept for isolated starts.
@@ -90,12 +93,10 @@
 		c.logDecision(event.Isolate, t.id.String(), fmt.Sprintf("worker=%s held=%d crashes=%+v", w.id, len(w.held), t.crashes))
 		return w
 	}
-	s := t.step
-	if s.unplacedSince.IsZero() {
-		s.unplacedSince = now
-	}
-	if !s.spec.Filler {
-		c.handleRefusal(now, t, nil)
+	t.step.isolation = c.retryLater(now)
+	c.noteRefusal(now, t.step)
+	if !t.step.spec.Filler {
+		c.preempt(now, t)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/sched/isolate_test.go
@@ -0,0 +1,124 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
+)
+
+// approveAll answers all requests for approval with a ticket for each worker, and returns how many there were.
+func approveAll(now time.Time, c *Core) int {
+	requests := c.ApprovalRequests()
+	for _, q := range requests {
+		tickets := map[string]string{}
+		for _, id := range q.Workers {
+			tickets[id] = "ticket"
+		}
+		c.HandleApproval(now, q, Approval{Tickets: tickets, Valid: 3 * time.Second}, nil)
+	}
+	return len(requests)
+}
+
+// crashUnder crashes the worker that was starting a run, and brings it back as another incarnation.
+func crashUnder(now time.Time, c *Core, id string, ref link.RunRef) {
+	c.WorkerCrashed(now, crashed(id, ref, 20))
+	c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, nil, nil)
+}
+
+// TestSuspectTaskIsApprovedAgain guards against a task that is never started again after its worker has crashed under its
+// start: on a queue with advice the tickets had expired, and each refusal of the isolated start put off the round's
+// placement, which alone asked for new ones.
+func TestSuspectTaskIsApprovedAgain(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	spec := one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000})
+	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
+	c.Submit(now, spec)
+	settle(now, c)
+	approveAll(now, c)
+	id, ref := firstStart(t, settle(now, c))
+	now = now.Add(4 * time.Second)
+	crashUnder(now, c, id, ref)
+	for range 20 {
+		now = now.Add(placementRetryDelay)
+		o := settle(now, c)
+		if len(started(o)) > 0 {
+			return
+		}
+		approveAll(now, c)
+	}
+	t.Errorf("not started again; the step waits for: %s", c.waitReason(now, c.task(ref.Task).step))
+}
+
+// TestSuspectTaskHoldsUpNoOthers guards against a task that must start in isolation and finds no worker keeping the other
+// tasks of its step from being placed.
+func TestSuspectTaskHoldsUpNoOthers(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("job", 0, job.Step{Count: 2, Demand: cores(1), EstimateMS: 1000, Speculative: true}))
+	starts := started(settle(now, c))["a"]
+	suspect, other := c.task(starts[0].Task), c.task(starts[1].Task)
+	// The only worker still has an earlier run of the suspect, so that only the other task can start there.
+	c.convertToCopy(c.workers["a"], suspect)
+	c.addCrash(suspect, crash{Worker: "gone", Run: 1, Sole: true})
+	c.Ended(now, "a", []link.RunEnd{{Number: 1, RunRef: other.ref(), Outcome: link.Stopped}})
+	for range 20 {
+		now = now.Add(placementRetryDelay)
+		if got := started(settle(now, c))["a"]; len(got) == 1 && got[0].Task == other.id {
+			return
+		}
+	}
+	t.Errorf("the other task isn't placed; the step waits for: %s", c.waitReason(now, other.step))
+}
+
+// TestSuspectFillerStarves guards against a filler that must start in isolation and never counts as starved: each round
+// that had no other task of its step to place forgot since when it waits, and with that the fallback for starved fillers.
+func TestSuspectFillerStarves(t *testing.T) {
+	now := epoch0
+	c := pool(now, "b")
+	c.Submit(now, one("busy", 0, job.Step{Count: 1, Demand: cores(4), EstimateMS: 60_000}))
+	busy := started(settle(now, c))["b"][0].RunRef
+	c.Attach(now, "node-a", link.Worker{ID: "a", Service: "pool", Capacity: big}, nil, nil)
+	now = now.Add(fillerInterval)
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(2), EstimateMS: 1000, Filler: true}))
+	id, ref := firstStart(t, settle(now, c))
+	if id != "a" {
+		t.Fatalf("the filler runs on %s, want a", id)
+	}
+	c.WorkerCrashed(now, crashed(id, ref, 20))
+	row := link.RunStatus{RunRef: busy}
+	for range 200 {
+		now = now.Add(fillerInterval)
+		row.Percent += 0.1
+		c.Report(now, "b", []link.RunStatus{row}, nil)
+		if len(started(settle(now, c))["b"]) > 0 {
+			return
+		}
+	}
+	t.Errorf("the filler isn't started within 5 s; its step waits for: %s", c.waitReason(now, c.task(ref.Task).step))
+}
+
+// TestGangAsksForMoreApprovals guards against a gang that never starts since too few workers are approved: nobody else was
+// asked about while the tickets of those were valid.
+func TestGangAsksForMoreApprovals(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	spec := one("gang", 0, job.Step{Count: 3, Demand: cores(3), EstimateMS: 1000, Gang: true})
+	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 60_000}
+	c.Submit(now, spec)
+	settle(now, c)
+	for _, q := range c.ApprovalRequests() {
+		c.HandleApproval(now, q, Approval{Tickets: map[string]string{"a": "t", "b": "t"}, Valid: time.Minute}, nil)
+	}
+	c.Attach(now, "node-c", link.Worker{ID: "c", Service: "pool", Capacity: big}, nil, nil)
+	for range 20 {
+		now = now.Add(placementRetryDelay)
+		if len(started(settle(now, c))) == 3 {
+			return
+		}
+		approveAll(now, c)
+	}
+	t.Error("the gang isn't started although three workers have room")
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -95,10 +95,26 @@
 	nextRequestAt   time.Time
 	// unplacedSince is since when no task could be placed; zero when the last one tried was placed.
 	unplacedSince time.Time
-	// retryAt is when placement is retried, capacityEventsSeen the value of Core.capacityEvents at the last
-	// attempt.
-	retryAt            time.Time
-	capacityEventsSeen int
+	// placement and isolation say when placement and isolated starts are tried next. They are separate, so that a
+	// refusal of one kind doesn't hold up the other.
+	placement, isolation retry
+}
+
+// retry says when something that was refused is tried again; the zero value means at once.
+type retry struct {
+	at time.Time
+	// capacityEvents is the value of Core.capacityEvents at the refusal: any change of it is a reason to try earlier.
+	capacityEvents int
+}
+
+// due reports whether it is time to try again.
+func (r retry) due(now time.Time, capacityEvents int) bool {
+	return !now.Before(r.at) || r.capacityEvents != capacityEvents
+}
+
+// retryLater returns the retry after a refusal.
+func (c *Core) retryLater(now time.Time) retry {
+	return retry{at: now.Add(placementRetryDelay), capacityEvents: c.capacityEvents}
 }
 
 // ticket is an approval to run a step on a worker.
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -55,7 +55,7 @@
 	for _, j := range slices.Clone(c.openJobs) {
 		for _, o := range j.inOrder() {
 			for _, s := range o.steps {
-				if s.waiting > 0 && c.isDue(now, s, fillers) && s.ready() {
+				if s.waiting > 0 && c.isDue(now, s, s.placement, fillers) && s.ready() {
 					c.placeStep(now, s)
 				}
 			}
@@ -63,12 +63,13 @@
 	}
 }
 
-// isDue reports whether a step is tried in this round; fillers says whether the round places fillers.
-func (c *Core) isDue(now time.Time, s *step, fillers bool) bool {
+// isDue reports whether a step is tried in this round, after the refusal that r is about; fillers says whether the round
+// places fillers.
+func (c *Core) isDue(now time.Time, s *step, r retry, fillers bool) bool {
 	if s.spec.Filler {
 		return fillers
 	}
-	return !now.Before(s.retryAt) || s.capacityEventsSeen != c.capacityEvents
+	return r.due(now, c.capacityEvents)
 }
 
 // inOrder returns the open occurrences, earliest first.
@@ -184,21 +185,19 @@
 	return 0
 }
 
-// placeStep places the waiting tasks of a step.
+// placeStep places the waiting tasks of a step, but for those that startIsolated starts.
 func (c *Core) placeStep(now time.Time, s *step) {
-	candidates := c.feasible(now, s)
-	if len(candidates) == 0 && s.occ.job.spec.Policy.Advice != nil {
-		c.requestApproval(now, s)
-	}
 	if s.spec.Gang {
-		c.placeGang(now, s, candidates)
+		c.placeGang(now, s, c.feasible(now, s))
 		return
 	}
+	waiting := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != stateWaiting || t.startsAlone() })
+	if len(waiting) == 0 {
+		return
+	}
+	candidates := c.feasible(now, s)
 	r := c.rankWorkers(now, s, candidates)
-	for _, t := range s.tasks {
-		if t.state != stateWaiting || t.startsAlone() {
-			continue
-		}
+	for _, t := range waiting {
 		i := r.best(t)
 		if i < 0 {
 			c.handleRefusal(now, t, candidates)
@@ -207,7 +206,18 @@
 		c.assign(now, t, r.workers[i], 0)
 		r.recordPlacement(i)
 	}
-	s.unplacedSince = time.Time{}
+	if s.waiting == 0 {
+		s.unplacedSince = time.Time{}
+	}
+}
+
+// noteRefusal handles that no worker takes a task of a step: it records since when, and asks the policy service about
+// further workers.
+func (c *Core) noteRefusal(now time.Time, s *step) {
+	if s.unplacedSince.IsZero() {
+		s.unplacedSince = now
+	}
+	c.requestApproval(now, s)
 }
 
 // starvationDelay is how long no worker takes a task of a step before the step may use capacity kept for
@@ -219,10 +229,8 @@
 // a starved filler the worker with the least interference.
 func (c *Core) handleRefusal(now time.Time, t *task, candidates []*worker) {
 	s := t.step
-	s.retryAt, s.capacityEventsSeen = now.Add(placementRetryDelay), c.capacityEvents
-	if s.unplacedSince.IsZero() {
-		s.unplacedSince = now
-	}
+	s.placement = c.retryLater(now)
+	c.noteRefusal(now, s)
 	if !s.spec.Filler {
 		if len(candidates) == 0 {
 			c.preempt(now, t)
@@ -280,7 +288,8 @@
 			for _, p := range placed {
 				c.unassign(p)
 			}
-			s.retryAt, s.capacityEventsSeen = now.Add(placementRetryDelay), c.capacityEvents
+			s.placement = c.retryLater(now)
+			c.requestApproval(now, s)
 			return
 		}
 		// A provisional assignment, so that the next member sees the capacity as taken.
