Drains: ask for approvals before a task is moved off a drained worker

A long-running task on a queue with advice stayed in a drained data centre for good: it is moved only if another worker has a valid ticket, tickets expire after seconds, and nothing asked for new ones while the task ran.

TestDrainAsksForApprovals fails on the old code ("still in the drained data centre after 5 s") and passes now: a move that finds no room asks for approvals.

--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -67,7 +67,11 @@
 			continue
 		}
 		for _, t := range w.tasks {
-			if t.state != stateRunning || !c.shouldLeave(now, t, moving) || !c.hasRoom(now, t.step) {
+			if t.state != stateRunning || !c.shouldLeave(now, t, moving) {
+				continue
+			}
+			if !c.hasRoom(now, t.step) {
+				c.requestApproval(now, t.step)
 				continue
 			}
 			if t.step.spec.LongRunning {
--- a/internal/sched/drain_test.go
+++ b/internal/sched/drain_test.go
@@ -184,3 +184,28 @@
 		t.Errorf("started %v in the data centre that was taken back, want all", got)
 	}
 }
+
+// TestDrainAsksForApprovals guards against a long-running task that stays in a drained data centre for good: on a queue with
+// advice the tickets for other workers expire after seconds, and nothing asked for new ones while the task ran.
+func TestDrainAsksForApprovals(t *testing.T) {
+	now := epoch0
+	c := New(options)
+	attachIn(now, c, "a", "east")
+	spec := one("job", 0, job.Step{Count: 1, Demand: cores(1), LongRunning: true})
+	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
+	c.Submit(now, spec)
+	settle(now, c)
+	approveAll(now, c)
+	_, ref := firstStart(t, settle(now, c))
+	attachIn(now, c, "b", "west")
+	c.SetDrains(inDrained("east"), true)
+	for range 100 {
+		now = now.Add(sweepInterval)
+		c.Report(now, "a", []link.RunStatus{{RunRef: ref, Percent: 100}}, nil)
+		if d := settle(now, c)["a"]; d != nil && len(d.Stop) == 1 {
+			return
+		}
+		approveAll(now, c)
+	}
+	t.Error("the task is still in the drained data centre after 5 s")
+}
