Listings that are cut short prove no absence

Cause: a worker lists at most 500 ends at a time. Guard and owner took each listing for complete: a run whose end wasn't shown seemed to make no progress and was stopped, its guard reported it as absent when the stop was answered, and its task was started anew. At a takeover all runs that the inventory didn't show were stopped.

Change: a listing says whether ends may be missing, and only complete ones settle runs that they don't show. Stalls count up to the latest listing that shows the run. The scheduler's model now cuts listings at three ends.

--- a/internal/guard/commands.go
+++ b/internal/guard/commands.go
@@ -116,7 +116,12 @@
 		return
 	}
 	g.observe(resolvable, l)
-	g.sendDueAndProbe()
+	if l.EndsCut {
+		// Another probe would show no more. The polling loop goes on once ends are acknowledged.
+		g.sendDueCommands()
+	} else {
+		g.sendDueAndProbe()
+	}
 	signal(g.changed)
 }
 
--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -309,6 +309,9 @@
 	for ref, r := range c.runs {
 		switch {
 		case seen[ref]:
+		case l.EndsCut && !(r.inherited && r.phase == stopped):
+			// The run may have ended. An inherited one no longer runs, and its end can't be waited for: until it has
+			// settled nothing is reported, so that no end is acknowledged and every listing is cut.
 		case r.phase == startUnanswered && resolvable[ref]:
 			// The start may still take effect at any time until a stop has been answered.
 			r.phase = stopping
@@ -448,7 +451,7 @@
 		return u
 	}
 	if l != nil && l.Incarnation == c.incarnation {
-		u.Reported, u.Running, u.Ended = true, l.Running, l.Ended
+		u.Reported, u.Listing = true, link.Listing{Running: l.Running, Ended: l.Ended, EndsCut: l.EndsCut}
 		u.Inventory = full
 	}
 	u.Ended = append(u.Ended[:len(u.Ended):len(u.Ended)], c.absent...)
--- a/internal/guard/executor.go
+++ b/internal/guard/executor.go
@@ -32,6 +32,8 @@
 	ClockMS     int64
 	Running     []link.RunStatus
 	Ended       []link.RunEnd
+	// EndsCut means that Ended may lack some; see link.Listing.
+	EndsCut bool
 }
 
 // Command is a start, a stop or a change of pace; Start names the run.
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -68,6 +68,16 @@
 	Reason string `json:"why,omitempty"`
 }
 
+// Listing is what a worker lists of its runs.
+type Listing struct {
+	// Running are all runs in progress, Ended the ends that are not acknowledged yet.
+	Running []RunStatus `json:"running,omitempty"`
+	Ended   []RunEnd    `json:"ended,omitempty"`
+	// EndsCut means that Ended may lack some, since a worker lists only so many at a time. A run that such a listing
+	// doesn't show may have ended, with any outcome.
+	EndsCut bool `json:"cut,omitempty"`
+}
+
 // Start is the command to start a run.
 type Start struct {
 	Traits
@@ -108,12 +118,12 @@
 	Worker *Worker `json:"worker,omitempty"`
 	// Node names the guard, in the first message only.
 	Node string `json:"node,omitempty"`
-	// Inventory means that Running and Ended are complete and were polled under the owner's epoch.
+	// Inventory means that the listing holds all that the worker listed to a poll under the owner's epoch. Other
+	// messages leave out ends that were reported before on the same link.
 	Inventory bool `json:"inventory,omitempty"`
 	// Reported means that Running lists all runs; without it Running is unset.
-	Reported bool        `json:"reported,omitempty"`
-	Running  []RunStatus `json:"running,omitempty"`
-	Ended    []RunEnd    `json:"ended,omitempty"`
+	Reported bool `json:"reported,omitempty"`
+	Listing
 	// EndedIncarnations are incarnations of the worker that have ended; none of their runs exists any more.
 	// A guard reports the latest ones again on each new link.
 	EndedIncarnations []string `json:"over,omitempty"`
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -101,7 +101,7 @@
 		c.core.Update(now, *up.Worker)
 	}
 	if up.Reported {
-		c.core.Report(now, p.worker, up.Running, up.Ended)
+		c.core.Report(now, p.worker, up.Listing)
 	} else if len(up.Ended) > 0 {
 		c.core.Ended(now, p.worker, up.Ended)
 	}
@@ -144,7 +144,7 @@
 	}
 	p.setWorker(id)
 	c.links[id] = p
-	c.core.Attach(now, p.node, *up.Worker, up.Running, up.Ended)
+	c.core.Attach(now, p.node, *up.Worker, up.Listing)
 	c.core.UpdatePressure(now, id, up.Pace, up.Unresponsive)
 	c.wake()
 }
--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -17,7 +17,7 @@
 		c.Attach(now, "node-"+id, link.Worker{
 			ID: id, Service: "pool", Kind: "a", Rack: "r-" + id,
 			Capacity: resource.Vector{MilliCPU: 4000, MemoryMB: 8000},
-		}, nil, nil)
+		}, link.Listing{})
 	}
 	return c
 }
--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -24,7 +24,7 @@
 	c := New(options)
 	for i := range workers {
 		id := fmt.Sprintf("w%03d", i)
-		c.Attach(now, id, link.Worker{ID: id, Service: "pool", Capacity: resource.Vector{MilliCPU: 24000, MemoryMB: 64000}}, nil, nil)
+		c.Attach(now, id, link.Worker{ID: id, Service: "pool", Capacity: resource.Vector{MilliCPU: 24000, MemoryMB: 64000}}, link.Listing{})
 	}
 	for i := range workers {
 		c.Submit(now, one(fmt.Sprintf("serve%d", i), 0, job.Step{
@@ -55,7 +55,7 @@
 		for _, t := range w.tasks {
 			rows = append(rows, link.RunStatus{RunRef: t.ref(), Percent: 100, Measurement: 60})
 		}
-		c.Report(now, w.id, rows, nil)
+		c.Report(now, w.id, link.Listing{Running: rows})
 	}
 	b.ResetTimer()
 	for n := range b.N {
--- a/internal/sched/capacity_test.go
+++ b/internal/sched/capacity_test.go
@@ -52,7 +52,7 @@
 	for _, s := range started(settle(now, c))["a"] {
 		rows = append(rows, link.RunStatus{RunRef: s.RunRef, Percent: 10})
 	}
-	c.Report(now, "a", rows, nil)
+	c.Report(now, "a", link.Listing{Running: rows})
 	small := big
 	small.MilliCPU = 2000
 	c.Update(now, link.Worker{ID: "a", Service: "pool", Capacity: small})
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -52,7 +52,7 @@
 	if !s.Speculative || s.Gang || s.LongRunning || s.Filler || len(t.copies) >= maxCopies || t.step.occ.job.state.Terminal() {
 		return ""
 	}
-	if t.startsAlone() && t.fresh(w) {
+	if t.startsAlone() && t.fresh() {
 		// Another run would crash another worker, if the task is the cause.
 		return ""
 	}
@@ -74,8 +74,8 @@
 // known.
 func (c *Core) copyRun(now time.Time, w *worker, t *task, reason string) {
 	c.logDecision(event.Copy, t.id.String(), fmt.Sprintf("run=%d worker=%s reason=%q held=%s", t.run, w.id, reason, now.Sub(t.assignedAt).Round(time.Millisecond)))
-	if w.unresponsive && t.fresh(w) {
-		c.addCrash(t, crash{Worker: w.id, Run: t.run, AgeMS: t.listedFor(w).Milliseconds(), Pending: true})
+	if w.unresponsive && t.fresh() {
+		c.addCrash(t, crash{Worker: w.id, Run: t.run, AgeMS: t.listedFor().Milliseconds(), Pending: true})
 	}
 	c.convertToCopy(w, t)
 	c.markDirty(t.step.occ.job)
@@ -83,7 +83,7 @@
 
 // convertToCopy makes the newest run of a task a copy.
 func (c *Core) convertToCopy(w *worker, t *task) {
-	c.addCopy(w, t, t.run).fresh = t.fresh(w)
+	c.addCopy(w, t, t.run).fresh = t.fresh()
 	t.transition(eventEnd)
 	c.dropRun(t)
 }
@@ -155,11 +155,14 @@
 }
 
 // reconcileCopies compares copies with the inventory of a worker that has reattached: those it doesn't list
-// may still start, so they are stopped, and stops sent before are repeated.
-func (c *Core) reconcileCopies(now time.Time, w *worker, listed map[link.RunRef]bool) {
+// may still start, so they are stopped, and stops sent before are repeated. A listing that was cut short doesn't tell.
+func (c *Core) reconcileCopies(now time.Time, w *worker, listed map[link.RunRef]bool, endsCut bool) {
 	for ref, cp := range w.copies {
-		if !listed[ref] || !cp.stopSentAt.IsZero() {
+		switch {
+		case !cp.stopSentAt.IsZero() || !listed[ref] && !endsCut:
 			c.stopCopy(now, w, ref, cp)
+		case !listed[ref]:
+			w.unshown[ref] = true
 		}
 	}
 }
--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -13,7 +13,7 @@
 	t.Helper()
 	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(3), EstimateMS: 200, Speculative: speculative}))
 	for id, s := range started(settle(now, c)) {
-		c.Report(now, id, []link.RunStatus{{RunRef: s[0].RunRef, Percent: 10}}, nil)
+		c.Report(now, id, link.Listing{Running: []link.RunStatus{{RunRef: s[0].RunRef, Percent: 10}}})
 		return id, s[0].RunRef
 	}
 	t.Fatal("nothing was started")
@@ -36,8 +36,7 @@
 		if !speculative {
 			continue
 		}
-		c.Attach(now, "node-"+first, link.Worker{ID: first, Service: "pool", Capacity: big}, nil,
-			[]link.RunEnd{{Number: 1, RunRef: run, Outcome: link.Done}})
+		c.Attach(now, "node-"+first, link.Worker{ID: first, Service: "pool", Capacity: big}, link.Listing{Ended: []link.RunEnd{{Number: 1, RunRef: run, Outcome: link.Done}}})
 		o := settle(now, c)
 		if v, _ := c.Job("job"); v.State != Completed {
 			t.Errorf("job is %+v after the first run has succeeded", v)
@@ -57,7 +56,7 @@
 	c := pool(now, "a", "b")
 	first, run := speculate(t, now, c, true)
 	now = now.Add(3 * 200 * time.Millisecond)
-	c.Report(now, first, []link.RunStatus{{RunRef: run, Percent: 20}}, nil)
+	c.Report(now, first, link.Listing{Running: []link.RunStatus{{RunRef: run, Percent: 20}}})
 	got := started(settle(now, c))
 	if len(got) != 1 || got[first] != nil {
 		t.Fatalf("started %+v, want a copy on the other worker", got)
@@ -87,7 +86,7 @@
 	c.Ended(now, first, []link.RunEnd{{Number: 1, RunRef: run, Outcome: link.Failed}})
 	for id, s := range started(settle(now, c)) {
 		first, run = id, s[0].RunRef
-		c.Report(now, id, []link.RunStatus{{RunRef: run, Percent: 10}}, nil)
+		c.Report(now, id, link.Listing{Running: []link.RunStatus{{RunRef: run, Percent: 10}}})
 	}
 	c.Detach(now, first)
 	now = now.Add(copyDelay + sweepInterval)
@@ -118,7 +117,7 @@
 	if err := next.Restore(now, "job", c.jobs["job"].encode()); err != nil {
 		t.Fatal(err)
 	}
-	next.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, nil, nil)
+	next.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, link.Listing{})
 	if got := started(settle(now, next)); len(got) != 0 {
 		t.Errorf("started %+v at the takeover", got)
 	}
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -75,14 +75,14 @@
 
 // fresh reports whether the newest run of a task may just be starting on its worker. A run that was started under an
 // earlier owner most likely isn't.
-func (t *task) fresh(w *worker) bool { return !t.inherited && t.listedFor(w) < settleTime }
+func (t *task) fresh() bool { return !t.inherited && t.listedFor() < settleTime }
 
-// listedFor returns for how long a worker has listed the newest run of a task; 0 before its first listing.
-func (t *task) listedFor(w *worker) time.Duration {
+// listedFor returns for how long its worker has listed the newest run of a task; 0 before its first listing.
+func (t *task) listedFor() time.Duration {
 	if t.appearedAt.IsZero() {
 		return 0
 	}
-	return max(0, w.listedAt.Sub(t.appearedAt))
+	return max(0, t.listedAt.Sub(t.appearedAt))
 }
 
 // startsAlone reports whether a task must be started in isolation: with no other run starting beside it, so that a
@@ -150,8 +150,8 @@
 	settled := settleTime.Milliseconds()
 	for _, t := range w.tasks {
 		cr := crash{Worker: w.id, Run: t.run, AgeMS: settled, Pending: true}
-		if w.attached && t.fresh(w) {
-			cr.AgeMS = t.listedFor(w).Milliseconds()
+		if w.attached && t.fresh() {
+			cr.AgeMS = t.listedFor().Milliseconds()
 		}
 		c.addCrash(t, cr)
 	}
@@ -162,7 +162,7 @@
 
 // suspectStart records that the worker on which a task was starting in isolation doesn't answer any more.
 func (c *Core) suspectStart(w *worker) {
-	if t := w.isolated; t != nil && w.held[t.id] == t && t.fresh(w) {
+	if t := w.isolated; t != nil && w.held[t.id] == t && t.fresh() {
 		c.addCrash(t, crash{Worker: w.id, Run: t.run, Sole: true, Pending: true})
 		c.explainCrashes(t)
 	}
@@ -210,7 +210,7 @@
 // clearIfSettled notes that a worker lists a run that has settled: its task doesn't crash workers when it starts. Once
 // the run has reached provenAge, it doesn't at all.
 func (c *Core) clearIfSettled(t *task, w *worker) {
-	listed := t.listedFor(w)
+	listed := t.listedFor()
 	if len(t.crashes) == 0 || listed < settleTime {
 		return
 	}
--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -56,7 +56,7 @@
 	id := fmt.Sprintf("w-%s-%d@%d", node, p.born/2, p.born)
 	p.running[id] = map[link.RunRef]time.Time{}
 	delete(p.down, node)
-	p.core.Attach(p.now, node, link.Worker{ID: id, Service: "pool", Capacity: big}, nil, nil)
+	p.core.Attach(p.now, node, link.Worker{ID: id, Service: "pool", Capacity: big}, link.Listing{})
 }
 
 // crash ends an incarnation with all its runs; its guard sees it.
@@ -137,7 +137,7 @@
 		}
 		rows = append(rows, link.RunStatus{RunRef: ref, Percent: min(100, 100*float64(p.now.Sub(at))/float64(crashPoolTask))})
 	}
-	p.core.Report(p.now, id, rows, ends)
+	p.core.Report(p.now, id, link.Listing{Running: rows, Ended: ends})
 }
 
 // takeover loads the cell into a new core, to which all guards link. They report the crashes that they have seen again.
@@ -168,7 +168,7 @@
 		for _, ref := range inTaskOrder(p.running[id]) {
 			rows = append(rows, link.RunStatus{RunRef: ref, Percent: 50})
 		}
-		next.Attach(p.now, nodes[id], link.Worker{ID: id, Service: "pool", Capacity: big}, rows, nil)
+		next.Attach(p.now, nodes[id], link.Worker{ID: id, Service: "pool", Capacity: big}, link.Listing{Running: rows})
 	}
 }
 
@@ -334,13 +334,13 @@
 		id, _ := firstStart(t, settle(now, c))
 		c.WorkerCrashed(now, link.Crash{Worker: id})
 		now = now.Add(sweepInterval)
-		c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, nil, nil)
+		c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, link.Listing{})
 	}
 	id, ref := firstStart(t, settle(now, c))
 	c.UpdatePressure(now, id, 100, true)
 	now = now.Add(options.expiryDelay() + 2*sweepInterval)
 	c.expireLeases(now)
-	c.Attach(now, "node-"+id, link.Worker{ID: id, Service: "pool", Capacity: big}, nil, []link.RunEnd{{Number: 1, RunRef: ref, Outcome: link.Expired}})
+	c.Attach(now, "node-"+id, link.Worker{ID: id, Service: "pool", Capacity: big}, link.Listing{Ended: []link.RunEnd{{Number: 1, RunRef: ref, Outcome: link.Expired}}})
 	if v, _ := c.Job("job"); v.State == Failed || len(c.crashed.tasks) != 0 {
 		t.Errorf("job is %+v with crashes under %d tasks, want none", v, len(c.crashed.tasks))
 	}
@@ -362,7 +362,7 @@
 		report.Runs[0].Unsure = true
 		c.WorkerCrashed(now, report)
 		now = now.Add(sweepInterval)
-		c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, nil, nil)
+		c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, link.Listing{})
 	}
 	settle(now, c)
 	if v, _ := c.Job("job"); v.State != Failed {
@@ -389,7 +389,7 @@
 			t.Fatalf("started %+v, want all members on the only worker", report.Runs)
 		}
 		c.WorkerCrashed(now, report)
-		c.Attach(now, "node-a", link.Worker{ID: fmt.Sprintf("a@%d", n+1), Service: "pool", Capacity: big}, nil, nil)
+		c.Attach(now, "node-a", link.Worker{ID: fmt.Sprintf("a@%d", n+1), Service: "pool", Capacity: big}, link.Listing{})
 		now = now.Add(time.Second)
 	}
 	settle(now, c)
--- a/internal/sched/drain_test.go
+++ b/internal/sched/drain_test.go
@@ -11,7 +11,7 @@
 
 // attachIn attaches a worker in a data centre.
 func attachIn(now time.Time, c *Core, id, dataCentre string) {
-	c.Attach(now, "node-"+id, link.Worker{ID: id, Service: "pool", DataCentre: dataCentre, Capacity: big}, nil, nil)
+	c.Attach(now, "node-"+id, link.Worker{ID: id, Service: "pool", DataCentre: dataCentre, Capacity: big}, link.Listing{})
 }
 
 // inDrained returns the set of one drained data centre.
@@ -100,7 +100,7 @@
 			rows[id] = append(rows[id], link.RunStatus{RunRef: r, Percent: 100})
 		}
 		for _, w := range c.sortedWorkers {
-			c.Report(now, w.id, rows[w.id], nil)
+			c.Report(now, w.id, link.Listing{Running: rows[w.id]})
 		}
 	}
 	report()
@@ -156,7 +156,7 @@
 	}
 	attachIn(now, c, "b", "west")
 	now = now.Add(500 * time.Millisecond)
-	c.Report(now, "a", rows, nil)
+	c.Report(now, "a", link.Listing{Running: rows})
 	now = now.Add(500 * time.Millisecond)
 	c.SetDrains(inDrained("east"), true)
 	d := settle(now, c)["a"]
@@ -201,7 +201,7 @@
 	c.SetDrains(inDrained("east"), true)
 	for range 100 {
 		now = now.Add(sweepInterval)
-		c.Report(now, "a", []link.RunStatus{{RunRef: ref, Percent: 100}}, nil)
+		c.Report(now, "a", link.Listing{Running: []link.RunStatus{{RunRef: ref, Percent: 100}}})
 		if d := settle(now, c)["a"]; d != nil && len(d.Stop) == 1 {
 			return
 		}
--- a/internal/sched/filling_test.go
+++ b/internal/sched/filling_test.go
@@ -96,7 +96,7 @@
 		p.ids, p.caps = append(p.ids, id), append(p.caps, cores)
 		p.runs = append(p.runs, map[link.RunRef]*fillRun{})
 		p.tails = append(p.tails, map[link.RunRef][]float64{})
-		p.core.Attach(p.now, id, link.Worker{ID: id, Service: "pool", Capacity: resource.Vector{MilliCPU: int64(cores * 1000), MemoryMB: 62500}}, nil, nil)
+		p.core.Attach(p.now, id, link.Worker{ID: id, Service: "pool", Capacity: resource.Vector{MilliCPU: int64(cores * 1000), MemoryMB: 62500}}, link.Listing{})
 	}
 	p.ends = make([]int64, shape.workers)
 	for i := range shape.servingJobs {
@@ -358,7 +358,7 @@
 		}
 		rows = append(rows, row)
 	}
-	p.core.Report(p.now, p.ids[i], rows, nil)
+	p.core.Report(p.now, p.ids[i], link.Listing{Running: rows})
 }
 
 // result returns the part of the value of filler jobs that was earned, and the part of the time that serving tasks were
--- a/internal/sched/fuzz_test.go
+++ b/internal/sched/fuzz_test.go
@@ -23,7 +23,7 @@
 		if err := c.Restore(now, key, value); err != nil {
 			return
 		}
-		c.Attach(now, "node-a", link.Worker{ID: "a@5", Service: "pool", Capacity: big}, nil, nil)
+		c.Attach(now, "node-a", link.Worker{ID: "a@5", Service: "pool", Capacity: big}, link.Listing{})
 		for range 3 {
 			now = now.Add(2 * time.Second)
 			settle(now, c)
@@ -47,12 +47,12 @@
 		c.Submit(now, one("job", 0, job.Step{Count: 3, Demand: cores(1), EstimateMS: 1000, Speculative: true}))
 		c.Submit(now, one("serve", 0, job.Step{Count: 1, Demand: cores(1), LongRunning: true, TailTargetMS: 100, Image: "s"}))
 		settle(now, c)
-		c.Attach(now, "node-a", *up.Worker, up.Running, up.Ended)
+		c.Attach(now, "node-a", *up.Worker, link.Listing{Running: up.Running, Ended: up.Ended})
 		c.UpdatePressure(now, up.Worker.ID, up.Pace, up.Unresponsive)
 		for range 3 {
 			now = now.Add(2 * time.Second)
 			settle(now, c)
-			c.Report(now, up.Worker.ID, up.Running, up.Ended)
+			c.Report(now, up.Worker.ID, link.Listing{Running: up.Running, Ended: up.Ended})
 			c.Update(now, *up.Worker)
 		}
 	})
--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -42,12 +42,12 @@
 	}
 	ref := got[0].RunRef
 	row := []link.RunStatus{{RunRef: ref, Percent: 100}}
-	c.Report(now, "a", row, nil)
+	c.Report(now, "a", link.Listing{Running: row})
 	c.Detach(now, "a")
 	c.Cancel(now, "job")
 	settle(now, c)
 	now = now.Add(100 * time.Millisecond)
-	c.Attach(now, "node-a", link.Worker{ID: "a", Service: "pool", Capacity: big}, row, nil)
+	c.Attach(now, "node-a", link.Worker{ID: "a", Service: "pool", Capacity: big}, link.Listing{Running: row})
 	if d := settle(now, c)["a"]; d == nil || len(d.Stop) != 1 || d.Stop[0] != ref {
 		t.Fatalf("commands %+v after the guard has reattached, want the stop", d)
 	}
@@ -83,7 +83,7 @@
 	for _, id := range next.SupersededWorkers("a2", "node-a") {
 		next.RemoveWorker(now, id)
 	}
-	next.Attach(now, "node-a", link.Worker{ID: "a2", Service: "pool", Capacity: big}, nil, nil)
+	next.Attach(now, "node-a", link.Worker{ID: "a2", Service: "pool", Capacity: big}, link.Listing{})
 	got := started(settle(now, next))["a2"]
 	if len(got) != 2 || got[0].Run != 2 {
 		t.Errorf("started %+v, want both tasks as run 2", got)
@@ -102,7 +102,7 @@
 		at, ref = id, starts[0].RunRef
 	}
 	c.Detach(now, at)
-	c.Attach(now, "node-"+at, link.Worker{ID: at, Service: "pool", Capacity: big}, nil, nil)
+	c.Attach(now, "node-"+at, link.Worker{ID: at, Service: "pool", Capacity: big}, link.Listing{})
 	o := settle(now, c)
 	if len(started(o)) != 0 || o[at] == nil || len(o[at].Stop) != 1 {
 		t.Fatalf("commands %+v, want a stop and no start", o)
@@ -125,7 +125,7 @@
 	for _, s := range starts {
 		rows = append(rows, link.RunStatus{RunRef: s.RunRef, Percent: 10})
 	}
-	c.Report(now, "a", rows, nil)
+	c.Report(now, "a", link.Listing{Running: rows})
 	c.Submit(now, one("urgent", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 100}))
 	o := settle(now, c)
 	if len(started(o)) != 0 || len(o["a"].Stop) != 1 {
@@ -159,7 +159,7 @@
 	if got := started(settle(now, c)); len(got) != 0 {
 		t.Fatalf("started %v of a gang that doesn't fit", got)
 	}
-	c.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, nil, nil)
+	c.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, link.Listing{})
 	o := started(settle(now, c))
 	n := 0
 	for _, starts := range o {
@@ -277,9 +277,9 @@
 		at, ref = id, s[0].RunRef
 	}
 	row := []link.RunStatus{{RunRef: ref, Percent: 30}}
-	c.Report(now, at, row, nil)
+	c.Report(now, at, link.Listing{Running: row})
 	now = now.Add(stallTimeout + time.Millisecond)
-	c.Report(now, at, row, nil)
+	c.Report(now, at, link.Listing{Running: row})
 	if d := settle(now, c)[at]; d == nil || len(d.Stop) != 1 {
 		t.Fatalf("commands %+v, want a stop", d)
 	}
@@ -321,7 +321,7 @@
 	for n := range 40 {
 		now = now.Add(tailWindow)
 		if n == 20 {
-			c.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, nil, nil)
+			c.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, link.Listing{})
 		}
 		if n%2 == 0 {
 			c.Submit(now, one(fmt.Sprintf("fill%d", n), 2, job.Step{Count: 1, Demand: cores(1), EstimateMS: 900, Filler: true, Image: "f"}))
@@ -346,7 +346,7 @@
 				tail := 100 / max(0.1, 3-2*float64(fillers))
 				rows = append(rows, link.RunStatus{RunRef: serving, Percent: 100, Measurement: tail})
 			}
-			c.Report(now, w.id, rows, nil)
+			c.Report(now, w.id, link.Listing{Running: rows})
 			for _, r := range rows {
 				if r.RunRef != serving && n%2 == 1 {
 					ends[w.id]++
@@ -423,7 +423,7 @@
 		t.Fatalf("%v counts as replaced, although it may be the same incarnation", got)
 	}
 	listed := link.RunRef{Task: job.TaskID{Job: "job"}, Run: 1}
-	c.Attach(now, "node-a", link.Worker{ID: "a@77", Service: "pool", Capacity: big}, []link.RunStatus{{RunRef: listed, Percent: 10}}, nil)
+	c.Attach(now, "node-a", link.Worker{ID: "a@77", Service: "pool", Capacity: big}, link.Listing{Running: []link.RunStatus{{RunRef: listed, Percent: 10}}})
 	d := settle(now, c)["a@77"]
 	if d == nil || len(d.Start) != 0 || len(d.Stop) != 1 || d.Stop[0].Task.Index != 1 {
 		t.Fatalf("commands %+v, want only a stop of the run that isn't listed", d)
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -130,14 +130,15 @@
 	return now.Sub(w.slowSince) > slowFillerTimeout && now.Sub(t.assignedAt) > slowFillerTimeout
 }
 
-// stallReason returns why a run counts as stalled, or an empty string. It counts up to the worker's latest listing:
-// what a worker that is slow to report does since then isn't known.
+// stallReason returns why a run counts as stalled, or an empty string. It counts up to the latest listing that shows the
+// run: what a worker that is slow to report does since then isn't known, and a run that a listing doesn't show may have
+// ended.
 func (t *task) stallReason(w *worker) string {
 	if t.state != stateRunning {
 		return ""
 	}
 	if t.step.spec.LongRunning {
-		return when(w.listedAt.Sub(t.idleSince()) > t.idleLimit(), "not at work")
+		return when(t.listedAt.Sub(t.idleSince()) > t.idleLimit(), "not at work")
 	}
 	if t.step.spec.Gang {
 		return ""
@@ -149,7 +150,7 @@
 			return ""
 		}
 	}
-	return when(w.listedAt.Sub(t.progressAt) > limit, "no progress")
+	return when(t.listedAt.Sub(t.progressAt) > limit, "no progress")
 }
 
 // idleLimit returns how long a long-running task may be idle. A worker on which tasks stand still is told from an image
--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -22,7 +22,7 @@
 		}
 	}
 	for id, listed := range rows {
-		c.Report(now, id, listed, nil)
+		c.Report(now, id, link.Listing{Running: listed})
 	}
 	for range 40 {
 		now = now.Add(100 * time.Millisecond)
@@ -34,7 +34,7 @@
 	}
 	stops := func() (n int) {
 		for id, listed := range rows {
-			c.Report(now, id, listed, nil)
+			c.Report(now, id, link.Listing{Running: listed})
 		}
 		for _, d := range settle(now, c) {
 			n += len(d.Stop)
@@ -67,7 +67,7 @@
 	report := func(percent map[string]float64) (stopped []string) {
 		now = now.Add(200 * time.Millisecond)
 		for id, starts := range runs {
-			c.Report(now, id, []link.RunStatus{{RunRef: starts[0].RunRef, Percent: percent[id]}}, nil)
+			c.Report(now, id, link.Listing{Running: []link.RunStatus{{RunRef: starts[0].RunRef, Percent: percent[id]}}})
 		}
 		for id, d := range settle(now, c) {
 			if len(d.Stop) > 0 {
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -57,7 +57,7 @@
 	case t.over() || !t.startsAlone():
 		return true
 	case t.held():
-		return t.worker != w.id || !t.fresh(w)
+		return t.worker != w.id || !t.fresh()
 	}
 	return c.refusalExcept(now, t.step, w, isolationChecks...) != ""
 }
@@ -104,7 +104,7 @@
 // quiet reports whether all runs on a worker have settled.
 func (w *worker) quiet() bool {
 	for _, t := range w.tasks {
-		if t.fresh(w) {
+		if t.fresh() {
 			return false
 		}
 	}
--- a/internal/sched/isolate_test.go
+++ b/internal/sched/isolate_test.go
@@ -24,7 +24,7 @@
 // crashUnder crashes the worker that was starting a run, and brings it back as another incarnation.
 func crashUnder(now time.Time, c *Core, id string, ref link.RunRef) {
 	c.WorkerCrashed(now, crashed(id, ref, 20))
-	c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, nil, nil)
+	c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, link.Listing{})
 }
 
 // TestSuspectTaskIsApprovedAgain guards against a task that is never started again after its worker has crashed under its
@@ -80,7 +80,7 @@
 	c := pool(now, "b")
 	c.Submit(now, one("busy", 0, job.Step{Count: 1, Demand: cores(4), EstimateMS: 60_000}))
 	busy := started(settle(now, c))["b"][0].RunRef
-	c.Attach(now, "node-a", link.Worker{ID: "a", Service: "pool", Capacity: big}, nil, nil)
+	c.Attach(now, "node-a", link.Worker{ID: "a", Service: "pool", Capacity: big}, link.Listing{})
 	now = now.Add(fillerInterval)
 	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(2), EstimateMS: 1000, Filler: true}))
 	id, ref := firstStart(t, settle(now, c))
@@ -92,7 +92,7 @@
 	for range 200 {
 		now = now.Add(fillerInterval)
 		row.Percent += 0.1
-		c.Report(now, "b", []link.RunStatus{row}, nil)
+		c.Report(now, "b", link.Listing{Running: []link.RunStatus{row}})
 		if len(started(settle(now, c))["b"]) > 0 {
 			return
 		}
@@ -112,7 +112,7 @@
 	for _, q := range c.ApprovalRequests() {
 		c.HandleApproval(now, q, Approval{Tickets: map[string]string{"a": "t", "b": "t"}, Valid: time.Minute}, nil)
 	}
-	c.Attach(now, "node-c", link.Worker{ID: "c", Service: "pool", Capacity: big}, nil, nil)
+	c.Attach(now, "node-c", link.Worker{ID: "c", Service: "pool", Capacity: big}, link.Listing{})
 	for range 20 {
 		now = now.Add(placementRetryDelay)
 		if len(started(settle(now, c))) == 3 {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -142,6 +142,7 @@
 	percent     float64
 	measurement float64
 	appearedAt  time.Time
+	listedAt    time.Time // when the worker last listed the run
 	progressAt  time.Time // when percent last grew
 	assignedAt  time.Time
 	stopSentAt  time.Time
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -119,8 +119,7 @@
 			e.told = e.cap
 			w.core.Update(w.now, e.info())
 		}
-		rows, ends := e.listing()
-		w.core.Report(w.now, e.id, rows, ends)
+		w.core.Report(w.now, e.id, e.listing())
 	}
 }
 
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -67,7 +67,7 @@
 	if len(runs) != 1 {
 		t.Fatalf("started %+v, want the serving task", runs)
 	}
-	c.Report(now, "a", []link.RunStatus{{RunRef: runs[0].RunRef, Percent: 100, Measurement: 100 / headroom}}, nil)
+	c.Report(now, "a", link.Listing{Running: []link.RunStatus{{RunRef: runs[0].RunRef, Percent: 100, Measurement: 100 / headroom}}})
 	return c
 }
 
@@ -109,7 +109,7 @@
 	c.Submit(now, filler("fill", 1))
 	run := started(settle(now, c))["a"][0].RunRef
 	for range 3 {
-		c.Report(now, "a", []link.RunStatus{{RunRef: run, Percent: 10, Measurement: 100}}, nil)
+		c.Report(now, "a", link.Listing{Running: []link.RunStatus{{RunRef: run, Percent: 10, Measurement: 100}}})
 		c.UpdatePressure(now, "a", minFillerPace-1, false)
 		if d := settle(now, c)["a"]; d != nil && len(d.Stop) > 0 {
 			t.Fatalf("stopped %v after %s", d.Stop, now.Sub(epoch0))
--- a/internal/sched/reserve_test.go
+++ b/internal/sched/reserve_test.go
@@ -43,7 +43,7 @@
 			l.c.Ended(l.now, id, []link.RunEnd{{Number: l.last[id], RunRef: r.ref, Outcome: link.Done}})
 		}
 		l.ends[id] = left
-		l.c.Report(l.now, id, rows, nil)
+		l.c.Report(l.now, id, link.Listing{Running: rows})
 	}
 	l.n++
 	l.c.Submit(l.now, one(fmt.Sprintf("short%04d", l.n), 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: duration.Milliseconds()}))
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -13,8 +13,8 @@
 // ref identifies the newest run of a task.
 func (t *task) ref() link.RunRef { return link.RunRef{Task: t.id, Run: t.run} }
 
-// Report takes a worker's listing of its runs. Running may be empty when only ends are reported.
-func (c *Core) Report(now time.Time, id string, running []link.RunStatus, ended []link.RunEnd) {
+// Report takes a worker's listing of its runs, but for the ends that were reported before.
+func (c *Core) Report(now time.Time, id string, l link.Listing) {
 	w := c.workers[id]
 	if w == nil || !w.attached {
 		return
@@ -22,10 +22,11 @@
 	w.excuseSilence(now)
 	w.listedAt = now
 	clear(w.unknownRuns)
-	for _, r := range running {
+	for _, r := range l.Running {
 		c.handleListed(now, w, r)
 	}
-	c.Ended(now, id, ended)
+	c.Ended(now, id, l.Ended)
+	c.settleUnshown(now, w, l)
 	w.tails.stale = true
 	c.observe(now, w)
 }
@@ -89,6 +90,7 @@
 		}
 		return
 	}
+	t.listedAt = now
 	first := t.state == stateAssigned
 	t.transition(eventAppear)
 	if t.appearedAt.IsZero() || first {
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -318,7 +318,7 @@
 		run = t.run + 1
 	}
 	t.run, t.worker, t.assignedAt = run, w.id, now
-	t.appearedAt, t.progressAt, t.lastActive = time.Time{}, now, time.Time{}
+	t.appearedAt, t.listedAt, t.progressAt, t.lastActive = time.Time{}, time.Time{}, now, time.Time{}
 	t.percent, t.pinned, t.inherited = 0, false, false
 	if !t.step.spec.LongRunning {
 		t.step.unplacedSince = time.Time{}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -29,6 +29,8 @@
 	tasks []*task
 	// unknownRuns are runs that the worker lists and no task accounts for; they are being stopped.
 	unknownRuns map[link.RunRef]resource.Vector
+	// unshown are runs that an inventory which was cut short didn't show: they may have ended, or never started.
+	unshown map[link.RunRef]bool
 	// copies are earlier runs of speculative tasks that may continue here.
 	copies map[link.RunRef]*runCopy
 	// listedAt is when the worker's runs were reported last.
@@ -152,10 +154,11 @@
 }
 
 // Attach takes the inventory of a worker whose guard has connected under this ownership.
-func (c *Core) Attach(now time.Time, node string, info link.Worker, running []link.RunStatus, ended []link.RunEnd) {
+func (c *Core) Attach(now time.Time, node string, info link.Worker, l link.Listing) {
 	c.adoptUnborn(info.ID)
 	c.dropPendingCrashes(info.ID)
 	w := c.ensureWorker(now, info.ID)
+	w.unshown = map[link.RunRef]bool{}
 	if w.node != node {
 		w.node, c.dirtyNodes[info.ID] = node, node
 	}
@@ -164,12 +167,12 @@
 	if info.Draining {
 		w.drainReportedAt = now
 	}
-	c.logDecision(event.Worker, info.ID, fmt.Sprintf("attached running=%d ended=%d held=%d", len(running), len(ended), len(w.held)))
+	c.logDecision(event.Worker, info.ID, fmt.Sprintf("attached running=%d ended=%d held=%d", len(l.Running), len(l.Ended), len(w.held)))
 	listed := map[link.RunRef]bool{}
-	for _, r := range running {
+	for _, r := range l.Running {
 		listed[r.RunRef] = true
 	}
-	for _, e := range ended {
+	for _, e := range l.Ended {
 		listed[e.RunRef] = true
 	}
 	for _, t := range w.tasks {
@@ -177,13 +180,37 @@
 		switch {
 		case t.state == stateStopping:
 			c.sendStop(now, t)
+		case !listed[t.ref()] && l.EndsCut:
+			w.unshown[t.ref()] = true
 		case !listed[t.ref()]:
 			// The start may still be in transit to the worker.
 			c.stopRun(now, t, "start unanswered")
 		}
 	}
-	c.reconcileCopies(now, w, listed)
-	c.Report(now, info.ID, running, ended)
+	c.reconcileCopies(now, w, listed, l.EndsCut)
+	c.Report(now, info.ID, l)
+}
+
+// settleUnshown stops the runs that the inventory didn't show since it was cut short, once a listing is complete: those
+// that it doesn't show either have not ended, so that their starts may still be in transit.
+func (c *Core) settleUnshown(now time.Time, w *worker, l link.Listing) {
+	if l.EndsCut || len(w.unshown) == 0 {
+		return
+	}
+	for _, r := range l.Running {
+		delete(w.unshown, r.RunRef)
+	}
+	for _, t := range w.tasks {
+		if w.unshown[t.ref()] {
+			c.stopRun(now, t, "start unanswered")
+		}
+	}
+	for ref, cp := range w.copies {
+		if w.unshown[ref] {
+			c.stopCopy(now, w, ref, cp)
+		}
+	}
+	clear(w.unshown)
 }
 
 // SupersededWorkers returns the earlier incarnations of a worker that a new one on the same node has replaced.
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -123,20 +123,27 @@
 	return link.Worker{ID: e.id, Service: "pool", Capacity: e.cap, Kind: "a", Rack: "r-" + e.node, DataCentre: "dc-" + e.node}
 }
 
+// modelListedEnds is how many ends an incarnation of the model lists at a time.
+const modelListedEnds = 3
+
 // listing returns the runs and ends that an incarnation lists.
-func (e *executor) listing() ([]link.RunStatus, []link.RunEnd) {
-	var rows []link.RunStatus
+func (e *executor) listing() link.Listing {
+	var l link.Listing
 	for ref, r := range e.running {
-		rows = append(rows, link.RunStatus{RunRef: ref, Percent: float64(100 - r.left*25)})
+		l.Running = append(l.Running, link.RunStatus{RunRef: ref, Percent: float64(100 - r.left*25)})
 	}
-	slices.SortFunc(rows, func(a, b link.RunStatus) int { return strings.Compare(a.Task.String(), b.Task.String()) })
-	var ends []link.RunEnd
+	slices.SortFunc(l.Running, func(a, b link.RunStatus) int { return strings.Compare(a.Task.String(), b.Task.String()) })
 	for _, end := range e.ended {
-		if end.Number > e.acknowledged {
-			ends = append(ends, end)
+		if end.Number <= e.acknowledged {
+			continue
+		}
+		if len(l.Ended) == modelListedEnds {
+			l.EndsCut = true
+			break
 		}
+		l.Ended = append(l.Ended, end)
 	}
-	return rows, ends
+	return l
 }
 
 // end ends a run on an incarnation.
@@ -405,8 +412,7 @@
 	w.attached[node] = newest
 	newest.told = newest.cap
 	newest.until = w.now.Add(options.RunLease)
-	rows, ends := newest.listing()
-	w.core.Attach(w.now, node, newest.info(), rows, ends)
+	w.core.Attach(w.now, node, newest.info(), newest.listing())
 }
 
 // setDrains passes the drains to the core, which may not know them.
