Reads of the store that are cut short prove no absence

A read returns a part of the records that are there, and the list of keys comes in pages. The owner took each read for a current view and denied accepted jobs whose records waited behind it; the followers of drains and of the configuration did the same. An append whose answer was lost seemed to be another owner's if the read that settles it returned only the first of its records.

Change: a batch says whether it reaches the end of the topic; only such reads date a view. Lost answers are settled by as many reads as needed.

--- a/internal/drains/drains.go
+++ b/internal/drains/drains.go
@@ -90,11 +90,11 @@
 }
 
 // apply updates the view with what was read.
-func (f *Follower) apply(records []store.Record, complete bool) {
+func (f *Follower) apply(records []store.Record, e store.Extent) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	drained := map[string]bool{}
-	if !complete {
+	if !e.Complete {
 		maps.Copy(drained, f.drained)
 	}
 	for _, r := range records {
@@ -109,7 +109,10 @@
 		}
 	}
 	f.logChanges(drained)
-	f.drained, f.readAt = drained, time.Now()
+	f.drained = drained
+	if e.Current {
+		f.readAt = time.Now()
+	}
 }
 
 // logChanges logs and counts the differences to a new set. The caller holds the lock.
--- a/internal/drains/drains_test.go
+++ b/internal/drains/drains_test.go
@@ -148,3 +148,17 @@
 		}
 	})
 }
+
+// TestPartialReadIsNoCurrentView guards against starts in a data centre that has been drained: more requests wait to be read
+// than one read returns, and each read counted as a view of them all.
+func TestPartialReadIsNoCurrentView(t *testing.T) {
+	f := NewFollower(memstore.New(), source, within, tally.NoopScope, logs.Discard())
+	f.apply([]store.Record{{Key: "drain/a", Value: []byte("{}")}}, store.Extent{})
+	if _, known := f.Current(time.Now()); known {
+		t.Error("the view counts as current while records wait to be read")
+	}
+	f.apply(nil, store.Extent{Current: true})
+	if _, known := f.Current(time.Now()); !known {
+		t.Error("the view doesn't count as current after all records were read")
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -174,21 +174,23 @@
 // follow reads new jobs and cancellations until the context ends.
 func (c *Cell) follow(ctx context.Context, from store.Offset) error {
 	for ctx.Err() == nil {
-		records, next, err := c.readJobs(ctx, from)
+		b, err := c.readJobs(ctx, from)
 		if err != nil {
 			c.log.Debug("jobs not read", "from", from, "err", err)
 			pause.For(ctx, retryPause)
 			continue
 		}
-		from = next
+		from = b.Next
 		c.mu.Lock()
 		now := time.Now()
 		c.core.SetTimeOfDay(now, c.clock.UnixMS(now))
 		c.core.SetMaxAge(now.Sub(c.jobsReadAt) + maxAppendDelay)
-		c.jobsReadAt = now
-		c.applyRecords(c.core, now, records)
+		if b.Current() {
+			c.jobsReadAt = now
+		}
+		c.applyRecords(c.core, now, b.Records)
 		c.mu.Unlock()
-		if len(records) > 0 {
+		if len(b.Records) > 0 {
 			c.wake()
 		}
 	}
@@ -197,22 +199,16 @@
 
 // readJobs reads records of TopicJobs from an offset on; when they have expired it reads the newest record of each
 // key instead.
-func (c *Cell) readJobs(ctx context.Context, from store.Offset) ([]store.Record, store.Offset, error) {
+func (c *Cell) readJobs(ctx context.Context, from store.Offset) (store.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, jobsReadWait+callTimeout)
 	defer cancel()
 	b, err := c.store.Read(ctx, store.TopicJobs, from, jobsReadWait)
-	if err == nil {
-		return b.Records, b.Next, nil
-	}
 	if !errors.Is(err, store.ErrExpired) {
-		return nil, from, err
+		return b, err
 	}
 	c.log.Info(event.JobsExpiredUnread, "from", from)
 	s, err := c.store.Newest(ctx, store.TopicJobs)
-	if err != nil {
-		return nil, from, err
-	}
-	return s.Records, s.End, nil
+	return store.Batch{Records: s.Records, Next: s.End, End: s.End}, err
 }
 
 // wake starts the next round without waiting for the timer.
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -44,12 +45,17 @@
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		b, err := c.store.Read(call, store.TopicRuns, at, 0)
 		cancel()
-		if err == nil && sameRecords(b.Records, records) {
-			return nil
-		}
-		if err == nil || errors.Is(err, store.ErrExpired) {
+		if err == nil && (!startsWith(records, b.Records) || len(b.Records) == 0) || errors.Is(err, store.ErrExpired) {
 			return fmt.Errorf("%w: runs go on at offset %d with other records", errReplaced, at)
 		}
+		if err == nil {
+			// A read may return a part of the records.
+			at, records = b.Next, records[len(b.Records):]
+			if len(records) == 0 {
+				return nil
+			}
+			continue
+		}
 		if err := c.owns(); err != nil {
 			return err
 		}
@@ -59,17 +65,17 @@
 	}
 }
 
-// sameRecords reports whether two lists of records have the same keys and values.
-func sameRecords(got, want []store.Record) bool {
-	if len(got) < len(want) {
+// startsWith reports whether a list of records starts with others, by their keys and values.
+func startsWith(records, first []store.Record) bool {
+	if len(first) > len(records) {
 		return false
 	}
-	for i, r := range want {
-		if got[i].Key != r.Key || string(got[i].Value) != string(r.Value) {
+	for i, r := range first {
+		if records[i].Key != r.Key || !bytes.Equal(records[i].Value, r.Value) {
 			return false
 		}
 	}
-	return len(got) == len(want)
+	return true
 }
 
 // sweep drops the stored records of ended jobs whose state can no longer be queried.
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -87,9 +87,11 @@
 	lastRead := time.Now()
 	store.Follow{
 		Store: f.store, Topic: f.source.Topic, Wait: followWait, CallTimeout: callTimeout, RetryPause: retryPause,
-		Apply: func(records []store.Record, _ bool) {
-			lastRead = time.Now()
-			age.Update(0)
+		Apply: func(records []store.Record, e store.Extent) {
+			if e.Current {
+				lastRead = time.Now()
+			}
+			age.Update(time.Since(lastRead).Seconds())
 			f.applyRecords(records)
 		},
 		Failed: func(err error) {
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -17,13 +17,20 @@
 	Wait, CallTimeout time.Duration
 	// RetryPause is the delay after a failed call.
 	RetryPause time.Duration
-	// Apply takes what one call has read, in order; complete says that the records are the newest of every key, so
-	// that keys that are missing have been deleted. It is called without records when a read brought no change.
-	Apply func(records []Record, complete bool)
+	// Apply takes what one call has read, in order. It is called without records when a read brought no change.
+	Apply func(records []Record, e Extent)
 	// Failed takes the error of a failed call.
 	Failed func(error)
 }
 
+// Extent says how much of a topic the records that were applied cover.
+type Extent struct {
+	// Complete means that the records are the newest of every key, so that keys that are missing have been deleted.
+	Complete bool
+	// Current means that the records reach the end of the topic; otherwise more wait to be read.
+	Current bool
+}
+
 // Run reads the newest record of each key and then every change, until the context ends. It starts over when
 // changes have expired before they were read.
 func (f Follow) Run(ctx context.Context) {
@@ -53,7 +60,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.Apply(s.Records, true)
+	f.Apply(s.Records, Extent{Complete: true, Current: true})
 	return s.End, nil
 }
 
@@ -65,6 +72,6 @@
 	if err != nil {
 		return from, err
 	}
-	f.Apply(b.Records, false)
+	f.Apply(b.Records, Extent{Current: b.Current()})
 	return b.Next, nil
 }
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -22,6 +22,15 @@
 	topics map[string]*topic
 	// inject returns the fault of a call; nil if no faults are injected.
 	inject func(call, topic string) Fault
+	// maxRead is the most records that a read returns; 0 for no limit.
+	maxRead int
+}
+
+// SetMaxRead bounds the records that a read returns; 0 removes the bound.
+func (s *Store) SetMaxRead(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxRead = n
 }
 
 // SetFaults sets the function that returns the fault of each call, or removes it if nil. The function is
@@ -37,6 +46,8 @@
 	// Refuse fails the call with store.ErrRefused, without an effect. Lose carries out an append but fails
 	// it with ErrLost. Hang leaves the call without an effect and an answer until its context ends.
 	Refuse, Lose, Hang bool
+	// Delay is how long a read takes.
+	Delay time.Duration
 }
 
 // topic holds the records of one topic. The channel grown is closed and replaced at each append.
@@ -148,6 +159,10 @@
 		return store.Batch{}, nil, store.ErrRefused
 	case f.Hang:
 		return store.Batch{}, nil, errHangs
+	case f.Delay > 0:
+		s.mu.Unlock()
+		time.Sleep(f.Delay)
+		s.mu.Lock()
 	}
 	t := s.topic(name)
 	if from < t.first {
@@ -156,7 +171,10 @@
 	b := store.Batch{Next: from, End: t.end()}
 	if from < b.End {
 		b.Records = append(b.Records, t.records[from-t.first:]...)
-		b.Next = b.End
+		if s.maxRead > 0 {
+			b.Records = b.Records[:min(len(b.Records), s.maxRead)]
+		}
+		b.Next = from + store.Offset(len(b.Records))
 	}
 	return b, t.grown, nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,6 +29,10 @@
 	Next, End Offset
 }
 
+// Current reports whether the batch reaches the end of the topic. A store answers with a part of the records that are
+// there, so that a batch which doesn't says nothing about those that follow it.
+func (b *Batch) Current() bool { return b.Next >= b.End }
+
 // Snapshot holds the newest record of each key. Records appended while it was taken may be missing; a
 // read from End returns them.
 type Snapshot struct {
@@ -56,7 +60,7 @@
 	// Append appends records atomically and returns the offset of the first. Unless at is AnyOffset, it
 	// fails with a *ConflictError if the topic doesn't end at that offset.
 	Append(ctx context.Context, topic string, at Offset, records []Record) (Offset, error)
-	// Read returns the records from an offset on. If there are none yet, it waits for at most wait.
+	// Read returns records from an offset on, not necessarily all. If there are none yet, it waits for at most wait.
 	Read(ctx context.Context, topic string, from Offset, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic string) (Snapshot, error)
