Owner: the store's limits bind each record and each append

Cause: the progress of a job was one record that grows with its tasks, checkpoints, failures and crashes. A job of 4,100 tasks outgrew the store's limit, and the owner repeated the refused append for as long as it owned the cell, with the records of all other jobs in it.

Evidence: TestWideJobKeepsRecordLimit, with the old record put back: "record job has 446949 bytes, at most 262144 are stored".

Change: the store tells its limits, and records are split into as many appends as they need. The progress of a wide job is stored as a head and parts, of which only changed ones are written. The estimates of interference and the checkpoint of a task are kept within a record as well.

The scheduler's model draws a limit of 700 bytes in half of its cases, and a takeover finds any beginning of the batch in flight.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -26,7 +27,7 @@
 	refreshInterval = 30 * time.Second
 )
 
-// Register stores the address of a process and retries until it is stored or the context ends.
+// Register stores the address of a process and retries until it is stored, the store rejects it or the context ends.
 func Register(ctx context.Context, s store.Store, node, addr string, l *log.Logger) error {
 	records := []store.Record{{Key: node, Value: []byte(addr)}}
 	for {
@@ -37,6 +38,9 @@
 			return nil
 		}
 		l.Warn(event.AddressNotStored, "addr", addr, "err", err)
+		if errors.Is(err, store.ErrRejected) {
+			return nil
+		}
 		if !pause.For(ctx, retryPause) {
 			return nil
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	JobsExpiredUnread     Message = "jobs expired unread"
 	RecordSkipped         Message = "record left out"
 	DecisionsNotStored    Message = "decisions not stored"
+	RecordRejected        Message = "record rejected"
 	EndedNotDropped       Message = "ended jobs not dropped"
 	LinkRefused           Message = "link refused"
 	LinkEnded             Message = "link ended"
@@ -57,6 +58,7 @@
 	Learn                 Message = "learn"
 	Drain                 Message = "drain"
 	Reserve               Message = "reserve"
+	Reject                Message = "reject"
 	Advice                Message = "advice"
 	WorkerDrains          Message = "worker drains"
 	WorkerLeaves          Message = "worker leaves"
@@ -121,6 +123,7 @@
 	{CellNotReleased, "warn", "guard", "", []string{"err"}, "the owner couldn't release its lease when it stopped; the lease expires instead"},
 	{JobsExpiredUnread, "info", "guard", "cell", []string{"from"}, "the store's history is shorter than the owner's absence, so records from this offset on have expired; the newest record of each job is read instead"},
 	{RecordSkipped, "error", "guard", "cell", []string{"topic", "offset", "job", "err"}, "a record can't be parsed and is ignored; the others are used"},
+	{RecordRejected, "error", "guard", "cell", []string{"topic", "key", "bytes", "err"}, "the store doesn't take a record and would refuse it again; it is left out, and a job whose progress it holds fails"},
 	{DecisionsNotStored, "warn", "guard", "cell", []string{"records", "at", "err"}, "an append by the owner failed; it is retried, or the cell is released"},
 	{EndedNotDropped, "warn", "guard", "cell", []string{"topic", "jobs", "err"}, "records of ended jobs stay until the next sweep"},
 	{LinkRefused, "warn", "guard", "cell", []string{"err"}, "a guard's connection couldn't be accepted"},
@@ -140,6 +143,7 @@
 	{Worker, "info", "guard", "cell", decisionFields, "a worker has joined, drains, doesn't answer, or was removed"},
 	{Learn, "info", "guard", "cell", decisionFields, "learned data can't be stored"},
 	{Drain, "info", "guard", "cell", decisionFields, "the scheduler's view of the drained data centres has changed, or has become too old to start tasks; workers is the number of workers there"},
+	{Reject, "info", "guard", "cell", decisionFields, "the progress of a job can't be stored, which ends the job as failed, or another record was left out"},
 	{Reserve, "info", "guard", "cell", decisionFields, "room on a worker is reserved for a waiting task of a step: when it is expected to be free, how many tasks wait and since when"},
 	{Advice, "info", "guard", "cell", decisionFields, "a response of the policy service about a step"},
 	{WorkerDrains, "info", "guard", "guard", []string{"worker", "remaining_ms"}, "the worker has reported that it will leave"},
--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -69,7 +69,7 @@
 func (in *Intake) drain() {
 	for {
 		in.mu.Lock()
-		n := min(len(in.pending), maxBatch)
+		n := in.nextBatch()
 		batch := in.pending[:n:n]
 		in.pending = in.pending[n:]
 		in.draining = n > 0
@@ -81,15 +81,38 @@
 	}
 }
 
-// write stores one batch and completes its calls. When the batch can't be stored, the calls that wait behind it
-// are refused.
-func (in *Intake) write(batch []*pendingAppend) {
+// nextBatch returns how many of the pending records fit into the next append. The caller holds the lock.
+func (in *Intake) nextBatch() int {
+	records := recordsOf(in.pending[:min(len(in.pending), maxBatch)])
+	if calls := in.store.Limits().Calls(records); len(calls) > 0 {
+		return len(calls[0])
+	}
+	return 0
+}
+
+// recordsOf returns the records of appends.
+func recordsOf(batch []*pendingAppend) []store.Record {
 	records := make([]store.Record, len(batch))
 	for i, k := range batch {
 		records[i] = k.record
 	}
+	return records
+}
+
+// write stores one batch and completes its calls. When the batch can't be stored, the calls that wait behind it
+// are refused, unless it is for what the batch holds: then each record is stored by itself.
+func (in *Intake) write(batch []*pendingAppend) {
+	records := recordsOf(batch)
 	err := in.storeAnyWay(records)
-	if err != nil {
+	if errors.Is(err, store.ErrRejected) && len(batch) > 1 {
+		for i := range batch {
+			in.write(batch[i : i+1])
+		}
+		return
+	}
+	if errors.Is(err, store.ErrRejected) {
+		err = fmt.Errorf("%w: %w", ErrUnstorable, err)
+	} else if err != nil {
 		in.loseStore(records, err)
 	}
 	for _, k := range batch {
@@ -123,6 +146,10 @@
 				return nil
 			}
 			failures = append(failures, r.err)
+			if errors.Is(r.err, store.ErrRejected) {
+				// The store refuses the same records by every way.
+				return r.err
+			}
 		case <-hedge.C:
 		}
 		if !relaying {
--- a/internal/intake/away.go
+++ b/internal/intake/away.go
@@ -92,16 +92,36 @@
 		}
 		in.mu.Unlock()
 		for batch := range slices.Chunk(records, maxBatch) {
-			if in.storeAnyWay(batch) != nil {
-				return false
+			for _, call := range in.store.Limits().Calls(batch) {
+				if !in.resolveCall(call) {
+					return false
+				}
 			}
-			in.mu.Lock()
-			for _, r := range batch {
-				delete(in.unresolved, r.Key)
+		}
+	}
+}
+
+// resolveCall stores the unresolved records of one append. Records that the store rejects are resolved as well: they are
+// certain not to be stored.
+func (in *Intake) resolveCall(records []store.Record) bool {
+	err := in.storeAnyWay(records)
+	switch rejected := errors.Is(err, store.ErrRejected); {
+	case rejected && len(records) > 1:
+		for i := range records {
+			if !in.resolveCall(records[i : i+1]) {
+				return false
 			}
-			in.mu.Unlock()
 		}
+		return true
+	case err != nil && !rejected:
+		return false
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, r := range records {
+		delete(in.unresolved, r.Key)
 	}
+	return true
 }
 
 // Available reports whether a way to the store is known, so that jobs are accepted.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -35,6 +35,8 @@
 var (
 	// ErrNotAccepted means that a job is certain not to be accepted and never runs.
 	ErrNotAccepted = errors.New("not accepted")
+	// ErrUnstorable means that the store doesn't take a job, now or later. It is an ErrNotAccepted.
+	ErrUnstorable = fmt.Errorf("%w: it can't be stored", ErrNotAccepted)
 	// ErrUnknown means that it is not known whether a job was accepted; the same job may be submitted again.
 	ErrUnknown = errors.New("not known whether it was accepted")
 	// ErrNoView means that no owner with a current view of the jobs answered.
@@ -94,7 +96,12 @@
 		return fmt.Errorf("%w: encode job: %w", ErrNotAccepted, err)
 	}
 	began := time.Now()
-	err = in.append(ctx, store.Record{Key: store.PrefixJob + spec.ID, Value: value})
+	r := store.Record{Key: store.PrefixJob + spec.ID, Value: value}
+	if err = in.store.Limits().Check(r); err != nil {
+		err = fmt.Errorf("%w: %w", ErrUnstorable, err)
+	} else {
+		err = in.append(ctx, r)
+	}
 	in.scope.Tagged(map[string]string{"outcome": outcome(err)}).Counter("jobs_submitted").Inc(1)
 	in.scope.Histogram("accept_seconds", metrics.Seconds()).RecordValue(time.Since(began).Seconds())
 	return err
--- a/internal/interfere/tails.go
+++ b/internal/interfere/tails.go
@@ -162,12 +162,16 @@
 	Variance float64 `json:"v"`
 }
 
-// Encode returns all estimates for a later owner.
-func (m *Tails) Encode() ([]byte, error) {
+// Encode returns the estimates for a later owner in at most a number of bytes, the most certain ones if not all fit; a limit
+// of 0 or less means none.
+func (m *Tails) Encode(limit int) ([]byte, error) {
 	var out []estimateRecord
 	for k, e := range m.estimates {
 		out = append(out, estimateRecord{k.serving, k.filler, e.mean, e.variance})
 	}
+	if limit > 0 {
+		out = mostCertain(out, limit)
+	}
 	slices.SortFunc(out, func(a, b estimateRecord) int {
 		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filler, b.Filler))
 	})
@@ -178,6 +182,21 @@
 	return data, nil
 }
 
+// mostCertain returns the records with the least variance whose encoding fits into a number of bytes.
+func mostCertain(records []estimateRecord, limit int) []estimateRecord {
+	slices.SortFunc(records, func(a, b estimateRecord) int {
+		return cmp.Or(cmp.Compare(a.Variance, b.Variance), cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Filler, b.Filler))
+	})
+	size := len("[]")
+	for i, r := range records {
+		data, err := json.Marshal(r)
+		if size += len(data) + len(","); err != nil || size > limit {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 // Decode restores the estimates that Encode returned.
 func (m *Tails) Decode(data []byte) error {
 	var records []estimateRecord
--- a/internal/job/check.go
+++ b/internal/job/check.go
@@ -10,7 +10,7 @@
 const (
 	// MaxPayload is the maximum size of a payload, in bytes.
 	MaxPayload = 4000
-	// MaxSteps and MaxTasks bound the size of a job, so that it fits into one record of the store.
+	// MaxSteps and MaxTasks bound the size of a job.
 	MaxSteps = 64
 	MaxTasks = 5000
 	// MaxOccurrences bounds how often a job runs, and MaxOpenTasks the tasks of all its occurrences together: all of
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -75,6 +75,8 @@
 	switch {
 	case err == nil:
 		jsonhttp.Write(w, http.StatusOK, struct{}{})
+	case errors.Is(err, store.ErrRejected):
+		jsonhttp.WriteError(w, http.StatusUnprocessableEntity, err)
 	case errors.Is(err, store.ErrRefused):
 		jsonhttp.WriteError(w, http.StatusServiceUnavailable, err)
 	default:
@@ -145,9 +147,13 @@
 	return out, err
 }
 
-// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored.
+// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored, and a
+// store.ErrRejected when the store doesn't take them.
 func (c *Client) Relay(ctx context.Context, addr string, records []store.Record) error {
 	status, err := c.do(ctx, http.MethodPost, addr, pathRelay, records, nil)
+	if status == http.StatusUnprocessableEntity {
+		return fmt.Errorf("relay: %w", store.ErrRejected)
+	}
 	if status == http.StatusServiceUnavailable || status == http.StatusNotFound {
 		return fmt.Errorf("relay: %w", store.ErrRefused)
 	}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -67,6 +67,7 @@
 	now := time.Now()
 	core := sched.New(c.opt)
 	c.submitJobs(core, now, jobs.Records)
+	sched.SortForRestore(runs.Records)
 	for _, r := range runs.Records {
 		if r.Key == ownerKey {
 			continue
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -77,6 +77,7 @@
 
 // New returns a cell that this process doesn't own yet.
 func New(opt sched.Options, s store.Store, lease *ownership.Runner, adviser Adviser, scope tally.Scope, l *log.Logger) *Cell {
+	opt.RecordBytes = s.Limits().Record
 	return &Cell{
 		opt: opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
 		approvalRequests: make(chan sched.ApprovalRequest, maxApprovalRequests), adviser: adviser,
@@ -275,11 +276,12 @@
 	if err != nil || b.Seq == 0 {
 		return err
 	}
-	if err := c.write(ctx, at, b.Records); err != nil {
+	w, err := c.write(ctx, at, b.Records)
+	if err != nil {
 		return err
 	}
 	return c.protect("release commands", func() error {
-		c.release(b)
+		c.release(b, w)
 		return nil
 	})
 }
@@ -304,14 +306,14 @@
 	return b, c.runsEnd, nil
 }
 
-// release lets the decisions of a batch that was stored take effect.
-func (c *Cell) release(b sched.Batch) {
+// release lets the decisions of a batch that was written take effect.
+func (c *Cell) release(b sched.Batch, w written) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runsEnd += store.Offset(len(b.Records))
+	c.runsEnd = w.end
 	stored := time.Now()
 	c.applyDrains(stored)
-	c.core.Stored(stored, b.Seq)
+	c.core.Stored(stored, b.Seq, w.rejected...)
 	c.queueCommands()
 }
 
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -12,19 +12,60 @@
 	"github.com/crocusspring/crocusspring/internal/store"
 )
 
-// write stores records at an offset of TopicRuns, and retries until the outcome is known.
-func (c *Cell) write(ctx context.Context, at store.Offset, records []store.Record) error {
-	if len(records) == 0 {
+// written is the outcome of a write.
+type written struct {
+	// end is the offset of the next record.
+	end store.Offset
+	// rejected are the keys of records that the store doesn't take.
+	rejected []string
+}
+
+// write stores records at an offset of TopicRuns, in order and in as many appends as they need, and retries until the
+// outcome is known. Records that the store rejects are left out.
+func (c *Cell) write(ctx context.Context, at store.Offset, records []store.Record) (written, error) {
+	w := written{end: at}
+	for _, call := range c.store.Limits().Calls(records) {
+		if err := c.writeCall(ctx, &w, call); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+// writeCall stores the records of one append. If the store rejects them it stores each by itself: one that can't be stored
+// must not keep the others from it.
+func (c *Cell) writeCall(ctx context.Context, w *written, records []store.Record) error {
+	err := c.append(ctx, w.end, records)
+	switch {
+	case err == nil:
+		w.end += store.Offset(len(records))
+		return nil
+	case !errors.Is(err, store.ErrRejected):
+		return err
+	case len(records) == 1:
+		c.log.Error(event.RecordRejected, "topic", store.TopicRuns, "key", records[0].Key, "bytes", records[0].Size(), "err", err)
+		c.scope.Counter("records_rejected").Inc(1)
+		w.rejected = append(w.rejected, records[0].Key)
 		return nil
 	}
+	for i := range records {
+		if err := c.writeCall(ctx, w, records[i:i+1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// append stores records at an offset of TopicRuns in one append, and retries until the outcome is known.
+func (c *Cell) append(ctx context.Context, at store.Offset, records []store.Record) error {
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := c.store.Append(call, store.TopicRuns, at, records)
 		cancel()
 		var conflict *store.ConflictError
 		switch {
-		case err == nil:
-			return nil
+		case err == nil || errors.Is(err, store.ErrRejected):
+			return err
 		case errors.As(err, &conflict):
 			return c.resolveConflict(ctx, at, records)
 		}
@@ -96,17 +137,25 @@
 		runs = append(runs, store.Record{Key: id})
 		jobs = append(jobs, store.Record{Key: store.PrefixJob + id}, store.Record{Key: store.PrefixCancel + id})
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if _, err := c.store.Append(call, store.TopicJobs, store.AnyOffset, jobs); err != nil {
-		c.log.Warn(event.EndedNotDropped, "topic", store.TopicJobs, "jobs", len(ids), "err", err)
-		return
+	for _, records := range c.store.Limits().Calls(jobs) {
+		if err := c.appendJobs(ctx, records); err != nil {
+			c.log.Warn(event.EndedNotDropped, "topic", store.TopicJobs, "jobs", len(ids), "err", err)
+			return
+		}
 	}
-	if err := c.write(ctx, at, runs); err != nil {
+	w, err := c.write(ctx, at, runs)
+	if err != nil {
 		c.log.Warn(event.EndedNotDropped, "topic", store.TopicRuns, "jobs", len(ids), "err", err)
-		return
 	}
 	c.mu.Lock()
-	c.runsEnd += store.Offset(len(runs))
+	c.runsEnd = w.end
 	c.mu.Unlock()
 }
+
+// appendJobs appends records to TopicJobs.
+func (c *Cell) appendJobs(ctx context.Context, records []store.Record) error {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.store.Append(call, store.TopicJobs, store.AnyOffset, records)
+	return err
+}
--- a/internal/owner/write_test.go
+++ b/internal/owner/write_test.go
@@ -76,14 +76,14 @@
 			lose = lose && !f.Lose
 			return f
 		})
-		if err := c.write(t.Context(), end(), records); err != nil {
+		if _, err := c.write(t.Context(), end(), records); err != nil {
 			t.Errorf("own records: %v", err)
 		}
 		at := end()
 		if _, err := mem.Append(t.Context(), store.TopicRuns, at, []store.Record{records[0], {Key: "of another"}}); err != nil {
 			t.Fatal(err)
 		}
-		if err := c.write(t.Context(), at, records); !errors.Is(err, errReplaced) {
+		if _, err := c.write(t.Context(), at, records); !errors.Is(err, errReplaced) {
 			t.Errorf("another's records: %v, want that the cell was taken", err)
 		}
 	})
@@ -136,3 +136,26 @@
 	}
 	return store.Record{Key: store.PrefixJob + spec.ID, Value: value}
 }
+
+// TestRejectedRecordIsLeftOut guards against an owner that repeats an append for good which the store refuses each time: it
+// stores what the store takes, in as many appends as that needs, and says which records are left.
+func TestRejectedRecordIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		mem.SetLimits(store.Limits{Record: 100, Call: 300})
+		c := ownedCell(t, mem)
+		mem.SetRejects(func(r store.Record) bool { return r.Key == "job-3" })
+		var records []store.Record
+		for i := range 10 {
+			records = append(records, store.Record{Key: fmt.Sprintf("job-%d", i), Value: make([]byte, 50)})
+		}
+		records[7].Value = make([]byte, 200)
+		c.mu.Lock()
+		at := c.runsEnd
+		c.mu.Unlock()
+		w, err := c.write(t.Context(), at, records)
+		if err != nil || len(w.rejected) != 2 || w.rejected[0] != "job-3" || w.rejected[1] != "job-7" || w.end != at+8 {
+			t.Errorf("written %+v at %d, %v, want all but two records", w, at, err)
+		}
+	})
+}
--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -94,7 +94,7 @@
 	j := c.jobs["job"]
 	next := New(options)
 	next.Submit(now, j.spec)
-	if err := next.Restore(now, "job", j.encode()); err != nil {
+	if err := next.Restore(now, "job", j.inline().Value); err != nil {
 		t.Fatal(err)
 	}
 	task := next.jobs["job"].occurrences[0].steps[0].tasks[0]
@@ -114,7 +114,7 @@
 	speculate(t, now, c, true)
 	next := New(options)
 	next.Submit(now, c.jobs["job"].spec)
-	if err := next.Restore(now, "job", c.jobs["job"].encode()); err != nil {
+	if err := next.Restore(now, "job", c.jobs["job"].inline().Value); err != nil {
 		t.Fatal(err)
 	}
 	next.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, link.Listing{})
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -62,6 +62,11 @@
 	// held counts the runs that may be on workers.
 	held    int
 	endedAt time.Time
+	// inParts means that the progress is stored in parts; parts holds the hashes of the stored ones, by key.
+	inParts bool
+	parts   map[string]uint64
+	// unstorable means that the store doesn't take the progress; only the state is stored.
+	unstorable bool
 }
 
 // occurrence is one execution of all steps of a job.
@@ -83,6 +88,10 @@
 	openTasks int // tasks that are not done
 	// waiting counts the tasks that can be placed once the step is ready.
 	waiting int
+	// blocks are the indices at which the blocks of stored parts begin; nil before any was needed. Tasks from unrestored
+	// on have been restored.
+	blocks     []int
+	unrestored int
 	// startup is the longest time that a task of a long-running step has taken from its start until it was at work;
 	// 0 before the first was.
 	startup time.Duration
@@ -223,7 +232,7 @@
 	for i := range j.spec.Steps {
 		s := &step{occ: o, spec: &j.spec.Steps[i], index: i}
 		s.group = s.name()
-		s.openTasks, s.waiting = s.spec.Count, s.spec.Count
+		s.openTasks, s.waiting, s.unrestored = s.spec.Count, s.spec.Count, s.spec.Count
 		for n := range s.spec.Count {
 			id := job.TaskID{Job: j.spec.ID, Occurrence: k, Step: i, Index: n}
 			s.tasks = append(s.tasks, &task{step: s, id: id, state: runChart.Initial})
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -67,7 +67,7 @@
 			case 3:
 				w.detach(node)
 			case 4:
-				w.takeover(rapid.Bool().Draw(t, "made it"))
+				w.takeover()
 			case 5:
 				w.crash(node, rapid.Bool().Draw(t, "guard lives"))
 			case 6:
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -7,78 +7,8 @@
 	"time"
 )
 
-// jobRecord is the progress of a job as stored.
-type jobRecord struct {
-	State  State  `json:"s"`
-	Reason string `json:"why,omitempty"`
-	// Next is the first occurrence that is not yet due, Finished the number of complete ones.
-	Next        int                `json:"n,omitempty"`
-	Finished    int                `json:"f,omitempty"`
-	Occurrences []occurrenceRecord `json:"o,omitempty"`
-}
-
-// occurrenceRecord is one open occurrence.
-type occurrenceRecord struct {
-	K     int            `json:"k,omitempty"`
-	Steps [][]taskRecord `json:"t"`
-}
-
-// taskRecord is one task; the zero value is a task that never ran.
-type taskRecord struct {
-	Done       bool   `json:"d,omitempty"`
-	Run        int    `json:"r,omitempty"`
-	Worker     string `json:"w,omitempty"`
-	FailedRuns []int  `json:"f,omitempty"`
-	// FailedOn are the workers of the failed runs.
-	FailedOn   []string `json:"x,omitempty"`
-	Checkpoint string   `json:"c,omitempty"`
-	// Copies are earlier runs that may continue.
-	Copies []copyRef `json:"p,omitempty"`
-	// Crashes are the workers that crashed under a run of the task.
-	Crashes []crash `json:"k,omitempty"`
-}
-
-// encode returns the record of a job. An ended job needs only its state once no run of it may be on a worker.
-func (j *jobState) encode() []byte {
-	r := jobRecord{State: j.state, Reason: j.reason, Next: j.next, Finished: j.finished}
-	if !j.state.Terminal() || j.held > 0 {
-		for _, o := range j.inOrder() {
-			r.Occurrences = append(r.Occurrences, o.record(o.k))
-		}
-	}
-	out, err := json.Marshal(r)
-	if err != nil {
-		// A record consists only of strings, numbers, booleans and slices.
-		panic(fmt.Sprintf("encode job %s: %v", j.spec.ID, err))
-	}
-	return out
-}
-
-// record returns the record of an occurrence.
-func (o *occurrence) record(k int) occurrenceRecord {
-	r := occurrenceRecord{K: k}
-	for _, s := range o.steps {
-		tasks := make([]taskRecord, len(s.tasks))
-		for i, t := range s.tasks {
-			if t.state == stateDone {
-				tasks[i] = taskRecord{Done: true, Copies: t.copies}
-				continue
-			}
-			tasks[i] = taskRecord{
-				Run: t.run, FailedRuns: t.failedRuns, FailedOn: t.failedOn, Checkpoint: t.checkpoint, Copies: t.copies,
-				Crashes: t.crashes,
-			}
-			if t.held() {
-				tasks[i].Worker = t.worker
-			}
-		}
-		r.Steps = append(r.Steps, tasks)
-	}
-	return r
-}
-
 // Restore applies a stored record: the progress of a job that was submitted before, the node of a worker, or
-// the interference estimates. Runs that may be on workers are reconciled when their worker attaches, or end
+// the interference estimates. Records must come in the order of SortForRestore. Runs that may be on workers are reconciled when their worker attaches, or end
 // when its lease must have expired.
 func (c *Core) Restore(now time.Time, id string, value []byte) error {
 	if id == InterferenceKey {
@@ -88,6 +18,9 @@
 		c.ensureWorker(now, worker).node = string(value)
 		return nil
 	}
+	if strings.HasPrefix(id, partPrefix) {
+		return c.restorePart(now, id, value)
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return fmt.Errorf("progress of job %s: no such job", id)
@@ -104,6 +37,10 @@
 		}
 		c.restoreOccurrence(now, j, o)
 	}
+	j.inParts = r.Parts
+	for _, k := range r.Open {
+		j.occurrences[k] = newOccurrence(j, k)
+	}
 	if j.state.Terminal() {
 		j.endedAt = now
 		c.closeJob(j)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -33,6 +33,8 @@
 	Margin time.Duration
 	// JobRetention is how long the state of an ended job can be queried.
 	JobRetention time.Duration
+	// RecordBytes bounds a stored record with its key; 0 means no limit.
+	RecordBytes int
 }
 
 // clockDrift bounds how slow a worker's monotonic clock may run, as a divisor: 1/50 is 2%.
@@ -165,7 +167,7 @@
 		return
 	}
 	c.interferenceSavedAt = now
-	data, err := c.interferenceModel.Encode()
+	data, err := c.interferenceModel.Encode(c.opt.RecordBytes - len(InterferenceKey) - 1)
 	if err != nil {
 		c.logDecision(event.Learn, "tails", err.Error())
 		return
@@ -173,7 +175,8 @@
 	b.Records = append(b.Records, store.Record{Key: InterferenceKey, Value: data})
 }
 
-// Flush returns the next batch to store, if anything has changed and no batch is in flight.
+// Flush returns the next batch to store, if anything has changed and no batch is in flight. Its records may be stored by
+// several appends, in order.
 func (c *Core) Flush(now time.Time) (Batch, bool) {
 	if c.inFlight != nil || len(c.dirty) == 0 && len(c.gatedCommands) == 0 && len(c.dirtyNodes) == 0 {
 		return Batch{}, false
@@ -183,7 +186,12 @@
 	b := Batch{Seq: c.seq}
 	for _, id := range slices.Sorted(maps.Keys(c.dirty)) {
 		j := c.dirty[id]
-		b.Records = append(b.Records, store.Record{Key: id, Value: j.encode()})
+		records, err := j.records(c.opt.RecordBytes)
+		if err != nil {
+			c.failUnstorable(now, j, err.Error())
+			records, _ = j.records(c.opt.RecordBytes)
+		}
+		b.Records = append(b.Records, records...)
 		f.states[j] = j.state
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.dirtyNodes)) {
@@ -197,17 +205,29 @@
 	return b, true
 }
 
-// Stored reports that a batch has been stored.
-func (c *Core) Stored(now time.Time, seq int64) {
+// Stored reports that a batch has been stored, but for records that the store has rejected, by their keys: storing them
+// again can't succeed.
+func (c *Core) Stored(now time.Time, seq int64, rejected ...string) {
 	f := c.inFlight
 	if f == nil || f.seq != seq {
 		return
 	}
 	c.inFlight = nil
+	unstored := c.jobsOf(rejected)
 	for j, s := range f.states {
-		j.storedState = s
+		if !unstored[j] {
+			j.storedState = s
+		}
+	}
+	for j := range unstored {
+		c.failUnstorable(now, j, "the store rejects its progress")
 	}
 	for id, d := range f.commands {
+		if len(rejected) > 0 {
+			// Ends are acknowledged once the failure of the job that they may belong to is stored.
+			later := c.commandsFor(c.gatedCommands, id)
+			later.AckedEnd, d.AckedEnd = max(later.AckedEnd, d.AckedEnd), 0
+		}
 		c.releaseCommands(now, id, d)
 	}
 }
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -53,6 +53,7 @@
 	t    *rapid.T
 	now  time.Time
 	core *Core
+	opt  Options
 	// log holds the latest stored record by key; a takeover reads it.
 	log     map[string][]byte
 	specs   []*job.Spec
@@ -94,7 +95,10 @@
 		attached: map[string]*executor{}, drained: map[string]bool{}, done: map[job.TaskID]bool{}, failed: map[job.TaskID]int{},
 		deadly: map[job.TaskID]bool{}, crashed: map[job.TaskID]int{}, startsAfter: map[job.TaskID]int{}, reports: map[string][]link.Crash{},
 	}
-	w.core = New(options)
+	// A small limit lets the progress of jobs be stored in parts.
+	w.opt = options
+	w.opt.RecordBytes = rapid.SampledFrom([]int{0, 700}).Draw(t, "record limit")
+	w.core = New(w.opt)
 	for i := range workers {
 		w.boot(fmt.Sprintf("node-%d", i))
 	}
@@ -449,36 +453,38 @@
 // write puts records into the log.
 func (w *world) write(records []store.Record) {
 	for _, r := range records {
+		if !fits(r, w.opt.RecordBytes) {
+			w.t.Fatalf("record %s has %d bytes, at most %d are stored", r.Key, r.Size(), w.opt.RecordBytes)
+		}
 		w.log[r.Key] = r.Value
 	}
 }
 
-// takeover starts a new owner from the stored records; batchStored says that the batch in flight was stored.
-func (w *world) takeover(batchStored bool) {
-	if w.inFlight != nil && batchStored {
-		w.write(w.inFlight.Records)
+// takeover starts a new owner from the stored records. Of the batch in flight some records were stored, from the first on:
+// it may take several appends.
+func (w *world) takeover() {
+	if w.inFlight != nil {
+		n := rapid.IntRange(0, len(w.inFlight.Records)).Draw(w.t, "stored records")
+		w.write(w.inFlight.Records[:n])
 	}
 	w.inFlight = nil
 	for node := range w.attached {
 		delete(w.attached, node)
 	}
-	w.core = New(options)
+	w.core = New(w.opt)
 	w.setDrains(true)
 	for _, s := range w.specs {
 		w.core.Submit(w.now, s)
 	}
-	for _, s := range w.specs {
-		if v, ok := w.log[s.ID]; ok {
-			if err := w.core.Restore(w.now, s.ID, v); err != nil {
-				w.t.Fatal(err)
-			}
-		}
-	}
+	var records []store.Record
 	for _, key := range slices.Sorted(maps.Keys(w.log)) {
-		if w.spec(key) != nil || len(w.log[key]) == 0 {
-			continue
+		if len(w.log[key]) > 0 {
+			records = append(records, store.Record{Key: key, Value: w.log[key]})
 		}
-		if err := w.core.Restore(w.now, key, w.log[key]); err != nil {
+	}
+	SortForRestore(records)
+	for _, r := range records {
+		if err := w.core.Restore(w.now, r.Key, r.Value); err != nil {
 			w.t.Fatal(err)
 		}
 	}
--- a/internal/store/cautious.go
+++ b/internal/store/cautious.go
@@ -46,7 +46,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case label == "ok" || label == "conflict" || label == "expired":
+	case label == "ok" || label == "conflict" || label == "expired" || label == "rejected":
 		c.answered, c.failed = time.Now(), false
 	case ctx.Err() != context.Canceled:
 		c.failed = true
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -22,10 +22,50 @@
 	topics map[string]*topic
 	// inject returns the fault of a call; nil if no faults are injected.
 	inject func(call, topic string) Fault
+	limits store.Limits
+	// rejects reports which records the store doesn't take besides those beyond its limits; nil for none.
+	rejects func(store.Record) bool
 	// maxRead is the most records that a read returns; 0 for no limit.
 	maxRead int
 }
 
+// SetLimits sets the sizes that the store takes.
+func (s *Store) SetLimits(l store.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
+// SetRejects sets which records the store doesn't take for a reason that its limits don't tell.
+func (s *Store) SetRejects(rejects func(store.Record) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejects = rejects
+}
+
+// Limits implements store.Store.
+func (s *Store) Limits() store.Limits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits
+}
+
+// checkLimits returns an error if records exceed a limit. The caller holds the lock.
+func (s *Store) checkLimits(records []store.Record) error {
+	for _, r := range records {
+		if err := s.limits.Check(r); err != nil {
+			return err
+		}
+		if s.rejects != nil && s.rejects(r) {
+			return store.ErrRejected
+		}
+	}
+	if len(s.limits.Calls(records)) > 1 {
+		return store.ErrRejected
+	}
+	return nil
+}
+
 // SetMaxRead bounds the records that a read returns; 0 removes the bound.
 func (s *Store) SetMaxRead(n int) {
 	s.mu.Lock()
@@ -94,6 +134,9 @@
 	if f.Refuse {
 		return 0, store.ErrRefused
 	}
+	if err := s.checkLimits(records); err != nil {
+		return 0, err
+	}
 	t := s.topic(name)
 	first := t.end()
 	if at != store.AnyOffset && at != first {
--- a/internal/store/metered.go
+++ b/internal/store/metered.go
@@ -20,6 +20,9 @@
 // snapshots.
 func Metered(next Store, scope tally.Scope) Store { return &metered{next, scope} }
 
+// Limits implements Store.
+func (m *metered) Limits() Limits { return m.next.Limits() }
+
 // outcomeLabel returns the metric label for the result of a call.
 func outcomeLabel(err error) string {
 	var conflict *ConflictError
@@ -28,6 +31,8 @@
 		return "ok"
 	case errors.As(err, &conflict):
 		return "conflict"
+	case errors.Is(err, ErrRejected):
+		return "rejected"
 	case errors.Is(err, ErrRefused):
 		return "refused"
 	case errors.Is(err, ErrExpired):
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -57,8 +57,11 @@
 
 // Store is the interface to the store. Every call ends with its context at the latest.
 type Store interface {
+	// Limits returns the sizes that the store takes.
+	Limits() Limits
 	// Append appends records atomically and returns the offset of the first. Unless at is AnyOffset, it
-	// fails with a *ConflictError if the topic doesn't end at that offset.
+	// fails with a *ConflictError if the topic doesn't end at that offset. It fails with an ErrRejected if the store
+	// doesn't take such records, for instance beyond its Limits.
 	Append(ctx context.Context, topic string, at Offset, records []Record) (Offset, error)
 	// Read returns records from an offset on, not necessarily all. If there are none yet, it waits for at most wait.
 	Read(ctx context.Context, topic string, from Offset, wait time.Duration) (Batch, error)
