Probation: a trial passes once its run has gone on for long enough

Cause: after probation a worker runs one task on trial, and takes no other until that one ends. A lasting task has no end.

Change: a run on trial that its worker has listed for a second, or 15 s in the product's own cells, passes its trial. Runs that end with another member of their gang, or as copies whose lease expires, are told to the tracker.

--- a/internal/cell/sync.go
+++ b/internal/cell/sync.go
@@ -183,5 +183,10 @@
 	if resp.Full || len(resp.Residents) > 0 {
 		w.residents = resp.Residents
 	}
+	for key, a := range w.inventory {
+		if a.State == workerapi.StateRunning {
+			o.core.tracker.Listed(now, w.name, key.task)
+		}
+	}
 	o.learn(now, w, resp.Attempts)
 }
--- a/internal/probation/probation.go
+++ b/internal/probation/probation.go
@@ -3,7 +3,8 @@
 // A failed attempt is attributed to its worker at first. Once a task has failed on enough different
 // workers, the task counts as faulty and its failures no longer count against any of them. A worker whose
 // failure ratio is an outlier among its peers is put on probation. It returns by trial, one task at a
-// time; after a failed trial the next probation is twice as long.
+// time; after a failed trial the next probation is twice as long. A trial passes when its task succeeds or has run for
+// long enough: a task that lasts has no end to wait for.
 package probation
 
 import (
@@ -25,6 +26,8 @@
 	Max   time.Duration
 	// Trials is the number of trials in a row that must succeed to end a trial period.
 	Trials int
+	// Proof is how long a worker must list the run of a task on trial for the trial to pass without an end.
+	Proof time.Duration
 	// Window is how long an outcome counts.
 	Window time.Duration
 }
@@ -33,7 +36,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Failures: 3, Ratio: 3, Workers: 2, First: 15 * time.Second, Max: 10 * time.Minute, Trials: 2,
-		Window: 10 * time.Minute,
+		Proof: 15 * time.Second, Window: 10 * time.Minute,
 	}
 }
 
@@ -61,8 +64,11 @@
 	probationUntil  time.Time
 	probationLength time.Duration
 	trialsPassed    int
-	// trialTask is the task that runs on trial; empty if none.
-	trialTask string
+	// trialTask is the task that runs on trial, listed since listedSince; empty if none.
+	trialTask   string
+	listedSince time.Time
+	// proven are the tasks whose trial has passed while they run on; their end is no trial any more.
+	proven map[string]bool
 }
 
 // Tracker tracks the failures of the workers of a cell. Use New to create one.
@@ -169,7 +175,7 @@
 // suspend puts a worker on probation.
 func (w *worker) suspend(now time.Time) {
 	w.state, w.probationUntil = Probation, now.Add(w.probationLength)
-	w.trialsPassed, w.trialTask = 0, ""
+	w.trialsPassed, w.trialTask, w.proven = 0, "", nil
 }
 
 // recordTrial records the outcome of an attempt on a worker on trial. A failure of a faulty task counts
@@ -186,12 +192,41 @@
 		w.suspend(now)
 		return
 	}
+	if !w.proven[task] {
+		t.passTrial(w)
+	}
+}
+
+// passTrial records a trial that has passed.
+func (t *Tracker) passTrial(w *worker) {
 	w.trialsPassed++
 	if w.trialsPassed >= t.limits.Trials {
 		*w = worker{state: Good, probationLength: w.probationLength}
 	}
 }
 
+// Listed records that a worker lists the run of a task, and reports whether the worker's state changed. A task on trial that
+// has been listed for Limits.Proof passes its trial.
+func (t *Tracker) Listed(now time.Time, name, task string) bool {
+	w := t.workers[name]
+	if w == nil || w.trialTask != task || t.State(now, name) != Trial {
+		return false
+	}
+	if w.listedSince.IsZero() {
+		w.listedSince = now
+	}
+	if now.Sub(w.listedSince) < t.limits.Proof {
+		return false
+	}
+	w.trialTask = ""
+	if w.proven == nil {
+		w.proven = map[string]bool{}
+	}
+	w.proven[task] = true
+	t.passTrial(w)
+	return w.state != Trial
+}
+
 // State returns the state of a worker now. A worker whose probation is over goes on trial.
 func (t *Tracker) State(now time.Time, name string) State {
 	w := t.workers[name]
@@ -220,7 +255,8 @@
 // Started records that a task was placed on a worker; a worker on trial runs only one task at a time.
 func (t *Tracker) Started(now time.Time, name, task string) {
 	if t.State(now, name) == Trial {
-		t.workers[name].trialTask = task
+		w := t.workers[name]
+		w.trialTask, w.listedSince = task, time.Time{}
 	}
 }
 
--- a/internal/probation/probation_test.go
+++ b/internal/probation/probation_test.go
@@ -81,3 +81,39 @@
 		}
 	})
 }
+
+// TestLastingTaskPassesTrial guards against a worker that stays on trial for good: the task on trial has no end. One that
+// doesn't last for Proof doesn't pass, and the end of one that has passed is no second trial.
+func TestLastingTaskPassesTrial(t *testing.T) {
+	l := DefaultLimits()
+	tr := New(l)
+	now := start
+	for i := range 3 {
+		tr.Ended(now, "w", fmt.Sprint(i), true)
+	}
+	now = now.Add(l.First)
+	tr.Started(now, "w", "lasting")
+	for range 2 {
+		tr.Listed(now, "w", "lasting")
+		if tr.Refuse(now, "w") == "" {
+			t.Fatal("the trial has passed before its time")
+		}
+		now = now.Add(l.Proof / 2)
+	}
+	if tr.Listed(now, "w", "other") || tr.Refuse(now, "w") == "" {
+		t.Error("another task has passed the trial")
+	}
+	tr.Listed(now, "w", "lasting")
+	if got := tr.Refuse(now, "w"); got != "" {
+		t.Errorf("refused after the trial: %s", got)
+	}
+	if tr.Ended(now, "w", "lasting", false); tr.State(now, "w") != Trial {
+		t.Error("one task has passed two trials")
+	}
+	tr.Started(now, "w", "second")
+	tr.Listed(now, "w", "second")
+	now = now.Add(l.Proof)
+	if !tr.Listed(now, "w", "second") || tr.State(now, "w") != Good {
+		t.Errorf("worker is %s after two trials", tr.State(now, "w"))
+	}
+}
--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -169,7 +169,8 @@
 
 // dropCopies removes the copies on a worker, none of which can run any more.
 func (c *Core) dropCopies(w *worker) {
-	for ref := range w.copies {
+	for ref, cp := range w.copies {
+		c.health.left(w.id, cp.task)
 		c.dropCopy(w, ref)
 	}
 }
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -43,6 +43,8 @@
 	l.First = 4 * time.Second
 	l.Max = time.Minute
 	l.Window = 10 * time.Second
+	// A worker that fails everything does so within a tenth of a second after the start.
+	l.Proof = time.Second
 	return l
 }
 
@@ -85,6 +87,16 @@
 // started records the start of a run.
 func (h *health) started(now time.Time, id string, t *task) { h.track.Started(now, id, t.id.String()) }
 
+// listed records that a worker lists the newest run of a task.
+func (h *health) listed(now time.Time, id string, t *task) {
+	if h.track.State(now, id) == probation.Trial {
+		h.track.Listed(now, id, t.id.String())
+	}
+}
+
+// left records that a task has left a worker without an end that counts.
+func (h *health) left(id string, t *task) { h.track.Removed(id, t.id.String()) }
+
 // ended records the end of a run; requested says that a stop was sent for it.
 func (h *health) ended(now time.Time, id string, t *task, o link.Outcome, requested bool) {
 	name := t.id.String()
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -112,6 +112,7 @@
 	}
 	t.percent, t.measurement = r.Percent, r.Measurement
 	c.clearIfSettled(t, w)
+	c.health.listed(now, w.id, t)
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
@@ -212,6 +213,7 @@
 			continue
 		}
 		if t.held() {
+			c.health.left(t.worker, t)
 			c.dropRun(t)
 		} else {
 			s.waiting--
