Ejection: a trial that says nothing about its target ends

A target on trial got no requests for good if the caller of its trial had less time than a request takes: such an attempt isn't reported, since it says nothing about the target, and the trial was still taken for running.

TestImpatientTrial and TestTrialWithoutVerdict fail on the old code ("no other trial after one whose caller had too little time").

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -178,6 +178,7 @@
 	}
 	t.latency.Sample(now, took)
 	if kind == eject.Lost && res.Proof == retry.None && took < minTimeoutFactor*s.queue.MeanServiceTime() {
+		s.health.Inconclusive(r.target)
 		return
 	}
 	s.health.Report(now, r.target, kind, took)
--- a/internal/eject/eject.go
+++ b/internal/eject/eject.go
@@ -156,6 +156,9 @@
 	}
 }
 
+// Inconclusive records the end of a request that says nothing about the target. The next one may be its trial.
+func (s *Set) Inconclusive(name string) { s.get(name).trialRunning = false }
+
 // NextTrial returns the time until the next trial of an ejected target, at least 1 ms; 0 if no target is
 // ejected.
 func (s *Set) NextTrial(now time.Time) time.Duration {
