Link: the starts of a round are split into messages

A guard takes messages of up to 4 MiB. The starts of one round for a worker were one message, each with the payload of its job (up to 4,000 bytes), so that 1,100 starts at once exceeded it: the link failed, the starts were withdrawn, and the next round sent as many again.

--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -181,12 +181,42 @@
 	if err := c.owns(); err != nil {
 		return link.OwnerMessage{}, err
 	}
-	d := p.outbox
+	d := p.nextCommands()
 	d.Epoch, d.EchoMS, d.Worker = epoch, p.echoMS, p.worker
-	p.outbox = link.OwnerMessage{}
 	return d, nil
 }
 
+// maxStartBytes bounds the starts of one message, in bytes; the next message has the others. A link takes only so much at a
+// time, and the lease of runs must not wait for thousands of starts to be sent.
+const maxStartBytes = 256 << 10
+
+// startOverhead is the size of a start besides its payload and checkpoint, at most, in bytes.
+const startOverhead = 1 << 10
+
+// nextCommands takes the commands of the next message from the outbox.
+func (p *peer) nextCommands() link.OwnerMessage {
+	d := p.outbox
+	p.outbox = link.OwnerMessage{}
+	size := 0
+	for i := range d.Start {
+		size += startOverhead + len(d.Start[i].Payload) + len(d.Start[i].Checkpoint)
+		if i > 0 && size > maxStartBytes {
+			d.Start, p.outbox.Start = d.Start[:i], d.Start[i:]
+			p.signal()
+			break
+		}
+	}
+	return d
+}
+
+// signal wakes sendLoop.
+func (p *peer) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
 // queueCommands queues the scheduler's commands on the links of their workers; those for a worker without a link are
 // dropped. The caller holds the lock.
 func (c *Cell) queueCommands() {
@@ -199,10 +229,7 @@
 		p.outbox.Stop = append(p.outbox.Stop, d.Stop...)
 		p.outbox.KnownRuns = append(p.outbox.KnownRuns, d.KnownRuns...)
 		p.outbox.AckedEnd = max(p.outbox.AckedEnd, d.AckedEnd)
-		select {
-		case p.wake <- struct{}{}:
-		default:
-		}
+		p.signal()
 	}
 }
 
