Ownership: an odd record of the lease hides nothing

Here, with a record under the key of the lease that is no lease, the processes took the topic for empty: epochs began at 1 again, below the tokens that the workers had seen, so that every start was refused and accepted jobs never ran. The cell was taken at once, although its owner could still hold it, and sound records behind the odd one in the same read were dropped. An epoch near the largest number would have overflowed.

Evidence: TestEpochRisesAfterOddLease, and TestOneOwner with another writer in its model, fail on the old code ("epoch 1 belongs to p0-2 and p0-3").

Change: the epoch follows from the offset at which the cell is taken. A record whose epoch exceeds its offset plus one is no lease, like one that can't be decoded; such records are reported and passed over. A process that finds one before any lease waits for one lease length.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -4,10 +4,14 @@
 // The owner counts its lease from before it sent the record that granted it. Another candidate counts the
 // same time from when it read that record, which is later, and its append fails if the lease was renewed.
 // So two ownerships never overlap as long as clocks run at nearly the same rate.
+//
+// The epoch of an ownership follows from the offset at which it was taken, so that it exceeds all earlier ones, whatever the
+// newest record says: other writers may have left one that is no lease.
 package ownership
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -24,7 +28,8 @@
 	Incarnation string `json:"life"`
 	// Addr is where the owner serves guards and entries.
 	Addr string `json:"addr"`
-	// Epoch increases with each takeover; it fences earlier owners.
+	// Epoch increases with each takeover; it fences earlier owners. It is the offset of the first record of the ownership
+	// plus one, or less.
 	Epoch int64 `json:"epoch"`
 	// Seq increases with each record that an incarnation appends.
 	Seq int64 `json:"seq"`
@@ -54,6 +59,9 @@
 	lease  *Lease
 	readAt time.Time
 	synced bool // the topic has been read
+	// obscuredAt is when the first record since lease was read that is no lease, zero for none: an owner's lease may be
+	// hidden behind it.
+	obscuredAt time.Time
 	// ownEpoch is the epoch of this process's lease, 0 for none, and ownUntil the end of that lease.
 	ownEpoch int64
 	ownUntil time.Time
@@ -67,21 +75,46 @@
 // New returns a core that hasn't read the topic yet.
 func New(opt Options) *Core { return &Core{opt: opt, appendStarted: map[[2]int64]time.Time{}} }
 
-// Observe processes what was read from the topic: its records in order and its end.
+// Observe processes what was read from the topic: its records in order and its end. Records that are no leases are
+// reported together and otherwise ignored.
 func (c *Core) Observe(now time.Time, records []store.Record, end store.Offset) error {
 	c.synced = true
 	c.end = max(c.end, end)
+	var errs []error
 	for _, r := range records {
 		if r.Key != Key {
 			continue
 		}
-		var l Lease
-		if err := json.Unmarshal(r.Value, &l); err != nil {
-			return fmt.Errorf("lease at offset %d: %w", r.Offset, err)
+		l, err := decodeLease(r)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("lease at offset %d: %w", r.Offset, err))
+			if c.obscuredAt.IsZero() {
+				c.obscuredAt = now
+			}
+			continue
 		}
 		c.observeLease(now, l)
 	}
-	return nil
+	if c.lease == nil && c.end > 0 && c.obscuredAt.IsZero() {
+		// Another writer has deleted the newest lease.
+		c.obscuredAt = now
+	}
+	return errors.Join(errs...)
+}
+
+// errNoLease means that a record has the form of a lease but can't be one.
+var errNoLease = errors.New("no owner writes such a lease")
+
+// decodeLease decodes a record of the lease.
+func decodeLease(r store.Record) (Lease, error) {
+	var l Lease
+	if err := json.Unmarshal(r.Value, &l); err != nil {
+		return l, err
+	}
+	if l.Epoch < 1 || l.Epoch > int64(r.Offset)+1 || l.Seq < 1 || l.Node == "" {
+		return l, fmt.Errorf("%w: node %q, epoch %d, seq %d", errNoLease, l.Node, l.Epoch, l.Seq)
+	}
+	return l, nil
 }
 
 // observeLease processes one record of the lease; older ones than the newest known are ignored.
@@ -89,7 +122,7 @@
 	if c.lease != nil && (l.Epoch < c.lease.Epoch || l.Epoch == c.lease.Epoch && l.Seq <= c.lease.Seq) {
 		return
 	}
-	c.lease, c.readAt = &l, now
+	c.lease, c.readAt, c.obscuredAt = &l, now, time.Time{}
 	if !c.isOwn() {
 		c.ownEpoch = 0
 		return
@@ -155,10 +188,7 @@
 		}
 		l.Epoch = c.ownEpoch
 	case c.takeable(now):
-		l.Epoch = 1
-		if c.lease != nil {
-			l.Epoch = c.lease.Epoch + 1
-		}
+		l.Epoch = int64(c.end) + 1
 	default:
 		return store.Record{}, 0, false
 	}
@@ -168,10 +198,14 @@
 // takeable reports whether no other process can own the cell now. A lease of an earlier incarnation on the same
 // node is void at once.
 func (c *Core) takeable(now time.Time) bool {
+	wait := c.opt.Length + c.opt.Margin + c.opt.Stagger
+	if !c.obscuredAt.IsZero() && now.Sub(c.obscuredAt) <= wait {
+		return false
+	}
 	if c.lease == nil || c.lease.Released || c.lease.Node == c.opt.Node {
 		return true
 	}
-	return now.Sub(c.readAt) > c.opt.Length+c.opt.Margin+c.opt.Stagger
+	return now.Sub(c.readAt) > wait
 }
 
 // record returns the record of a lease with the next sequence number, and the offset for it. It records when
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,8 +40,15 @@
 	})
 }
 
-// TestOneOwner runs three candidates with lost answers, delayed appends, restarts and slow reads. It checks that
-// two never own the cell at once, and that an epoch belongs to one incarnation.
+// oddLeases are values that another writer may leave under the key of the lease.
+var oddLeases = []string{
+	"", "{}", "null", "[]", "7", `"text"`, "\xff\x00", `{"node":`, strings.Repeat("[", 20_000), strings.Repeat(`{"node":`, 20_000),
+	`{"node":"x","epoch":1e30,"seq":1}`, `{"node":"x","epoch":9223372036854775807,"seq":1}`, `{"node":"x","epoch":-1,"seq":1}`,
+	`{"node":"x","epoch":"1","seq":1}`, `{"node":{"node":"x"},"epoch":1,"seq":1}`, `{"node":"","epoch":1,"seq":1}`,
+}
+
+// TestOneOwner runs three candidates with lost answers, delayed appends, restarts and slow reads, and another writer that leaves
+// odd records. It checks that two never own the cell at once, and that epochs rise and belong to one incarnation each.
 func TestOneOwner(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1_800_000_000, 0)
@@ -62,16 +71,22 @@
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
 			p := rapid.SampledFrom(all).Draw(t, "process")
-			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			switch rapid.IntRange(0, 10).Draw(t, "event") {
 			case 0:
 				p.boot()
+				if len(log) > 0 && rapid.Bool().Draw(t, "newest only") {
+					_ = p.core.Observe(now, log[len(log)-1:], store.Offset(len(log)))
+					p.next = store.Offset(len(log))
+				}
+			case 10:
+				add(store.Record{Key: Key, Value: []byte(rapid.SampledFrom(oddLeases).Draw(t, "odd"))}, store.Offset(len(log)))
 			case 1:
 				for _, l := range p.delayed {
 					add(l.record, l.at)
 				}
 				p.delayed = nil
 			case 2, 3, 4, 5:
-				if err := p.core.Observe(now, log[p.next:], store.Offset(len(log))); err != nil {
+				if err := p.core.Observe(now, log[p.next:], store.Offset(len(log))); err != nil && !odd(log[p.next:]) {
 					t.Fatal(err)
 				}
 				p.next = store.Offset(len(log))
@@ -98,6 +113,11 @@
 	})
 }
 
+// odd reports whether any record is an odd one.
+func odd(records []store.Record) bool {
+	return slices.ContainsFunc(records, func(r store.Record) bool { return slices.Contains(oddLeases, string(r.Value)) })
+}
+
 // checkOwners checks that at most one process owns the cell, and that no epoch has two owners.
 func checkOwners(t *rapid.T, now time.Time, all []*process, owners map[int64]string) {
 	holder := ""
@@ -114,6 +134,11 @@
 		if first := owners[epoch]; first != "" && first != incarnation {
 			t.Fatalf("epoch %d belongs to %s and %s", epoch, first, incarnation)
 		}
+		for earlier := range owners {
+			if owners[epoch] == "" && earlier > epoch {
+				t.Fatalf("%s owns the cell under epoch %d after epoch %d", p.name, epoch, earlier)
+			}
+		}
 		owners[epoch] = incarnation
 	}
 }
@@ -181,3 +206,46 @@
 		t.Error("a cell that was released is not taken")
 	}
 }
+
+// TestEpochRisesAfterOddLease guards against accepted jobs that never run: another writer leaves an odd record of the lease,
+// all processes restart, and epochs begin at 1 again, below those that the workers have seen. Nobody may take the cell either
+// while the owner behind the odd record may still hold it, and the record must not hide the leases that follow it.
+func TestEpochRisesAfterOddLease(t *testing.T) {
+	for _, value := range oddLeases {
+		now := time.Unix(1_800_000_000, 0)
+		odd := store.Record{Key: Key, Value: []byte(value), Offset: 40}
+		a := &process{name: "a"}
+		a.boot()
+		records := []store.Record{odd}
+		if value == "" {
+			// The newest records of a topic don't list a key that was deleted.
+			records = nil
+		}
+		if err := a.core.Observe(now, records, 41); (err == nil) != (value == "") {
+			t.Errorf("%.40q is read with %v", value, err)
+		}
+		if _, _, ok := a.core.Next(now.Add(length)); ok {
+			t.Errorf("%.40q: taken while its owner may hold the cell", value)
+		}
+		now = now.Add(2 * length)
+		r, at, ok := a.core.Next(now)
+		if !ok {
+			t.Errorf("%.40q: never taken", value)
+			continue
+		}
+		if err := a.core.Appended(now, r, at); err != nil {
+			t.Fatal(err)
+		}
+		if epoch, ok := a.core.Owner(now); !ok || epoch <= 40 {
+			t.Errorf("%.40q: epoch %d, owner %v", value, epoch, ok)
+		}
+		b := &process{name: "b"}
+		b.boot()
+		odd.Offset = at
+		r.Offset = at + 1
+		_ = b.core.Observe(now, []store.Record{odd, r, odd}, at+3)
+		if l, ok := b.core.Holder(); !ok || l.Node != "a" {
+			t.Errorf("%.40q: holder %+v, want a", value, l)
+		}
+	}
+}
