Announcements: one odd heartbeat takes no worker out of use

One heartbeat of another writer with a high number made a guard ignore all sound ones of its worker for good, since their numbers were lower: a worker announced for a service that nothing names got no work any more.

--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -53,6 +53,8 @@
 	// announcedSeq numbers the latest announcement of the incarnation announcedBy; 0 without numbers.
 	announcedSeq int64
 	announcedBy  string
+	// lower is a series of announcements with lower numbers than announcedSeq.
+	lower lowerSeries
 	// ended lists the latest incarnations that have ended; the first endedReported of them were reported on the current
 	// link.
 	ended         []endedIncarnation
@@ -99,13 +101,36 @@
 	return &Core{opt: opt, runs: map[link.RunRef]*run{}, pacer: newPacer()}
 }
 
-// Describe records an announcement of the worker; seq numbers the announcements of an incarnation, or is 0. A delayed
+// lowerSeries are announcements with rising numbers, all lower than the highest one seen: the newest number, and when the
+// first of them came.
+type lowerSeries struct{ seq, firstMS int64 }
+
+// minSeriesMS is how long a series of lower numbers must go on before it counts: late messages that a link held up arrive
+// together.
+const minSeriesMS = 1000
+
+// late reports whether an announcement is a late one, which newer ones have overtaken. If the worker goes on counting from a
+// lower number, the higher one was no announcement of this worker.
+func (c *Core) late(nowMS int64, id string, seq int64) bool {
+	if seq == 0 || id != c.announcedBy || seq > c.announcedSeq {
+		return false
+	}
+	if c.lower.seq == 0 || seq <= c.lower.seq {
+		c.lower = lowerSeries{seq, nowMS}
+		return true
+	}
+	c.lower.seq = seq
+	return nowMS-c.lower.firstMS < minSeriesMS
+}
+
+// Describe records an announcement of the worker; seq numbers the announcements of an incarnation, or is 0. A late
 // one is ignored. While one incarnation of the worker answers, the announcement of another is set aside: it may be a
 // delayed message of an earlier incarnation or the first one of a new incarnation.
-func (c *Core) Describe(w link.Worker, seq int64) {
-	if seq > 0 && w.ID == c.announcedBy && seq <= c.announcedSeq || link.Reborn(c.incarnation, w.ID) {
+func (c *Core) Describe(nowMS int64, w link.Worker, seq int64) {
+	if link.Reborn(c.incarnation, w.ID) || c.late(nowMS, w.ID, seq) {
 		return
 	}
+	c.lower = lowerSeries{}
 	c.announcedBy, c.announcedSeq = w.ID, seq
 	if c.incarnation != "" && w.ID != c.incarnation {
 		c.successor = &w
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -18,7 +18,7 @@
 func newTestCore(t *testing.T) *Core {
 	t.Helper()
 	c := NewCore(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second})
-	c.Describe(worker("life-1"), 0)
+	c.Describe(1000, worker("life-1"), 0)
 	if !c.ExtendLease(link.OwnerMessage{Epoch: 1, EchoMS: 1000}) {
 		t.Fatal("first owner is refused")
 	}
@@ -138,7 +138,7 @@
 	c := newTestCore(t)
 	w := worker("life-1")
 	w.Draining = true
-	c.Describe(w, 0)
+	c.Describe(1000, w, 0)
 	if _, ok := c.BeginStart(1000, start(0, 1)); ok {
 		t.Error("a run was started on a draining worker")
 	}
@@ -156,7 +156,7 @@
 func TestNewIncarnation(t *testing.T) {
 	c := newTestCore(t)
 	c.BeginStart(1000, start(0, 1))
-	c.Describe(worker("life-2"), 0)
+	c.Describe(1000, worker("life-2"), 0)
 	if q, _ := c.NextPoll(1000, 0); q.Incarnation != "life-1" {
 		t.Fatalf("polls %s, want the incarnation that answers", q.Incarnation)
 	}
@@ -180,7 +180,7 @@
 func TestCommandsForOldIncarnation(t *testing.T) {
 	c := newTestCore(t)
 	c.IncarnationEnded("life-1")
-	c.Describe(worker("life-2"), 0)
+	c.Describe(1000, worker("life-2"), 0)
 	c.ObserveListing(1200, nil, Listing{Incarnation: "life-2", ClockMS: 7})
 	d := link.OwnerMessage{Epoch: 1, EchoMS: 1300, Worker: "life-1", Start: []link.Start{start(0, 1)}, AckedEnd: 5}
 	if !c.ExtendLease(d) {
@@ -203,7 +203,7 @@
 // TestDelayedAnnouncement checks that a delayed announcement of an old incarnation has no effect.
 func TestDelayedAnnouncement(t *testing.T) {
 	c := newTestCore(t)
-	c.Describe(worker("life-0"), 0)
+	c.Describe(1000, worker("life-0"), 0)
 	c.ObserveListing(1100, nil, Listing{Incarnation: "life-1", ClockMS: 50_100})
 	c.IncarnationEnded("life-0")
 	if c.info.ID != "life-1" || c.successor != nil {
@@ -267,7 +267,7 @@
 func newRebornCore(t *testing.T) *Core {
 	t.Helper()
 	c := NewCore(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second})
-	c.Describe(worker("w@10"), 1)
+	c.Describe(1000, worker("w@10"), 1)
 	c.ExtendLease(link.OwnerMessage{Epoch: 1, EchoMS: 1000, Worker: "w@10", AckedEnd: 57})
 	answer(c, 1000, "w@10")
 	for i := range 3 {
@@ -337,15 +337,15 @@
 	if c.Described() {
 		t.Fatal("described by the announcement of the earlier incarnation")
 	}
-	c.Describe(worker("w@10"), 2)
+	c.Describe(1000, worker("w@10"), 2)
 	answer(c, 1150, "w@10", link.RunStatus{RunRef: ref(0, 1)})
 	if c.incarnation != "w@20" || c.successor != nil || c.Described() {
 		t.Fatalf("incarnation %s, successor %v after delayed messages", c.incarnation, c.successor)
 	}
 	draining := worker("w@20")
 	draining.Draining = true
-	c.Describe(draining, 4)
-	c.Describe(worker("w@20"), 3)
+	c.Describe(1000, draining, 4)
+	c.Describe(1000, worker("w@20"), 3)
 	if !c.Described() || !c.Draining() {
 		t.Error("a delayed announcement has ended the drain of the worker")
 	}
@@ -357,7 +357,7 @@
 	t.Helper()
 	c := NewCore(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second})
 	w := worker("w@10")
-	c.Describe(w, 1)
+	c.Describe(1000, w, 1)
 	c.ExtendLease(link.OwnerMessage{Epoch: 1, EchoMS: 3000, Worker: "w@10"})
 	answer(c, 1000, "w@10")
 	begin := func(nowMS int64, i int) {
@@ -372,7 +372,7 @@
 	begin(2995, 2)
 	if draining {
 		w.Draining = true
-		c.Describe(w, 2)
+		c.Describe(1000, w, 2)
 	}
 	c.PollFailed(3000)
 	if _, ok := c.BeginStart(3050, start(3, 1)); ok {
@@ -470,7 +470,7 @@
 	g.core.StartAnswered(ref(1, 1), nil, true, "late")
 	g.core.StartAnswered(ref(2, 1), nil, true, "late")
 	answer(g.core, 1100, "w@20")
-	g.core.Describe(worker("w@20"), 1)
+	g.core.Describe(1000, worker("w@20"), 1)
 	complete, last := false, reportState{}
 	if up, _ := g.nextReport(&complete, &last); up.Inventory || up.Worker != nil {
 		t.Fatalf("message %+v, want none about the worker before it is listed", up)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -79,7 +79,7 @@
 func (g *Guard) Describe(w link.Worker, seq int64) {
 	g.mu.Lock()
 	draining := g.core.Draining()
-	g.core.Describe(w, seq)
+	g.core.Describe(g.clock(), w, seq)
 	drainingNow := g.core.Draining()
 	g.mu.Unlock()
 	if drainingNow && !draining {
