Readers pass over odd records of addresses and configurations

A text that is no address was called, or looked up by name, for as long as its record stood. One queue of a configuration that couldn't be read left out the whole configuration. A record that made a follower panic ended its process.

Change: only IP addresses with a port from 1 to 65535 are used; queues are decoded one by one; a panic in a follower is a failure of that read only.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -57,11 +59,21 @@
 	}
 	out := map[string]string{}
 	for _, r := range snap.Records {
-		out[r.Key] = string(r.Value)
+		// Other writers may have left records that are no addresses.
+		if addr := string(r.Value); validAddr(addr) {
+			out[r.Key] = addr
+		}
 	}
 	return out, nil
 }
 
+// validAddr reports whether a text is an address that can be called.
+func validAddr(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	n, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && n > 0 && net.ParseIP(host) != nil
+}
+
 // Follower keeps the addresses of the other processes for when the store can't be reached. Use NewFollower to make
 // one.
 type Follower struct {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,8 @@
 	RecordSkipped         Message = "record left out"
 	DecisionsNotStored    Message = "decisions not stored"
 	RecordRejected        Message = "record rejected"
+	ForeignRecords        Message = "records of other writers"
+	RecordRepaired        Message = "record stored again"
 	EndedNotDropped       Message = "ended jobs not dropped"
 	LinkRefused           Message = "link refused"
 	LinkEnded             Message = "link ended"
@@ -101,7 +103,7 @@
 	{ConnectionsCut, "warn", "entry", "", []string{"err"}, "connections that were still open at the end of the grace time were closed"},
 	{AddressNotStored, "warn", "all", "", []string{"addr", "err"}, "the address of this process was not stored, so a new owner can't notify it of a takeover"},
 	{ConfigurationInEffect, "info", "entry", "config", []string{"version", "queues"}, "a newer configuration is in effect from now on"},
-	{ConfigurationSkipped, "error", "entry", "config", []string{"offset", "err"}, "a configuration can't be parsed; the previous one stays in effect"},
+	{ConfigurationSkipped, "error", "entry", "config", []string{"offset", "all", "err"}, "a configuration, or some of its queues if not all, can't be parsed; the previous configuration, or the rest of this one, is in effect"},
 	{DrainInEffect, "info", "guard", "drains", []string{"data_centre"}, "no task starts in this data centre from now on"},
 	{DrainEnded, "info", "guard", "drains", []string{"data_centre"}, "tasks may start in this data centre again"},
 	{DrainSkipped, "error", "guard", "drains", []string{"key", "offset", "err"}, "a request to drain names no data centre and is ignored"},
@@ -123,6 +125,8 @@
 	{CellNotReleased, "warn", "guard", "", []string{"err"}, "the owner couldn't release its lease when it stopped; the lease expires instead"},
 	{JobsExpiredUnread, "info", "guard", "cell", []string{"from"}, "the store's history is shorter than the owner's absence, so records from this offset on have expired; the newest record of each job is read instead"},
 	{RecordSkipped, "error", "guard", "cell", []string{"topic", "offset", "job", "err"}, "a record can't be parsed and is ignored; the others are used"},
+	{ForeignRecords, "error", "guard", "cell", []string{"topic", "at", "records", "keys"}, "another writer has appended to a topic of the owner; it goes on behind the records, and stores again what they have overwritten"},
+	{RecordRepaired, "error", "guard", "cell", []string{"job", "offset", "err"}, "another writer has overwritten or deleted the record of an accepted job; it is stored again"},
 	{RecordRejected, "error", "guard", "cell", []string{"topic", "key", "bytes", "err"}, "the store doesn't take a record and would refuse it again; it is left out, and a job whose progress it holds fails"},
 	{DecisionsNotStored, "warn", "guard", "cell", []string{"records", "at", "err"}, "an append by the owner failed; it is retried, or the cell is released"},
 	{EndedNotDropped, "warn", "guard", "cell", []string{"topic", "jobs", "err"}, "records of ended jobs stay until the next sweep"},
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -12,6 +12,7 @@
 
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/safe"
 	"github.com/crocusspring/crocusspring/internal/store"
 )
 
@@ -56,7 +57,8 @@
 // Source defines the topic and key of the configuration in the store, and how it is decoded.
 type Source struct {
 	Topic, Key string
-	Decode     func([]byte) (*Table, error)
+	// Decode returns the table of a record. With an error it returns nil, or a table without the queues that can't be read.
+	Decode func([]byte) (*Table, error)
 }
 
 // Follower keeps the newest table. It never returns to a lower version. Use NewFollower to make one.
@@ -109,12 +111,17 @@
 		if r.Key != f.source.Key || len(r.Value) == 0 {
 			continue
 		}
-		t, err := f.source.Decode(r.Value)
+		var t *Table
+		err := safe.Call("decode configuration", func() (err error) {
+			t, err = f.source.Decode(r.Value)
+			return err
+		})
 		if err != nil {
-			f.log.Error(event.ConfigurationSkipped, "offset", r.Offset, "err", err)
-			continue
+			f.log.Error(event.ConfigurationSkipped, "offset", r.Offset, "all", t == nil, "err", err)
+		}
+		if t != nil {
+			f.apply(t)
 		}
-		f.apply(t)
 	}
 }
 
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/pause"
+	"github.com/crocusspring/crocusspring/internal/safe"
 )
 
 // Follow describes how a process follows a topic; see Run.
@@ -60,7 +61,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.Apply(s.Records, Extent{Complete: true, Current: true})
+	f.apply(s.Records, Extent{Complete: true, Current: true})
 	return s.End, nil
 }
 
@@ -72,6 +73,17 @@
 	if err != nil {
 		return from, err
 	}
-	f.Apply(b.Records, Extent{Current: b.Current()})
+	f.apply(b.Records, Extent{Current: b.Current()})
 	return b.Next, nil
 }
+
+// apply passes records to Apply. A panic there is a failure of that call only: the records that follow are read all the same.
+func (f Follow) apply(records []Record, e Extent) {
+	err := safe.Call("apply records of "+f.Topic, func() error {
+		f.Apply(records, e)
+		return nil
+	})
+	if err != nil {
+		f.Failed(err)
+	}
+}
