Owner: odd records of other writers end nothing and hide nothing

One record of another writer among the runs made the owner give up the cell and load it anew, as if it had been replaced. A record under the key of an accepted job hid the job from the next owner. Progress with numbers out of range was applied in part: occurrences were opened from a negative number on. A job under the key of another record was run, and its progress stored over that record. A panic while records of jobs were applied ended the process.

Change: progress is checked as a whole before it is applied. Records that the owner didn't append are a successor's only if they hold a fence with a higher epoch; otherwise it goes on behind them, and stores again what they have overwritten, as it does with records of accepted jobs. IDs that are keys of other records aren't accepted.

--- a/internal/interfere/tails.go
+++ b/internal/interfere/tails.go
@@ -204,7 +204,7 @@
 		return fmt.Errorf("decode tail interference: %w", err)
 	}
 	for _, r := range records {
-		m.estimates[tailPair{r.Serving, r.Filler}] = &estimate{max(0, r.Mean), min(max(0, r.Variance), priorVariance)}
+		m.estimates[tailPair{r.Serving, r.Filler}] = &estimate{min(max(0, r.Mean), maxHeadroom), min(max(0, r.Variance), priorVariance)}
 	}
 	return nil
 }
--- a/internal/job/check.go
+++ b/internal/job/check.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/crocusspring/crocusspring/internal/finding"
 )
@@ -10,6 +13,8 @@
 const (
 	// MaxPayload is the maximum size of a payload, in bytes.
 	MaxPayload = 4000
+	// MaxID is the maximum size of an ID, in bytes.
+	MaxID = 200
 	// MaxSteps and MaxTasks bound the size of a job.
 	MaxSteps = 64
 	MaxTasks = 5000
@@ -26,9 +31,7 @@
 // Check returns all problems of a job as a *finding.Error, or nil.
 func (s *Spec) Check() error {
 	var l finding.List
-	if s.ID == "" {
-		l.Add("/id", "", "must be given")
-	}
+	checkID(&l, s.ID)
 	if len(s.Payload) > MaxPayload {
 		l.Add("/payload", "", "has %d bytes, at most %d are allowed", len(s.Payload), MaxPayload)
 	}
@@ -56,6 +59,21 @@
 	return l.Err()
 }
 
+// reservedIDs are keys of other records beside the progress of jobs.
+var reservedIDs = []string{"learned", "owner"}
+
+// checkID adds a finding for each problem of an ID, which is part of keys in the store.
+func checkID(l *finding.List, id string) {
+	switch {
+	case id == "":
+		l.Add("/id", "", "must be given")
+	case len(id) > MaxID:
+		l.Add("/id", "", "has %d bytes, at most %d are allowed", len(id), MaxID)
+	case !utf8.ValidString(id) || strings.Contains(id, "/") || slices.Contains(reservedIDs, id):
+		l.Add("/id", "", "must be UTF-8 without a slash, and none of %v", reservedIDs)
+	}
+}
+
 // check adds a finding for each problem of the step with index i.
 func (s *Step) check(l *finding.List, i int) {
 	at := fmt.Sprintf("/steps/%d", i)
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -47,7 +47,7 @@
 // writeAppendResult responds with the result of an append to the store: 503 when it was surely not
 // accepted, 502 when the outcome is unknown.
 func writeAppendResult(w http.ResponseWriter, in *intake.Intake, err error, status int, id string) {
-	if err != nil {
+	if err != nil && !errors.Is(err, intake.ErrUnstorable) {
 		w.Header().Set("Retry-After", strconv.Itoa(int(in.RetryAfter().Seconds())))
 	}
 	switch {
@@ -55,6 +55,10 @@
 		jsonhttp.Write(w, status, struct {
 			ID string `json:"id"`
 		}{id})
+	case errors.Is(err, intake.ErrUnstorable):
+		jsonhttp.WriteProblem(w, jsonhttp.Problem{
+			Title: "Content Too Large", Status: http.StatusRequestEntityTooLarge, Detail: err.Error(), Outcome: "not-run",
+		})
 	case errors.Is(err, intake.ErrNotAccepted):
 		jsonhttp.WriteProblem(w, jsonhttp.Problem{
 			Title: "Service Unavailable", Status: http.StatusServiceUnavailable, Detail: err.Error(), Outcome: "not-run",
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -15,6 +15,9 @@
 // adviceSlack is added to the expected time of an answer to get the timeout of the call.
 const adviceSlack = 500 * time.Millisecond
 
+// maxAdvice bounds the time that one request may keep the others waiting, whatever the policy of its queue says.
+const maxAdvice = 5 * time.Second
+
 // advise sends the scheduler's requests to the policy service, one at a time: the service handles one request
 // at a time for each caller, so a second one in progress would only wait there.
 func (c *Cell) advise(ctx context.Context) error {
@@ -23,12 +26,18 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case q := <-c.approvalRequests:
-			call, cancel := context.WithTimeout(ctx, q.Within+adviceSlack)
+			call, cancel := context.WithTimeout(ctx, min(max(0, q.Within), maxAdvice)+adviceSlack)
 			a, err := c.adviser.Advise(call, q.Step, q.Workers)
 			cancel()
-			c.mu.Lock()
-			c.core.HandleApproval(time.Now(), q, a, err)
-			c.mu.Unlock()
+			err = c.protect("handle an approval", func() error {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.core.HandleApproval(time.Now(), q, a, err)
+				return nil
+			})
+			if err != nil {
+				return err
+			}
 			c.wake()
 		}
 	}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -108,20 +108,26 @@
 
 // submit submits one accepted job to a core; a record that can't be decoded or is invalid is skipped.
 func (c *Cell) submit(core *sched.Core, now time.Time, id string, r store.Record) {
-	spec := &job.Spec{}
-	if err := json.Unmarshal(r.Value, spec); err != nil {
-		c.log.Error(event.RecordSkipped, "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
-		return
-	}
-	if err := spec.Check(); err != nil {
-		c.log.Error(event.RecordSkipped, "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
-		return
+	spec, err := decodeJob(id, r.Value)
+	if err == nil {
+		err = safe.Call("submit "+id, func() error {
+			core.Submit(now, spec)
+			return nil
+		})
 	}
-	err := safe.Call("submit "+id, func() error {
-		core.Submit(now, spec)
-		return nil
-	})
 	if err != nil {
 		c.log.Error(event.RecordSkipped, "topic", store.TopicJobs, "offset", r.Offset, "job", id, "err", err)
 	}
 }
+
+// decodeJob decodes and checks the record of the accepted job with an ID.
+func decodeJob(id string, value []byte) (*job.Spec, error) {
+	spec := &job.Spec{}
+	if err := json.Unmarshal(value, spec); err != nil {
+		return nil, err
+	}
+	if spec.ID != id {
+		return nil, fmt.Errorf("the record holds job %.*q", job.MaxID, spec.ID)
+	}
+	return spec, spec.Check()
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -182,22 +184,60 @@
 			continue
 		}
 		from = b.Next
-		c.mu.Lock()
-		now := time.Now()
-		c.core.SetTimeOfDay(now, c.clock.UnixMS(now))
-		c.core.SetMaxAge(now.Sub(c.jobsReadAt) + maxAppendDelay)
-		if b.Current() {
-			c.jobsReadAt = now
+		err = c.protect("apply records of jobs", func() error {
+			c.observeJobs(time.Now(), b)
+			return nil
+		})
+		if err != nil {
+			return err
 		}
-		c.applyRecords(c.core, now, b.Records)
-		c.mu.Unlock()
 		if len(b.Records) > 0 {
+			c.repair(ctx, b.Records)
 			c.wake()
 		}
 	}
 	return ctx.Err()
 }
 
+// repair stores the records of accepted jobs again that other writers have overwritten or deleted.
+func (c *Cell) repair(ctx context.Context, records []store.Record) {
+	var out []store.Record
+	for _, r := range records {
+		id, ok := strings.CutPrefix(r.Key, store.PrefixJob)
+		if _, err := decodeJob(id, r.Value); !ok || err == nil {
+			continue
+		}
+		c.mu.Lock()
+		spec := c.core.OpenJob(id)
+		c.mu.Unlock()
+		if spec == nil {
+			continue
+		}
+		value, err := json.Marshal(spec)
+		if err == nil {
+			out = append(out, store.Record{Key: r.Key, Value: value})
+		}
+		c.log.Error(event.RecordRepaired, "job", id, "offset", r.Offset, "err", err)
+	}
+	for _, call := range c.store.Limits().Calls(out) {
+		if err := c.appendJobs(ctx, call); err != nil {
+			c.log.Error(event.RecordSkipped, "topic", store.TopicJobs, "err", err)
+		}
+	}
+}
+
+// observeJobs applies what a read of TopicJobs has returned.
+func (c *Cell) observeJobs(now time.Time, b store.Batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.SetTimeOfDay(now, c.clock.UnixMS(now))
+	c.core.SetMaxAge(now.Sub(c.jobsReadAt) + maxAppendDelay)
+	if b.Current() {
+		c.jobsReadAt = now
+	}
+	c.applyRecords(c.core, now, b.Records)
+}
+
 // readJobs reads records of TopicJobs from an offset on; when they have expired it reads the newest record of each
 // key instead.
 func (c *Cell) readJobs(ctx context.Context, from store.Offset) (store.Batch, error) {
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/event"
@@ -35,7 +36,8 @@
 // writeCall stores the records of one append. If the store rejects them it stores each by itself: one that can't be stored
 // must not keep the others from it.
 func (c *Cell) writeCall(ctx context.Context, w *written, records []store.Record) error {
-	err := c.append(ctx, w.end, records)
+	at, err := c.append(ctx, w.end, records)
+	w.end = at
 	switch {
 	case err == nil:
 		w.end += store.Offset(len(records))
@@ -56,54 +58,85 @@
 	return nil
 }
 
-// append stores records at an offset of TopicRuns in one append, and retries until the outcome is known.
-func (c *Cell) append(ctx context.Context, at store.Offset, records []store.Record) error {
+// append stores records at an offset of TopicRuns in one append, and retries until the outcome is known. It returns the
+// offset of the first: records of other writers may have come in between.
+func (c *Cell) append(ctx context.Context, at store.Offset, records []store.Record) (store.Offset, error) {
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		_, err := c.store.Append(call, store.TopicRuns, at, records)
 		cancel()
 		var conflict *store.ConflictError
-		switch {
-		case err == nil || errors.Is(err, store.ErrRejected):
-			return err
-		case errors.As(err, &conflict):
-			return c.resolveConflict(ctx, at, records)
+		if err == nil || errors.Is(err, store.ErrRejected) {
+			return at, err
+		}
+		if errors.As(err, &conflict) {
+			next, stored, err := c.resolveConflict(ctx, at, records)
+			if err != nil || stored {
+				return at, err
+			}
+			at = next
+			continue
 		}
 		c.log.Warn(event.DecisionsNotStored, "records", len(records), "at", at, "err", err)
 		if err := c.owns(); err != nil {
-			return err
+			return at, err
 		}
 		if !pause.For(ctx, retryPause) {
-			return ctx.Err()
+			return at, ctx.Err()
 		}
 	}
 }
 
 // resolveConflict determines after a conflict whether the records at an offset are these ones, stored by an earlier
-// attempt whose answer was lost.
-func (c *Cell) resolveConflict(ctx context.Context, at store.Offset, records []store.Record) error {
+// attempt whose answer was lost. Otherwise, unless another process has taken the cell, other writers have appended records;
+// it returns where they end.
+func (c *Cell) resolveConflict(ctx context.Context, at store.Offset, records []store.Record) (end store.Offset, stored bool, err error) {
+	var found []store.Record
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		b, err := c.store.Read(call, store.TopicRuns, at, 0)
+		b, err := c.store.Read(call, store.TopicRuns, at+store.Offset(len(found)), 0)
 		cancel()
-		if err == nil && (!startsWith(records, b.Records) || len(b.Records) == 0) || errors.Is(err, store.ErrExpired) {
-			return fmt.Errorf("%w: runs go on at offset %d with other records", errReplaced, at)
-		}
-		if err == nil {
-			// A read may return a part of the records.
-			at, records = b.Next, records[len(b.Records):]
-			if len(records) == 0 {
-				return nil
+		switch {
+		case errors.Is(err, store.ErrExpired):
+			return 0, false, fmt.Errorf("%w: runs have expired from offset %d on", errReplaced, at)
+		case err == nil:
+			found = append(found, b.Records...)
+			if startsWith(found, records) {
+				return 0, true, nil
+			}
+			if b.Current() && len(found) == 0 {
+				return 0, false, fmt.Errorf("%w: runs end at offset %d, before %d", errReplaced, b.End, at)
+			}
+			if b.Current() {
+				return b.End, false, c.stepOver(at, found)
 			}
 			continue
 		}
 		if err := c.owns(); err != nil {
-			return err
+			return 0, false, err
 		}
 		if !pause.For(ctx, retryPause) {
-			return ctx.Err()
+			return 0, false, ctx.Err()
+		}
+	}
+}
+
+// stepOver handles records that the owner didn't append. A successor's first record is a fence with a higher epoch. Without
+// one they are of other writers, and what they have overwritten is stored again.
+func (c *Cell) stepOver(at store.Offset, found []store.Record) error {
+	keys := make([]string, len(found))
+	for i, r := range found {
+		keys[i] = r.Key
+		if epoch, err := strconv.ParseInt(string(r.Value), 10, 64); r.Key == ownerKey && err == nil && epoch > c.epoch {
+			return fmt.Errorf("%w: its fence is at offset %d", errReplaced, at+store.Offset(i))
 		}
 	}
+	c.log.Error(event.ForeignRecords, "topic", store.TopicRuns, "at", at, "records", len(found), "keys", fmt.Sprintf("%.200q", keys))
+	c.scope.Counter("foreign_records").Inc(int64(len(found)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.Overwritten(keys)
+	return nil
 }
 
 // startsWith reports whether a list of records starts with others, by their keys and values.
--- a/internal/owner/write_test.go
+++ b/internal/owner/write_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,13 +22,22 @@
 
 // ownedCell returns a cell that this process owns, which runs for the length of the test.
 func ownedCell(t *testing.T, mem *memstore.Store) *Cell {
+	t.Helper()
+	c, stop := runCell(t, mem, "n")
+	t.Cleanup(stop)
+	time.Sleep(2 * time.Second)
+	return c
+}
+
+// runCell runs a cell in a process of its own until stop is called.
+func runCell(t *testing.T, mem *memstore.Store, node string) (c *Cell, stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	lease := ownership.NewRunner(ownership.Options{
-		Node: "n", Incarnation: "1", Candidate: true, Length: 1500 * time.Millisecond, RenewEvery: 500 * time.Millisecond,
+		Node: node, Incarnation: "1", Candidate: true, Length: 1500 * time.Millisecond, RenewEvery: 500 * time.Millisecond,
 	}, mem, logs.Discard())
 	opt := sched.Options{RunLease: 4 * time.Second, RunLeaseExtension: 6 * time.Second, Margin: 200 * time.Millisecond, JobRetention: time.Minute}
-	c := New(opt, mem, lease, nil, tally.NoopScope, logs.Discard())
+	c = New(opt, mem, lease, nil, tally.NoopScope, logs.Discard())
 	done := make(chan struct{}, 2)
 	for _, run := range []func(context.Context) error{lease.Run, c.Run} {
 		go func() {
@@ -35,13 +45,11 @@
 			done <- struct{}{}
 		}()
 	}
-	t.Cleanup(func() {
+	return c, func() {
 		cancel()
 		<-done
 		<-done
-	})
-	time.Sleep(2 * time.Second)
-	return c
+	}
 }
 
 // smallJob returns a valid job of one task, on a service without workers.
@@ -80,7 +88,7 @@
 			t.Errorf("own records: %v", err)
 		}
 		at := end()
-		if _, err := mem.Append(t.Context(), store.TopicRuns, at, []store.Record{records[0], {Key: "of another"}}); err != nil {
+		if _, err := mem.Append(t.Context(), store.TopicRuns, at, []store.Record{{Key: ownerKey, Value: []byte("99")}, records[0]}); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := c.write(t.Context(), at, records); !errors.Is(err, errReplaced) {
@@ -159,3 +167,43 @@
 		}
 	})
 }
+
+// TestOwnerStepsOverForeignRecords guards against an owner that gives up its cell, and with it what it hasn't stored, since another
+// writer has appended to its topic; and against progress that stays overwritten.
+func TestOwnerStepsOverForeignRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		c := ownedCell(t, mem)
+		if _, err := mem.Append(t.Context(), store.TopicJobs, store.AnyOffset, []store.Record{jobRecord(t, smallJob("job"))}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		c.mu.Lock()
+		core, at := c.core, c.runsEnd
+		c.mu.Unlock()
+		foreign := []store.Record{{Key: "job", Value: []byte("[]")}, {Key: ownerKey, Value: []byte("?")}, {Key: "w/x", Value: []byte("y")}}
+		if _, err := mem.Append(t.Context(), store.TopicRuns, store.AnyOffset, foreign); err != nil {
+			t.Fatal(err)
+		}
+		cancel := store.Record{Key: store.PrefixCancel + "job", Value: []byte("{}")}
+		if _, err := mem.Append(t.Context(), store.TopicJobs, store.AnyOffset, []store.Record{cancel}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		c.mu.Lock()
+		same, end := c.core == core, c.runsEnd
+		c.mu.Unlock()
+		if !same || end < at+store.Offset(len(foreign))+1 {
+			t.Errorf("cell loaded anew: %v, runs end at %d after %d", !same, end, at)
+		}
+		snap, err := mem.Newest(t.Context(), store.TopicRuns)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range snap.Records {
+			if r.Key == "job" && !strings.Contains(string(r.Value), string(sched.Cancelled)) || r.Key == "w/x" {
+				t.Errorf("record %s is still %q", r.Key, r.Value)
+			}
+		}
+	})
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -242,6 +242,14 @@
 	return o
 }
 
+// OpenJob returns a job that hasn't ended, or nil.
+func (c *Core) OpenJob(id string) *job.Spec {
+	if j := c.jobs[id]; j != nil && !j.state.Terminal() {
+		return j.spec
+	}
+	return nil
+}
+
 // Cancel cancels a job, unless it isn't known or has ended.
 func (c *Core) Cancel(now time.Time, id string) {
 	j := c.jobs[id]
--- a/internal/sched/records.go
+++ b/internal/sched/records.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/event"
+	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/store"
 )
 
@@ -67,6 +68,57 @@
 // errTooLarge means that the progress of a task doesn't fit into a record.
 var errTooLarge = errors.New("the progress of one task doesn't fit into a record")
 
+// errNoProgress means that a record has the form of progress but can't be that of its job: another writer has left it.
+var errNoProgress = errors.New("no owner writes such progress")
+
+// maxRun bounds the number of a run. A task gets a run a few milliseconds after the last one at most often.
+const maxRun = 1 << 40
+
+// check returns why a record can't be the progress of a job, or nil.
+func (r *jobRecord) check(spec *job.Spec) error {
+	n := spec.Occurrences()
+	if !slices.Contains([]State{Queued, Running, Completed, Failed, Cancelled}, r.State) || r.Next < 0 || r.Next > n || r.Finished < 0 || r.Finished > n {
+		return fmt.Errorf("%w: state %.20q, next occurrence %d, %d finished of %d", errNoProgress, r.State, r.Next, r.Finished, n)
+	}
+	open := slices.Clone(r.Open)
+	for _, o := range r.Occurrences {
+		open = append(open, o.K)
+		if len(o.Steps) != len(spec.Steps) {
+			return fmt.Errorf("%w: it has %d steps, the job has %d", errNoProgress, len(o.Steps), len(spec.Steps))
+		}
+		for i, tasks := range o.Steps {
+			if len(tasks) > spec.Steps[i].Count {
+				return fmt.Errorf("%w: step %d has %d tasks, that of the job %d", errNoProgress, i, len(tasks), spec.Steps[i].Count)
+			}
+			if err := checkTasks(tasks); err != nil {
+				return err
+			}
+		}
+	}
+	seen := map[int]bool{}
+	for _, k := range open {
+		if k < 0 || k >= r.Next || seen[k] {
+			return fmt.Errorf("%w: occurrence %d is open, the next one is %d", errNoProgress, k, r.Next)
+		}
+		seen[k] = true
+	}
+	return nil
+}
+
+// checkTasks returns why records can't be those of tasks, or nil.
+func checkTasks(records []taskRecord) error {
+	for i := range records {
+		runs := []int{records[i].Run}
+		for _, c := range records[i].Copies {
+			runs = append(runs, c.Run)
+		}
+		if slices.Min(runs) < 0 || slices.Max(runs) > maxRun {
+			return fmt.Errorf("%w: runs %v", errNoProgress, runs)
+		}
+	}
+	return nil
+}
+
 // seed is that of the hashes by which changed parts are told.
 var seed = maphash.MakeSeed()
 
@@ -287,8 +339,11 @@
 		return fmt.Errorf("progress %s: %w", key, err)
 	}
 	s := o.steps[index]
-	if from+len(records) > len(s.tasks) || len(records) == 0 {
-		return fmt.Errorf("progress %s: has %d tasks, the step has %d", key, len(records), len(s.tasks))
+	if len(records) == 0 || from+len(records) > len(s.tasks) {
+		return fmt.Errorf("progress %s: %w: it has %d tasks, the step has %d", key, errNoProgress, len(records), len(s.tasks))
+	}
+	if err := checkTasks(records); err != nil {
+		return fmt.Errorf("progress %s: %w", key, err)
 	}
 	s.divide(from)
 	open := s.openTasks
@@ -308,8 +363,8 @@
 	out := map[*jobState]bool{}
 	for _, key := range keys {
 		id := key
-		if job, _, _, _, err := parsePartKey(key); err == nil {
-			id = job
+		if of, _, _, _, err := parsePartKey(key); err == nil {
+			id = of
 		}
 		if j := c.jobs[id]; j != nil {
 			out[j] = true
@@ -318,6 +373,31 @@
 	return out
 }
 
+// Overwritten handles that other writers have appended records with some keys: what this owner has stored there is stored
+// again.
+func (c *Core) Overwritten(keys []string) {
+	for _, key := range keys {
+		if worker, ok := strings.CutPrefix(key, workerPrefix); ok {
+			c.dirtyNodes[worker] = ""
+			if w := c.workers[worker]; w != nil {
+				c.dirtyNodes[worker] = w.node
+			}
+		}
+	}
+	for j := range c.jobsOf(keys) {
+		for _, key := range keys {
+			if strings.HasPrefix(key, partPrefix+j.spec.ID+"/") {
+				// The hash of no part is that of a deleted one.
+				if j.parts == nil {
+					j.parts = map[string]uint64{}
+				}
+				j.parts[key] = 0
+			}
+		}
+		c.markDirty(j)
+	}
+}
+
 // failUnstorable fails a job whose progress can't be stored.
 func (c *Core) failUnstorable(now time.Time, j *jobState, reason string) {
 	c.logDecision(event.Reject, j.spec.ID, reason)
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -29,12 +29,12 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return fmt.Errorf("progress of job %s: %w", id, err)
 	}
+	if err := r.check(j.spec); err != nil {
+		return fmt.Errorf("progress of job %s: %w", id, err)
+	}
 	j.state, j.storedState, j.reason, j.next, j.finished = r.State, r.State, r.Reason, r.Next, r.Finished
 	j.occurrences = map[int]*occurrence{}
 	for _, o := range r.Occurrences {
-		if len(o.Steps) != len(j.spec.Steps) {
-			return fmt.Errorf("progress of job %s: has %d steps, the job has %d", id, len(o.Steps), len(j.spec.Steps))
-		}
 		c.restoreOccurrence(now, j, o)
 	}
 	j.inParts = r.Parts
