Scheduler: a gang resumes from one checkpoint

TestGangAgreesOnCheckpoint fails on the old code: one member starts from "a2", the other from "b1".

Change: all members get the checkpoint that was reported last.

--- a/internal/sched/harness_test.go
+++ b/internal/sched/harness_test.go
@@ -175,6 +175,26 @@
 	}
 }
 
+// TestGangAgreesOnCheckpoint guards against a gang that never ends: after a member was moved, each resumed from its own
+// checkpoint, and members with different ones don't work together.
+func TestGangAgreesOnCheckpoint(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	c.Submit(now, one("gang", 0, job.Step{Count: 2, Demand: cores(3), EstimateMS: 5000, Gang: true, Checkpoints: true}))
+	starts := started(settle(now, c))
+	a, b := starts["a"][0].RunRef, starts["b"][0].RunRef
+	now = now.Add(time.Second)
+	c.Report(now, "a", link.Listing{Running: []link.RunStatus{{RunRef: a, Checkpoint: "a1", Percent: 20}}})
+	c.Report(now, "b", link.Listing{Running: []link.RunStatus{{RunRef: b, Checkpoint: "b1", Percent: 20}}})
+	now = now.Add(time.Second)
+	c.Ended(now, "a", []link.RunEnd{{Number: 1, RunRef: a, Outcome: link.Stopped, Checkpoint: "a2"}})
+	c.Ended(now, "b", []link.RunEnd{{Number: 1, RunRef: b, Outcome: link.GangBroken, Checkpoint: "b1"}})
+	starts = started(settle(now, c))
+	if len(starts["a"]) != 1 || len(starts["b"]) != 1 || starts["a"][0].Checkpoint != "a2" || starts["b"][0].Checkpoint != "a2" {
+		t.Errorf("started %+v, want both members from the newest checkpoint", starts)
+	}
+}
+
 // TestOccurrences checks that a scheduled job opens an occurrence when it is due, not before, and that it
 // completes after the last.
 func TestOccurrences(t *testing.T) {
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -141,6 +141,8 @@
 	run        int
 	worker     string
 	checkpoint string
+	// checkpointAt is when the checkpoint was reported; zero for one that an earlier owner has stored.
+	checkpointAt time.Time
 	// failedRuns are the runs that ended as failed, failedOn their workers, except for late ends.
 	failedRuns []int
 	failedOn   []string
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -113,8 +113,13 @@
 	t.percent, t.measurement = r.Percent, r.Measurement
 	c.clearIfSettled(t, w)
 	c.health.listed(now, w.id, t)
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
+	t.saved(now, r.Checkpoint)
+}
+
+// saved records a checkpoint that a worker reports; empty for none.
+func (t *task) saved(now time.Time, checkpoint string) {
+	if checkpoint != "" && checkpoint != t.checkpoint {
+		t.checkpoint, t.checkpointAt = checkpoint, now
 	}
 }
 
@@ -156,9 +161,7 @@
 	}
 	c.dropRun(t)
 	c.markDirty(j)
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-	}
+	t.saved(now, e.Checkpoint)
 	if e.Outcome == link.Failed && !t.step.spec.LongRunning {
 		t.failedRuns = append(t.failedRuns, t.run)
 		if !slices.Contains(t.failedOn, id) {
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -299,13 +299,24 @@
 		r.recordPlacement(i)
 		placed = append(placed, t)
 	}
+	checkpoint := s.gangCheckpoint()
 	for _, t := range placed {
 		w := c.workers[t.worker]
 		c.unassign(t)
+		t.checkpoint = checkpoint
 		c.assign(now, t, w, run+1)
 	}
 }
 
+// gangCheckpoint returns the checkpoint from which all tasks of a gang resume: that of any of them is valid for all, and
+// they must agree on one. It is the one that was reported last.
+func (s *step) gangCheckpoint() string {
+	newest := slices.MaxFunc(s.tasks, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(toInt(a.checkpoint != ""), toInt(b.checkpoint != "")), a.checkpointAt.Compare(b.checkpointAt))
+	})
+	return newest.checkpoint
+}
+
 // unassign reverts an assignment that has not been recorded.
 func (c *Core) unassign(t *task) {
 	t.transition(eventEnd)
