Scheduler: crashes after long work are not forgotten by the next run

TestTaskThatCrashesWorkersAfterWork fails on the old code: "8 starts, job is running".

Change: crashes are forgotten once a run is twice as old as at any of them; a crash under a run of over a minute is the worker's own fault, as before.

--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -14,8 +14,12 @@
 const (
 	// settleTime is the age from which on a run counts as settled: a task that crashes workers does so when it starts.
 	settleTime = 500 * time.Millisecond
-	// provenAge is the age of a run from which on a crash says nothing about its task, and earlier ones are forgotten.
-	provenAge = 10 * time.Second
+	// provenAge is the least age of a run from which on earlier crashes say nothing about its task and are forgotten.
+	// provenFactor is how many times as old as at the crashes the run must be: a task may crash its worker after some work.
+	provenAge    = 10 * time.Second
+	provenFactor = 2
+	// maxSuspectAge is the age of a run from which on a crash is taken for the worker's own fault.
+	maxSuspectAge = time.Minute
 	// maxStartCrashes is how many workers may crash while a task starts on them, if it was the only one that did on at
 	// least one of them. maxSharedCrashes applies if it never was.
 	maxStartCrashes  = 2
@@ -208,13 +212,13 @@
 }
 
 // clearIfSettled notes that a worker lists a run that has settled: its task doesn't crash workers when it starts. Once
-// the run has reached provenAge, it doesn't at all.
+// the run has gone on for long enough, it doesn't at all.
 func (c *Core) clearIfSettled(t *task, w *worker) {
 	listed := t.listedFor()
 	if len(t.crashes) == 0 || listed < settleTime {
 		return
 	}
-	if listed >= provenAge {
+	if listed >= t.provenAfter() {
 		c.setCrashes(t, nil)
 		return
 	}
@@ -228,6 +232,17 @@
 	c.setCrashes(t, out)
 }
 
+// provenAfter returns the age of a run from which on the crashes under its task are forgotten.
+func (t *task) provenAfter() time.Duration {
+	after := provenAge
+	for i := range t.crashes {
+		if age := time.Duration(t.crashes[i].AgeMS) * time.Millisecond; age <= maxSuspectAge {
+			after = max(after, provenFactor*age)
+		}
+	}
+	return after
+}
+
 // crashing reports whether the crashes under a task are enough to give it up.
 func (t *task) crashing() bool {
 	all, starts, sole := 0, 0, false
--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -397,3 +397,30 @@
 		t.Errorf("gang is %+v after three crashes, want failed", v)
 	}
 }
+
+// TestTaskThatCrashesWorkersAfterWork guards against a task that is started again and again although each worker crashes under
+// it: it does so after more work than was taken for a proof that it does no harm, and each run forgot the crashes before.
+func TestTaskThatCrashesWorkersAfterWork(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 60_000}))
+	starts := 0
+	for ; starts < 8; starts++ {
+		o := started(settle(now, c))
+		if len(o) == 0 {
+			break
+		}
+		for id, s := range o {
+			ref := s[0].RunRef
+			for i := range 220 {
+				c.Report(now, id, link.Listing{Running: []link.RunStatus{{RunRef: ref, Percent: float64(i) / 10}}})
+				now = now.Add(50 * time.Millisecond)
+			}
+			c.WorkerCrashed(now, crashed(id, ref, 11_000))
+			c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, link.Listing{})
+		}
+	}
+	if v, _ := c.Job("job"); starts > 5 || c.jobs["job"].state != Failed {
+		t.Errorf("%d starts, job is %+v", starts, v)
+	}
+}
