Owner: the store confirms that a cancelled job doesn't exist

A job that was accepted while the owner was cut off from the store was denied by it for up to 2 s.

TestUnreadJobIsNotDenied: with the old query for the state of a job, the job is denied while it stands in the store.

Change: the query before a cancellation reads the store once if the owner doesn't know the job; without an answer the cancellation is stored.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -53,6 +53,8 @@
 // CheckStore whether a node can reach the store.
 type Client interface {
 	Job(ctx context.Context, addr, id string) (v sched.View, found bool, err error)
+	// ConfirmedJob is Job, with a false confirmed by the store.
+	ConfirmedJob(ctx context.Context, addr, id string) (v sched.View, found bool, err error)
 	Explain(ctx context.Context, addr, id string) (v sched.View, found bool, err error)
 	Waiting(ctx context.Context, addr string) (map[string]int, error)
 	Relay(ctx context.Context, addr string, records []store.Record) error
@@ -123,7 +125,7 @@
 
 // Cancel stores the cancellation of a job. It reports false only when the job is certain not to exist.
 func (in *Intake) Cancel(ctx context.Context, id string) (bool, error) {
-	_, found, err := in.queryOwner(ctx, id, queryTimeout, in.client.Job)
+	_, found, err := in.queryOwner(ctx, id, queryTimeout, in.client.ConfirmedJob)
 	if err == nil && !found {
 		return false, nil
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -65,6 +65,10 @@
 	return sched.View{}, false, errors.New("not served")
 }
 
+func (n *nodes) ConfirmedJob(context.Context, string, string) (sched.View, bool, error) {
+	return sched.View{}, false, errors.New("not served")
+}
+
 func (n *nodes) Explain(context.Context, string, string) (sched.View, bool, error) {
 	return sched.View{}, false, errors.New("not served")
 }
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -26,13 +26,23 @@
 	pathOwner   = "/v1/cell/owner"
 )
 
+// queryConfirm is the parameter of a query for a job whose absence the store must confirm. Owners of an earlier version ignore
+// it, whereas they would answer that a path which they don't know isn't found.
+const queryConfirm = "confirm"
+
 // maxBodyBytes bounds the body of a relayed append, a takeover notice or an answer, in bytes.
 const maxBodyBytes = 4 << 20
 
 // Routes registers the handlers that an owner serves to guards and entries.
 func (c *Cell) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+link.Path, c.ServeLink)
-	mux.HandleFunc("GET "+pathJob+"{id}", func(w http.ResponseWriter, r *http.Request) { serveJob(w, r, c.Job) })
+	mux.HandleFunc("GET "+pathJob+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		if !r.URL.Query().Has(queryConfirm) {
+			serveJob(w, r, c.Job)
+			return
+		}
+		serveJob(w, r, func(id string) (sched.View, bool, error) { return c.ConfirmedJob(r.Context(), id) })
+	})
 	mux.HandleFunc("GET "+pathJob+"{id}/explain", func(w http.ResponseWriter, r *http.Request) { serveJob(w, r, c.Explain) })
 	mux.HandleFunc("GET "+pathWaiting, c.serveWaiting)
 	mux.HandleFunc("POST "+pathRelay, c.serveRelay)
@@ -124,16 +134,22 @@
 
 // Job returns the state of a job; found is false only when the job is certain not to exist.
 func (c *Client) Job(ctx context.Context, addr, id string) (v sched.View, found bool, err error) {
-	status, err := c.do(ctx, http.MethodGet, addr, pathJob+id, nil, &v)
-	if status == http.StatusNotFound {
-		return v, false, nil
-	}
-	return v, err == nil, err
+	return c.job(ctx, addr, id)
+}
+
+// ConfirmedJob returns the state of a job; found is false only when the store has confirmed that the job doesn't exist.
+func (c *Client) ConfirmedJob(ctx context.Context, addr, id string) (v sched.View, found bool, err error) {
+	return c.job(ctx, addr, id+"?"+queryConfirm)
 }
 
 // Explain returns the state of a job and what its tasks wait for; found is as for Job.
 func (c *Client) Explain(ctx context.Context, addr, id string) (v sched.View, found bool, err error) {
-	status, err := c.do(ctx, http.MethodGet, addr, pathJob+id+"/explain", nil, &v)
+	return c.job(ctx, addr, id+"/explain")
+}
+
+// job queries the owner for a job.
+func (c *Client) job(ctx context.Context, addr, path string) (v sched.View, found bool, err error) {
+	status, err := c.do(ctx, http.MethodGet, addr, pathJob+path, nil, &v)
 	if status == http.StatusNotFound {
 		return v, false, nil
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -65,6 +65,7 @@
 	epoch      int64
 	runsEnd    store.Offset     // where the next record of TopicRuns goes
 	jobsReadAt time.Time        // of the last successful read of TopicJobs
+	jobsNext   store.Offset     // of the first record of TopicJobs that hasn't been applied
 	links      map[string]*peer // by worker ID
 	clock      *wallclock.Estimate
 	roundDue   chan struct{} // starts the next round at once
@@ -130,7 +131,7 @@
 		return
 	}
 	c.mu.Lock()
-	c.core, c.epoch, c.runsEnd, c.jobsReadAt, c.broken = core, epoch, runs, time.Now(), nil
+	c.core, c.epoch, c.runsEnd, c.jobsReadAt, c.jobsNext, c.broken = core, epoch, runs, time.Now(), jobs, nil
 	c.mu.Unlock()
 	c.scope.Counter("takeovers").Inc(1)
 	c.log.Info(event.CellTakenOver, "epoch", epoch, "took", time.Since(began), "jobs", core.Jobs())
@@ -236,6 +237,7 @@
 		c.jobsReadAt = now
 	}
 	c.applyRecords(c.core, now, b.Records)
+	c.jobsNext = b.Next
 }
 
 // readJobs reads records of TopicJobs from an offset on; when they have expired it reads the newest record of each
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -11,6 +13,7 @@
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
 	"github.com/crocusspring/crocusspring/internal/sched"
+	"github.com/crocusspring/crocusspring/internal/store"
 )
 
 // peer is a guard with an open link.
@@ -263,6 +266,29 @@
 	return v, found, nil
 }
 
+// ConfirmedJob returns the state of a job as Job does. That the job doesn't exist is confirmed by the store: a job may have
+// been accepted since the last read.
+func (c *Cell) ConfirmedJob(ctx context.Context, id string) (v sched.View, found bool, err error) {
+	v, found, err = c.Job(id)
+	if found || err != nil {
+		return v, found, err
+	}
+	c.mu.Lock()
+	next := c.jobsNext
+	c.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	b, err := c.store.Read(call, store.TopicJobs, next, 0)
+	if err != nil {
+		return v, false, fmt.Errorf("%w: %w", ErrNotOwner, err)
+	}
+	accepted := slices.ContainsFunc(b.Records, func(r store.Record) bool { return r.Key == store.PrefixJob+id })
+	if accepted || !b.Current() {
+		return v, false, ErrNotOwner
+	}
+	return v, false, nil
+}
+
 // Explain returns the state of a job and why its steps wait; found is false only when the job is certain not to
 // exist.
 func (c *Cell) Explain(id string) (v sched.View, found bool, err error) {
--- a/internal/owner/write_test.go
+++ b/internal/owner/write_test.go
@@ -207,3 +207,29 @@
 		}
 	})
 }
+
+// TestUnreadJobIsNotDenied guards against a cancellation that is lost: the owner was cut off from the store, a job was accepted
+// meanwhile, and the owner denied it. Its caller learned that there is no such job, and the next owner ran it for good.
+func TestUnreadJobIsNotDenied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		c := ownedCell(t, mem)
+		if _, found, err := c.ConfirmedJob(t.Context(), "job"); found || err != nil {
+			t.Errorf("job that doesn't exist: found %v, %v", found, err)
+		}
+		mem.SetFaults(func(call, topic string) memstore.Fault { return memstore.Fault{Hang: call == "read"} })
+		if _, err := mem.Append(t.Context(), store.TopicJobs, store.AnyOffset, []store.Record{jobRecord(t, smallJob("job"))}); err != nil {
+			t.Fatal(err)
+		}
+		for range 5 {
+			if _, found, err := c.ConfirmedJob(t.Context(), "job"); !found && err == nil {
+				t.Error("an accepted job is denied without a read of the store")
+			}
+		}
+		mem.SetFaults(nil)
+		time.Sleep(3 * time.Second)
+		if _, found, err := c.ConfirmedJob(t.Context(), "job"); !found || err != nil {
+			t.Errorf("accepted job: found %v, %v", found, err)
+		}
+	})
+}
