Guard: a reborn worker refuses starts that were held up

Change: starts without an answer are remembered for 30 s, and a reborn worker gets a stop for each before the end of its earlier incarnation is reported.

--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -36,7 +36,10 @@
 	// workerClock is the worker's clock reading at the time workerClockAt of the guard's clock; 0 before the first.
 	workerClock, workerClockAt int64
 	runs                       map[link.RunRef]*run
-	ackedEnd                   int64 // number of the newest run end that the owner acknowledged
+	// lateStarts are the starts that got no answer, with the time they were sent. They may be carried out later, also by a
+	// later incarnation of the same ID, which knows nothing of the stops that settled them.
+	lateStarts map[link.RunRef]int64
+	ackedEnd   int64 // number of the newest run end that the owner acknowledged
 	// listedEnd is the number of the newest end in the newest listing; 0 for none. Only listed ends are acknowledged, so
 	// that as few polls as possible can drop ends of another incarnation if they are carried out late.
 	listedEnd     int64
@@ -98,7 +101,7 @@
 
 // NewCore returns a core without a worker or an owner.
 func NewCore(opt Options) *Core {
-	return &Core{opt: opt, runs: map[link.RunRef]*run{}, pacer: newPacer()}
+	return &Core{opt: opt, runs: map[link.RunRef]*run{}, lateStarts: map[link.RunRef]int64{}, pacer: newPacer()}
 }
 
 // lowerSeries are announcements with rising numbers, all lower than the highest one seen: the newest number, and when the
@@ -229,6 +232,11 @@
 	}
 	r.commandPending = false
 	r.confirmed = r.confirmed || err == nil
+	if err != nil && !refused {
+		c.lateStarts[s] = r.startMS
+	} else {
+		delete(c.lateStarts, s)
+	}
 	switch {
 	case refused:
 		delete(c.runs, s)
@@ -305,7 +313,7 @@
 		return
 	}
 	if l.Incarnation != c.incarnation {
-		c.begin(resolvable, l)
+		c.begin(nowMS, resolvable, l)
 	}
 	c.unresponsive, c.silentSinceMS = false, 0
 	// The polled incarnation has answered, so the announcement of another one was a delayed message.
--- a/internal/guard/incarnation.go
+++ b/internal/guard/incarnation.go
@@ -90,10 +90,12 @@
 }
 
 // begin makes the incarnation that has answered a poll the current one.
-func (c *Core) begin(resolvable map[link.RunRef]bool, l Listing) {
+func (c *Core) begin(nowMS int64, resolvable map[link.RunRef]bool, l Listing) {
 	var inherited []link.RunRef
 	if link.Reborn(l.Incarnation, c.incarnation) {
-		inherited = c.mayBeInherited(resolvable, l)
+		inherited = c.mayBeInherited(nowMS, resolvable, l)
+	} else {
+		clear(c.lateStarts)
 	}
 	if c.incarnation != "" {
 		c.noteEnd()
@@ -118,11 +120,22 @@
 	}
 }
 
+// maxLateMS is how long after it was sent a start may still be carried out, in milliseconds.
+const maxLateMS = 30_000
+
 // mayBeInherited returns the runs that a worker which has started again under its ID may have or still get, although
-// they were commanded to its earlier incarnation: those it lists, and those whose start wasn't confirmed before the
-// poll was sent. Calls name the ID only, so that the new incarnation accepts them.
-func (c *Core) mayBeInherited(resolvable map[link.RunRef]bool, l Listing) []link.RunRef {
+// they were commanded to its earlier incarnation: those it lists, those whose start wasn't confirmed before the
+// poll was sent, and those whose start never got an answer. Calls name the ID only, so that the new incarnation accepts
+// them; a stop there keeps it from that.
+func (c *Core) mayBeInherited(nowMS int64, resolvable map[link.RunRef]bool, l Listing) []link.RunRef {
 	var out []link.RunRef
+	for ref, sentMS := range c.lateStarts {
+		if nowMS-sentMS < maxLateMS {
+			out = append(out, ref)
+		} else {
+			delete(c.lateStarts, ref)
+		}
+	}
 	for ref, r := range c.runs {
 		if !(r.phase == listed && resolvable[ref]) {
 			out = append(out, ref)
