Owner: wait less for lost workers once most guards follow

Cause: a new owner waits 6 s besides the lease of runs, since a predecessor without the store may extend that for so long, and can't tell a lost host from one that is cut off with its worker.

Change: such a predecessor extends leases only while it hears from over half of the guards. Once two thirds have linked to the new owner it waits 1 s and the lease. TestLostWorkerAfterTakeover fails without that (with the old wait for two of three guards), TestExtensionNeedsMostGuards checks the shares.

--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -23,8 +23,9 @@
 	// worker is the incarnation of the worker whose inventory the guard sent last; empty before the first and after
 	// that incarnation has ended or attached over another link.
 	worker string
-	// echoMS is the newest clock reading received from the guard, in milliseconds.
-	echoMS int64
+	// echoMS is the newest clock reading received from the guard, in milliseconds, at heardAt.
+	echoMS  int64
+	heardAt time.Time
 	// outbox holds commands until sendLoop sends them.
 	outbox link.OwnerMessage
 	wake   chan struct{}
@@ -80,7 +81,7 @@
 		return errStale
 	}
 	now := time.Now()
-	p.echoMS = max(p.echoMS, up.ClockMS)
+	p.echoMS, p.heardAt = max(p.echoMS, up.ClockMS), now
 	if up.Node != "" {
 		p.node = up.Node
 	}
@@ -185,10 +186,28 @@
 		return link.OwnerMessage{}, err
 	}
 	d := p.nextCommands()
-	d.Epoch, d.EchoMS, d.Worker = epoch, p.echoMS, p.worker
+	d.Epoch, d.Worker = epoch, p.worker
+	if c.mayExtend(time.Now()) {
+		d.EchoMS = p.echoMS
+	}
 	return d, nil
 }
 
+// mayExtend reports whether this process may extend the leases of runs. After its own lease has expired it may as long as it
+// hears from most guards: a successor knows by the guards that follow it when that is over. The caller holds the lock.
+func (c *Cell) mayExtend(now time.Time) bool {
+	if _, sinceExpiry, ok := c.lease.Holds(); ok && sinceExpiry <= 0 {
+		return true
+	}
+	heard := 0
+	for _, p := range c.links {
+		if now.Sub(p.heardAt) < c.opt.GuardSilence {
+			heard++
+		}
+	}
+	return c.core.MayExtend(heard)
+}
+
 // maxStartBytes bounds the starts of one message, in bytes; the next message has the others. A link takes only so much at a
 // time, and the lease of runs must not wait for thousands of starts to be sent.
 const maxStartBytes = 256 << 10
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -29,6 +29,8 @@
 	// RunLeaseExtension is how long an owner may go on extending the leases of runs, by echoes, after its own
 	// lease has ended.
 	RunLeaseExtension time.Duration
+	// GuardSilence is how long an owner may go on with that after it last heard from most guards.
+	GuardSilence time.Duration
 	// Margin is added to every expiry delay for the granularity of clocks and timers.
 	Margin time.Duration
 	// JobRetention is how long the state of an ended job can be queried.
@@ -119,6 +121,8 @@
 	// unixMS is the time of day, in Unix milliseconds, at the time unixAt; see SetTimeOfDay.
 	unixMS int64
 	unixAt time.Time
+	// extensionOver says that no predecessor extends the leases of runs any more, as far as that follows from the guards.
+	extensionOver bool
 	// maxAge bounds the age of a job that is submitted, by the time of day of its entry; 0 for no bound.
 	maxAge time.Duration
 	// interferenceSavedAt is when the interference estimates were stored last.
