--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -207,13 +207,16 @@
 // endExtension shortens the wait for workers whose guards haven't linked, once most guards follow this owner: a guard follows
 // one owner at a time, so that a predecessor hears from too few to extend the leases of runs.
 func (c *Core) endExtension(now time.Time) {
+	if c.extensionOver {
+		return
+	}
 	attached := 0
 	for _, w := range c.sortedWorkers {
 		if w.attached {
 			attached++
 		}
 	}
-	if c.extensionOver || float64(attached) < followShare*float64(len(c.workers)) {
+	if float64(attached) < followShare*float64(len(c.workers)) {
 		return
 	}
 	c.extensionOver = true
