Store: an append that isn't sent says nothing about the store

A record beyond the limits is refused without a call. The wrapper that holds a silent store for unavailable took that for an answer.

TestCautiousUnsentAppend fails without the check in front ("the store counts as available though it has answered nothing").

--- a/internal/store/cautious.go
+++ b/internal/store/cautious.go
@@ -68,6 +68,10 @@
 
 // Append implements Store.
 func (c *Cautious) Append(ctx context.Context, topic string, at Offset, records []Record) (Offset, error) {
+	if err := c.Limits().CheckAll(records); err != nil {
+		// Nothing is sent, which says nothing about the store.
+		return 0, fmt.Errorf("append to %s: %w", topic, err)
+	}
 	if at == AnyOffset && c.Suspect() {
 		if err := c.probe(ctx); err != nil {
 			return 0, fmt.Errorf("append to %s: %w: the store doesn't answer: %w", topic, ErrRefused, err)
--- a/internal/store/cautious_test.go
+++ b/internal/store/cautious_test.go
@@ -64,3 +64,21 @@
 		}
 	})
 }
+
+// TestCautiousUnsentAppend guards against taking an append that was never sent for an answer of the store: one record too large
+// made a silent store count as available.
+func TestCautiousUnsentAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		mem.SetLimits(store.Limits{Record: 10})
+		c := store.NewCautious(mem)
+		time.Sleep(2 * time.Second)
+		large := []store.Record{{Key: "k", Value: make([]byte, 20)}}
+		if _, err := c.Append(t.Context(), store.TopicJobs, store.AnyOffset, large); !errors.Is(err, store.ErrRejected) {
+			t.Errorf("record too large: %v", err)
+		}
+		if !c.Suspect() {
+			t.Error("the store counts as available though it has answered nothing")
+		}
+	})
+}
--- a/internal/store/limits.go
+++ b/internal/store/limits.go
@@ -51,6 +51,16 @@
 	return nil
 }
 
+// CheckAll returns the error of the first record that exceeds a limit.
+func (l Limits) CheckAll(records []Record) error {
+	for _, r := range records {
+		if err := l.Check(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Calls splits records into lists that fit into one append each, in order. A record that exceeds a limit by itself gets
 // a list of its own.
 func (l Limits) Calls(records []Record) [][]Record {
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,13 +53,11 @@
 
 // checkLimits returns an error if records exceed a limit. The caller holds the lock.
 func (s *Store) checkLimits(records []store.Record) error {
-	for _, r := range records {
-		if err := s.limits.Check(r); err != nil {
-			return err
-		}
-		if s.rejects != nil && s.rejects(r) {
-			return store.ErrRejected
-		}
+	if err := s.limits.CheckAll(records); err != nil {
+		return err
+	}
+	if s.rejects != nil && slices.ContainsFunc(records, s.rejects) {
+		return store.ErrRejected
 	}
 	if len(s.limits.Calls(records)) > 1 {
 		return store.ErrRejected
