Owner: no lease of runs is extended right after a stall

Since a new owner waits less for lost workers once most guards follow it, an owner that wakes from a freeze or a suspended machine must not extend leases by what its links still hold: its own run would go on beside the successor's.

TestNoExtensionAfterStall.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -72,6 +72,8 @@
 	// approvalRequests holds requests that wait for the policy service.
 	approvalRequests chan sched.ApprovalRequest
 	adviser          Adviser
+	// extendCheckedAt is when mayExtend was called last, stalledAt when it found that the process had stood still.
+	extendCheckedAt, stalledAt time.Time
 	// broken is the panic after which the state of core may be inconsistent, or nil; the cell is then loaded anew.
 	broken error
 	// drains is nil where data centres can't be drained.
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -193,9 +193,23 @@
 	return d, nil
 }
 
+// maxStall is how long a process may stand still, frozen or suspended, without losing the cell to another one that most
+// guards follow: they need that long to see that a link is dead.
+const maxStall = 1500 * time.Millisecond
+
 // mayExtend reports whether this process may extend the leases of runs. After its own lease has expired it may as long as it
-// hears from most guards: a successor knows by the guards that follow it when that is over. The caller holds the lock.
+// hears from most guards: a successor knows by the guards that follow it when that is over. After a stall it waits until it
+// must have read that it was replaced; what its links still hold says nothing. The caller holds the lock.
 func (c *Cell) mayExtend(now time.Time) bool {
+	// The monotonic clock stands still while the machine is suspended; the wall clock doesn't.
+	gap := max(now.Sub(c.extendCheckedAt), now.Round(0).Sub(c.extendCheckedAt.Round(0)))
+	if !c.extendCheckedAt.IsZero() && gap > maxStall {
+		c.stalledAt = now
+	}
+	c.extendCheckedAt = now
+	if now.Sub(c.stalledAt) < c.opt.GuardSilence {
+		return false
+	}
 	if _, sinceExpiry, ok := c.lease.Holds(); ok && sinceExpiry <= 0 {
 		return true
 	}
--- a/internal/owner/peer_test.go
+++ b/internal/owner/peer_test.go
@@ -4,9 +4,12 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/store/memstore"
 )
 
 // TestManyStartsAreSplit guards against a link that fails again and again: the starts of one round, each with the payload of its
@@ -45,3 +48,26 @@
 		}
 	}
 }
+
+// TestNoExtensionAfterStall guards against a run that goes on beside its successor: an owner that was frozen, or whose machine
+// was suspended, extended its lease by what its links still held, although another process had taken the cell meanwhile.
+func TestNoExtensionAfterStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := ownedCell(t, memstore.New())
+		c.opt.GuardSilence = time.Second
+		check := func(d time.Duration, want bool) {
+			t.Helper()
+			time.Sleep(d)
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if got := c.mayExtend(time.Now()); got != want {
+				t.Errorf("may extend: %v, want %v", got, want)
+			}
+		}
+		check(0, true)
+		check(maxStall, true)
+		check(maxStall+time.Millisecond, false)
+		check(c.opt.GuardSilence-time.Millisecond, false)
+		check(time.Millisecond, true)
+	})
+}
