Scheduler: a run that complete listings don't show counts as stalled

Since stalls count up to the latest listing that shows the run, a run that had vanished from its worker's listings without an end would never have been stopped, and its task never have been started again.

TestVanishedRunIsStopped fails without the change.

--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -143,8 +143,8 @@
 }
 
 // stallReason returns why a run counts as stalled, or an empty string. It counts up to the latest listing that shows the
-// run: what a worker that is slow to report does since then isn't known, and a run that a listing doesn't show may have
-// ended.
+// run or is complete: what a worker that is slow to report does since then isn't known, and a run that a listing which is cut
+// short doesn't show may have ended.
 func (t *task) stallReason(w *worker) string {
 	if t.state != stateRunning {
 		return ""
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -153,7 +153,7 @@
 	percent     float64
 	measurement float64
 	appearedAt  time.Time
-	listedAt    time.Time // when the worker last listed the run
+	listedAt    time.Time // of the latest listing that shows the run, or must show it or its end
 	progressAt  time.Time // when percent last grew
 	assignedAt  time.Time
 	stopSentAt  time.Time
--- a/internal/sched/listing_test.go
+++ b/internal/sched/listing_test.go
@@ -31,6 +31,24 @@
 	}
 }
 
+// TestVanishedRunIsStopped guards against a task that waits for good for a run which is gone: complete listings show neither the
+// run nor its end, as after a late acknowledgement. It counts as stalled, so that its worker confirms that it is gone.
+func TestVanishedRunIsStopped(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 500}))
+	ref := started(settle(now, c))["a"][0].RunRef
+	c.Report(now, "a", link.Listing{Running: []link.RunStatus{{RunRef: ref, Percent: 90}}})
+	for range 2 * stallTimeout / sweepInterval {
+		now = now.Add(sweepInterval)
+		c.Report(now, "a", link.Listing{})
+		if d := settle(now, c)["a"]; d != nil && len(d.Stop) == 1 {
+			return
+		}
+	}
+	t.Error("the run isn't stopped although complete listings don't show it")
+}
+
 // TestCutInventoryProvesNoAbsence guards against runs that are stopped at a takeover since the inventory is cut before their
 // ends: those that a complete listing doesn't show either are stopped, as their starts may be in transit; others have ended.
 func TestCutInventoryProvesNoAbsence(t *testing.T) {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -27,6 +27,11 @@
 	}
 	c.Ended(now, id, l.Ended)
 	c.settleUnshown(now, w, l)
+	if !l.EndsCut {
+		for _, t := range w.tasks {
+			t.listedAt = now
+		}
+	}
 	w.tails.stale = true
 	c.observe(now, w)
 }
