Guard: at most 32 commands are in progress at a time

Cause: a guard sent all commands of a message at once, hundreds, each on a connection of its own. Each took over 200 ms, counted as unanswered, and was followed by a stop that was repeated every 150 ms.

Evidence: in the record nothing of the job runs at 14.0 s and at 78.5 s, and the stand-in runs out of 20,000 descriptors 2,382 times.

Change: commands beyond 32 wait; as many connections are kept.

--- a/internal/guard/commands.go
+++ b/internal/guard/commands.go
@@ -28,10 +28,22 @@
 	return f(ctx)
 }
 
+// command is callWorker for a command; only MaxCommands of them are in progress. Hundreds at once would each be late and be
+// repeated, on connections of their own, so that a worker that is short of processor time never caught up.
+func (g *Guard) command(f func(context.Context) error) error {
+	select {
+	case g.slots <- struct{}{}:
+	case <-g.ctx.Done():
+		return g.ctx.Err()
+	}
+	defer func() { <-g.slots }()
+	return g.callWorker(f)
+}
+
 // start sends a start command and records its outcome.
 func (g *Guard) start(o Command) {
 	began := time.Now()
-	err := g.callWorker(func(ctx context.Context) error { return g.exec.Start(ctx, o) })
+	err := g.command(func(ctx context.Context) error { return g.exec.Start(ctx, o) })
 	refused, reason := refusal(err)
 	g.scope.Tagged(map[string]string{"outcome": startOutcome(err, refused)}).
 		Histogram("start_seconds", metrics.Seconds()).RecordValue(time.Since(began).Seconds())
@@ -72,7 +84,7 @@
 
 // stop sends a stop command; after an error the run's stop becomes due again after retryPause.
 func (g *Guard) stop(o Command) {
-	err := g.callWorker(func(ctx context.Context) error { return g.exec.Stop(ctx, o) })
+	err := g.command(func(ctx context.Context) error { return g.exec.Stop(ctx, o) })
 	if refused, _ := refusal(err); err != nil && (!refused || g.ctx.Err() == nil) {
 		g.log.Debug("stop not answered", "task", o.Start.Task.String(), "run", o.Start.Run, "err", err)
 		pause.For(g.ctx, retryPause)
@@ -127,7 +139,7 @@
 
 // setPace sends the command to change a filler's pace, and records its outcome.
 func (g *Guard) setPace(o Command, percent int) {
-	err := g.callWorker(func(ctx context.Context) error { return g.exec.Pace(ctx, o, percent) })
+	err := g.command(func(ctx context.Context) error { return g.exec.Pace(ctx, o, percent) })
 	if err != nil {
 		g.log.Debug("pace not changed", "task", o.Start.Task.String(), "err", err)
 		pause.For(g.ctx, retryPause)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -38,6 +38,9 @@
 	maxFailedPolls = 2
 )
 
+// MaxCommands is how many commands to the worker are in progress at a time.
+const MaxCommands = 32
+
 // OwnerLocator returns the address of the owner of the cell; empty while it isn't known.
 type OwnerLocator interface{ OwnerAddr() string }
 
@@ -61,6 +64,7 @@
 	endsAcked chan struct{}
 	announced chan struct{}
 	commands  sync.WaitGroup
+	slots     chan struct{} // holds an element for each command in progress
 	ctx       context.Context
 	node      string
 }
@@ -70,7 +74,7 @@
 	return &Guard{
 		exec: exec, owner: owner, clock: clock, scope: scope, log: l, core: NewCore(opt), node: opt.Node,
 		changed: make(chan struct{}, 1), endsAcked: make(chan struct{}, 1),
-		announced: make(chan struct{}, 1),
+		announced: make(chan struct{}, 1), slots: make(chan struct{}, MaxCommands),
 	}
 }
 
