--- a/internal/owner/peer_test.go
+++ b/internal/owner/peer_test.go
@@ -54,7 +54,6 @@
 func TestNoExtensionAfterStall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := ownedCell(t, memstore.New())
-		c.opt.GuardSilence = time.Second
 		check := func(d time.Duration, want bool) {
 			t.Helper()
 			time.Sleep(d)
