--- a/internal/guard/commands_test.go
+++ b/internal/guard/commands_test.go
@@ -7,10 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"github.com/crocusspring/crocusspring/internal/link"
-	"github.com/crocusspring/crocusspring/internal/logs"
 )
 
 // slowWorker answers a start after a while, and counts the starts in progress.
@@ -44,16 +41,8 @@
 func TestCommandsInProgressAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &slowWorker{}
-		began := time.Now()
-		clock := func() int64 { return 1000 + time.Since(began).Milliseconds() }
-		g := New(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second}, w, noOwner{}, clock, tally.NoopScope, logs.Discard())
-		g.Describe(worker("life-1"), 0)
-		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-		defer cancel()
-		done := make(chan error)
-		go func() { done <- g.Run(ctx) }()
-		time.Sleep(time.Second)
-		d := link.OwnerMessage{Epoch: 1, EchoMS: clock(), Worker: "life-1"}
+		g, ended := runGuard(t, w)
+		d := link.OwnerMessage{Epoch: 1, EchoMS: g.clock(), Worker: "life-1"}
 		for i := range 400 {
 			d.Start = append(d.Start, start(i, 1))
 		}
@@ -64,6 +53,6 @@
 		if w.most.Load() > MaxCommands || w.started.Load() != 400 {
 			t.Errorf("%d starts at a time, %d of 400 in a second", w.most.Load(), w.started.Load())
 		}
-		<-done
+		ended()
 	})
 }
--- a/internal/guard/listing_test.go
+++ b/internal/guard/listing_test.go
@@ -109,21 +109,31 @@
 // OwnerAddr implements OwnerLocator.
 func (noOwner) OwnerAddr() string { return "" }
 
+// runGuard runs the guard of a worker without an owner for three seconds, and returns it after the first; ended waits for its
+// end.
+func runGuard(t *testing.T, exec Executor) (g *Guard, ended func()) {
+	t.Helper()
+	began := time.Now()
+	clock := func() int64 { return 1000 + time.Since(began).Milliseconds() }
+	g = New(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second}, exec, noOwner{}, clock, tally.NoopScope, logs.Discard())
+	g.Describe(worker("life-1"), 0)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	done := make(chan error)
+	go func() { done <- g.Run(ctx) }()
+	time.Sleep(time.Second)
+	return g, func() {
+		<-done
+		cancel()
+	}
+}
+
 // TestRunInDoubtDoesNotSpin guards against a guard that polls without a pause: a run in doubt asks for a listing at once, and
 // one that is cut leaves it in doubt.
 func TestRunInDoubtDoesNotSpin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &busyWorker{}
-		began := time.Now()
-		clock := func() int64 { return 1000 + time.Since(began).Milliseconds() }
-		g := New(Options{Node: "n", RunLease: 4 * time.Second, MaxLease: 6 * time.Second}, w, noOwner{}, clock, tally.NoopScope, logs.Discard())
-		g.Describe(worker("life-1"), 0)
-		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-		defer cancel()
-		done := make(chan error)
-		go func() { done <- g.Run(ctx) }()
-		time.Sleep(time.Second)
-		if err := g.handle(link.OwnerMessage{Epoch: 1, EchoMS: clock(), Worker: "life-1", Start: []link.Start{start(1, 1)}}); err != nil {
+		g, ended := runGuard(t, w)
+		if err := g.handle(link.OwnerMessage{Epoch: 1, EchoMS: g.clock(), Worker: "life-1", Start: []link.Start{start(1, 1)}}); err != nil {
 			t.Fatal(err)
 		}
 		before := w.polls.Load()
@@ -131,6 +141,6 @@
 		if n := w.polls.Load() - before; n > 30 {
 			t.Errorf("%d polls in a second, want about 20", n)
 		}
-		<-done
+		ended()
 	})
 }
