Scheduler: report jobs that stand still although there is room

The owner now searches four times a second for jobs, and tasks that last, of which nothing runs while a task's turn has come, two such tasks would fit and under half of the processors is reserved. After 3 s it logs what each worker refuses the step for, why the fallback for starved fillers doesn't apply, the runs that it believes in, and the room as placement sees it and as it is; a gauge counts them and a histogram takes their times. No decision changes: the conditions of the fallback only get a name each.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,7 @@
 	Reserve               Message = "reserve"
 	Reject                Message = "reject"
 	Advice                Message = "advice"
+	Standstill            Message = "stands still"
 	WorkerDrains          Message = "worker drains"
 	WorkerLeaves          Message = "worker leaves"
 	AnnouncementSkipped   Message = "announcement left out"
@@ -149,6 +150,7 @@
 	{Drain, "info", "guard", "cell", decisionFields, "the scheduler's view of the drained data centres has changed, or has become too old to start tasks; workers is the number of workers there"},
 	{Reject, "info", "guard", "cell", decisionFields, "the progress of a job can't be stored, which ends the job as failed, or another record was left out"},
 	{Reserve, "info", "guard", "cell", decisionFields, "room on a worker is reserved for a waiting task of a step: when it is expected to be free, how many tasks wait and since when"},
+	{Standstill, "info", "guard", "cell", decisionFields, "a job, or a task that lasts, has nothing running although there is room: for how long, the refusals of its step by reason with the number of workers, why the fallback doesn't apply, workers kept for isolated starts, runs that it is believed to have, and the room of the workers that take tasks and of all linked ones; repeated every 3 s while it lasts"},
 	{Advice, "info", "guard", "cell", decisionFields, "a response of the policy service about a step"},
 	{WorkerDrains, "info", "guard", "guard", []string{"worker", "remaining_ms"}, "the worker has reported that it will leave"},
 	{WorkerLeaves, "info", "guard", "control", []string{"worker"}, "the worker has reported that it leaves now"},
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -364,6 +364,7 @@
 // recordMetrics exports the age of the view and the scheduler's time samples as metrics. The caller holds the lock.
 func (c *Cell) recordMetrics() {
 	c.scope.Gauge("view_age_seconds").Update(time.Since(c.jobsReadAt).Seconds())
+	c.scope.Gauge("standing_still").Update(float64(c.core.Standing()))
 	for _, s := range c.core.Samples() {
 		c.scope.Histogram(string(s.Measure)+"_seconds", metrics.Seconds()).RecordValue(s.Time.Seconds())
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -62,6 +62,8 @@
 	// held counts the runs that may be on workers.
 	held    int
 	endedAt time.Time
+	// idle is that of its tasks that don't last.
+	idle idleness
 	// inParts means that the progress is stored in parts; parts holds the hashes of the stored ones, by key.
 	inParts bool
 	parts   map[string]uint64
@@ -167,6 +169,8 @@
 	copies []copyRef
 	// lastActive is when a long-running task was last reported at work.
 	lastActive time.Time
+	// idle is kept for tasks that last.
+	idle idleness
 }
 
 // held reports whether a worker may hold the newest run.
--- a/internal/sched/samples.go
+++ b/internal/sched/samples.go
@@ -13,6 +13,9 @@
 	MeasureRun Measure = "run"
 	// MeasureStop is from the placement of a run until it ended on a stop command.
 	MeasureStop Measure = "stopped_run"
+	// MeasureStandstill is for how long a job, or a task that lasts, had nothing running, if it stood still although there
+	// was room.
+	MeasureStandstill Measure = "standstill"
 )
 
 // Sample is one measured duration.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -114,6 +114,7 @@
 	// drained holds the data centres in which no task starts; while drainsKnown is false, none starts anywhere.
 	drained     map[string]bool
 	drainsKnown bool
+	standing    standstills
 	// lastSweep is when the checks that depend on time alone ran last.
 	lastSweep time.Time
 	// nextFillerRound is when fillers are placed next.
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -61,6 +61,7 @@
 			}
 		}
 	}
+	c.findStandstills(now)
 }
 
 // isDue reports whether a step is tried in this round, after the refusal that r is about; fillers says whether the round
@@ -237,7 +238,7 @@
 		}
 		return
 	}
-	if s.occ.job.held > 0 || !s.starved(now) || s.occ.job.lateness > 0 && c.pool(s).busy() {
+	if c.fallbackRefusal(now, s) != "" {
 		return
 	}
 	if w := c.leastDisturbed(now, t); w != nil {
@@ -246,6 +247,21 @@
 	}
 }
 
+// fallbackRefusal returns why a filler that no worker takes isn't placed all the same, or an empty string.
+func (c *Core) fallbackRefusal(now time.Time, s *step) string {
+	switch {
+	case !s.spec.Filler:
+		return "no filler"
+	case s.occ.job.held > 0:
+		return "its job holds runs"
+	case !s.starved(now):
+		return "not starved yet"
+	case s.occ.job.lateness > 0 && c.pool(s).busy():
+		return "late, and the pool is busy"
+	}
+	return ""
+}
+
 // leastDisturbed returns the worker that keeps the most headroom beside a filler, among those that the filler
 // fits on.
 func (c *Core) leastDisturbed(now time.Time, t *task) *worker {
--- /dev/null
+++ b/internal/sched/standstill.go
@@ -0,0 +1,228 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/event"
+	"github.com/crocusspring/crocusspring/internal/resource"
+)
+
+const (
+	// standstillDelay is how long a task whose turn has come may lack a run while there is room, by the customers' rules:
+	// a task that lasts counts by itself, any other while nothing of its job runs.
+	standstillDelay = 3 * time.Second
+	// restartDelay is how much longer a task that lasts may lack a run after it has had one.
+	restartDelay = 6 * time.Second
+	// standstillRoom is how many times the room that the task needs must be there, and maxUsedShare the share of the
+	// service's processors below which the reserved ones must be.
+	standstillRoom = 2
+	maxUsedShare   = 0.5
+	// standstillInterval is the time between two searches for what stands still.
+	standstillInterval = 250 * time.Millisecond
+	// standstillRepeat is the time between two log lines about the same job or task, and maxStandstillLines bounds the
+	// lines of one search.
+	standstillRepeat   = 3 * time.Second
+	maxStandstillLines = 8
+	// maxStandstillRuns bounds the runs that a line lists.
+	maxStandstillRuns = 4
+)
+
+// idleness tracks since when a job, or a task that lasts, has nothing running although a task's turn has come.
+type idleness struct {
+	since time.Time
+	// ranBefore says that something ran before that.
+	ranBefore bool
+	// standing says that it counts as standing still, reportedAt when that was logged last.
+	standing   bool
+	reportedAt time.Time
+}
+
+// standstills searches for jobs and tasks that stand still.
+type standstills struct {
+	searchedAt time.Time
+	// count is the number that the latest search has found.
+	count int
+}
+
+// Standing returns how many jobs, and tasks that last, have nothing running although there is room for them.
+func (c *Core) Standing() int { return c.standing.count }
+
+// findStandstills logs the jobs and tasks that stand still, with what keeps them from running.
+func (c *Core) findStandstills(now time.Time) {
+	if now.Sub(c.standing.searchedAt) < standstillInterval {
+		return
+	}
+	c.standing = standstills{searchedAt: now}
+	lines := 0
+	for _, j := range c.openJobs {
+		c.observeIdleness(now, &j.idle, c.turn(j), j.spec.ID, &lines)
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if !s.spec.LongRunning || !s.ready() {
+					continue
+				}
+				for _, t := range s.tasks {
+					waits := t
+					if c.runs(t) {
+						waits = nil
+					}
+					c.observeIdleness(now, &t.idle, waits, t.id.String(), &lines)
+				}
+			}
+		}
+	}
+}
+
+// observeIdleness updates the idleness of a subject, a job or a task that lasts; waits is a task of it whose turn has come
+// while nothing of it runs, or nil.
+func (c *Core) observeIdleness(now time.Time, i *idleness, waits *task, subject string, lines *int) {
+	if waits == nil {
+		if i.standing {
+			c.sample(MeasureStandstill, now.Sub(i.since))
+		}
+		*i = idleness{ranBefore: true}
+		return
+	}
+	if i.since.IsZero() {
+		i.since = now
+	}
+	delay := standstillDelay
+	if waits.step.spec.LongRunning && i.ranBefore {
+		delay += restartDelay
+	}
+	i.standing = false
+	if now.Sub(i.since) < delay {
+		return
+	}
+	room := c.serviceRoom(waits.step)
+	if room.fits < standstillRoom || room.usedShare() >= maxUsedShare {
+		return
+	}
+	i.standing = true
+	c.standing.count++
+	if now.Sub(i.reportedAt) >= standstillRepeat && *lines < maxStandstillLines {
+		*lines++
+		i.reportedAt = now
+		c.logDecision(event.Standstill, subject, c.explainStandstill(now, waits, now.Sub(i.since), room))
+	}
+}
+
+// turn returns a task whose turn has come while nothing of the job runs, or nil; tasks that last count by themselves.
+func (c *Core) turn(j *jobState) *task {
+	var waits *task
+	for _, o := range j.inOrder() {
+		for _, s := range o.steps {
+			if s.spec.LongRunning || s.openTasks == 0 || !s.ready() {
+				continue
+			}
+			for _, t := range s.tasks {
+				switch {
+				case c.runs(t):
+					return nil
+				case waits == nil && !t.over():
+					waits = t
+				}
+			}
+		}
+	}
+	return waits
+}
+
+// runs reports whether a worker that answers lists a run of a task.
+func (c *Core) runs(t *task) bool {
+	if w := c.workers[t.worker]; t.held() && t.state != stateAssigned && w != nil && w.attached && !w.unresponsive {
+		return true
+	}
+	return slices.ContainsFunc(t.copies, func(r copyRef) bool {
+		w := c.workers[r.Worker]
+		return w != nil && w.attached && !w.unresponsive
+	})
+}
+
+// serviceRoom is the room of the workers of a service that are linked and don't drain, whether they take tasks or not.
+type serviceRoom struct {
+	workers int
+	// free and capacity are processors, in thousandths of a core; fillers reserve none.
+	free, capacity int64
+	// fits is how many tasks of the step would fit, at most standstillRoom a worker.
+	fits int
+}
+
+// usedShare returns the reserved share of the processors.
+func (r serviceRoom) usedShare() float64 { return 1 - float64(r.free)/float64(max(1, r.capacity)) }
+
+// serviceRoom returns the room for tasks of a step.
+func (c *Core) serviceRoom(s *step) serviceRoom {
+	var out serviceRoom
+	for _, w := range c.sortedWorkers {
+		if !w.attached || w.info.Draining || w.info.Service != s.occ.job.spec.Policy.Service {
+			continue
+		}
+		free := w.free()
+		out.workers++
+		out.free += free.MilliCPU
+		out.capacity += w.info.Capacity.MilliCPU
+		for n, left := 0, free; n < standstillRoom && s.spec.Demand.Fits(left); n++ {
+			left = left.Sub(s.spec.Demand)
+			out.fits++
+		}
+	}
+	return out
+}
+
+// explainStandstill returns what keeps a task from running: the refusals of the workers, why the fallback for starved tasks
+// doesn't apply, what the job holds, and the room as placement sees it and as it is.
+func (c *Core) explainStandstill(now time.Time, t *task, idle time.Duration, room serviceRoom) string {
+	s, j := t.step, t.step.occ.job
+	p := c.pool(s)
+	alone := 0
+	for _, o := range s.tasks {
+		if o.state == stateWaiting && o.startsAlone() {
+			alone++
+		}
+	}
+	starved := time.Duration(0)
+	if !s.unplacedSince.IsZero() {
+		starved = now.Sub(s.unplacedSince)
+	}
+	return fmt.Sprintf("task=%s state=%s idle=%s waiting=%d alone=%d held=%d lateness=%d unplaced=%s refused=%q fallback=%q isolated=%q runs=%q "+
+		"pool_workers=%d pool_free=%d pool_capacity=%d workers=%d free=%d capacity=%d demand=%s",
+		t.id, t.state, idle.Round(time.Millisecond), s.waiting, alone, j.held, j.lateness, starved.Round(time.Millisecond), c.waitReason(now, s),
+		c.fallbackRefusal(now, s), c.isolationSummary(), c.heldSummary(now, j),
+		len(p.workers), p.free, p.capacity, room.workers, room.free, room.capacity, describe(s.spec.Demand))
+}
+
+// describe returns a demand as MILLICPU/MEMORY.
+func describe(v resource.Vector) string { return fmt.Sprintf("%d/%d", v.MilliCPU, v.MemoryMB) }
+
+// isolationSummary lists the workers that are kept for isolated starts, the tasks, and whether their runs have settled.
+func (c *Core) isolationSummary() string {
+	var out []string
+	for _, w := range c.sortedWorkers {
+		if w.isolated != nil {
+			out = append(out, fmt.Sprintf("%s for %s state=%s quiet=%t", w.id, w.isolated.id, w.isolated.state, w.quiet()))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+// heldSummary lists runs that a job is believed to have: state, worker, age, and whether the worker is linked and answers.
+func (c *Core) heldSummary(now time.Time, j *jobState) string {
+	var out []string
+	for _, o := range j.inOrder() {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if !t.held() || len(out) == maxStandstillRuns {
+					continue
+				}
+				w := c.workers[t.worker]
+				out = append(out, fmt.Sprintf("%s run=%d state=%s worker=%s age=%s linked=%t answers=%t pace=%d pinned=%t",
+					t.id, t.run, t.state, w.id, now.Sub(t.assignedAt).Round(time.Millisecond), w.attached, !w.unresponsive, w.pace, t.pinned))
+			}
+		}
+	}
+	return strings.Join(out, ", ")
+}
