--- /dev/null
+++ b/internal/sched/standstill_test.go
@@ -0,0 +1,87 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/resource"
+)
+
+// servedPool returns a pool of workers of 16 cores, each with a serving task near its target that reserves some of them.
+func servedPool(t *testing.T, now time.Time, reserved float64, ids ...string) *Core {
+	t.Helper()
+	c := New(options)
+	for _, id := range ids {
+		c.Attach(now, "node-"+id, link.Worker{ID: id, Service: "pool", Capacity: resource.Vector{MilliCPU: 16_000, MemoryMB: 60_000}}, link.Listing{})
+	}
+	c.Submit(now, one("serve", 0, job.Step{
+		Count: len(ids), Demand: cores(reserved), LongRunning: true, TailTargetMS: 100, Image: "serve", AntiAffinity: 1,
+	}))
+	if got := started(settle(now, c)); len(got) != len(ids) {
+		t.Fatalf("%d serving tasks are started, want %d", len(got), len(ids))
+	}
+	reportPool(now, c)
+	return c
+}
+
+// reportPool reports the runs on all linked workers; the tail latency of serving tasks is at their target.
+func reportPool(now time.Time, c *Core) {
+	for _, w := range c.sortedWorkers {
+		var rows []link.RunStatus
+		for _, task := range w.tasks {
+			rows = append(rows, link.RunStatus{RunRef: task.ref(), Percent: 100, Measurement: 100})
+		}
+		c.Report(now, w.id, link.Listing{Running: rows})
+	}
+}
+
+// startsWithin runs rounds for some time and reports whether a task of a job is started.
+func startsWithin(now time.Time, c *Core, id string, d time.Duration) bool {
+	for end := now.Add(d); now.Before(end); now = now.Add(fillerInterval) {
+		for _, starts := range started(settle(now, c)) {
+			for _, s := range starts {
+				if s.Task.Job == id {
+					return true
+				}
+			}
+		}
+		reportPool(now, c)
+	}
+	return false
+}
+
+// TestLateFillerRunsBesideBlockedWorkers guards against a late job that stands still although most of the room is free: its
+// fillers are refused beside serving tasks, and the pool counted as busy since a free worker that takes no tasks for a while
+// was left out with its room.
+func TestLateFillerRunsBesideBlockedWorkers(t *testing.T) {
+	now := epoch0
+	c := servedPool(t, now, 9, "a", "b")
+	c.Attach(now, "node-c", link.Worker{ID: "c", Service: "pool", Capacity: resource.Vector{MilliCPU: 16_000, MemoryMB: 60_000}}, link.Listing{})
+	c.health.block(now.Add(time.Minute), "c", "runs stand still")
+	late := one("late", 2, job.Step{Count: 4, Demand: cores(2.3), EstimateMS: 2000, Filler: true, Image: "fill"})
+	late.AcceptedMS -= 8000
+	c.Submit(now, late)
+	if !startsWithin(now, c, "late", standstillDelay) {
+		t.Errorf("nothing of the job is started for %s with 18 of 48 cores reserved: %s", standstillDelay, c.waitReason(now, c.jobs["late"].occurrences[0].steps[0]))
+	}
+}
+
+// TestLostRunHoldsUpNoOthers guards against a job that stands still while the owner waits for the lease of one of its runs
+// to expire: its other fillers, refused beside serving tasks, weren't started as starved ones while it held any run.
+func TestLostRunHoldsUpNoOthers(t *testing.T) {
+	now := epoch0
+	c := servedPool(t, now, 4, "a", "b")
+	c.opt.RunLease = 10 * time.Second
+	c.Attach(now, "node-c", link.Worker{ID: "c", Service: "pool", Capacity: resource.Vector{MilliCPU: 4000, MemoryMB: 60_000}}, link.Listing{})
+	c.Submit(now, one("job", 2, job.Step{Count: 2, Demand: cores(3), EstimateMS: 2000, Filler: true, Image: "fill"}))
+	now = now.Add(fillerInterval)
+	if at, _ := firstStart(t, settle(now, c)); at != "c" || c.jobs["job"].held != 1 {
+		t.Fatalf("%d tasks run, the first on %s; want one on c", c.jobs["job"].held, at)
+	}
+	c.Detach(now, "c")
+	if !startsWithin(now, c, "job", standstillDelay) {
+		t.Errorf("nothing else of the job is started for %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
+	}
+}
