Scheduler: a service is busy by the room of all its workers

Cause: a filler of a late job that every worker with serving tasks refuses is placed all the same only while the pool isn't busy, that is, while at most half of its processors is reserved. The pool held only the workers that take tasks now. Each one that is on probation, suspect or silent took its free room out of the count, so that a service of which under half was in use counted as busy for as long as such workers were away, up to a minute.

Change: what is reserved is counted over the workers that answer, the room over all known workers of the service.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -191,10 +191,23 @@
 	workers []*worker
 	// free and capacity are processors, in thousandths of a core.
 	free, capacity int64
+	// reserved are the processors that runs hold on workers that answer, total those of all workers of the service: also of
+	// those that take no tasks for a while. Their room is there, although it can't be used.
+	reserved, total int64
 }
 
-// busy reports whether more than half of the processors are reserved.
-func (p *workerPool) busy() bool { return 2*p.free < p.capacity }
+// busy reports whether more than half of the service's processors are reserved.
+func (p *workerPool) busy() bool { return 2*p.reserved > p.total }
+
+// count adds a worker of the service to the sums.
+func (p *workerPool) count(w *worker) {
+	if w.described {
+		p.total += w.info.Capacity.MilliCPU
+	}
+	if w.attached && !w.unresponsive {
+		p.reserved += w.load.reserved.MilliCPU
+	}
+}
 
 // beginRound starts a scheduling round.
 func (c *Core) beginRound(now time.Time) {
@@ -210,6 +223,9 @@
 	}
 	p = &workerPool{}
 	for _, w := range c.sortedWorkers {
+		if w.info.Service == service {
+			p.count(w)
+		}
 		if passes(filters[:poolFilters], c, c.round.now, s, w) {
 			p.workers = append(p.workers, w)
 			p.free += w.free().MilliCPU
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -257,7 +257,7 @@
 	case !s.starved(now):
 		return "not starved yet"
 	case s.occ.job.lateness > 0 && c.pool(s).busy():
-		return "late, and the pool is busy"
+		return "late, and the service is busy"
 	}
 	return ""
 }
@@ -355,6 +355,7 @@
 	j := t.step.occ.job
 	if p := c.round.pools[j.spec.Policy.Service]; p != nil {
 		p.free -= t.step.spec.Reserve().MilliCPU
+		p.reserved += t.step.spec.Reserve().MilliCPU
 	}
 	if j.state == Queued {
 		c.sample(MeasureWait, now.Sub(j.acceptedAt))
