Scheduler: a run that is only believed in holds up no other filler of its job

Cause: a starved filler was placed beside serving tasks only while its job held no run at all. A run on a worker that is gone is held until its lease must have expired, 4 s after the link broke and up to 10 s after a takeover, and one whose start got lost until it is settled. Nothing of the job runs meanwhile.

Change: the fallback asks whether something of the job runs on a worker that answers, or was assigned there within the last 1.5 s.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -204,7 +204,7 @@
 	if w.described {
 		p.total += w.info.Capacity.MilliCPU
 	}
-	if w.attached && !w.unresponsive {
+	if w.answers() {
 		p.reserved += w.load.reserved.MilliCPU
 	}
 }
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -222,7 +222,7 @@
 }
 
 // starvationDelay is how long no worker takes a task of a step before the step may use capacity kept for
-// others: a long-running task that of short ones, a filler of a job with no runs that of serving tasks,
+// others: a long-running task that of short ones, a filler of a job that isn't active that of serving tasks,
 // where local control throttles it.
 const starvationDelay = 1500 * time.Millisecond
 
@@ -252,8 +252,8 @@
 	switch {
 	case !s.spec.Filler:
 		return "no filler"
-	case s.occ.job.held > 0:
-		return "its job holds runs"
+	case c.active(now, s.occ.job):
+		return "something of its job runs"
 	case !s.starved(now):
 		return "not starved yet"
 	case s.occ.job.lateness > 0 && c.pool(s).busy():
@@ -262,6 +262,27 @@
 	return ""
 }
 
+// active reports whether something of a job runs on a worker that answers, or is being started there. A run that is only
+// believed in, for instance until the lease of a lost worker has expired, mustn't hold up the other tasks.
+func (c *Core) active(now time.Time, j *jobState) bool {
+	if j.held == 0 {
+		return false
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if slices.ContainsFunc(s.tasks, func(t *task) bool { return c.runs(t) || c.starting(now, t) }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// starting reports whether a run was assigned to a worker that answers so recently that it may not be listed yet.
+func (c *Core) starting(now time.Time, t *task) bool {
+	return t.state == stateAssigned && c.workers[t.worker].answers() && now.Sub(t.assignedAt) < starvationDelay
+}
+
 // leastDisturbed returns the worker that keeps the most headroom beside a filler, among those that the filler
 // fits on.
 func (c *Core) leastDisturbed(now time.Time, t *task) *worker {
--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -133,13 +133,10 @@
 
 // runs reports whether a worker that answers lists a run of a task.
 func (c *Core) runs(t *task) bool {
-	if w := c.workers[t.worker]; t.held() && t.state != stateAssigned && w != nil && w.attached && !w.unresponsive {
+	if t.held() && t.state != stateAssigned && c.workers[t.worker].answers() {
 		return true
 	}
-	return slices.ContainsFunc(t.copies, func(r copyRef) bool {
-		w := c.workers[r.Worker]
-		return w != nil && w.attached && !w.unresponsive
-	})
+	return slices.ContainsFunc(t.copies, func(r copyRef) bool { return c.workers[r.Worker].answers() })
 }
 
 // serviceRoom is the room of the workers of a service that are linked and don't drain, whether they take tasks or not.
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -147,6 +147,9 @@
 // about half of it on average, in waves.
 const servingUtilization = 0.6
 
+// answers reports whether the guard of a worker is linked and hears from it; false without a worker.
+func (w *worker) answers() bool { return w != nil && w.attached && !w.unresponsive }
+
 // spare returns the processors that fillers could still use, in thousandths of a core.
 func (w *worker) spare() int64 {
 	used := int64(float64(w.load.servingCPU)*servingUtilization) + w.load.otherCPU
