--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -33,6 +33,8 @@
 // idleness tracks since when a job, or a task that lasts, has nothing running although a task's turn has come.
 type idleness struct {
 	since time.Time
+	// roomSince is since when there is room for it, too; zero while there isn't.
+	roomSince time.Time
 	// ranBefore says that something ran before that.
 	ranBefore bool
 	// standing says that it counts as standing still, reportedAt when that was logged last.
@@ -93,15 +95,17 @@
 	if waits.step.spec.LongRunning && i.ranBefore {
 		delay += restartDelay
 	}
-	i.standing = false
-	if now.Sub(i.since) < delay {
-		return
-	}
 	room := c.serviceRoom(waits.step)
-	if room.fits < standstillRoom || room.usedShare() >= maxUsedShare {
+	switch {
+	case room.fits < standstillRoom || room.usedShare() >= maxUsedShare:
+		i.roomSince = time.Time{}
+	case i.roomSince.IsZero():
+		i.roomSince = now
+	}
+	i.standing = !i.roomSince.IsZero() && now.Sub(i.roomSince) >= standstillDelay && now.Sub(i.since) >= delay
+	if !i.standing {
 		return
 	}
-	i.standing = true
 	c.standing.count++
 	if now.Sub(i.reportedAt) >= standstillRepeat && *lines < maxStandstillLines {
 		*lines++
