Scheduler: ask for approval of the workers that a starved filler may take

Cause: the policy service is asked only about workers that nothing but the ticket keeps from the task. A filler that serving tasks keep off everywhere was approved nowhere, so that the fallback for starved fillers, which passes over just these refusals, found no worker with a ticket.

Change: while the fallback applies, or a suspect filler is starved, the request passes over the same filters as the fallback.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -39,9 +39,13 @@
 	if s.occ.job.spec.Policy.Advice == nil || s.approvalPending || now.Before(s.nextRequestAt) {
 		return
 	}
+	without := []string{"ticket"}
+	if c.mayDisturb(now, s) {
+		without = append(without, starvedFillerExceptions...)
+	}
 	var candidates []*worker
 	for _, w := range c.sortedWorkers {
-		if !s.denied[w.id] && !s.approved(now, w.id) && c.refusalExcept(now, s, w, "ticket") == "" {
+		if !s.denied[w.id] && !s.approved(now, w.id) && c.refusalExcept(now, s, w, without...) == "" {
 			candidates = append(candidates, w)
 		}
 	}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -262,6 +262,16 @@
 	return ""
 }
 
+// mayDisturb reports whether a waiting filler of a step may be placed on a worker where serving tasks would keep it off: as a
+// starved one, or as one that must start in isolation, which doesn't ask for the state of its job.
+func (c *Core) mayDisturb(now time.Time, s *step) bool {
+	if c.fallbackRefusal(now, s) == "" {
+		return true
+	}
+	suspect := func(t *task) bool { return t.state == stateWaiting && t.startsAlone() }
+	return s.spec.Filler && s.starved(now) && slices.ContainsFunc(s.tasks, suspect)
+}
+
 // active reports whether something of a job runs on a worker that answers, or is being started there. A run that is only
 // believed in, for instance until the lease of a lost worker has expired, mustn't hold up the other tasks.
 func (c *Core) active(now time.Time, j *jobState) bool {
@@ -283,13 +293,16 @@
 	return t.state == stateAssigned && c.workers[t.worker].answers() && now.Sub(t.assignedAt) < starvationDelay
 }
 
+// starvedFillerExceptions are the filters that a worker needn't pass for a starved filler.
+var starvedFillerExceptions = []string{"tails", "filler"}
+
 // leastDisturbed returns the worker that keeps the most headroom beside a filler, among those that the filler
 // fits on.
 func (c *Core) leastDisturbed(now time.Time, t *task) *worker {
 	var best *worker
 	var bestHeadroom float64
 	for _, w := range c.sortedWorkers {
-		if c.refusalExcept(now, t.step, w, "tails", "filler") != "" {
+		if c.refusalExcept(now, t.step, w, starvedFillerExceptions...) != "" {
 			continue
 		}
 		if headroom := c.headroomBeside(now, t, w); best == nil || headroom > bestHeadroom {
--- a/internal/sched/standstill_test.go
+++ b/internal/sched/standstill_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// startsWithin runs rounds for some time and reports whether a task of a job is started.
+// startsWithin runs rounds for some time, grants all requests for approval, and reports whether a task of a job is started.
 func startsWithin(now time.Time, c *Core, id string, d time.Duration) bool {
 	for end := now.Add(d); now.Before(end); now = now.Add(fillerInterval) {
 		for _, starts := range started(settle(now, c)) {
@@ -47,6 +47,7 @@
 				}
 			}
 		}
+		approveAll(now, c)
 		reportPool(now, c)
 	}
 	return false
@@ -85,3 +86,16 @@
 		t.Errorf("nothing else of the job is started for %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
 	}
 }
+
+// TestStarvedFillerIsApproved guards against a filler that never starts on a queue with advice: the policy service was asked
+// only about workers on which no serving task kept it off, so that the fallback for starved fillers found none approved.
+func TestStarvedFillerIsApproved(t *testing.T) {
+	now := epoch0
+	c := servedPool(t, now, 4, "a", "b")
+	spec := one("job", 2, job.Step{Count: 2, Demand: cores(3), EstimateMS: 2000, Filler: true, Image: "fill"})
+	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
+	c.Submit(now, spec)
+	if !startsWithin(now, c, "job", standstillDelay) {
+		t.Errorf("nothing of the job is started for %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
+	}
+}
