--- a/internal/sched/standstill_test.go
+++ b/internal/sched/starved_test.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// startsWithin runs rounds for some time, grants all requests for approval, and reports whether a task of a job is started.
-func startsWithin(now time.Time, c *Core, id string, d time.Duration) bool {
+// startsJobWithin runs rounds for some time, grants all requests for approval, and reports whether a task of a job is started.
+func startsJobWithin(now time.Time, c *Core, id string, d time.Duration) bool {
 	for end := now.Add(d); now.Before(end); now = now.Add(fillerInterval) {
 		for _, starts := range started(settle(now, c)) {
 			for _, s := range starts {
@@ -64,7 +64,7 @@
 	late := one("late", 2, job.Step{Count: 4, Demand: cores(2.3), EstimateMS: 2000, Filler: true, Image: "fill"})
 	late.AcceptedMS -= 8000
 	c.Submit(now, late)
-	if !startsWithin(now, c, "late", standstillDelay) {
+	if !startsJobWithin(now, c, "late", standstillDelay) {
 		t.Errorf("nothing of the job is started for %s with 18 of 48 cores reserved: %s", standstillDelay, c.waitReason(now, c.jobs["late"].occurrences[0].steps[0]))
 	}
 }
@@ -82,7 +82,7 @@
 		t.Fatalf("%d tasks run, the first on %s; want one on c", c.jobs["job"].held, at)
 	}
 	c.Detach(now, "c")
-	if !startsWithin(now, c, "job", standstillDelay) {
+	if !startsJobWithin(now, c, "job", standstillDelay) {
 		t.Errorf("nothing else of the job is started for %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
 	}
 }
@@ -95,7 +95,7 @@
 	spec := one("job", 2, job.Step{Count: 2, Demand: cores(3), EstimateMS: 2000, Filler: true, Image: "fill"})
 	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
 	c.Submit(now, spec)
-	if !startsWithin(now, c, "job", standstillDelay) {
+	if !startsJobWithin(now, c, "job", standstillDelay) {
 		t.Errorf("nothing of the job is started for %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
 	}
 }
