--- a/internal/sched/standstill_test.go
+++ b/internal/sched/standstill_test.go
@@ -32,7 +32,7 @@
 	until := d.now.Add(span)
 	switch kind := d.rng.IntN(16); kind {
 	case 0, 1:
-		if h.up {
+		if h.up && !d.shape.noCrashes {
 			d.crashHost(h, kind == 0, span)
 		}
 	case 2, 3:
@@ -55,7 +55,7 @@
 	case 10:
 		d.takeover(d.between(100*time.Millisecond, 3*time.Second))
 	case 11:
-		if d.rng.IntN(3) == 0 {
+		if d.rng.IntN(3) == 0 && !d.shape.noCrashes {
 			for _, o := range d.hosts {
 				if o.up {
 					d.crashHost(o, false, span)
@@ -333,13 +333,32 @@
 	return n
 }
 
+// dayFor returns the day of a seed, narrowed by STANDSTILL_WITHOUT, which lists what the day goes without ("advice",
+// "deadly", "crashes"), and with STANDSTILL_VANISH one on which workers lose ends.
+func dayFor(seed uint64) *day {
+	d := newDay(seed)
+	without := os.Getenv("STANDSTILL_WITHOUT")
+	d.shape.vanish = os.Getenv("STANDSTILL_VANISH") != ""
+	d.shape.noCrashes = strings.Contains(without, "crashes")
+	if strings.Contains(without, "deadly") {
+		d.shape.deadly = 0
+		clear(d.deadly)
+	}
+	if strings.Contains(without, "advice") {
+		d.shape.advice = 0
+		for _, s := range d.specs {
+			s.Policy.Advice = nil
+		}
+	}
+	return d
+}
+
 // TestNothingStandsStill plays random days with disruptions and answers for the rule "when the system is calm, no job has
 // nothing running while it could". STANDSTILL_SEED plays one seed again, with a trace; STANDSTILL_SEEDS=N plays N from
 // STANDSTILL_FROM on.
 func TestNothingStandsStill(t *testing.T) {
 	if os.Getenv("STANDSTILL_SEED") != "" {
-		d := newDay(number("STANDSTILL_SEED", 0))
-		d.shape.vanish = os.Getenv("STANDSTILL_VANISH") != ""
+		d := dayFor(number("STANDSTILL_SEED", 0))
 		d.trace = func(format string, args ...any) {
 			t.Logf("%8.2f "+format, append([]any{d.now.Sub(epoch0).Seconds()}, args...)...)
 		}
@@ -351,9 +370,7 @@
 	}
 	from := number("STANDSTILL_FROM", 0)
 	for seed := range number("STANDSTILL_SEEDS", defaultDays) {
-		d := newDay(from + seed)
-		d.shape.vanish = os.Getenv("STANDSTILL_VANISH") != ""
-		for _, f := range d.play() {
+		for _, f := range dayFor(from + seed).play() {
 			t.Error(f)
 		}
 	}
--- a/internal/sched/standstill_world_test.go
+++ b/internal/sched/standstill_world_test.go
@@ -126,6 +126,7 @@
 	burstAt                        time.Duration // of wide jobs; 0 for none
 	vanish                         bool          // ends get lost between the worker and its guard
 	poison, deadly                 float64
+	noCrashes                      bool // of workers, but by deadly tasks
 }
 
 // day simulates a service with its owner, store, guards, workers and policy service.
