--- a/internal/sched/standstill_world_test.go
+++ b/internal/sched/standstill_world_test.go
@@ -145,6 +145,7 @@
 	batch   *Batch
 	// storeUntil is until when the store doesn't answer, ownerless until when there is no owner.
 	storeUntil, ownerless time.Time
+	epoch                 int // counts the owners
 	lossUntil             time.Time
 	silentUntil           time.Time
 	calls                 []dayCall
@@ -756,6 +757,8 @@
 // takeover starts a new owner from the stored records after a while without one.
 func (d *day) takeover(gap time.Duration) {
 	d.trace("takeover in %s", gap)
+	d.epoch++
+	epoch := d.epoch
 	d.ownerless = d.now.Add(gap)
 	d.upset(d.ownerless.Add(time.Second))
 	if d.batch != nil {
@@ -766,7 +769,11 @@
 		h.linked = false
 		h.cutUntil = maxTime(h.cutUntil, d.ownerless.Add(d.between(dayDelay, 900*time.Millisecond)))
 	}
-	d.after(gap, d.load2)
+	d.after(gap, func() {
+		if d.epoch == epoch {
+			d.restore()
+		}
+	})
 }
 
 // maxTime returns the later of two times.
@@ -777,11 +784,8 @@
 	return b
 }
 
-// load2 loads the cell as a new owner.
-func (d *day) load2() {
-	if d.ownerless.After(d.now) {
-		return
-	}
+// restore loads the cell as a new owner.
+func (d *day) restore() {
 	d.core = New(dayOptions)
 	for _, s := range d.specs {
 		d.core.Submit(d.now, s)
