Scheduler: an acknowledgement that was lost with its link is sent again

What callers would see: a job that waits for an end which its worker can't list (LOST), and ends that are never taken note of.

Cause: an end counts as acknowledged as soon as it is listed. If the link breaks while the record of its effect is being stored, the acknowledgement is dropped, and the guard that comes back lists the end again without anyone acknowledging it. Ends listed for good make every poll return at once, and once they fill a listing no later end is seen.

Change: at each attachment the count starts anew; an end that is listed again is acknowledged again, with the next stored batch.

TestLostAcknowledgementIsRepeated failed before and passes now.

--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -162,6 +162,8 @@
 	c.dropPendingCrashes(info.ID)
 	w := c.ensureWorker(now, info.ID)
 	w.unshown = map[link.RunRef]bool{}
+	// An acknowledgement may have been lost with the last link.
+	w.acknowledged = 0
 	if w.node != node {
 		w.node, c.dirtyNodes[info.ID] = node, node
 	}
