Scheduler: a worker that answers again is no longer suspected of a crash

What callers would see: after a worker was silent for longer than a lease, all tasks that had just been started there queue for isolated starts, a few at a time, and the jobs behind them stand still with room free (LOST).

Cause: the suspicion was dropped only when the guard linked anew, not when the worker answered again over the same link.

Change: a listing of a worker that answers drops it. A worker that was reborn meanwhile is listed as another incarnation, and its crash is reported.

TestAnsweringWorkerHasNotCrashed failed before and passes now.

--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -21,6 +21,10 @@
 	}
 	w.excuseSilence(now)
 	w.listedAt = now
+	if !w.unresponsive {
+		// A worker that was reborn would be reported as another incarnation.
+		c.dropPendingCrashes(id)
+	}
 	clear(w.unknownRuns)
 	for _, r := range l.Running {
 		c.handleListed(now, w, r)
