Scheduler: a run that complete listings lack is stopped, whatever its state

What callers would see: a job that waits for good for a run that its worker doesn't have (LOST).

Cause: only a run that has been listed and makes no progress counts as stalled. One whose end was dropped before any listing showed it stays assigned; a filler that is listed no longer is passed over while fillers there are slowed, and a member of a gang always.

Change: a run whose start was sent and that complete listings have lacked for 2 s is stopped; the stop settles whether it is there. A start that isn't sent yet, since its record isn't stored, doesn't count.

TestUnlistedRunEnds and TestVanishedFillerEnds failed before and pass now.

--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -157,8 +157,10 @@
 	appearedAt  time.Time
 	listedAt    time.Time // of the latest listing that shows the run, or must show it or its end
 	progressAt  time.Time // when percent last grew
-	assignedAt  time.Time
-	stopSentAt  time.Time
+	// missingSince is since when complete listings have lacked the run; zero if the latest one shows it.
+	missingSince time.Time
+	assignedAt   time.Time
+	stopSentAt   time.Time
 	// inherited says that the newest run was assigned by an earlier owner.
 	inherited bool
 	// notified says that the guard has received the run's traits over its current link.
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -33,6 +33,7 @@
 	c.settleUnshown(now, w, l)
 	if !l.EndsCut {
 		for _, t := range w.tasks {
+			c.noteMissing(now, t)
 			t.listedAt = now
 		}
 	}
@@ -40,6 +41,22 @@
 	c.observe(now, w)
 }
 
+// missingTimeout is how long complete listings may lack a run whose start was sent: longer than the start takes to arrive.
+const missingTimeout = 2 * time.Second
+
+// noteMissing handles that a complete listing shows a run or not. One that is missing for good has ended unseen or was never
+// started; the stop settles it, so that its task isn't waited for.
+func (c *Core) noteMissing(now time.Time, t *task) {
+	switch {
+	case t.listedAt.Equal(now) || !t.notified:
+		t.missingSince = time.Time{}
+	case t.missingSince.IsZero():
+		t.missingSince = now
+	case now.Sub(t.missingSince) > missingTimeout:
+		c.stopRun(now, t, "not listed")
+	}
+}
+
 // Ended takes ends that a worker lists, and runs that its guard reports as absent for good; those have no
 // number.
 func (c *Core) Ended(now time.Time, id string, ended []link.RunEnd) {
@@ -99,7 +116,7 @@
 		}
 		return
 	}
-	t.listedAt = now
+	t.listedAt, t.missingSince = now, time.Time{}
 	first := t.state == stateAssigned
 	t.transition(eventAppear)
 	if t.appearedAt.IsZero() || first {
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -380,7 +380,7 @@
 	}
 	t.run, t.worker, t.assignedAt = run, w.id, now
 	t.appearedAt, t.listedAt, t.progressAt, t.lastActive = time.Time{}, time.Time{}, now, time.Time{}
-	t.percent, t.pinned, t.inherited = 0, false, false
+	t.percent, t.pinned, t.inherited, t.notified, t.missingSince = 0, false, false, false, time.Time{}
 	if !t.step.spec.LongRunning {
 		t.step.unplacedSince = time.Time{}
 	}
