Scheduler: suspects of one crash may start together

What callers would see: a worker crashes while many tasks start on it. Each is a suspect and was started by itself on a quarter of the workers, about 0.9 s each, so that jobs with nothing but such tasks stand still for many seconds with room free (LOST).

Cause: isolation tells which task crashes workers by one start at a time, also for tasks of which a single crash is known that they shared with others. Most of those are harmless.

Change: up to four suspects of that kind start on a kept worker together. If it crashes as well, each of them starts by itself. A task that crashes its workers now crashes at most one more of them before it is given up, the third, which the customers' bound allows.

--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -17,6 +17,11 @@
 // the choice has been made.
 var isolationChecks = []string{"isolation", "urgent", "filler", "tails", "reserved"}
 
+// maxSharedStarts is how many tasks may start on a worker that is kept for one of them, if each of them was starting at a
+// single crash beside others. A crash makes suspects of all that were starting; most are harmless, and one at a time they
+// would wait for long. If the worker crashes too, those that were starting there are told apart by isolated starts.
+const maxSharedStarts = 4
+
 // startIsolated starts the tasks that must start in isolation; fillers says whether the round places fillers. A worker is
 // kept for each until its runs have settled, and takes nothing else until the task has settled too.
 func (c *Core) startIsolated(now time.Time, fillers bool) {
@@ -39,15 +44,50 @@
 		}
 	}
 	slices.SortFunc(waiting, compareSuspects)
-	for _, t := range waiting {
+	for i, t := range waiting {
+		if t.held() {
+			continue
+		}
 		w := kept[t]
 		if w == nil && c.isDue(now, t.step, t.step.isolation, fillers) && c.mayKeepAnother(t.step) {
 			w = c.keepWorker(now, t)
 		}
 		if w != nil && w.quiet() {
 			c.assignAlone(now, t, w)
+			c.startBeside(now, w, t, waiting[i+1:])
+		}
+	}
+}
+
+// startBeside starts others of the waiting suspects together with one that has just got a worker, as far as they may share
+// it.
+func (c *Core) startBeside(now time.Time, w *worker, first *task, waiting []*task) {
+	if !first.mayShareStart() {
+		return
+	}
+	left := maxSharedStarts - 1
+	for _, t := range waiting {
+		if left == 0 {
+			return
+		}
+		if t.mayShareStart() && !t.held() && !w.hasCopy(t) && c.refusalExcept(now, t.step, w, "isolation") == "" {
+			c.assignAlone(now, t, w)
+			left--
+		}
+	}
+}
+
+// mayShareStart reports whether a suspect may start beside other suspects: it was starting at one crash only, and not by
+// itself.
+func (t *task) mayShareStart() bool {
+	starts, sole := 0, false
+	for i := range t.crashes {
+		if cr := &t.crashes[i]; cr.starting() {
+			starts++
+			sole = sole || cr.Sole
 		}
 	}
+	return starts == 1 && !sole && len(t.crashes) < isolationCrashes
 }
 
 // isolationOver reports whether a worker needn't be kept any longer for the task that it is kept for.
