--- /dev/null
+++ b/internal/sched/cell_test.go
@@ -0,0 +1,46 @@
+package sched_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+// cellSeedsInCI is the number of seeds that a plain test run plays.
+const cellSeedsInCI = 40
+
+// envNumber returns the number in an environment variable, or another one if it isn't set.
+func envNumber(t *testing.T, name string, otherwise uint64) uint64 {
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return n
+}
+
+// TestCell joins guards, an owner and simulated workers, injects faults and judges that nothing stands still afterwards.
+// CELL_SEED=n replays one seed with a trace; CELL_SEEDS=n plays that many, from CELL_FROM on.
+func TestCell(t *testing.T) {
+	if seed := envNumber(t, "CELL_SEED", 0); seed > 0 {
+		playCell(t, seed, func(line string) { fmt.Println(line) })
+		return
+	}
+	from, count := envNumber(t, "CELL_FROM", 1), envNumber(t, "CELL_SEEDS", cellSeedsInCI)
+	for seed := from; seed < from+count; seed++ {
+		playCell(t, seed, nil)
+	}
+}
+
+// playCell plays one seed and reports its findings.
+func playCell(t *testing.T, seed uint64, trace func(string)) {
+	w := newCellWorld(seed, trace)
+	newCellPlan(w).run()
+	for _, f := range w.findings {
+		t.Errorf("seed %d at %.1f s, %.1f s calm: %s: %s", seed, float64(f.at)/1000, float64(f.calmMS)/1000, f.kind, f.text)
+	}
+}
