--- a/internal/sched/cell_faults_test.go
+++ b/internal/sched/cell_faults_test.go
@@ -35,6 +35,32 @@
 			g.link.lost = true
 		}
 	}},
+	{"link half open", func(w *cellWorld) {
+		if g := w.machine().guard; g != nil && g.link != nil {
+			w.touch(0)
+			up := w.chance(0.5)
+			w.logf("link of %s is lost in one direction, up=%t", g.m.node, up)
+			g.link.lostUp, g.link.lostDown = up, !up
+		}
+	}},
+	{"guard frozen", func(w *cellWorld) {
+		if g := w.machine().guard; g != nil {
+			ms := w.between(200, 8000)
+			w.touch(ms)
+			w.logf("guard of %s is frozen for %d ms", g.m.node, ms)
+			g.frozenUntil = max(g.frozenUntil, w.now+ms)
+		}
+	}},
+	{"worker frozen", func(w *cellWorld) {
+		if e := w.machine().exec; e != nil {
+			ms := w.between(200, 8000)
+			w.touch(ms)
+			w.logf("worker %s is frozen for %d ms", e.incarnation(), ms)
+			e.frozenUntil = max(e.frozenUntil, w.now+ms)
+		}
+	}},
+	{"owner frozen", func(w *cellWorld) { w.freezeOwner(w.between(200, 6000)) }},
+	{"machine gone", func(w *cellWorld) { w.removeMachine() }},
 	{"apart", func(w *cellWorld) {
 		m, ms := w.machine(), w.between(200, 9000)
 		w.touch(ms)
@@ -98,7 +124,7 @@
 	m.w.touch(afterMS)
 	m.guard.kill()
 	m.w.after(afterMS, func() {
-		if m.guard == nil {
+		if m.guard == nil && !m.gone {
 			m.w.touch(0)
 			m.bootGuard()
 		}
@@ -120,7 +146,7 @@
 	reborn := m.w.chance(0.5)
 	m.w.touch(afterMS)
 	m.w.after(afterMS, func() {
-		if m.exec == nil {
+		if m.exec == nil && !m.gone {
 			m.w.touch(0)
 			m.boot(reborn)
 		}
@@ -169,6 +195,46 @@
 	})
 }
 
+// freezeOwner lets the owner stand still; after more than a second another one takes the cell.
+func (w *cellWorld) freezeOwner(ms int64) {
+	o := w.newest()
+	w.touch(ms)
+	w.logf("owner %d is frozen for %d ms", o.epoch, ms)
+	o.frozenUntil = max(o.frozenUntil, w.now+ms)
+	takesIn, follow := w.between(1700, 2300), w.between(0, 2000)
+	if ms < takesIn {
+		return
+	}
+	w.after(takesIn, func() {
+		if w.newest() != o {
+			return
+		}
+		goesOn := ms - takesIn + w.between(0, 700)
+		w.touch(goesOn + follow)
+		w.takeOver(goesOn)
+		w.guardsFollow(follow)
+	})
+}
+
+// removeMachine ends the processes of a machine for good, if enough others are left.
+func (w *cellWorld) removeMachine() {
+	if w.removed || len(w.machines) < 4 {
+		return
+	}
+	w.removed = true
+	m := w.machines[len(w.machines)-1]
+	w.touch(0)
+	w.machines = w.machines[:len(w.machines)-1]
+	if m.guard != nil {
+		if l := m.guard.link; l != nil {
+			l.lost = w.chance(0.5)
+		}
+		m.guard.kill()
+	}
+	m.crash()
+	m.gone = true
+}
+
 // restartAll ends the owner and all guards, with or without the workers, and starts them again; at times twice in a row.
 func (w *cellWorld) restartAll() {
 	workers := w.chance(0.5)
@@ -294,7 +360,7 @@
 		if !m.fine() {
 			continue
 		}
-		free := cellCapacity
+		free := m.exec.cap
 		for _, run := range m.exec.running {
 			free = free.Sub(run.step.Demand)
 		}
--- a/internal/sched/cell_guard_test.go
+++ b/internal/sched/cell_guard_test.go
@@ -13,18 +13,18 @@
 
 // Times of the guard's driver, in milliseconds; see guard.go.
 const (
-	pollWaitMS           = 250
-	callTimeoutMS        = 200
-	slowCallTimeoutMS    = 500
-	unackedPollMS        = 50
-	runsReportMS         = 400
-	minReportMS          = 10
-	guardRetryMS         = 150
-	maxFailedPolls       = 2
-	heartbeatMS          = 250
-	linkReadTimeoutMS    = 1500
-	linkDialTimeoutMS    = 1000
-	cellRunLeaseMS       = 4000
+	pollWaitMS        = 250
+	callTimeoutMS     = 200
+	slowCallTimeoutMS = 500
+	unackedPollMS     = 50
+	runsReportMS      = 400
+	minReportMS       = 10
+	guardRetryMS      = 150
+	maxFailedPolls    = 2
+	heartbeatMS       = 250
+	linkReadTimeoutMS = 1500
+	linkDialTimeoutMS = 1000
+	cellRunLeaseMS    = 4000
 )
 
 // cellMachine is a machine with a worker and its guard.
@@ -44,6 +44,8 @@
 	lateAnnouncementsUntil int64
 	// bootedAt is when a process of the machine was started last.
 	bootedAt int64
+	// gone means that the machine doesn't come back.
+	gone bool
 }
 
 // cellGuard drives a guard's core as guard.Guard does.
@@ -63,6 +65,8 @@
 	announced         cellSignal
 	slots             int
 	queued            []func()
+	// frozenUntil is until when the process stands still.
+	frozenUntil int64
 	// owner is the owner that the guard follows.
 	owner *cellOwner
 	link  *cellLink
@@ -93,11 +97,26 @@
 	}
 }
 
+// awake reports whether the process lives and runs; if it stands still, f is called again when it goes on.
+func (g *cellGuard) awake(f func()) bool {
+	if g.dead {
+		return false
+	}
+	if g.w.now < g.frozenUntil {
+		g.w.after(g.frozenUntil-g.w.now, f)
+		return false
+	}
+	return true
+}
+
 // clock returns the guard's clock.
 func (g *cellGuard) clock() int64 { return g.m.offset + g.w.now }
 
 // describe takes an announcement of the worker.
 func (g *cellGuard) describe(info link.Worker, seq int64) {
+	if !g.awake(func() { g.describe(info, seq) }) {
+		return
+	}
 	g.core.Describe(g.clock(), info, seq)
 	g.w.signal(&g.changed)
 	g.w.signal(&g.announced)
@@ -105,7 +124,7 @@
 
 // poll makes the next poll of the polling loop.
 func (g *cellGuard) poll() {
-	if g.dead {
+	if !g.awake(g.poll) {
 		return
 	}
 	q, ok := g.core.NextPoll(g.clock(), pollWaitMS*time.Millisecond)
@@ -143,11 +162,14 @@
 			got = l
 			answer(err)
 		})
-	}, func(err error) {
-		if !g.dead {
-			done(got, err)
-		}
-	})
+	}, func(err error) { g.whenAwake(func() { done(got, err) }) })
+}
+
+// whenAwake calls f as soon as the process runs.
+func (g *cellGuard) whenAwake(f func()) {
+	if g.awake(func() { g.whenAwake(f) }) {
+		f()
+	}
 }
 
 // pollFailed handles a poll that returned an error, and goes on polling.
@@ -236,45 +258,43 @@
 // sendStop sends a stop command and records its outcome.
 func (g *cellGuard) sendStop(o guard.Command) {
 	record := func(err error) {
-		if g.dead {
-			return
-		}
-		g.core.StopAnswered(o.Start.RunRef, err)
-		g.sendDueAndProbe()
+		g.whenAwake(func() {
+			g.core.StopAnswered(o.Start.RunRef, err)
+			g.sendDueAndProbe()
+		})
 	}
 	g.m.call(o.Incarnation, callTimeoutMS, func(e *cellExec, answer func(error)) { answer(e.halt(o)) }, func(err error) {
-		if g.dead {
-			return
-		}
-		g.commandDone()
-		if err != nil {
-			g.w.after(guardRetryMS, func() { record(err) })
-			return
-		}
-		record(nil)
+		g.whenAwake(func() {
+			g.commandDone()
+			if err != nil {
+				g.w.after(guardRetryMS, func() { record(err) })
+				return
+			}
+			record(nil)
+		})
 	})
 }
 
 // sendStart sends a start command and records its outcome.
 func (g *cellGuard) sendStart(o guard.Command) {
-	g.m.call(o.Incarnation, callTimeoutMS, func(e *cellExec, answer func(error)) { answer(e.start(o)) }, func(err error) {
-		if g.dead {
-			return
-		}
-		g.commandDone()
-		if errors.Is(err, errNoConnection) {
-			err = &guard.RefusedError{Reason: "no connection"}
-		}
-		refused, reason := cellRefusal(err)
-		if err != nil {
-			g.w.logf("guard of %s: start of %s#%d not done: %v", g.m.node, o.Start.Task, o.Start.Run, err)
-		}
-		g.core.StartAnswered(o.Start.RunRef, err, refused, reason)
-		g.sendDueAndProbe()
-		if refused {
-			g.w.signal(&g.changed)
-		}
-	})
+	g.m.call(o.Incarnation, callTimeoutMS, func(e *cellExec, answer func(error)) { answer(e.start(o)) }, func(err error) { g.whenAwake(func() { g.startAnswered(o, err) }) })
+}
+
+// startAnswered records the outcome of a start command.
+func (g *cellGuard) startAnswered(o guard.Command, err error) {
+	g.commandDone()
+	if errors.Is(err, errNoConnection) {
+		err = &guard.RefusedError{Reason: "no connection"}
+	}
+	refused, reason := cellRefusal(err)
+	if err != nil {
+		g.w.logf("guard of %s: start of %s#%d not done: %v", g.m.node, o.Start.Task, o.Start.Run, err)
+	}
+	g.core.StartAnswered(o.Start.RunRef, err, refused, reason)
+	g.sendDueAndProbe()
+	if refused {
+		g.w.signal(&g.changed)
+	}
 }
 
 // cellRefusal reports whether an error means that the worker has not executed a command, and why.
@@ -300,7 +320,7 @@
 
 // probe polls the worker without waiting for a run to end.
 func (g *cellGuard) probe() {
-	if g.dead {
+	if !g.awake(g.probe) {
 		return
 	}
 	q, ok := g.core.NextPoll(g.clock(), 0)
@@ -326,7 +346,7 @@
 
 // dial opens a link to the owner that the guard follows, again and again.
 func (g *cellGuard) dial() {
-	if g.dead {
+	if !g.awake(g.dial) {
 		return
 	}
 	o := g.owner
@@ -342,7 +362,7 @@
 		if g.dead {
 			return
 		}
-		if !o.serves() || g.w.now < g.m.apartUntil {
+		if !o.serves() || o.w.now < o.frozenUntil || g.w.now < g.m.apartUntil {
 			g.w.after(guardRetryMS, g.dial)
 			return
 		}
@@ -374,6 +394,10 @@
 
 // handle handles one message of the owner.
 func (g *cellGuard) handle(l *cellLink, d link.OwnerMessage) {
+	if !g.awake(func() { g.handle(l, d) }) || !l.guardOpen {
+		return
+	}
+	l.guardHeard = g.w.now
 	before := g.core.Epoch()
 	if !g.core.ExtendLease(d) {
 		l.closeGuard("owner was replaced")
@@ -413,7 +437,7 @@
 
 // report sends the next report on a link.
 func (g *cellGuard) report(l *cellLink, s *cellReport) {
-	if g.dead || g.link != l {
+	if !g.awake(func() { g.report(l, s) }) || g.link != l {
 		return
 	}
 	if g.owner != l.o {
--- a/internal/sched/cell_owner_test.go
+++ b/internal/sched/cell_owner_test.go
@@ -36,9 +36,11 @@
 	p *cellPeer
 	// guardOpen and ownerOpen say which ends are open; lost means that nothing passes any more.
 	guardOpen, ownerOpen, lost bool
-	stalledUntil               int64
-	upAt, downAt               int64
-	guardHeard, ownerHeard     int64
+	// lostUp and lostDown mean that nothing passes in one direction.
+	lostUp, lostDown       bool
+	stalledUntil           int64
+	upAt, downAt           int64
+	guardHeard, ownerHeard int64
 }
 
 // cellPeer is a guard with an open link, as the owner sees it.
@@ -99,22 +101,27 @@
 
 // sendUp sends a message of the guard.
 func (l *cellLink) sendUp(up link.GuardMessage) {
-	l.carry(&l.upAt, &l.ownerOpen, func() {
-		l.ownerHeard = l.w.now
-		if !l.o.report(l.p, up) {
-			l.closeOwner("ownership is over")
-		}
-	})
+	if !l.lostUp {
+		l.carry(&l.upAt, &l.ownerOpen, func() { l.arrive(up) })
+	}
+}
+
+// arrive hands a message of the guard to the owner.
+func (l *cellLink) arrive(up link.GuardMessage) {
+	if !l.o.awake(func() { l.arrive(up) }) || !l.ownerOpen {
+		return
+	}
+	l.ownerHeard = l.w.now
+	if !l.o.report(l.p, up) {
+		l.closeOwner("ownership is over")
+	}
 }
 
 // sendDown sends a message of the owner.
 func (l *cellLink) sendDown(d link.OwnerMessage) {
-	l.carry(&l.downAt, &l.guardOpen, func() {
-		l.guardHeard = l.w.now
-		if !l.g.dead {
-			l.g.handle(l, d)
-		}
-	})
+	if !l.lostDown {
+		l.carry(&l.downAt, &l.guardOpen, func() { l.g.handle(l, d) })
+	}
 }
 
 // reset breaks the link at both ends; messages on their way are lost.
@@ -161,13 +168,27 @@
 	// while there is none.
 	dead                    bool
 	leaseOverAt, replacedAt int64
-	jobsRead                int
-	due                     cellSignal
+	// frozenUntil is until when the process stands still; see owner.Cell for the other two.
+	frozenUntil, extendCheckedAt, stalledAt int64
+	jobsRead                                int
+	due                                     cellSignal
 }
 
 // serves reports whether the owner accepts links.
 func (o *cellOwner) serves() bool { return !o.dead && o.core != nil }
 
+// awake reports whether the process lives and runs; if it stands still, f is called again when it goes on.
+func (o *cellOwner) awake(f func()) bool {
+	if o.dead {
+		return false
+	}
+	if o.w.now < o.frozenUntil {
+		o.w.after(o.frozenUntil-o.w.now, f)
+		return false
+	}
+	return true
+}
+
 // owns reports whether the owner may go on.
 func (o *cellOwner) owns() bool {
 	return !o.dead && (o.replacedAt == 0 || o.w.now < o.replacedAt)
@@ -223,7 +244,7 @@
 
 // follow reads new jobs and cancellations.
 func (o *cellOwner) follow() {
-	if o.core == nil {
+	if !o.awake(o.follow) || o.core == nil {
 		return
 	}
 	w := o.w
@@ -248,7 +269,7 @@
 
 // round schedules once, stores the decisions, and sends the commands that depend on them.
 func (o *cellOwner) round() {
-	if o.core == nil {
+	if !o.awake(o.round) || o.core == nil {
 		return
 	}
 	if !o.owns() {
@@ -266,14 +287,17 @@
 		again()
 		return
 	}
-	o.write(o.w.calls(b.Records), func() {
-		if o.core == nil {
-			return
-		}
-		o.core.Stored(o.time(), b.Seq)
-		o.queueCommands()
-		again()
-	})
+	o.write(o.w.calls(b.Records), func() { o.stored(b.Seq, again) })
+}
+
+// stored releases the commands of a batch.
+func (o *cellOwner) stored(seq int64, again func()) {
+	if !o.awake(func() { o.stored(seq, again) }) || o.core == nil {
+		return
+	}
+	o.core.Stored(o.time(), seq)
+	o.queueCommands()
+	again()
 }
 
 // write stores the records of some appends in order.
@@ -386,7 +410,7 @@
 
 // send sends the next message to a guard, and goes on as long as the link lasts.
 func (o *cellOwner) send(p *cellPeer) {
-	if !p.l.ownerOpen || o.dead {
+	if !o.awake(func() { o.send(p) }) || !p.l.ownerOpen {
 		return
 	}
 	if o.core == nil || !o.owns() {
@@ -405,6 +429,13 @@
 
 // mayExtend reports whether the owner may extend the leases of runs.
 func (o *cellOwner) mayExtend() bool {
+	if o.extendCheckedAt > 0 && o.w.now-o.extendCheckedAt > 1500 {
+		o.stalledAt = o.w.now
+	}
+	o.extendCheckedAt = o.w.now
+	if o.stalledAt > 0 && o.w.now-o.stalledAt < guardSilenceMS {
+		return false
+	}
 	if o.leaseOverAt == 0 || o.w.now < o.leaseOverAt {
 		return true
 	}
--- a/internal/sched/cell_scene_test.go
+++ b/internal/sched/cell_scene_test.go
@@ -46,9 +46,8 @@
 	return n
 }
 
-// TestSecondBlackout guards against tasks that wait for their isolated start for long: all 13 workers crash, and crash again
-// while the tasks of the first crash are starting. Every task then counts as a suspect, and three are started at a time.
-func TestSecondBlackout(t *testing.T) {
+// loadedScene returns a world of 13 workers with 24 tasks that last and 48 fillers.
+func loadedScene() *cellWorld {
 	w := sceneWorld(13, nil)
 	w.runUntil(1000)
 	for k := range 8 {
@@ -61,16 +60,72 @@
 		s.Steps = []job.Step{{Count: 24, Demand: resource.Vector{MilliCPU: 1800, MemoryMB: 1200}, Filler: true, EstimateMS: 3000, Image: "f", MayMiss: job.NoMissLimit}}
 		w.submit(s)
 	}
+	return w
+}
+
+// restarted runs until all workers have runs again after a blackout.
+func (w *cellWorld) restarted() {
+	w.runUntil(w.now + 1000)
+	for end := w.now + 4000; w.busyWorkers() < len(w.machines) && w.now < end; {
+		w.runUntil(w.now + 10)
+	}
+}
+
+// reportAll reports the findings of a scene.
+func (w *cellWorld) reportAll(t *testing.T) {
+	t.Helper()
+	for _, f := range w.findings {
+		t.Errorf("%s %.1f s after the last blackout: %s", f.kind, float64(f.calmMS)/1000+1, f.text)
+	}
+}
+
+// TestSecondBlackout guards against tasks that wait for their isolated start for long: all 13 workers crash, and crash again
+// while the tasks of the first crash are starting. Every task then counts as a suspect, and three are started at a time.
+func TestSecondBlackout(t *testing.T) {
+	w := loadedScene()
 	w.runUntil(3000)
 	w.crashAll()
-	w.runUntil(4000)
-	for w.busyWorkers() < len(w.machines) && w.now < 8000 {
-		w.runUntil(w.now + 10)
+	w.restarted()
+	w.runUntil(w.now + 300)
+	w.crashAll()
+	w.runUntil(w.now + 30_000)
+	w.reportAll(t)
+}
+
+// TestThirdBlackout is TestSecondBlackout with settled tasks: after three crashes a task starts in isolation whatever its age was.
+func TestThirdBlackout(t *testing.T) {
+	w := loadedScene()
+	for range 3 {
+		w.runUntil(w.now + 3000)
+		w.crashAll()
+		w.restarted()
 	}
+	w.runUntil(w.now + 30_000)
+	w.reportAll(t)
+}
+
+// TestBlackoutUnderNewJobs is TestSecondBlackout with one crash of all workers 300 ms after wide jobs have begun.
+func TestBlackoutUnderNewJobs(t *testing.T) {
+	w := loadedScene()
 	w.runUntil(w.now + 300)
 	w.crashAll()
 	w.runUntil(w.now + 30_000)
-	for _, f := range w.findings {
-		t.Errorf("%s %.1f s after the second crash: %s", f.kind, float64(f.calmMS)/1000+1, f.text)
+	w.reportAll(t)
+}
+
+// TestFifthBlackout guards against jobs that fail since the workers under their tasks have crashed five times for no fault of
+// theirs.
+func TestFifthBlackout(t *testing.T) {
+	w := loadedScene()
+	for range 5 {
+		w.runUntil(w.now + 6000)
+		w.crashAll()
+		w.restarted()
+	}
+	w.runUntil(w.now + 3000)
+	for _, id := range w.judge.ids {
+		if v, _ := w.newest().core.Job(id); v.State == "failed" {
+			t.Errorf("job %s has failed: %s", id, v.Reason)
+		}
 	}
 }
--- a/internal/sched/cell_worker_test.go
+++ b/internal/sched/cell_worker_test.go
@@ -54,6 +54,20 @@
 	leavesAt  int64
 	seq       int64
 	holds     []func()
+	// frozenUntil is until when the worker stands still with all its runs.
+	frozenUntil int64
+	cap         resource.Vector
+}
+
+// whenAwake calls f as soon as the worker runs, unless it crashes before.
+func (e *cellExec) whenAwake(f func()) {
+	switch {
+	case !e.up:
+	case e.w.now < e.frozenUntil:
+		e.w.after(e.frozenUntil-e.w.now, func() { e.whenAwake(f) })
+	default:
+		f()
+	}
 }
 
 // incarnation returns the text form of the worker's incarnation.
@@ -68,7 +82,7 @@
 	w.counter++
 	e := &cellExec{
 		w: w, m: m, id: fmt.Sprintf("w%d-%d", m.n, w.counter), startedAt: w.now, rate: 1 - 0.02*w.rng.Float64(), offset: w.between(1000, 9_000_000),
-		running: map[link.RunRef]*cellRun{}, fence: map[job.TaskID]int{}, up: true,
+		running: map[link.RunRef]*cellRun{}, fence: map[job.TaskID]int{}, up: true, cap: cellCapacity,
 	}
 	if w.births {
 		e.born = w.unix()
@@ -76,6 +90,9 @@
 			e.id = m.lastID
 		}
 	}
+	if w.capsVary && w.chance(0.3) {
+		e.cap = resource.Vector{MilliCPU: e.cap.MilliCPU / 2, MemoryMB: e.cap.MemoryMB / 2}
+	}
 	m.lastID, m.exec = e.id, e
 	w.logf("worker %s boots on %s", e.incarnation(), m.node)
 	e.announce()
@@ -84,7 +101,7 @@
 // info describes the worker as its announcements do.
 func (e *cellExec) info() link.Worker {
 	return link.Worker{
-		ID: e.incarnation(), Service: "pool", Capacity: cellCapacity, Kind: "a", Rack: "r-" + e.m.node, DataCentre: "dc",
+		ID: e.incarnation(), Service: "pool", Capacity: e.cap, Kind: "a", Rack: "r-" + e.m.node, DataCentre: "dc",
 		Draining: e.draining, RemainingMS: max(0, e.leavesAt-e.w.now),
 	}
 }
@@ -94,6 +111,10 @@
 	if !e.up {
 		return
 	}
+	if e.w.now < e.frozenUntil {
+		e.whenAwake(e.announce)
+		return
+	}
 	e.seq++
 	info, seq := e.info(), e.seq
 	if !e.draining {
@@ -199,15 +220,18 @@
 // watchLease ends all runs when the lease expires.
 func (e *cellExec) watchLease() {
 	left := e.until - e.clock()
-	e.w.after(left+left/40+1, func() {
-		if !e.up || len(e.running) == 0 || e.clock() < e.until {
-			return
-		}
-		e.w.logf("lease of %s lapses", e.incarnation())
-		for _, ref := range e.refs() {
-			e.end(ref, link.Expired)
-		}
-	})
+	e.w.after(left+left/40+1, e.lapse)
+}
+
+// lapse ends all runs if the lease has expired.
+func (e *cellExec) lapse() {
+	if !e.up || len(e.running) == 0 || e.clock() < e.until {
+		return
+	}
+	e.w.logf("lease of %s lapses", e.incarnation())
+	for _, ref := range e.refs() {
+		e.end(ref, link.Expired)
+	}
 }
 
 // checkToken notes a fencing token; it returns an error for one that is lower than the highest seen.
@@ -264,20 +288,51 @@
 			r.lastsMS = e.w.between(500, 20_000)
 		}
 	}
-	e.w.after(r.lastsMS, func() {
-		switch {
-		case e.running[ref] != r:
-		case r.fails:
-			e.end(ref, link.Failed)
-		default:
-			e.end(ref, link.Done)
+	e.w.after(r.lastsMS, func() { e.whenAwake(func() { e.finish(ref, r) }) })
+}
+
+// finish ends a run that has done its work.
+func (e *cellExec) finish(ref link.RunRef, r *cellRun) {
+	switch {
+	case e.running[ref] != r:
+	case r.fails:
+		e.end(ref, link.Failed)
+	case r.step.Gang:
+		e.finishGang(ref)
+	default:
+		e.end(ref, link.Done)
+	}
+}
+
+// finishGang ends a run of a gang, and with it the whole gang if all its members are there.
+func (e *cellExec) finishGang(ref link.RunRef) {
+	n := 0
+	members := e.w.judge.jobs[ref.Task.Job].byID
+	for id := range members {
+		if id.Step == ref.Task.Step && members[id].running > 0 {
+			n++
 		}
-	})
+	}
+	if n < e.running[ref].step.Count {
+		e.end(ref, link.GangIncomplete)
+		return
+	}
+	e.end(ref, link.Done)
+	for _, m := range e.w.machines {
+		if m.exec == nil {
+			continue
+		}
+		for _, other := range m.exec.refs() {
+			if other.Task.Job == ref.Task.Job && other.Task.Step == ref.Task.Step {
+				m.exec.end(other, link.Done)
+			}
+		}
+	}
 }
 
 // free returns what runs leave of the capacity.
 func (e *cellExec) free() resource.Vector {
-	f := cellCapacity
+	f := e.cap
 	for _, r := range e.running {
 		f = f.Sub(r.step.Reserve())
 	}
@@ -294,9 +349,11 @@
 	if r := e.running[ref]; r != nil && !r.stopping {
 		r.stopping = true
 		e.w.after(e.w.between(20, e.w.stopMS), func() {
-			if e.running[ref] == r {
-				e.end(ref, link.Stopped)
-			}
+			e.whenAwake(func() {
+				if e.running[ref] == r {
+					e.end(ref, link.Stopped)
+				}
+			})
 		})
 	}
 	return nil
@@ -403,6 +460,7 @@
 	}
 	w.after(limitMS, func() { finish(context.DeadlineExceeded) })
 	fate := m.fate()
+	var again func(answer func(error))
 	execute := func(answer func(error)) {
 		e := m.exec
 		switch {
@@ -410,10 +468,13 @@
 			answer(errNoConnection)
 		case expect != "" && link.ParseIncarnation(expect).ID != e.id:
 			answer(guard.ErrOtherIncarnation)
+		case w.now < e.frozenUntil:
+			w.after(e.frozenUntil-w.now+w.between(0, 20), func() { again(answer) })
 		default:
 			carry(e, answer)
 		}
 	}
+	again = execute
 	back := func(lowMS, highMS int64) func(error) {
 		return func(err error) { w.after(w.between(lowMS, highMS), func() { finish(err) }) }
 	}
--- a/internal/sched/cell_world_test.go
+++ b/internal/sched/cell_world_test.go
@@ -29,13 +29,15 @@
 	storeSilentUntil int64
 	jobLog           []cellJobEntry
 	counter          int
+	// removed means that a machine has gone for good.
+	removed bool
 	// The shape of this run: whether workers tell their birth, whether they refuse what doesn't fit, how many ends they list at
 	// a time, the longest time a stop takes, the share of runs that fail, and the limits of the store.
-	births, rejectsOverload bool
-	listedEnds              int
-	stopMS                  int64
-	failureShare            float64
-	recordBytes, callBytes  int
+	births, rejectsOverload, capsVary bool
+	listedEnds                        int
+	stopMS                            int64
+	failureShare                      float64
+	recordBytes, callBytes            int
 	// touchedAt is the end of the last thing that was injected.
 	touchedAt int64
 	judge     *cellJudge
@@ -61,6 +63,7 @@
 	w.failureShare = []float64{0, 0.02}[w.rng.IntN(2)]
 	w.recordBytes = []int{0, 60_000, 1500}[w.rng.IntN(3)]
 	w.callBytes = []int{0, 3000}[w.rng.IntN(2)]
+	w.capsVary = w.chance(0.3)
 	w.judge = newCellJudge(w)
 	for n := range int(w.between(3, 7)) {
 		m := &cellMachine{w: w, n: n, node: fmt.Sprintf("node-%d", n), offset: w.between(1000, 9_000_000)}
@@ -168,7 +171,7 @@
 		ID: id, Payload: "p",
 		Policy: job.Policy{Queue: "q", Service: "pool", Priority: w.rng.IntN(3), MaxAttempts: 4, Stretch: 2, LatencyTargetMS: 2000},
 	}
-	switch w.rng.IntN(4) {
+	switch w.rng.IntN(6) {
 	case 0:
 		s.Steps = []job.Step{{
 			Count: int(w.between(1, 4)), Demand: resource.Vector{MilliCPU: w.between(2, 10) * 100, MemoryMB: 500}, LongRunning: true, MayMiss: 1,
@@ -183,6 +186,16 @@
 			Count: int(w.between(1, 3)), Demand: resource.Vector{MilliCPU: w.between(1, 5) * 100, MemoryMB: 300}, EstimateMS: w.between(30, 400),
 			Speculative: w.chance(0.3), MayMiss: job.NoMissLimit,
 		}}
+	case 3:
+		s.Steps = []job.Step{{
+			Count: int(w.between(2, 3)), Demand: resource.Vector{MilliCPU: w.between(2, 8) * 100, MemoryMB: 400}, EstimateMS: w.between(100, 2000), Gang: true,
+			Checkpoints: true, MayMiss: job.NoMissLimit,
+		}}
+	case 4:
+		s.Steps = []job.Step{{
+			Count: int(w.between(5, 12)), Demand: resource.Vector{MilliCPU: w.between(2, 15) * 100, MemoryMB: 400}, EstimateMS: w.between(500, 6000), Checkpoints: true,
+			Speculative: w.chance(0.5), AntiAffinity: int(w.between(0, 3)), MayMiss: job.NoMissLimit,
+		}}
 	default:
 		for i := range int(w.between(2, 4)) {
 			st := job.Step{
@@ -230,7 +243,7 @@
 
 // succeeded reports whether a success of the task is on a worker or was acknowledged there.
 func (t *cellTask) succeeded() bool {
-	return slices.ContainsFunc(t.done, func(s cellSuccess) bool { return s.e.up || s.number <= s.e.acked })
+	return len(t.done) > 0 && slices.ContainsFunc(t.done, func(s cellSuccess) bool { return s.e.up || s.number <= s.e.acked })
 }
 
 const (
@@ -303,7 +316,7 @@
 
 // fine reports whether a worker and its guard are up and nothing separates them.
 func (m *cellMachine) fine() bool {
-	return m.exec != nil && m.guard != nil && !m.exec.draining && m.w.now >= m.cutUntil && m.w.now >= m.apartUntil && m.w.now >= m.callFaultsUntil
+	return m.exec != nil && m.guard != nil && !m.exec.draining && m.w.now >= m.exec.frozenUntil && m.w.now >= m.guard.frozenUntil && m.w.now >= m.cutUntil && m.w.now >= m.apartUntil && m.w.now >= m.callFaultsUntil
 }
 
 // room returns the room of the workers.
@@ -315,8 +328,8 @@
 			continue
 		}
 		r.workers++
-		r.all = r.all.Add(cellCapacity)
-		free := cellCapacity
+		r.all = r.all.Add(e.cap)
+		free := e.cap
 		for _, run := range e.running {
 			free = free.Sub(run.step.Demand)
 			r.used = r.used.Add(run.step.Demand)
