--- /dev/null
+++ b/internal/sched/cell_scene_test.go
@@ -0,0 +1,151 @@
+package sched_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/resource"
+)
+
+// sceneWorld returns a world of some machines whose shape isn't drawn.
+func sceneWorld(machines int, trace func(string)) *cellWorld {
+	w := &cellWorld{seed: 1, records: map[string][]byte{}, births: true, rejectsOverload: true, listedEnds: 500, stopMS: 300}
+	w.rng, w.trace = rand.New(rand.NewPCG(1, 40)), trace
+	w.judge = newCellJudge(w)
+	for n := range machines {
+		w.machines = append(w.machines, &cellMachine{w: w, n: n, node: fmt.Sprintf("node-%02d", n), offset: w.between(1000, 9_000_000)})
+	}
+	w.takeOver(0)
+	for _, m := range w.machines {
+		m.boot(false)
+		m.bootGuard()
+	}
+	w.judge.tick()
+	return w
+}
+
+// crashAll crashes all workers; they come back a second later.
+func (w *cellWorld) crashAll() {
+	w.touch(1000)
+	for _, m := range w.machines {
+		m.crash()
+		w.after(1000, func() { m.boot(true) })
+	}
+}
+
+// busyWorkers returns the number of workers with runs.
+func (w *cellWorld) busyWorkers() int {
+	n := 0
+	for _, m := range w.machines {
+		if m.exec != nil && len(m.exec.running) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// loadedScene returns a world of 13 workers with 24 tasks that last and 48 fillers.
+func loadedScene() *cellWorld {
+	w := sceneWorld(13, nil)
+	w.runUntil(1000)
+	for k := range 8 {
+		s := w.drawSpec(fmt.Sprintf("lasts%d", k))
+		s.Steps = []job.Step{{Count: 3, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, LongRunning: true, MayMiss: 1}}
+		w.submit(s)
+	}
+	for k := range 2 {
+		s := w.drawSpec(fmt.Sprintf("fills%d", k))
+		s.Steps = []job.Step{{Count: 24, Demand: resource.Vector{MilliCPU: 1800, MemoryMB: 1200}, Filler: true, EstimateMS: 3000, Image: "f", MayMiss: job.NoMissLimit}}
+		w.submit(s)
+	}
+	return w
+}
+
+// restarted runs until all workers have runs again after a blackout.
+func (w *cellWorld) restarted() {
+	w.runUntil(w.now + 1000)
+	for end := w.now + 4000; w.busyWorkers() < len(w.machines) && w.now < end; {
+		w.runUntil(w.now + 10)
+	}
+}
+
+// reportAll reports the findings of a scene.
+func (w *cellWorld) reportAll(t *testing.T) {
+	t.Helper()
+	for _, f := range w.findings {
+		t.Errorf("%s %.1f s after the last blackout: %s", f.kind, float64(f.calmMS)/1000+1, f.text)
+	}
+}
+
+// TestSecondBlackout guards against tasks that wait for their isolated start for long: all 13 workers crash, and crash again
+// while the tasks of the first crash are starting. Every task then counts as a suspect, and three are started at a time.
+func TestSecondBlackout(t *testing.T) {
+	w := loadedScene()
+	w.runUntil(3000)
+	w.crashAll()
+	w.restarted()
+	w.runUntil(w.now + 300)
+	w.crashAll()
+	w.runUntil(w.now + 30_000)
+	w.reportAll(t)
+}
+
+// TestThirdBlackout is TestSecondBlackout with settled tasks: after three crashes a task starts in isolation whatever its age was.
+func TestThirdBlackout(t *testing.T) {
+	w := loadedScene()
+	for range 3 {
+		w.runUntil(w.now + 3000)
+		w.crashAll()
+		w.restarted()
+	}
+	w.runUntil(w.now + 30_000)
+	w.reportAll(t)
+}
+
+// TestBlackoutUnderNewJobs is TestSecondBlackout with one crash of all workers 300 ms after wide jobs have begun.
+func TestBlackoutUnderNewJobs(t *testing.T) {
+	w := loadedScene()
+	w.runUntil(w.now + 300)
+	w.crashAll()
+	w.runUntil(w.now + 30_000)
+	w.reportAll(t)
+}
+
+// TestFifthBlackout guards against jobs that fail since the workers under their tasks have crashed five times for no fault of
+// theirs.
+func TestFifthBlackout(t *testing.T) {
+	w := loadedScene()
+	for range 5 {
+		w.runUntil(w.now + 6000)
+		w.crashAll()
+		w.restarted()
+	}
+	w.runUntil(w.now + 3000)
+	for _, id := range w.judge.ids {
+		if v, _ := w.newest().core.Job(id); v.State == "failed" {
+			t.Errorf("job %s has failed: %s", id, v.Reason)
+		}
+	}
+}
+
+// TestLossOfManyMachines guards against lasting tasks that wait for the expiry of a lease that nobody extends: 5 of 13 machines
+// go for good, one of them with the owner. Its successor hears from less than two thirds of the guards and waits for the rest.
+func TestLossOfManyMachines(t *testing.T) {
+	w := loadedScene()
+	w.runUntil(6000)
+	w.touch(2500)
+	for _, m := range w.machines[8:] {
+		m.gone = true
+		m.guard.kill()
+		m.crash()
+	}
+	w.machines = w.machines[:8]
+	w.newest().kill()
+	w.runUntil(w.now + 2000)
+	w.takeOver(0)
+	w.guardsFollow(500)
+	w.runUntil(w.now + 15_000)
+	w.reportAll(t)
+}
