Scheduler: ask for the approvals of a starved filler before it is starved

What callers would see: on a queue with advice wide jobs stand still for longer than 3 s (LOST) while several wait: the policy service answers one request at a time, and was asked about the workers beside serving tasks only when a filler had starved for 1.5 s.

Change: the request goes out at the first refusal, if only the time is missing.

TestApprovalsAreThereOnceStarved failed before and passes now.

--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -249,27 +249,30 @@
 
 // fallbackRefusal returns why a filler that no worker takes isn't placed all the same, or an empty string.
 func (c *Core) fallbackRefusal(now time.Time, s *step) string {
+	if reason := c.yields(now, s); reason != "" {
+		return reason
+	}
+	return when(!s.starved(now), "not starved yet")
+}
+
+// yields returns why the fillers of a step must not disturb serving tasks however long they wait, or an empty string.
+func (c *Core) yields(now time.Time, s *step) string {
 	switch {
 	case !s.spec.Filler:
 		return "no filler"
 	case c.active(now, s.occ.job):
 		return "something of its job runs"
-	case !s.starved(now):
-		return "not starved yet"
 	case s.occ.job.lateness > 0 && c.pool(s).busy():
 		return "late, and the service is busy"
 	}
 	return ""
 }
 
-// mayDisturb reports whether a waiting filler of a step may be placed on a worker where serving tasks would keep it off: as a
-// starved one, or as one that must start in isolation, which doesn't ask for the state of its job.
+// mayDisturb reports whether a waiting filler of a step may be placed on a worker where serving tasks would keep it off, now
+// or once it is starved. One that must start in isolation doesn't ask for the state of its job.
 func (c *Core) mayDisturb(now time.Time, s *step) bool {
-	if c.fallbackRefusal(now, s) == "" {
-		return true
-	}
 	suspect := func(t *task) bool { return t.state == stateWaiting && t.startsAlone() }
-	return s.spec.Filler && s.starved(now) && slices.ContainsFunc(s.tasks, suspect)
+	return s.spec.Filler && (c.yields(now, s) == "" || slices.ContainsFunc(s.tasks, suspect))
 }
 
 // active reports whether something of a job runs on a worker that answers, or is being started there. A run that is only
--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -99,3 +99,18 @@
 		t.Errorf("nothing of the job is started for %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
 	}
 }
+
+// TestApprovalsAreThereOnceStarved guards against a filler on a queue with advice that waits for approvals when it may start
+// at last: the policy service answers one request at a time, and was asked only then.
+func TestApprovalsAreThereOnceStarved(t *testing.T) {
+	now := epoch0
+	c := servedPool(t, now, 4, "a", "b")
+	spec := one("job", 2, job.Step{Count: 2, Demand: cores(3), EstimateMS: 2000, Filler: true, Image: "fill"})
+	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
+	c.Submit(now, spec)
+	now = now.Add(fillerInterval)
+	settle(now, c)
+	if got := c.ApprovalRequests(); len(got) != 1 || len(got[0].Workers) != 2 {
+		t.Errorf("requests %+v at the first refusal, want one about both workers", got)
+	}
+}
