Scheduler: a starved lasting task may take a worker on probation

What callers would see: a task that lasts doesn't run although there is room (LOST): the other workers have their share of its step or lack its label, and the only one that is left takes nothing for up to a minute after it has failed tasks.

Cause: no task goes to a worker on probation or one whose runs stood still, not even one that could go nowhere else.

Change: a task that lasts and has found no worker for 1.5 s is placed on such a worker, if nothing but its health refuses it. It has no attempts to lose.

TestLastingTaskTakesDoubtfulWorker failed before and passes now.

--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -226,14 +226,16 @@
 // where local control throttles it.
 const starvationDelay = 1500 * time.Millisecond
 
-// handleRefusal schedules a retry after no worker took a task, and applies the fallbacks: preemption, or for
-// a starved filler the worker with the least interference.
+// handleRefusal schedules a retry after no worker took a task, and applies the fallbacks: preemption, for a starved
+// filler the worker with the least interference, and for a starved task that lasts one that is doubtful.
 func (c *Core) handleRefusal(now time.Time, t *task, candidates []*worker) {
 	s := t.step
 	s.placement = c.retryLater(now)
 	c.noteRefusal(now, s)
 	if !s.spec.Filler {
-		if len(candidates) == 0 {
+		if w := c.doubtfulWorker(now, t); w != nil {
+			c.assign(now, t, w, 0)
+		} else if len(candidates) == 0 {
 			c.preempt(now, t)
 		}
 		return
@@ -247,6 +249,25 @@
 	}
 }
 
+// doubtfulWorker returns a worker that takes no tasks since runs have failed or stalled there, for a starved task that lasts,
+// or nil. Such a task loses no attempt if it fails, and proves the worker if it doesn't.
+func (c *Core) doubtfulWorker(now time.Time, t *task) *worker {
+	s := t.step
+	if !s.spec.LongRunning || !s.starved(now) {
+		return nil
+	}
+	var best *worker
+	for _, w := range c.sortedWorkers {
+		if w.hasCopy(t) || c.health.refusal(now, w.id) == "" || c.refusalExcept(now, s, w, "health") != "" {
+			continue
+		}
+		if best == nil || c.score(s.spec, s, w) > c.score(s.spec, s, best) {
+			best = w
+		}
+	}
+	return best
+}
+
 // fallbackRefusal returns why a filler that no worker takes isn't placed all the same, or an empty string.
 func (c *Core) fallbackRefusal(now time.Time, s *step) string {
 	if reason := c.yields(now, s); reason != "" {
--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -114,3 +114,18 @@
 		t.Errorf("requests %+v at the first refusal, want one about both workers", got)
 	}
 }
+
+// TestLastingTaskTakesDoubtfulWorker guards against a lasting task that stands still with room for it: the only worker that is
+// left for it, since the others have their share of the step, takes nothing for up to a minute after it has failed tasks.
+func TestLastingTaskTakesDoubtfulWorker(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	c.health.block(now.Add(time.Minute), "b", "worker is on probation")
+	c.Submit(now, one("job", 0, job.Step{Count: 2, Demand: cores(1), LongRunning: true, AntiAffinity: 1}))
+	if got := started(settle(now, c)); len(got["a"]) != 1 || len(got["b"]) != 0 {
+		t.Fatalf("started %v, want one task on a", got)
+	}
+	if !startsJobWithin(now, c, "job", standstillDelay) {
+		t.Errorf("the second task isn't started within %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
+	}
+}
