--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -222,7 +222,7 @@
 }
 
 // starvationDelay is how long no worker takes a task of a step before the step may use capacity kept for
-// others: a long-running task that of short ones, a filler of a job with no runs that of serving tasks,
+// others: a long-running task that of short ones, a filler of a job that isn't active that of serving tasks,
 // where local control throttles it.
 const starvationDelay = 1500 * time.Millisecond
 
@@ -252,23 +252,57 @@
 	switch {
 	case !s.spec.Filler:
 		return "no filler"
-	case s.occ.job.held > 0:
-		return "its job holds runs"
+	case c.active(now, s.occ.job):
+		return "something of its job runs"
 	case !s.starved(now):
 		return "not starved yet"
 	case s.occ.job.lateness > 0 && c.pool(s).busy():
-		return "late, and the pool is busy"
+		return "late, and the service is busy"
 	}
 	return ""
 }
 
+// mayDisturb reports whether a waiting filler of a step may be placed on a worker where serving tasks would keep it off: as a
+// starved one, or as one that must start in isolation, which doesn't ask for the state of its job.
+func (c *Core) mayDisturb(now time.Time, s *step) bool {
+	if c.fallbackRefusal(now, s) == "" {
+		return true
+	}
+	suspect := func(t *task) bool { return t.state == stateWaiting && t.startsAlone() }
+	return s.spec.Filler && s.starved(now) && slices.ContainsFunc(s.tasks, suspect)
+}
+
+// active reports whether something of a job runs on a worker that answers, or is being started there. A run that is only
+// believed in, for instance until the lease of a lost worker has expired, mustn't hold up the other tasks.
+func (c *Core) active(now time.Time, j *jobState) bool {
+	if j.held == 0 {
+		return false
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if slices.ContainsFunc(s.tasks, func(t *task) bool { return c.runs(t) || c.starting(now, t) }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// starting reports whether a run was assigned to a worker that answers so recently that it may not be listed yet.
+func (c *Core) starting(now time.Time, t *task) bool {
+	return t.state == stateAssigned && c.workers[t.worker].answers() && now.Sub(t.assignedAt) < starvationDelay
+}
+
+// starvedFillerExceptions are the filters that a worker needn't pass for a starved filler.
+var starvedFillerExceptions = []string{"tails", "filler"}
+
 // leastDisturbed returns the worker that keeps the most headroom beside a filler, among those that the filler
 // fits on.
 func (c *Core) leastDisturbed(now time.Time, t *task) *worker {
 	var best *worker
 	var bestHeadroom float64
 	for _, w := range c.sortedWorkers {
-		if c.refusalExcept(now, t.step, w, "tails", "filler") != "" {
+		if c.refusalExcept(now, t.step, w, starvedFillerExceptions...) != "" {
 			continue
 		}
 		if headroom := c.headroomBeside(now, t, w); best == nil || headroom > bestHeadroom {
@@ -346,7 +380,7 @@
 	}
 	t.run, t.worker, t.assignedAt = run, w.id, now
 	t.appearedAt, t.listedAt, t.progressAt, t.lastActive = time.Time{}, time.Time{}, now, time.Time{}
-	t.percent, t.pinned, t.inherited = 0, false, false
+	t.percent, t.pinned, t.inherited, t.notified, t.missingSince = 0, false, false, false, time.Time{}
 	if !t.step.spec.LongRunning {
 		t.step.unplacedSince = time.Time{}
 	}
@@ -355,6 +389,7 @@
 	j := t.step.occ.job
 	if p := c.round.pools[j.spec.Policy.Service]; p != nil {
 		p.free -= t.step.spec.Reserve().MilliCPU
+		p.reserved += t.step.spec.Reserve().MilliCPU
 	}
 	if j.state == Queued {
 		c.sample(MeasureWait, now.Sub(j.acceptedAt))
--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -33,6 +33,8 @@
 // idleness tracks since when a job, or a task that lasts, has nothing running although a task's turn has come.
 type idleness struct {
 	since time.Time
+	// roomSince is since when there is room for it, too; zero while there isn't.
+	roomSince time.Time
 	// ranBefore says that something ran before that.
 	ranBefore bool
 	// standing says that it counts as standing still, reportedAt when that was logged last.
@@ -93,15 +95,17 @@
 	if waits.step.spec.LongRunning && i.ranBefore {
 		delay += restartDelay
 	}
-	i.standing = false
-	if now.Sub(i.since) < delay {
-		return
-	}
 	room := c.serviceRoom(waits.step)
-	if room.fits < standstillRoom || room.usedShare() >= maxUsedShare {
+	switch {
+	case room.fits < standstillRoom || room.usedShare() >= maxUsedShare:
+		i.roomSince = time.Time{}
+	case i.roomSince.IsZero():
+		i.roomSince = now
+	}
+	i.standing = !i.roomSince.IsZero() && now.Sub(i.roomSince) >= standstillDelay && now.Sub(i.since) >= delay
+	if !i.standing {
 		return
 	}
-	i.standing = true
 	c.standing.count++
 	if now.Sub(i.reportedAt) >= standstillRepeat && *lines < maxStandstillLines {
 		*lines++
@@ -133,13 +137,10 @@
 
 // runs reports whether a worker that answers lists a run of a task.
 func (c *Core) runs(t *task) bool {
-	if w := c.workers[t.worker]; t.held() && t.state != stateAssigned && w != nil && w.attached && !w.unresponsive {
+	if t.held() && t.state != stateAssigned && c.workers[t.worker].answers() {
 		return true
 	}
-	return slices.ContainsFunc(t.copies, func(r copyRef) bool {
-		w := c.workers[r.Worker]
-		return w != nil && w.attached && !w.unresponsive
-	})
+	return slices.ContainsFunc(t.copies, func(r copyRef) bool { return c.workers[r.Worker].answers() })
 }
 
 // serviceRoom is the room of the workers of a service that are linked and don't drain, whether they take tasks or not.
