Scheduler: tasks that last stand still in a full service, too

The line "stands still" came for them only while under half of the processors was reserved; the customers count them however full the service is.

--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -17,7 +17,7 @@
 	// restartDelay is how much longer a task that lasts may lack a run after it has had one.
 	restartDelay = 6 * time.Second
 	// standstillRoom is how many times the room that the task needs must be there, and maxUsedShare the share of the
-	// service's processors below which the reserved ones must be.
+	// service's processors below which the reserved ones must be, but for tasks that last.
 	standstillRoom = 2
 	maxUsedShare   = 0.5
 	// standstillInterval is the time between two searches for what stands still.
@@ -97,7 +97,7 @@
 	}
 	room := c.serviceRoom(waits.step)
 	switch {
-	case room.fits < standstillRoom || room.usedShare() >= maxUsedShare:
+	case room.fits < standstillRoom || !waits.step.spec.LongRunning && room.usedShare() >= maxUsedShare:
 		i.roomSince = time.Time{}
 	case i.roomSince.IsZero():
 		i.roomSince = now
