--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -189,6 +189,8 @@
 // workerPool holds the workers of a service that accept tasks.
 type workerPool struct {
 	workers []*worker
+	// doubtful are the workers that take no tasks only since runs have failed or stalled there.
+	doubtful []*worker
 	// free and capacity are processors, in thousandths of a core.
 	free, capacity int64
 	// reserved are the processors that runs hold on workers that answer, total those of all workers of the service: also of
@@ -226,7 +228,11 @@
 		if w.info.Service == service {
 			p.count(w)
 		}
-		if passes(filters[:poolFilters], c, c.round.now, s, w) {
+		switch {
+		case !passesExcept(filters[:poolFilters], c, c.round.now, s, w, "health"):
+		case c.health.refusal(c.round.now, w.id) != "":
+			p.doubtful = append(p.doubtful, w)
+		default:
 			p.workers = append(p.workers, w)
 			p.free += w.free().MilliCPU
 			p.capacity += w.info.Capacity.MilliCPU
@@ -280,9 +286,14 @@
 	if !s.ready() {
 		return "waits for the steps that it depends on"
 	}
+	return c.refusals(now, s)
+}
+
+// refusals returns why workers refuse a task of a step, but for the named filters: the reasons with their counts.
+func (c *Core) refusals(now time.Time, s *step, without ...string) string {
 	refused := map[string]int{}
 	for _, w := range c.sortedWorkers {
-		if reason := c.refusal(now, s, w); reason != "" {
+		if reason := c.refusalExcept(now, s, w, without...); reason != "" {
 			refused[reason]++
 		}
 	}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -233,9 +233,7 @@
 	s.placement = c.retryLater(now)
 	c.noteRefusal(now, s)
 	if !s.spec.Filler {
-		if w := c.doubtfulWorker(now, t); w != nil {
-			c.assign(now, t, w, 0)
-		} else if len(candidates) == 0 {
+		if len(candidates) == 0 && !c.placeOnDoubtful(now, s) {
 			c.preempt(now, t)
 		}
 		return
@@ -249,23 +247,29 @@
 	}
 }
 
-// doubtfulWorker returns a worker that takes no tasks since runs have failed or stalled there, for a starved task that lasts,
-// or nil. Such a task loses no attempt if it fails, and proves the worker if it doesn't.
-func (c *Core) doubtfulWorker(now time.Time, t *task) *worker {
-	s := t.step
-	if !s.spec.LongRunning || !s.starved(now) {
-		return nil
+// placeOnDoubtful places the waiting tasks of a starved step that lasts on workers that take no tasks since runs have failed
+// or stalled there, and reports whether it has placed any. Such a task loses no attempt if it fails, and proves the worker if
+// it doesn't. It is tried again after starvationDelay.
+func (c *Core) placeOnDoubtful(now time.Time, s *step) bool {
+	doubtful := c.pool(s).doubtful
+	if !s.spec.LongRunning || !s.starved(now) || len(doubtful) == 0 {
+		return false
 	}
-	var best *worker
-	for _, w := range c.sortedWorkers {
-		if w.hasCopy(t) || c.health.refusal(now, w.id) == "" || c.refusalExcept(now, s, w, "health") != "" {
+	placed := false
+	for _, t := range s.tasks {
+		if t.state != stateWaiting || t.startsAlone() || now.Sub(t.doubtfulAt) < starvationDelay {
 			continue
 		}
-		if best == nil || c.score(s.spec, s, w) > c.score(s.spec, s, best) {
-			best = w
+		takes := func(w *worker) bool { return !w.hasCopy(t) && passes(filters[poolFilters:], c, now, s, w) }
+		candidates := slices.DeleteFunc(slices.Clone(doubtful), func(w *worker) bool { return !takes(w) })
+		if len(candidates) == 0 {
+			return placed
 		}
+		w := slices.MaxFunc(candidates, func(a, b *worker) int { return cmp.Compare(c.score(s.spec, s, a), c.score(s.spec, s, b)) })
+		c.assign(now, t, w, 0)
+		t.doubtfulAt, placed = now, true
 	}
-	return best
+	return placed
 }
 
 // fallbackRefusal returns why a filler that no worker takes isn't placed all the same, or an empty string.
--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -189,10 +189,10 @@
 	if !s.unplacedSince.IsZero() {
 		starved = now.Sub(s.unplacedSince)
 	}
-	return fmt.Sprintf("task=%s state=%s idle=%s waiting=%d alone=%d held=%d lateness=%d unplaced=%s refused=%q fallback=%q isolated=%q runs=%q "+
+	return fmt.Sprintf("task=%s state=%s idle=%s waiting=%d alone=%d held=%d lateness=%d unplaced=%s refused=%q besides_health=%q fallback=%q isolated=%q runs=%q "+
 		"pool_workers=%d pool_free=%d pool_capacity=%d workers=%d free=%d capacity=%d demand=%s",
 		t.id, t.state, idle.Round(time.Millisecond), s.waiting, alone, j.held, j.lateness, starved.Round(time.Millisecond), c.waitReason(now, s),
-		c.fallbackRefusal(now, s), c.isolationSummary(), c.heldSummary(now, j),
+		c.refusals(now, s, "health"), c.fallbackRefusal(now, s), c.isolationSummary(), c.heldSummary(now, j),
 		len(p.workers), p.free, p.capacity, room.workers, room.free, room.capacity, describe(s.spec.Demand))
 }
 
