Guard: a test of a worker that refuses every poll; it fails

Cause: pollFailed returns at any refusal, so that a worker which answers each poll with 503 never counts as unresponsive: its runs lapse, since only polls renew their lease, and the owner waits for them for good.

--- a/internal/sched/cell_faults_test.go
+++ b/internal/sched/cell_faults_test.go
@@ -60,6 +60,10 @@
 		}
 	}},
 	{"owner frozen", func(w *cellWorld) { w.freezeOwner(w.between(200, 6000)) }},
+	{"worker mute for good", func(w *cellWorld) { w.spoilWorker(fateLost) }},
+	{"worker sluggish for good", func(w *cellWorld) { w.spoilWorker(fateSluggish) }},
+	{"worker lossy for good", func(w *cellWorld) { w.spoilWorker(fateUnanswered) }},
+	{"worker sick for good", func(w *cellWorld) { w.spoilWorker(fateRefused) }},
 	{"machines gone", func(w *cellWorld) { w.removeMachines() }},
 	{"apart", func(w *cellWorld) {
 		m, ms := w.machine(), w.between(200, 9000)
@@ -100,6 +104,9 @@
 // disturbCalls disturbs the calls to the worker of a machine for some time.
 func (m *cellMachine) disturbCalls() {
 	w := m.w
+	if m.callFaultsUntil == 1<<40 {
+		return
+	}
 	ms := w.between(200, 4000)
 	w.touch(ms)
 	m.callFaultsUntil, m.callFaultShare = w.now+ms, []float64{0.1, 0.4, 0.9}[w.rng.IntN(3)]
@@ -216,6 +223,18 @@
 	})
 }
 
+// spoilWorker lets all calls to a worker end alike from now on, if enough others are left.
+func (w *cellWorld) spoilWorker(fate cellFate) {
+	if w.removed || len(w.machines) < 4 {
+		return
+	}
+	w.removed = true
+	w.touch(0)
+	m := w.machine()
+	m.callFaultsUntil, m.callFaultShare, m.callFates = 1<<40, 1, []cellFate{fate}
+	w.logf("calls to the worker of %s have fate %d for good", m.node, fate)
+}
+
 // removeMachines ends the processes of some machines for good, at times with the owner's.
 func (w *cellWorld) removeMachines() {
 	n := int(w.between(1, int64(max(1, len(w.machines)/2))))
--- a/internal/sched/cell_worker_test.go
+++ b/internal/sched/cell_worker_test.go
@@ -431,6 +431,7 @@
 	fateLate
 	fateRefused
 	fateSlow
+	fateSluggish
 )
 
 // fate draws what becomes of a call.
@@ -491,6 +492,8 @@
 		})
 	case fateRefused:
 		back(2, 8)(&guard.RefusedError{Reason: "status 503"})
+	case fateSluggish:
+		w.after(w.between(130, 250), func() { execute(back(80, 200)) })
 	case fateSlow:
 		w.after(w.between(20, 150), func() { execute(back(20, 400)) })
 	}
