Guard: a worker that refuses every poll counts as silent

What callers would see: a worker that is unhealthy answers every call with 503 for long. Its runs end with their lease, which only polls renew, and the owner, which hears that the worker answers, waits for them for good (LOST).

Cause: the guard left every refused poll out of its count of failed polls.

Change: only a refusal for an older fencing token is left out. The model of the guard in the random cells follows.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -153,7 +153,8 @@
 // pollFailed handles a poll that returned an error; failed counts consecutive ones.
 func (g *Guard) pollFailed(q Poll, failed int, err error) {
 	var refused *RefusedError
-	if errors.As(err, &refused) {
+	if errors.As(err, &refused) && refused.Reason == ReasonFence {
+		// A newer owner has called the worker, which is well.
 		return
 	}
 	if errors.Is(err, ErrOtherIncarnation) {
--- a/internal/sched/cell_guard_test.go
+++ b/internal/sched/cell_guard_test.go
@@ -177,7 +177,7 @@
 	g.failed++
 	var refused *guard.RefusedError
 	switch {
-	case errors.As(err, &refused):
+	case errors.As(err, &refused) && refused.Reason == guard.ReasonFence:
 	case errors.Is(err, guard.ErrOtherIncarnation):
 		g.w.logf("guard of %s: %s has ended", g.m.node, q.Incarnation)
 		if now, ok := g.core.NextPoll(g.clock(), 0); ok && now.Incarnation == q.Incarnation {
