--- a/internal/sched/standstill_world_test.go
+++ b/internal/sched/standstill_world_test.go
@@ -316,7 +316,7 @@
 	if d.rng.IntN(4) == 0 {
 		h.id = link.Incarnation{ID: "w" + h.node[1:], BornMS: d.now.UnixMilli()}.String()
 	}
-	h.up, h.back, h.lease = true, time.Time{}, d.now
+	h.up, h.linked, h.back, h.lease = true, false, time.Time{}, d.now
 	h.runs, h.ended, h.fence = map[link.RunRef]*dayRun{}, nil, map[job.TaskID]int{}
 	h.reported, h.acked, h.next = 0, 0, 0
 	h.grey, h.muteUntil, h.drainUntil, h.shrunk = sound, time.Time{}, time.Time{}, time.Time{}
