Guard: heartbeats say that the worker is silent

What callers would see: a worker crashes, its next start answers once and then no more, and nothing that ran there is started elsewhere (LOST): while the guard settles what the earlier start may have left in the new one it sends heartbeats only, which said that the worker answers.

--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -465,7 +465,7 @@
 
 // Heartbeat returns a message without a report on the current incarnation.
 func (c *Core) Heartbeat(nowMS int64) link.GuardMessage {
-	u := link.GuardMessage{ClockMS: nowMS, Pace: fullPace}
+	u := link.GuardMessage{ClockMS: nowMS, Pace: fullPace, Unresponsive: c.unresponsive}
 	if !c.Settling() {
 		c.reportEnded(&u)
 	}
