Guard: no command is sent once its context has ended

What callers would see: nothing directly; a guard that was told to stop sent stops without a pause and didn't end in time: after its context has ended each command fails at once and is due again.

TestStopsEndWithGuard failed before and passes now.

--- a/internal/guard/commands.go
+++ b/internal/guard/commands.go
@@ -12,6 +12,10 @@
 
 // sendDueCommands sends the stop and pace commands that are due. The caller holds the lock.
 func (g *Guard) sendDueCommands() {
+	if g.ctx.Err() != nil {
+		// Each would fail at once and be due again.
+		return
+	}
 	for _, o := range g.core.DueStops() {
 		g.commands.Go(func() { g.stop(o) })
 	}
