Guard: a stop that wasn't answered in time gets more of it

What callers would see: a worker that takes 200 to 500 ms for a command answers polls, so that it counts as well, but no stop, so that the tasks whose runs are to be stopped there wait for good (LOST).

Cause: each try of a stop had 200 ms, whatever became of the ones before.

Change: after one without an answer a stop has 500 ms, as polls do.

--- a/internal/guard/commands.go
+++ b/internal/guard/commands.go
@@ -26,28 +26,28 @@
 }
 
 // callWorker runs f with a context that bounds one call to the worker.
-func (g *Guard) callWorker(f func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(g.ctx, callTimeout)
+func (g *Guard) callWorker(limit time.Duration, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(g.ctx, limit)
 	defer cancel()
 	return f(ctx)
 }
 
 // command is callWorker for a command; only MaxCommands of them are in progress. Hundreds at once would each be late and be
 // repeated, on connections of their own, so that a worker that is short of processor time never caught up.
-func (g *Guard) command(f func(context.Context) error) error {
+func (g *Guard) command(limit time.Duration, f func(context.Context) error) error {
 	select {
 	case g.slots <- struct{}{}:
 	case <-g.ctx.Done():
 		return g.ctx.Err()
 	}
 	defer func() { <-g.slots }()
-	return g.callWorker(f)
+	return g.callWorker(limit, f)
 }
 
 // start sends a start command and records its outcome.
 func (g *Guard) start(o Command) {
 	began := time.Now()
-	err := g.command(func(ctx context.Context) error { return g.exec.Start(ctx, o) })
+	err := g.command(callTimeout, func(ctx context.Context) error { return g.exec.Start(ctx, o) })
 	refused, reason := refusal(err)
 	g.scope.Tagged(map[string]string{"outcome": startOutcome(err, refused)}).
 		Histogram("start_seconds", metrics.Seconds()).RecordValue(time.Since(began).Seconds())
@@ -88,7 +88,11 @@
 
 // stop sends a stop command; after an error the run's stop becomes due again after retryPause.
 func (g *Guard) stop(o Command) {
-	err := g.command(func(ctx context.Context) error { return g.exec.Stop(ctx, o) })
+	limit := callTimeout
+	if o.Slow {
+		limit = slowCallTimeout
+	}
+	err := g.command(limit, func(ctx context.Context) error { return g.exec.Stop(ctx, o) })
 	if refused, _ := refusal(err); err != nil && (!refused || g.ctx.Err() == nil) {
 		g.log.Debug("stop not answered", "task", o.Start.Task.String(), "run", o.Start.Run, "err", err)
 		pause.For(g.ctx, retryPause)
@@ -118,7 +122,7 @@
 	var l Listing
 	var err error
 	if ok {
-		err = g.callWorker(func(ctx context.Context) (err error) {
+		err = g.callWorker(callTimeout, func(ctx context.Context) (err error) {
 			l, err = g.exec.Poll(ctx, q)
 			return err
 		})
@@ -143,7 +147,7 @@
 
 // setPace sends the command to change a filler's pace, and records its outcome.
 func (g *Guard) setPace(o Command, percent int) {
-	err := g.command(func(ctx context.Context) error { return g.exec.Pace(ctx, o, percent) })
+	err := g.command(callTimeout, func(ctx context.Context) error { return g.exec.Pace(ctx, o, percent) })
 	if err != nil {
 		g.log.Debug("pace not changed", "task", o.Start.Task.String(), "err", err)
 		pause.For(g.ctx, retryPause)
--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -87,6 +87,8 @@
 	traitsKnown bool // the owner has sent its traits
 	// commandPending reports whether a command about the run is in progress.
 	commandPending bool
+	// stopUnanswered says that the last stop command got no answer in time.
+	stopUnanswered bool
 	pacePercent    int // last pace that the worker confirmed, in percent
 	measurement    float64
 	reason         string // reported if the run turns out to be absent
@@ -269,7 +271,9 @@
 	for ref, r := range c.runs {
 		if r.phase == stopping && !r.commandPending {
 			r.commandPending = true
-			out = append(out, Command{Incarnation: c.incarnation, Token: c.epoch, Start: link.Start{Traits: link.Traits{RunRef: ref}}})
+			o := c.CommandFor(ref)
+			o.Slow = r.stopUnanswered
+			out = append(out, o)
 		}
 	}
 	return out
@@ -282,6 +286,7 @@
 		return
 	}
 	r.commandPending = false
+	r.stopUnanswered = err != nil
 	if err == nil {
 		r.phase = stopped
 	}
--- a/internal/guard/executor.go
+++ b/internal/guard/executor.go
@@ -42,6 +42,8 @@
 	Token       int64
 	UntilMS     int64
 	Start       link.Start
+	// Slow says that the command got no answer in time before, so that it has slowCallTimeout.
+	Slow bool
 }
 
 // Executor is the interface to the worker. Each call is bounded by its context.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -21,8 +21,8 @@
 	// callTimeout bounds one command to the worker, and a poll beyond its wait; the worker is on this
 	// machine and answers within a few milliseconds.
 	callTimeout = 200 * time.Millisecond
-	// slowCallTimeout replaces callTimeout for polls after a failed one, for a machine that is short of
-	// processor time.
+	// slowCallTimeout replaces callTimeout for polls after a failed one, and for stops that got no answer in time, for a
+	// machine that is short of processor time.
 	slowCallTimeout = 500 * time.Millisecond
 	// unackedPollInterval is the time between polls while the worker lists run ends that are not acknowledged,
 	// since the worker answers such polls at once.
--- a/internal/sched/cell_guard_test.go
+++ b/internal/sched/cell_guard_test.go
@@ -263,7 +263,11 @@
 			g.sendDueAndProbe()
 		})
 	}
-	g.m.call(o.Incarnation, callTimeoutMS, func(e *cellExec, answer func(error)) { answer(e.halt(o)) }, func(err error) {
+	limit := int64(callTimeoutMS)
+	if o.Slow {
+		limit = slowCallTimeoutMS
+	}
+	g.m.call(o.Incarnation, limit, func(e *cellExec, answer func(error)) { answer(e.halt(o)) }, func(err error) {
 		g.whenAwake(func() {
 			g.commandDone()
 			if err != nil {
