--- a/internal/sched/cell_guard_test.go
+++ b/internal/sched/cell_guard_test.go
@@ -42,8 +42,6 @@
 	callFaultShare         float64
 	callFates              []cellFate
 	lateAnnouncementsUntil int64
-	// bootedAt is when a process of the machine was started last.
-	bootedAt int64
 	// gone means that the machine doesn't come back.
 	gone bool
 }
