Sched: a test of a gang whose runs have vanished; it fails

Cause: stallReason leaves gangs out, also where complete listings don't show their runs: a late poll of the worker's earlier start dropped the ends, and the owner waits for good. Change: TestVanishedGangIsStopped, red on this code.

--- a/internal/sched/ack_test.go
+++ b/internal/sched/ack_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/link"
@@ -28,3 +29,24 @@
 		t.Errorf("commands %+v after the end is listed again, want its acknowledgement", d)
 	}
 }
+
+// TestVanishedGangIsStopped is TestVanishedRunIsStopped for a gang: its runs never count as stalled, since members that wait for
+// others make no progress, so that nothing ends the wait for runs that no complete listing shows.
+func TestVanishedGangIsStopped(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("gang", 0, job.Step{Count: 2, Demand: cores(1), EstimateMS: 500, Gang: true}))
+	var rows []link.RunStatus
+	for _, s := range started(settle(now, c))["a"] {
+		rows = append(rows, link.RunStatus{RunRef: s.RunRef, Percent: 70})
+	}
+	c.Report(now, "a", link.Listing{Running: rows})
+	for range 20 * time.Second / sweepInterval {
+		now = now.Add(sweepInterval)
+		c.Report(now, "a", link.Listing{})
+		if d := settle(now, c)["a"]; d != nil && len(d.Stop) > 0 {
+			return
+		}
+	}
+	t.Error("the runs of the gang aren't stopped although no listing has shown them for 20 s")
+}
