Scheduler: all suspects that share a start are suspected when their worker goes silent

What callers would see: a task that crashes its workers is started 6 to 10 times (BUDGET), after one or two crashes of all workers.

Cause: since suspects may start together, the first of them was taken for the only one that was starting when the worker stopped answering, and the crashes of the others were explained by it and forgotten.

Change: each that was starting gets the crash; it counts as alone and explains others only if it was. A suspect shares no start if one more crash would fail its job.

TestSilentWorkerSuspectsAllThatShareAStart failed before and passes now.

--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -164,11 +164,23 @@
 	}
 }
 
-// suspectStart records that the worker on which a task was starting in isolation doesn't answer any more.
+// suspectStart records that the worker that is kept for an isolated start doesn't answer any more, for all tasks that were
+// starting there.
 func (c *Core) suspectStart(w *worker) {
-	if t := w.isolated; t != nil && w.held[t.id] == t && t.fresh() {
-		c.addCrash(t, crash{Worker: w.id, Run: t.run, Sole: true, Pending: true})
-		c.explainCrashes(t)
+	if w.isolated == nil {
+		return
+	}
+	var fresh []*task
+	for _, t := range w.tasks {
+		if t.fresh() {
+			fresh = append(fresh, t)
+		}
+	}
+	for _, t := range fresh {
+		c.addCrash(t, crash{Worker: w.id, Run: t.run, Sole: len(fresh) == 1, Pending: true})
+	}
+	if len(fresh) == 1 {
+		c.explainCrashes(fresh[0])
 	}
 }
 
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -78,7 +78,7 @@
 }
 
 // mayShareStart reports whether a suspect may start beside other suspects: it was starting at one crash at most, and not by
-// itself.
+// itself, and one more crash wouldn't fail its job.
 func (t *task) mayShareStart() bool {
 	starts, sole := 0, false
 	for i := range t.crashes {
@@ -87,7 +87,7 @@
 			sole = sole || cr.Sole
 		}
 	}
-	return starts <= 1 && !sole
+	return starts <= 1 && !sole && len(t.crashes) < maxCrashes-1
 }
 
 // isolationOver reports whether a worker needn't be kept any longer for the task that it is kept for.
--- a/internal/sched/isolate_test.go
+++ b/internal/sched/isolate_test.go
@@ -122,3 +122,26 @@
 	}
 	t.Error("the gang isn't started although three workers have room")
 }
+
+// TestSilentWorkerSuspectsAllThatShareAStart guards against a task that crashes worker after worker: of suspects that start
+// together only the first was suspected when their worker went silent, and the others' earlier crashes were explained by it.
+func TestSilentWorkerSuspectsAllThatShareAStart(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("job", 0, job.Step{Count: 3, Demand: cores(1), EstimateMS: 5000}))
+	report := link.Crash{Worker: "a"}
+	for _, s := range started(settle(now, c))["a"] {
+		report.Runs = append(report.Runs, link.CrashedRun{RunRef: s.RunRef, AgeMS: 20})
+	}
+	c.WorkerCrashed(now, report)
+	c.Attach(now, "node-b", link.Worker{ID: "b", Service: "pool", Capacity: big}, link.Listing{})
+	if got := started(settle(now, c))["b"]; len(got) != len(report.Runs) {
+		t.Fatalf("%d suspects start together, want %d", len(got), len(report.Runs))
+	}
+	c.UpdatePressure(now, "b", 100, true)
+	for _, r := range report.Runs {
+		if got := c.task(r.Task).crashes; len(got) != 2 || got[1].Sole {
+			t.Errorf("crashes of %s are %+v, want those on a and on b, shared", r.Task, got)
+		}
+	}
+}
