Scheduler: workers that drain or are silent don't make a service less busy

TestLateFillerYieldsInFullService failed before and passes now, as does TestLateFillerRunsBesideBlockedWorkers.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -193,23 +193,13 @@
 	doubtful []*worker
 	// free and capacity are processors, in thousandths of a core.
 	free, capacity int64
-	// reserved are the processors that runs hold on workers that answer, total those of all workers of the service: also of
-	// those that take no tasks for a while. Their room is there, although it can't be used.
-	reserved, total int64
+	// idle are the processors of doubtful workers that nobody has reserved, all those of workers and doubtful ones together.
+	// Their room is there, although it can't be used for a while.
+	idle, all int64
 }
 
-// busy reports whether more than half of the service's processors are reserved.
-func (p *workerPool) busy() bool { return 2*p.reserved > p.total }
-
-// count adds a worker of the service to the sums.
-func (p *workerPool) count(w *worker) {
-	if w.described {
-		p.total += w.info.Capacity.MilliCPU
-	}
-	if w.answers() {
-		p.reserved += w.load.reserved.MilliCPU
-	}
-}
+// busy reports whether more than half of the processors are reserved, those of doubtful workers included.
+func (p *workerPool) busy() bool { return 2*(p.free+p.idle) < p.all }
 
 // beginRound starts a scheduling round.
 func (c *Core) beginRound(now time.Time) {
@@ -225,18 +215,19 @@
 	}
 	p = &workerPool{}
 	for _, w := range c.sortedWorkers {
-		if w.info.Service == service {
-			p.count(w)
+		if !passesExcept(filters[:poolFilters], c, c.round.now, s, w, "health") {
+			continue
 		}
-		switch {
-		case !passesExcept(filters[:poolFilters], c, c.round.now, s, w, "health"):
-		case c.health.refusal(c.round.now, w.id) != "":
+		free := w.free().MilliCPU
+		p.all += w.info.Capacity.MilliCPU
+		if c.health.refusal(c.round.now, w.id) != "" {
 			p.doubtful = append(p.doubtful, w)
-		default:
-			p.workers = append(p.workers, w)
-			p.free += w.free().MilliCPU
-			p.capacity += w.info.Capacity.MilliCPU
+			p.idle += free
+			continue
 		}
+		p.workers = append(p.workers, w)
+		p.free += free
+		p.capacity += w.info.Capacity.MilliCPU
 	}
 	c.round.pools[service] = p
 	return p
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -417,7 +417,6 @@
 	j := t.step.occ.job
 	if p := c.round.pools[j.spec.Policy.Service]; p != nil {
 		p.free -= t.step.spec.Reserve().MilliCPU
-		p.reserved += t.step.spec.Reserve().MilliCPU
 	}
 	if j.state == Queued {
 		c.sample(MeasureWait, now.Sub(j.acceptedAt))
--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -69,6 +69,32 @@
 	}
 }
 
+// TestLateFillerYieldsInFullService guards against fillers of late jobs that are placed beside serving tasks at their target
+// while nobody else's room is free: workers that drain or don't answer don't make a service less busy.
+func TestLateFillerYieldsInFullService(t *testing.T) {
+	for _, state := range []string{"draining", "silent", "drained data centre", "gone"} {
+		now := epoch0
+		c := servedPool(t, now, 15, "a", "b")
+		for _, id := range []string{"c", "d"} {
+			c.Attach(now, "node-"+id, link.Worker{
+				ID: id, Service: "pool", DataCentre: "dc2", Draining: state == "draining",
+				Capacity: resource.Vector{MilliCPU: 16_000, MemoryMB: 60_000},
+			}, link.Listing{})
+			c.UpdatePressure(now, id, 100, state == "silent")
+			if state == "gone" {
+				c.Detach(now, id)
+			}
+		}
+		c.SetDrains(map[string]bool{"dc2": state == "drained data centre"}, true)
+		late := one("late", 2, job.Step{Count: 4, Demand: cores(2.3), EstimateMS: 2000, Filler: true, Image: "fill"})
+		late.AcceptedMS -= 8000
+		c.Submit(now, late)
+		if startsJobWithin(now, c, "late", standstillDelay) {
+			t.Errorf("%s: a filler of a late job is started with 30 of 32 usable cores reserved", state)
+		}
+	}
+}
+
 // TestLostRunHoldsUpNoOthers guards against a job that stands still while the owner waits for the lease of one of its runs
 // to expire: its other fillers, refused beside serving tasks, weren't started as starved ones while it held any run.
 func TestLostRunHoldsUpNoOthers(t *testing.T) {
