--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -40,8 +40,11 @@
 		return
 	}
 	without := []string{"ticket"}
-	if c.mayDisturb(now, s) {
+	switch {
+	case c.mayDisturb(now, s):
 		without = append(without, starvedFillerExceptions...)
+	case s.spec.LongRunning && s.starved(now):
+		without = append(without, "health")
 	}
 	var candidates []*worker
 	for _, w := range c.sortedWorkers {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -84,12 +84,17 @@
 	}
 }
 
+// onTrial reports whether a worker is on trial after probation.
+func (h *health) onTrial(now time.Time, id string) bool {
+	return h.track.State(now, id) == probation.Trial
+}
+
 // started records the start of a run.
 func (h *health) started(now time.Time, id string, t *task) { h.track.Started(now, id, t.id.String()) }
 
 // listed records that a worker lists the newest run of a task.
 func (h *health) listed(now time.Time, id string, t *task) {
-	if h.track.State(now, id) == probation.Trial {
+	if h.onTrial(now, id) {
 		h.track.Listed(now, id, t.id.String())
 	}
 }
@@ -195,6 +200,9 @@
 	}
 	for _, t := range w.tasks {
 		t.progressAt = t.progressAt.Add(gap)
+		if !t.missingSince.IsZero() {
+			t.missingSince = t.missingSince.Add(gap)
+		}
 		if !t.step.spec.LongRunning {
 			continue
 		}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -248,11 +248,11 @@
 }
 
 // placeOnDoubtful places the waiting tasks of a starved step that lasts on workers that take no tasks since runs have failed
-// or stalled there, and reports whether it has placed any. Such a task loses no attempt if it fails, and proves the worker if
-// it doesn't. It is tried again after starvationDelay.
+// or stalled there, and reports whether it has placed any. Such a task loses no attempt if it fails. It is tried again after
+// starvationDelay.
 func (c *Core) placeOnDoubtful(now time.Time, s *step) bool {
-	doubtful := c.pool(s).doubtful
-	if !s.spec.LongRunning || !s.starved(now) || len(doubtful) == 0 {
+	p := c.pool(s)
+	if !s.spec.LongRunning || !s.starved(now) || len(p.doubtful) == 0 {
 		return false
 	}
 	placed := false
@@ -260,24 +260,42 @@
 		if t.state != stateWaiting || t.startsAlone() || now.Sub(t.doubtfulAt) < starvationDelay {
 			continue
 		}
-		takes := func(w *worker) bool { return !w.hasCopy(t) && passes(filters[poolFilters:], c, now, s, w) }
-		candidates := slices.DeleteFunc(slices.Clone(doubtful), func(w *worker) bool { return !takes(w) })
-		if len(candidates) == 0 {
-			return placed
+		w := c.bestDoubtful(now, t, p.doubtful)
+		if w == nil {
+			break
 		}
-		w := slices.MaxFunc(candidates, func(a, b *worker) int { return cmp.Compare(c.score(s.spec, s, a), c.score(s.spec, s, b)) })
 		c.assign(now, t, w, 0)
 		t.doubtfulAt, placed = now, true
+		// The room was not among that of the workers that take tasks.
+		p.free += s.spec.Reserve().MilliCPU
+		p.idle -= s.spec.Reserve().MilliCPU
+	}
+	if s.waiting == 0 {
+		s.unplacedSince = time.Time{}
 	}
 	return placed
 }
 
+// bestDoubtful returns the worker with the highest score for a task among doubtful ones, or nil. One on trial has its task.
+func (c *Core) bestDoubtful(now time.Time, t *task, doubtful []*worker) *worker {
+	var best *worker
+	for _, w := range doubtful {
+		if c.health.onTrial(now, w.id) || w.hasCopy(t) || !passes(filters[poolFilters:], c, now, t.step, w) {
+			continue
+		}
+		if best == nil || c.score(t.step.spec, t.step, w) > c.score(t.step.spec, t.step, best) {
+			best = w
+		}
+	}
+	return best
+}
+
 // fallbackRefusal returns why a filler that no worker takes isn't placed all the same, or an empty string.
 func (c *Core) fallbackRefusal(now time.Time, s *step) string {
-	if reason := c.yields(now, s); reason != "" {
-		return reason
+	if s.spec.Filler && !s.starved(now) {
+		return "not starved yet"
 	}
-	return when(!s.starved(now), "not starved yet")
+	return c.yields(now, s)
 }
 
 // yields returns why the fillers of a step must not disturb serving tasks however long they wait, or an empty string.
--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -45,8 +45,10 @@
 // standstills searches for jobs and tasks that stand still.
 type standstills struct {
 	searchedAt time.Time
-	// count is the number that the latest search has found.
-	count int
+	// count is the number that the latest search has found, lines how many of them it has logged.
+	count, lines int
+	// room is the room for the tasks of each step that waits.
+	room map[*step]serviceRoom
 }
 
 // Standing returns how many jobs, and tasks that last, have nothing running although there is room for them.
@@ -57,10 +59,9 @@
 	if now.Sub(c.standing.searchedAt) < standstillInterval {
 		return
 	}
-	c.standing = standstills{searchedAt: now}
-	lines := 0
+	c.standing = standstills{searchedAt: now, room: map[*step]serviceRoom{}}
 	for _, j := range c.openJobs {
-		c.observeIdleness(now, &j.idle, c.turn(j), j.spec.ID, &lines)
+		c.observeIdleness(now, &j.idle, c.turn(j), j.spec.ID)
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				if !s.spec.LongRunning || !s.ready() {
@@ -71,7 +72,7 @@
 					if c.runs(t) {
 						waits = nil
 					}
-					c.observeIdleness(now, &t.idle, waits, t.id.String(), &lines)
+					c.observeIdleness(now, &t.idle, waits, t.id.String())
 				}
 			}
 		}
@@ -80,7 +81,7 @@
 
 // observeIdleness updates the idleness of a subject, a job or a task that lasts; waits is a task of it whose turn has come
 // while nothing of it runs, or nil.
-func (c *Core) observeIdleness(now time.Time, i *idleness, waits *task, subject string, lines *int) {
+func (c *Core) observeIdleness(now time.Time, i *idleness, waits *task, subject string) {
 	if waits == nil {
 		if i.standing {
 			c.sample(MeasureStandstill, now.Sub(i.since))
@@ -95,7 +96,11 @@
 	if waits.step.spec.LongRunning && i.ranBefore {
 		delay += restartDelay
 	}
-	room := c.serviceRoom(waits.step)
+	room, ok := c.standing.room[waits.step]
+	if !ok {
+		room = c.serviceRoom(waits.step)
+		c.standing.room[waits.step] = room
+	}
 	switch {
 	case room.fits < standstillRoom || !waits.step.spec.LongRunning && room.usedShare() >= maxUsedShare:
 		i.roomSince = time.Time{}
@@ -107,8 +112,8 @@
 		return
 	}
 	c.standing.count++
-	if now.Sub(i.reportedAt) >= standstillRepeat && *lines < maxStandstillLines {
-		*lines++
+	if now.Sub(i.reportedAt) >= standstillRepeat && c.standing.lines < maxStandstillLines {
+		c.standing.lines++
 		i.reportedAt = now
 		c.logDecision(event.Standstill, subject, c.explainStandstill(now, waits, now.Sub(i.since), room))
 	}
--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -155,3 +155,32 @@
 		t.Errorf("the second task isn't started within %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
 	}
 }
+
+// TestLastingTaskAsksAboutDoubtfulWorker is TestLastingTaskTakesDoubtfulWorker on a queue with advice: the policy service was
+// asked only about workers that are well.
+func TestLastingTaskAsksAboutDoubtfulWorker(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.health.block(now.Add(time.Minute), "a", "worker is on probation")
+	spec := one("job", 0, job.Step{Count: 1, Demand: cores(1), LongRunning: true})
+	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
+	c.Submit(now, spec)
+	if !startsJobWithin(now, c, "job", standstillDelay) {
+		t.Errorf("the task isn't started within %s: %s", standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
+	}
+}
+
+// TestFrozenWorkerLosesNoStart guards against a stop of a run that was listed by nobody since its worker stood still: two
+// listings with seconds of silence between them say nothing about the time between.
+func TestFrozenWorkerLosesNoStart(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 5000}))
+	settle(now, c)
+	for _, at := range []time.Duration{10 * time.Millisecond, 2510 * time.Millisecond} {
+		c.Report(epoch0.Add(at), "a", link.Listing{})
+	}
+	if d := settle(epoch0.Add(2520*time.Millisecond), c)["a"]; d != nil && len(d.Stop) > 0 {
+		t.Errorf("stops %v at the first listing after the silence", d.Stop)
+	}
+}
