Scheduler: starved fillers of a job overlap

Cause: of a job with starved fillers only one was placed, and the next one only after its end; with tasks shorter than 1.5 s a pause followed besides, since a placement of this kind reset the time since when the step starves.

Change: half a second after the only starved filler of a job has started a second one may start beside it, and the step stays starved.

TestStarvedFillersOverlap failed before (2.1 s of 8 s without a run) and passes now.

--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -242,8 +242,10 @@
 		return
 	}
 	if w := c.leastDisturbed(now, t); w != nil {
+		since := s.unplacedSince
 		c.assign(now, t, w, 0)
-		t.pinned = true
+		// No worker has taken the task of its own accord: the step stays starved.
+		t.pinned, s.unplacedSince = true, since
 	}
 }
 
@@ -318,16 +320,28 @@
 	return s.spec.Filler && (c.yields(now, s) == "" || slices.ContainsFunc(s.tasks, suspect))
 }
 
-// active reports whether something of a job runs on a worker that answers, or is being started there. A run that is only
+// overlapDelay is how long after the start of a job's only starved filler the next one may start beside it. With one at a time
+// nothing of the job would run from the end of one until the start of the next.
+const overlapDelay = 500 * time.Millisecond
+
+// active reports whether something of a job runs on a worker that answers, or is being started there, so that its other
+// fillers needn't be placed where serving tasks would keep them off. One starved filler alone isn't enough. A run that is only
 // believed in, for instance until the lease of a lost worker has expired, mustn't hold up the other tasks.
 func (c *Core) active(now time.Time, j *jobState) bool {
 	if j.held == 0 {
 		return false
 	}
+	var only *task
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if slices.ContainsFunc(s.tasks, func(t *task) bool { return c.runs(t) || c.starting(now, t) }) {
-				return true
+			for _, t := range s.tasks {
+				if !c.runs(t) && !c.starting(now, t) {
+					continue
+				}
+				if only != nil || !t.pinned || now.Sub(t.assignedAt) < overlapDelay {
+					return true
+				}
+				only = t
 			}
 		}
 	}
--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -184,3 +184,35 @@
 		t.Errorf("stops %v at the first listing after the silence", d.Stop)
 	}
 }
+
+// TestStarvedFillersOverlap guards against a late job of which nothing runs again and again: its fillers were placed one at a
+// time, and the next one only after a pause.
+func TestStarvedFillersOverlap(t *testing.T) {
+	now := epoch0
+	c := servedPool(t, now, 4, "a", "b")
+	c.Submit(now, one("job", 2, job.Step{Count: 6, Demand: cores(3), EstimateMS: 1000, Filler: true, Image: "fill"}))
+	const lasts = time.Second
+	idle, began := time.Duration(0), false
+	for end := now.Add(8 * time.Second); now.Before(end); now = now.Add(fillerInterval) {
+		settle(now, c)
+		running := 0
+		for _, task := range c.jobs["job"].occurrences[0].steps[0].tasks {
+			if !task.held() {
+				continue
+			}
+			running++
+			if now.Sub(task.assignedAt) >= lasts {
+				c.Ended(now, task.worker, []link.RunEnd{{RunRef: task.ref(), Outcome: link.Stopped}})
+				running--
+			}
+		}
+		began = began || running > 0
+		if began && running == 0 {
+			idle += fillerInterval
+		}
+		reportPool(now, c)
+	}
+	if !began || idle > 0 {
+		t.Errorf("nothing of the job runs for %s after its first start", idle)
+	}
+}
