Scheduler: the line on what stands still tells how long a suspect has queued, and behind how many

A job that waits for isolated starts looked like one that waits for anything else: the line named the workers that are kept, not since when, nor how long the task itself had been in the queue or its place there. No change of decisions.

--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -34,16 +34,7 @@
 			kept[w.isolated] = w
 		}
 	}
-	var waiting []*task
-	for t := range c.crashed.tasks {
-		switch {
-		case t.over():
-			delete(c.crashed.tasks, t)
-		case t.state == stateWaiting && t.startsAlone() && !t.step.spec.Gang && t.step.ready():
-			waiting = append(waiting, t)
-		}
-	}
-	slices.SortFunc(waiting, compareSuspects)
+	waiting := c.suspects(now)
 	for i, t := range waiting {
 		if t.held() {
 			continue
@@ -59,6 +50,32 @@
 	}
 }
 
+// suspects returns the tasks that wait for an isolated start, in the order in which they get workers.
+func (c *Core) suspects(now time.Time) []*task {
+	var waiting []*task
+	for t := range c.crashed.tasks {
+		switch {
+		case t.over():
+			delete(c.crashed.tasks, t)
+		case t.state == stateWaiting && t.startsAlone() && !t.step.spec.Gang && t.step.ready():
+			if t.queuedAt.IsZero() {
+				t.queuedAt = now
+			}
+			waiting = append(waiting, t)
+		}
+	}
+	slices.SortFunc(waiting, compareSuspects)
+	return waiting
+}
+
+// queuedFor returns for how long a task has waited for an isolated start.
+func (t *task) queuedFor(now time.Time) time.Duration {
+	if t.queuedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.queuedAt)
+}
+
 // startBeside starts others of the waiting suspects together with one that has just got a worker, as far as they may share
 // it.
 func (c *Core) startBeside(now time.Time, w *worker, first *task, waiting []*task) {
@@ -129,8 +146,8 @@
 func (c *Core) keepWorker(now time.Time, t *task) *worker {
 	w := c.workerToIsolate(now, t)
 	if w != nil {
-		w.isolated = t
-		c.logDecision(event.Isolate, t.id.String(), fmt.Sprintf("worker=%s held=%d crashes=%+v", w.id, len(w.held), t.crashes))
+		w.isolated, w.isolatedAt = t, now
+		c.logDecision(event.Isolate, t.id.String(), fmt.Sprintf("worker=%s held=%d queued=%s crashes=%+v", w.id, len(w.held), t.queuedFor(now).Round(time.Millisecond), t.crashes))
 		return w
 	}
 	t.step.isolation = c.retryLater(now)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -171,6 +171,8 @@
 	copies []copyRef
 	// lastActive is when a long-running task was last reported at work.
 	lastActive time.Time
+	// queuedAt is since when the task waits for an isolated start; zero while it doesn't.
+	queuedAt time.Time
 	// doubtfulAt is when the task was last placed on a worker that takes no others.
 	doubtfulAt time.Time
 	// idle is kept for tasks that last.
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -302,7 +302,8 @@
 	}
 	t.run, t.worker, t.assignedAt = run, w.id, now
 	t.appearedAt, t.listedAt, t.progressAt, t.lastActive = time.Time{}, time.Time{}, now, time.Time{}
-	t.percent, t.pinned, t.inherited, t.notified, t.missingSince = 0, false, false, false, time.Time{}
+	t.percent, t.pinned, t.inherited, t.notified = 0, false, false, false
+	t.missingSince, t.queuedAt = time.Time{}, time.Time{}
 	if !t.step.spec.LongRunning {
 		t.step.unplacedSince = time.Time{}
 	}
--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -194,22 +194,30 @@
 	if !s.unplacedSince.IsZero() {
 		starved = now.Sub(s.unplacedSince)
 	}
-	return fmt.Sprintf("task=%s state=%s idle=%s waiting=%d alone=%d held=%d lateness=%d unplaced=%s refused=%q besides_health=%q fallback=%q isolated=%q runs=%q "+
+	return fmt.Sprintf("task=%s state=%s idle=%s waiting=%d alone=%d held=%d lateness=%d unplaced=%s queued=%s before=%d refused=%q besides_health=%q fallback=%q isolated=%q runs=%q "+
 		"pool_workers=%d pool_free=%d pool_capacity=%d workers=%d free=%d capacity=%d demand=%s",
-		t.id, t.state, idle.Round(time.Millisecond), s.waiting, alone, j.held, j.lateness, starved.Round(time.Millisecond), c.waitReason(now, s),
-		c.refusals(now, s, "health"), c.fallbackRefusal(now, s), c.isolationSummary(), c.heldSummary(now, j),
+		t.id, t.state, idle.Round(time.Millisecond), s.waiting, alone, j.held, j.lateness, starved.Round(time.Millisecond),
+		t.queuedFor(now).Round(time.Millisecond), c.suspectsBefore(now, t), c.waitReason(now, s),
+		c.refusals(now, s, "health"), c.fallbackRefusal(now, s), c.isolationSummary(now), c.heldSummary(now, j),
 		len(p.workers), p.free, p.capacity, room.workers, room.free, room.capacity, describe(s.spec.Demand))
 }
 
+// suspectsBefore returns how many suspects come before a task in the order in which they get workers.
+func (c *Core) suspectsBefore(now time.Time, t *task) int {
+	return max(0, slices.Index(c.suspects(now), t))
+}
+
 // describe returns a demand as MILLICPU/MEMORY.
 func describe(v resource.Vector) string { return fmt.Sprintf("%d/%d", v.MilliCPU, v.MemoryMB) }
 
-// isolationSummary lists the workers that are kept for isolated starts, the tasks, and whether their runs have settled.
-func (c *Core) isolationSummary() string {
+// isolationSummary lists the workers that are kept for isolated starts, for which tasks and how long, and whether their runs
+// have settled.
+func (c *Core) isolationSummary(now time.Time) string {
 	var out []string
 	for _, w := range c.sortedWorkers {
 		if w.isolated != nil {
-			out = append(out, fmt.Sprintf("%s for %s state=%s quiet=%t", w.id, w.isolated.id, w.isolated.state, w.quiet()))
+			out = append(out, fmt.Sprintf("%s for %s state=%s quiet=%t since=%s", w.id, w.isolated.id, w.isolated.state, w.quiet(),
+				now.Sub(w.isolatedAt).Round(time.Millisecond)))
 		}
 	}
 	return strings.Join(out, ", ")
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -56,8 +56,9 @@
 	reservedFor *step
 	// tails is derived from the measurements of its tasks; see observe.
 	tails tailState
-	// isolated is the task whose isolated start the worker is kept for, or nil.
-	isolated *task
+	// isolated is the task whose isolated start the worker is kept for, or nil; isolatedAt is since when.
+	isolated   *task
+	isolatedAt time.Time
 }
 
 // load sums the resources of the tasks on a worker.
