Scheduler: each filter names what ends its refusals, or starved tasks pass it

What callers saw: jobs stand still for up to a minute although there is room (LOST), on a service where the only workers left for them have failed tasks before.

Cause: a refusal whose end is a probation of up to a minute. Only tasks that last passed it once starved (placeOnDoubtful), fillers passed two other filters by a fallback of their own (leastDisturbed), and finite tasks and gangs none.

Change: a filter has, besides its name and its refusal, the event or the time that ends the refusal, and the kinds of steps whose starved tasks pass it. One fallback, placeStarved, takes the place of both: it chooses among the workers that refuse a task only by such filters, sound ones first. A task that isn't to last risks no last attempt on a doubtful worker, and one at a time tries it. A gang counts as starved, too. Approvals follow the same property (passableSoon).

Test: TestEveryRefusalEnds goes through all filters, with a scene each. TestLastAttemptIsNotRisked fails before as well: nothing is started. TestStandstillIsLogged played the very case that doesn't stand still any more; its job now has one attempt only, which isn't risked, and the checks are the same.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -39,13 +39,7 @@
 	if s.occ.job.spec.Policy.Advice == nil || s.approvalPending || now.Before(s.nextRequestAt) {
 		return
 	}
-	without := []string{"ticket"}
-	switch {
-	case c.mayDisturb(now, s):
-		without = append(without, starvedFillerExceptions...)
-	case s.spec.LongRunning && s.starved(now):
-		without = append(without, "health")
-	}
+	without := append(c.passableSoon(now, s), "ticket")
 	var candidates []*worker
 	for _, w := range c.sortedWorkers {
 		if !s.denied[w.id] && !s.approved(now, w.id) && c.refusalExcept(now, s, w, without...) == "" {
@@ -68,6 +62,16 @@
 	c.approvalRequests = append(c.approvalRequests, req)
 }
 
+// passableSoon returns the names of the filters that a waiting task of a step may pass now or once it is starved; approvals of
+// doubtful workers are asked for only then.
+func (c *Core) passableSoon(now time.Time, s *step) []string {
+	suspect := func(t *task) bool { return t.state == stateWaiting && t.startsAlone() }
+	if c.yields(now, s) != "" && !slices.ContainsFunc(s.tasks, suspect) {
+		return nil
+	}
+	return slices.DeleteFunc(s.passable(), func(name string) bool { return name == healthName && !s.starved(now) })
+}
+
 // ApprovalRequests returns the requests to send to the policy service, most urgent first.
 func (c *Core) ApprovalRequests() []ApprovalRequest {
 	out := c.approvalRequests
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -179,7 +179,7 @@
 	candidates := slices.DeleteFunc(c.feasible(now, t.step), func(w *worker) bool { return w.hasCopy(t) })
 	if len(candidates) == 0 {
 		if t.step.spec.Filler && t.step.starved(now) {
-			return c.leastDisturbed(now, t)
+			return c.bestForStarved(now, t)
 		}
 		return nil
 	}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -9,54 +9,105 @@
 	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
-// filter rejects workers that must not take a task of a step; refuse returns the reason or an empty string.
+// filter rejects workers that must not take a task of a step. No refusal may keep a task waiting for good while there is room:
+// each filter names what ends its refusals, and which starved tasks pass it if that may take longer than starvationDelay.
 type filter struct {
-	name   string
+	name string
+	// refuse returns the reason or an empty string.
 	refuse func(c *Core, now time.Time, s *step, w *worker) string
+	// ends is the event or the time that ends a refusal.
+	ends string
+	// passes reports whether a starved task of a step may pass the filter; nil means that none may. See placeStarved.
+	passes func(s *step) bool
 }
 
+// Kinds of steps whose starved tasks may pass a filter.
+var (
+	anyTask    = func(*step) bool { return true }
+	fillers    = func(s *step) bool { return s.spec.Filler }
+	thatLasts  = func(s *step) bool { return s.spec.LongRunning }
+	healthName = "health"
+)
+
 // filters are evaluated in order; the first refusal counts.
 var filters = []filter{
-	{"service", func(_ *Core, _ time.Time, s *step, w *worker) string {
+	{name: "service", ends: "a worker of the service attaches", refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
 		return when(w.info.Service != s.occ.job.spec.Policy.Service, "other service")
 	}},
-	{"attached", func(_ *Core, _ time.Time, _ *step, w *worker) string {
+	{name: "attached", ends: "its guard links, or another worker's does", refuse: func(_ *Core, _ time.Time, _ *step, w *worker) string {
 		return when(!w.described || !w.attached, "guard not connected")
 	}},
-	{"draining", func(_ *Core, _ time.Time, _ *step, w *worker) string { return when(w.info.Draining, "draining") }},
-	{"data centre", func(c *Core, _ time.Time, _ *step, w *worker) string { return c.drainRefusal(w) }},
-	{"mute", func(_ *Core, _ time.Time, _ *step, w *worker) string { return when(w.unresponsive, "not answering") }},
-	{"health", func(c *Core, now time.Time, _ *step, w *worker) string { return c.health.refusal(now, w.id) }},
-	{"label", func(_ *Core, _ time.Time, s *step, w *worker) string {
-		need := s.spec.Requires
-		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks the label")
+	{name: "draining", ends: "the worker leaves, and another one attaches", refuse: func(_ *Core, _ time.Time, _ *step, w *worker) string {
+		return when(w.info.Draining, "draining")
 	}},
-	{"capacity", func(_ *Core, _ time.Time, s *step, w *worker) string { return s.spec.Reserve().Lacking(w.free()) }},
-	{"isolation", func(_ *Core, _ time.Time, _ *step, w *worker) string {
-		return when(w.isolated != nil, "kept for a task under which a worker has crashed")
+	{name: "data centre", ends: "operators put the data centre back into use", refuse: func(c *Core, _ time.Time, _ *step, w *worker) string {
+		return c.drainRefusal(w)
 	}},
-	{"urgent", func(c *Core, now time.Time, s *step, _ *worker) string {
-		return when(s.spec.LongRunning && !s.starved(now) && !c.leavesUrgentCapacity(s), "the rest is for short tasks")
+	{name: "mute", ends: "the worker answers its guard, or is replaced", refuse: func(_ *Core, _ time.Time, _ *step, w *worker) string {
+		return when(w.unresponsive, "not answering")
 	}},
-	{"filler", func(_ *Core, _ time.Time, s *step, w *worker) string {
-		return when(s.spec.Filler && !w.fitsFiller(s), "no room left over")
+	{
+		name: healthName, ends: "probation, a trial or a block ends after up to probationLimits().Max", passes: anyTask,
+		refuse: func(c *Core, now time.Time, _ *step, w *worker) string { return c.health.refusal(now, w.id) },
+	},
+	{name: "label", ends: "a worker with the label attaches", refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
+		need := s.spec.Requires
+		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks the label")
 	}},
-	{"tails", func(c *Core, now time.Time, s *step, w *worker) string {
-		if !s.spec.Filler {
-			return ""
-		}
-		return c.interferenceRefusal(now, s, w)
+	{name: "capacity", ends: "a run ends, or the worker grows", refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
+		return s.spec.Reserve().Lacking(w.free())
 	}},
-	{"reserved", func(c *Core, now time.Time, s *step, w *worker) string { return c.reservedRefusal(now, s, w) }},
-	{"anti-affinity", func(_ *Core, _ time.Time, s *step, w *worker) string {
+	{
+		name: "isolation", ends: "the isolated start has settled",
+		refuse: func(_ *Core, _ time.Time, _ *step, w *worker) string {
+			return when(w.isolated != nil, "kept for a task under which a worker has crashed")
+		},
+	},
+	{
+		name: "urgent", ends: "a run ends", passes: thatLasts,
+		refuse: func(c *Core, _ time.Time, s *step, _ *worker) string {
+			return when(s.spec.LongRunning && !c.leavesUrgentCapacity(s), "the rest is for short tasks")
+		},
+	},
+	{
+		name: "filler", ends: "a run ends, or local control allows fillers more", passes: fillers,
+		refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
+			return when(s.spec.Filler && !w.fitsFiller(s), "no room left over")
+		},
+	},
+	{
+		name: "tails", ends: "the load of serving tasks falls, or a run ends", passes: fillers,
+		refuse: func(c *Core, now time.Time, s *step, w *worker) string {
+			if !s.spec.Filler {
+				return ""
+			}
+			return c.interferenceRefusal(now, s, w)
+		},
+	},
+	{
+		name: "reserved", ends: "the task that the room is reserved for is placed", passes: thatLasts,
+		refuse: func(c *Core, now time.Time, s *step, w *worker) string { return c.reservedRefusal(now, s, w) },
+	},
+	{name: "anti-affinity", ends: "a run of the step on the worker ends", refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
 		limit := s.spec.AntiAffinity
 		return when(limit > 0 && s.countOn(w) >= limit, "has its share of the step")
 	}},
-	{"ticket", func(_ *Core, now time.Time, s *step, w *worker) string {
+	{name: "ticket", ends: "the policy service approves the worker", refuse: func(_ *Core, now time.Time, s *step, w *worker) string {
 		return when(s.occ.job.spec.Policy.Advice != nil && !s.approved(now, w.id), "not approved by the policy service")
 	}},
 }
 
+// passable returns the names of the filters that starved tasks of a step may pass.
+func (s *step) passable() []string {
+	var out []string
+	for i := range filters {
+		if f := &filters[i]; f.passes != nil && f.passes(s) {
+			out = append(out, f.name)
+		}
+	}
+	return out
+}
+
 // when returns a reason if a condition holds, otherwise an empty string.
 func when(refused bool, reason string) string {
 	if refused {
@@ -189,12 +240,10 @@
 // workerPool holds the workers of a service that accept tasks.
 type workerPool struct {
 	workers []*worker
-	// doubtful are the workers that take no tasks only since runs have failed or stalled there.
-	doubtful []*worker
 	// free and capacity are processors, in thousandths of a core.
 	free, capacity int64
-	// idle are the processors of doubtful workers that nobody has reserved, all those of workers and doubtful ones together.
-	// Their room is there, although it can't be used for a while.
+	// idle are the unreserved processors of doubtful workers, which take no tasks only since runs have failed or stalled there,
+	// all those of workers and doubtful ones together. Their room is there, although it can't be used for a while.
 	idle, all int64
 }
 
@@ -215,13 +264,12 @@
 	}
 	p = &workerPool{}
 	for _, w := range c.sortedWorkers {
-		if !passesExcept(filters[:poolFilters], c, c.round.now, s, w, "health") {
+		if !passesExcept(filters[:poolFilters], c, c.round.now, s, w, healthName) {
 			continue
 		}
 		free := w.free().MilliCPU
 		p.all += w.info.Capacity.MilliCPU
 		if c.health.refusal(c.round.now, w.id) != "" {
-			p.doubtful = append(p.doubtful, w)
 			p.idle += free
 			continue
 		}
@@ -326,14 +374,15 @@
 	c       *Core
 	now     time.Time
 	step    *step
+	without []string // the filters that the workers needn't pass
 	workers []*worker
 	scores  []float64
 	full    []bool
 }
 
-// rankWorkers scores workers for the tasks of a step.
-func (c *Core) rankWorkers(now time.Time, s *step, candidates []*worker) *ranking {
-	r := &ranking{c: c, now: now, step: s, workers: candidates, scores: make([]float64, len(candidates)), full: make([]bool, len(candidates))}
+// rankWorkers scores workers for the tasks of a step, which needn't pass the named filters.
+func (c *Core) rankWorkers(now time.Time, s *step, candidates []*worker, without ...string) *ranking {
+	r := &ranking{c: c, now: now, step: s, without: without, workers: candidates, scores: make([]float64, len(candidates)), full: make([]bool, len(candidates))}
 	for i := range candidates {
 		r.scores[i] = c.score(s.spec, s, candidates[i])
 	}
@@ -361,7 +410,7 @@
 // recordPlacement updates the ranking after a worker got a task of the step.
 func (r *ranking) recordPlacement(i int) {
 	w := r.workers[i]
-	if r.c.refusal(r.now, r.step, w) != "" {
+	if r.c.refusalExcept(r.now, r.step, w, r.without...) != "" {
 		r.full[i] = true
 		return
 	}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -188,7 +188,7 @@
 // placeStep places the waiting tasks of a step, but for those that startIsolated starts.
 func (c *Core) placeStep(now time.Time, s *step) {
 	if s.spec.Gang {
-		c.placeGang(now, s, c.feasible(now, s))
+		c.placeGang(now, s)
 		return
 	}
 	waiting := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != stateWaiting || t.startsAlone() })
@@ -220,49 +220,57 @@
 	c.requestApproval(now, s)
 }
 
-// handleRefusal schedules a retry after no worker took a task, and applies the fallbacks: preemption, for a starved
-// filler the worker with the least interference, and for a starved task that lasts one that is doubtful.
+// handleRefusal schedules a retry after no worker took a task, and applies the fallbacks: for starved tasks a worker that refuses
+// them only for the sake of others, and preemption.
 func (c *Core) handleRefusal(now time.Time, t *task, candidates []*worker) {
 	s := t.step
 	s.placement = c.retryLater(now)
 	c.noteRefusal(now, s)
-	if !s.spec.Filler {
-		if len(candidates) == 0 && !c.placeOnDoubtful(now, s) {
-			c.preempt(now, t)
-		}
+	if !s.spec.Filler && len(candidates) > 0 {
+		return
+	}
+	if !c.placeStarved(now, s) && !s.spec.Filler {
+		c.preempt(now, t)
+	}
+}
+
+// placeGang places all tasks of a gang or none; they share one run number. A starved gang takes doubtful workers, too.
+func (c *Core) placeGang(now time.Time, s *step) {
+	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state != stateWaiting }) {
 		return
 	}
+	if c.placeMembers(now, s, c.feasible(now, s)) {
+		s.unplacedSince = time.Time{}
+		return
+	}
+	s.placement = c.retryLater(now)
+	c.noteRefusal(now, s)
 	if c.fallbackRefusal(now, s) != "" {
 		return
 	}
-	if w := c.leastDisturbed(now, t); w != nil {
-		since := s.unplacedSince
-		c.assign(now, t, w, 0)
-		// No worker has taken the task of its own accord: the step stays starved.
-		t.pinned, s.unplacedSince = true, since
+	without := s.passable()
+	candidates := slices.DeleteFunc(slices.Clone(c.sortedWorkers), func(w *worker) bool {
+		refuses := func(t *task) bool { return !c.mayRisk(now, t, w) }
+		return c.refusalExcept(now, s, w, without...) != "" || slices.ContainsFunc(s.tasks, refuses)
+	})
+	since := s.unplacedSince
+	if c.placeMembers(now, s, candidates, without...) {
+		s.unplacedSince = since
 	}
 }
 
-// placeGang places all tasks of a gang or none; they share one run number.
-func (c *Core) placeGang(now time.Time, s *step, candidates []*worker) {
+// placeMembers places all tasks of a gang on some workers, which needn't pass the named filters, and reports whether they fit.
+func (c *Core) placeMembers(now time.Time, s *step, candidates []*worker, without ...string) bool {
 	run := 0
-	for _, t := range s.tasks {
-		if t.state != stateWaiting {
-			return
-		}
-		run = max(run, t.run)
-	}
 	var placed []*task
-	r := c.rankWorkers(now, s, candidates)
+	r := c.rankWorkers(now, s, candidates, without...)
 	for _, t := range s.tasks {
 		i := r.best(t)
 		if i < 0 {
 			for _, p := range placed {
 				c.unassign(p)
 			}
-			s.placement = c.retryLater(now)
-			c.requestApproval(now, s)
-			return
+			return false
 		}
 		// A provisional assignment, so that the next member sees the capacity as taken.
 		t.worker = r.workers[i].id
@@ -270,14 +278,17 @@
 		c.holdRun(now, t)
 		r.recordPlacement(i)
 		placed = append(placed, t)
+		run = max(run, t.run)
 	}
 	checkpoint := s.gangCheckpoint()
 	for _, t := range placed {
 		w := c.workers[t.worker]
 		c.unassign(t)
 		t.checkpoint = checkpoint
+		c.noteRisk(now, t, w)
 		c.assign(now, t, w, run+1)
 	}
+	return true
 }
 
 // gangCheckpoint returns the checkpoint from which all tasks of a gang resume: that of any of them is valid for all, and
--- a/internal/sched/starved.go
+++ b/internal/sched/starved.go
@@ -1,93 +1,150 @@
 package sched
 
 import (
+	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 )
 
-// starvationDelay is how long no worker takes a task of a step before the step may use capacity kept for
-// others: a long-running task that of short ones, a filler of a job that isn't active that of serving tasks,
-// where local control throttles it.
+// starvationDelay is how long no worker takes a task of a step before the step may use what is kept for others or looks
+// doubtful: see filter.passes.
 const starvationDelay = 1500 * time.Millisecond
 
-// placeOnDoubtful places the waiting tasks of a starved step that lasts on workers that take no tasks since runs have failed
-// or stalled there, and reports whether it has placed any. Such a task loses no attempt if it fails. It is tried again after
-// starvationDelay.
-func (c *Core) placeOnDoubtful(now time.Time, s *step) bool {
-	p := c.pool(s)
-	if !s.spec.LongRunning || !s.starved(now) || len(p.doubtful) == 0 {
+// placeStarved places a waiting task of a step that no worker takes, once the step is starved: on a worker that refuses it only
+// by filters that its starved tasks may pass. Of steps that last all waiting tasks are placed. It reports whether it has
+// placed any.
+func (c *Core) placeStarved(now time.Time, s *step) bool {
+	if c.fallbackRefusal(now, s) != "" {
 		return false
 	}
 	placed := false
 	for _, t := range s.tasks {
-		if t.state != stateWaiting || t.startsAlone() || now.Sub(t.doubtfulAt) < starvationDelay {
+		if t.state != stateWaiting || t.startsAlone() {
 			continue
 		}
-		w := c.bestDoubtful(now, t, p.doubtful)
+		w := c.bestForStarved(now, t)
 		if w == nil {
 			break
 		}
-		c.assign(now, t, w, 0)
-		t.doubtfulAt, placed = now, true
-		// The room was not among that of the workers that take tasks.
-		p.free += s.spec.Reserve().MilliCPU
-		p.idle -= s.spec.Reserve().MilliCPU
+		c.assignStarved(now, t, w)
+		placed = true
+		if !s.spec.LongRunning {
+			break
+		}
 	}
-	if s.waiting == 0 {
+	return placed
+}
+
+// assignStarved gives a starved task its next run on a worker that doesn't take it of its own accord: its step stays starved.
+func (c *Core) assignStarved(now time.Time, t *task, w *worker) {
+	s := t.step
+	since := s.unplacedSince
+	c.noteRisk(now, t, w)
+	c.assign(now, t, w, 0)
+	t.pinned, s.unplacedSince = true, since
+	if s.spec.LongRunning && s.waiting == 0 {
 		s.unplacedSince = time.Time{}
 	}
-	return placed
 }
 
-// bestDoubtful returns the worker with the highest score for a task among doubtful ones, or nil. One on trial has its task.
-func (c *Core) bestDoubtful(now time.Time, t *task, doubtful []*worker) *worker {
-	var best *worker
-	for _, w := range doubtful {
-		if c.health.onTrial(now, w.id) || w.hasCopy(t) || !passes(filters[poolFilters:], c, now, t.step, w) {
-			continue
-		}
-		if best == nil || c.score(t.step.spec, t.step, w) > c.score(t.step.spec, t.step, best) {
-			best = w
+// bestForStarved returns the worker for a starved task among those that refuse it only by filters that it may pass, or nil: one
+// that isn't doubtful, if there is any, where the task hasn't failed. A filler takes the one that keeps the most headroom
+// beside it.
+func (c *Core) bestForStarved(now time.Time, t *task) *worker {
+	without := t.step.passable()
+	var candidates []*worker
+	for _, w := range c.sortedWorkers {
+		if !w.hasCopy(t) && c.refusalExcept(now, t.step, w, without...) == "" && c.mayRisk(now, t, w) {
+			candidates = append(candidates, w)
 		}
 	}
-	return best
+	if len(candidates) == 0 {
+		return nil
+	}
+	return slices.MinFunc(candidates, func(a, b *worker) int {
+		return cmp.Or(
+			cmp.Compare(toInt(c.doubts(now, a)), toInt(c.doubts(now, b))),
+			cmp.Compare(toInt(slices.Contains(t.failedOn, a.id)), toInt(slices.Contains(t.failedOn, b.id))),
+			-cmp.Compare(c.starvedScore(now, t, a), c.starvedScore(now, t, b)),
+			strings.Compare(a.id, b.id),
+		)
+	})
+}
+
+// starvedScore ranks workers for a starved task; higher is better.
+func (c *Core) starvedScore(now time.Time, t *task, w *worker) float64 {
+	if t.step.spec.Filler {
+		return c.headroomBeside(now, t, w)
+	}
+	return c.score(t.step.spec, t.step, w)
+}
+
+// doubts reports whether a worker takes no tasks since runs have failed or stalled there.
+func (c *Core) doubts(now time.Time, w *worker) bool { return c.health.refusal(now, w.id) != "" }
+
+// mayRisk reports whether a starved task may start on a worker that may be doubtful. One on trial has its task. A task that
+// lasts loses nothing if it fails, and tries again after starvationDelay. Others may lose an attempt, so that they keep their
+// last one for a worker that isn't doubtful, and one at a time tries such a worker.
+func (c *Core) mayRisk(now time.Time, t *task, w *worker) bool {
+	switch {
+	case !c.doubts(now, w):
+		return true
+	case c.health.onTrial(now, w.id):
+		return false
+	case t.step.spec.LongRunning:
+		return now.Sub(t.doubtfulAt) >= starvationDelay
+	}
+	return len(t.failedRuns)+1 < t.step.occ.job.spec.Policy.MaxAttempts && now.Sub(w.riskedAt) >= starvationDelay
 }
 
-// fallbackRefusal returns why a filler that no worker takes isn't placed all the same, or an empty string.
+// noteRisk records that a task is about to start on a worker that may be doubtful.
+func (c *Core) noteRisk(now time.Time, t *task, w *worker) {
+	if !c.doubts(now, w) {
+		return
+	}
+	if t.step.spec.LongRunning {
+		t.doubtfulAt = now
+	} else {
+		w.riskedAt = now
+	}
+	if p := c.round.pools[t.step.occ.job.spec.Policy.Service]; p != nil {
+		// The room is not among that of the workers that take tasks, from which the assignment deducts it.
+		p.free += t.step.spec.Reserve().MilliCPU
+		p.idle -= t.step.spec.Reserve().MilliCPU
+	}
+}
+
+// fallbackRefusal returns why the waiting tasks of a step don't pass the filters that its starved tasks may pass, or an empty
+// string.
 func (c *Core) fallbackRefusal(now time.Time, s *step) string {
-	if s.spec.Filler && !s.starved(now) {
+	if !s.starved(now) {
 		return "not starved yet"
 	}
 	return c.yields(now, s)
 }
 
-// yields returns why the fillers of a step must not disturb serving tasks however long they wait, or an empty string.
+// yields returns why the tasks of a step must not take what is kept for others however long they wait, or an empty string. A
+// task that lasts counts by itself.
 func (c *Core) yields(now time.Time, s *step) string {
 	switch {
-	case !s.spec.Filler:
-		return "no filler"
+	case s.spec.LongRunning:
+		return ""
 	case c.active(now, s.occ.job):
 		return "something of its job runs"
-	case s.occ.job.lateness > 0 && c.pool(s).busy():
+	case s.spec.Filler && s.occ.job.lateness > 0 && c.pool(s).busy():
 		return "late, and the service is busy"
 	}
 	return ""
 }
 
-// mayDisturb reports whether a waiting filler of a step may be placed on a worker where serving tasks would keep it off, now
-// or once it is starved. One that must start in isolation doesn't ask for the state of its job.
-func (c *Core) mayDisturb(now time.Time, s *step) bool {
-	suspect := func(t *task) bool { return t.state == stateWaiting && t.startsAlone() }
-	return s.spec.Filler && (c.yields(now, s) == "" || slices.ContainsFunc(s.tasks, suspect))
-}
-
-// overlapDelay is how long after the start of a job's only starved filler the next one may start beside it. With one at a time
+// overlapDelay is how long after the start of a job's only starved task the next one may start beside it. With one at a time
 // nothing of the job would run from the end of one until the start of the next.
 const overlapDelay = 500 * time.Millisecond
 
 // active reports whether something of a job runs on a worker that answers, or is being started there, so that its other
-// fillers needn't be placed where serving tasks would keep them off. One starved filler alone isn't enough. A run that is only
+// tasks needn't take what is kept for others. One starved task alone isn't enough. A run that is only
 // believed in, for instance until the lease of a lost worker has expired, mustn't hold up the other tasks.
 func (c *Core) active(now time.Time, j *jobState) bool {
 	if j.held == 0 {
@@ -115,25 +172,6 @@
 	return t.state == stateAssigned && c.workers[t.worker].answers() && now.Sub(t.assignedAt) < starvationDelay
 }
 
-// starvedFillerExceptions are the filters that a worker needn't pass for a starved filler.
-var starvedFillerExceptions = []string{"tails", "filler"}
-
-// leastDisturbed returns the worker that keeps the most headroom beside a filler, among those that the filler
-// fits on.
-func (c *Core) leastDisturbed(now time.Time, t *task) *worker {
-	var best *worker
-	var bestHeadroom float64
-	for _, w := range c.sortedWorkers {
-		if c.refusalExcept(now, t.step, w, starvedFillerExceptions...) != "" {
-			continue
-		}
-		if headroom := c.headroomBeside(now, t, w); best == nil || headroom > bestHeadroom {
-			best, bestHeadroom = w, headroom
-		}
-	}
-	return best
-}
-
 // headroomBeside returns the least headroom that a serving task on a worker keeps beside a filler.
 func (c *Core) headroomBeside(now time.Time, t *task, w *worker) float64 {
 	least := math.Inf(1)
