Scheduler: suspects of one job don't hold up other jobs

What callers saw: jobs stand still for 7 to 20 s while workers idle (LOST), after a crash under many starts.

Cause: the queue of suspects is ordered by the age of their runs at the crash, then by job; it knows nothing of who has nothing running, and no wait ends it. A worker that is free for the next isolated start at once is kept again in the same round, so that tasks which need none never come in between. Suspects whose only workers are on probation wait for its end.

Change: suspects that have waited for starvationDelay come first, the longest wait first: each that lasts, and one of each job of which nothing runs. For those half of the workers may be kept instead of a quarter, doubtful ones included. A worker isn't kept again for 100 ms while other tasks are starved, and no longer than 3 s for a start that isn't made.

Tests, which fail before: TestSuspectsOfOneJobHoldUpNoOthers (nothing of the second and third job within 7 s, six starts of the first), TestLastingSuspectTakesDoubtfulWorker, TestEveryRefusalEnds/isolation.

--- a/internal/sched/endings_test.go
+++ b/internal/sched/endings_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/resource"
 )
 
 // refusalScene is a service in which a filter refuses a task on every worker.
@@ -261,3 +262,40 @@
 		t.Errorf("%d starts on a doubtful worker, job %s; want two of three attempts, and the job open", starts, v.State)
 	}
 }
+
+// TestSuspectsOfOneJobHoldUpNoOthers guards against jobs that stand still behind the isolated starts of another one: all tasks
+// of the first had their turn before any of the next.
+func TestSuspectsOfOneJobHoldUpNoOthers(t *testing.T) {
+	const allowed = 7 * time.Second // from the crash until a job that has nothing running counts as standing still
+	now := epoch0
+	c := pool(now, "a", "b", "c", "d")
+	ids := []string{"job0", "job1", "job2"}
+	for _, id := range ids {
+		c.Submit(now, one(id, 0, job.Step{Count: 16, Demand: resource.Vector{MilliCPU: 50, MemoryMB: 10}, EstimateMS: 60_000}))
+		for _, task := range c.jobs[id].occurrences[0].steps[0].tasks {
+			for _, gone := range []string{"gone", "gone too"} {
+				c.addCrash(task, crash{Worker: gone, Run: 1})
+			}
+		}
+	}
+	got := startedWithin(c, now, allowed)
+	for _, id := range ids {
+		if got[id] == 0 {
+			t.Errorf("nothing of %s is started within %s: %v", id, allowed, got)
+		}
+	}
+}
+
+// TestLastingSuspectTakesDoubtfulWorker guards against a task that lasts and must start in isolation waiting for the end of
+// probation: only tasks that aren't suspects took doubtful workers.
+func TestLastingSuspectTakesDoubtfulWorker(t *testing.T) {
+	now := epoch0
+	c := New(options)
+	attach(now, c, "a", "pool", "")
+	blocked(now, c)
+	c.Submit(now, one("job", 0, lastingStep))
+	c.addCrash(c.jobs["job"].occurrences[0].steps[0].tasks[0], crash{Worker: "gone", Run: 1, Sole: true})
+	if n := startsOf(c, "job", &now, now.Add(standstillDelay)); n != 1 {
+		t.Errorf("%d starts within %s, want one; the step waits for: %s", n, standstillDelay, c.waitReason(now, c.jobs["job"].occurrences[0].steps[0]))
+	}
+}
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -10,8 +10,16 @@
 	"github.com/crocusspring/crocusspring/internal/event"
 )
 
-// maxIsolatedShare is the part of a pool's workers that may be kept for isolated starts; one always may.
-const maxIsolatedShare = 0.25
+const (
+	// maxIsolatedShare is the part of a pool's workers that may be kept for isolated starts, maxStarvedShare the one for those
+	// of starved suspects; one always may.
+	maxIsolatedShare = 0.25
+	maxStarvedShare  = 0.5
+	// isolationTimeout is how long a worker may be kept for a start that isn't made: its runs settle in less.
+	isolationTimeout = 3 * time.Second
+	// isolationGap is how long a worker that was kept isn't kept again while other tasks are starved.
+	isolationGap = 100 * time.Millisecond
+)
 
 // isolationChecks are the filters that a worker kept for an isolated start needn't pass any more: they rank workers, and
 // the choice has been made.
@@ -28,7 +36,7 @@
 	kept := map[*task]*worker{}
 	for _, w := range c.sortedWorkers {
 		if w.isolated != nil && c.isolationOver(now, w) {
-			w.isolated = nil
+			w.isolated, w.releasedAt = nil, now
 		}
 		if w.isolated != nil {
 			kept[w.isolated] = w
@@ -40,7 +48,7 @@
 			continue
 		}
 		w := kept[t]
-		if w == nil && c.isDue(now, t.step, t.step.isolation, fillers) && c.mayKeepAnother(t.step) {
+		if w == nil && c.isDue(now, t.step, t.step.isolation, fillers) && c.mayKeepAnother(now, t) {
 			w = c.keepWorker(now, t)
 		}
 		if w != nil && w.quiet() {
@@ -65,7 +73,29 @@
 		}
 	}
 	slices.SortFunc(waiting, compareSuspects)
-	return waiting
+	return c.starvedFirst(now, waiting)
+}
+
+// starvedFirst moves starved suspects to the front, those that have waited longest first: each one that lasts, and one of each
+// job of which nothing runs.
+func (c *Core) starvedFirst(now time.Time, suspects []*task) []*task {
+	var first, others []*task
+	served := map[*jobState]bool{}
+	for _, t := range suspects {
+		j := t.step.occ.job
+		if _, ok := served[j]; !ok {
+			served[j] = c.active(now, j)
+		}
+		switch {
+		case t.queuedFor(now) < starvationDelay, served[j] && !t.step.spec.LongRunning:
+			others = append(others, t)
+		default:
+			first = append(first, t)
+			served[j] = true
+		}
+	}
+	slices.SortStableFunc(first, func(a, b *task) int { return a.queuedAt.Compare(b.queuedAt) })
+	return append(first, others...)
 }
 
 // queuedFor returns for how long a task has waited for an isolated start.
@@ -116,12 +146,22 @@
 	case t.held():
 		return t.worker != w.id || !t.fresh()
 	}
-	return c.refusalExcept(now, t.step, w, isolationChecks...) != ""
+	without := isolationChecks
+	if c.starvedSuspect(now, t) && c.mayRisk(now, t, w) {
+		without = append(slices.Clone(without), healthName)
+	}
+	return c.refusalExcept(now, t.step, w, without...) != "" || now.Sub(w.isolatedAt) > isolationTimeout
+}
+
+// starvedSuspect reports whether a suspect has waited for so long that it may start where others wouldn't.
+func (c *Core) starvedSuspect(now time.Time, t *task) bool {
+	return t.step.starved(now) || t.queuedFor(now) >= starvationDelay
 }
 
 // assignAlone gives a task its next run on the worker that is kept for it.
 func (c *Core) assignAlone(now time.Time, t *task, w *worker) {
-	starved := t.step.spec.Filler && c.refusalExcept(now, t.step, w, "isolation") != ""
+	starved := c.refusalExcept(now, t.step, w, "isolation") != ""
+	c.noteRisk(now, t, w)
 	c.assign(now, t, w, 0)
 	t.pinned = starved
 	if t.step.waiting == 0 {
@@ -129,22 +169,45 @@
 	}
 }
 
-// mayKeepAnother reports whether one more worker of a step's pool may be kept for isolated starts.
-func (c *Core) mayKeepAnother(s *step) bool {
-	p := c.pool(s)
+// mayKeepAnother reports whether one more worker of a task's pool may be kept for isolated starts.
+func (c *Core) mayKeepAnother(now time.Time, t *task) bool {
+	share := maxIsolatedShare
+	if t.queuedFor(now) >= starvationDelay && (t.step.spec.LongRunning || !c.active(now, t.step.occ.job)) {
+		share = maxStarvedShare
+	}
+	p := c.pool(t.step)
 	kept := 0
 	for _, w := range p.workers {
 		if w.isolated != nil {
 			kept++
 		}
 	}
-	return kept < max(1, int(maxIsolatedShare*float64(len(p.workers))))
+	return kept < max(1, int(share*float64(len(p.workers))))
+}
+
+// othersStarve reports whether a task that needs no isolated start is starved while nothing of its job runs.
+func (c *Core) othersStarve(now time.Time) bool {
+	for _, j := range c.openJobs {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.waiting > 0 && s.ready() && c.fallbackRefusal(now, s) == "" && slices.ContainsFunc(s.tasks, func(t *task) bool {
+					return t.state == stateWaiting && !t.startsAlone()
+				}) {
+					return true
+				}
+			}
+		}
+	}
+	return false
 }
 
 // keepWorker keeps a worker for the isolated start of a task. Without one it returns nil, and urgent tasks preempt others as
 // at any start.
 func (c *Core) keepWorker(now time.Time, t *task) *worker {
 	w := c.workerToIsolate(now, t)
+	if w != nil && now.Sub(w.releasedAt) < isolationGap && c.othersStarve(now) {
+		return nil
+	}
 	if w != nil {
 		w.isolated, w.isolatedAt = t, now
 		c.logDecision(event.Isolate, t.id.String(), fmt.Sprintf("worker=%s held=%d queued=%s crashes=%+v", w.id, len(w.held), t.queuedFor(now).Round(time.Millisecond), t.crashes))
@@ -178,7 +241,7 @@
 func (c *Core) workerToIsolate(now time.Time, t *task) *worker {
 	candidates := slices.DeleteFunc(c.feasible(now, t.step), func(w *worker) bool { return w.hasCopy(t) })
 	if len(candidates) == 0 {
-		if t.step.spec.Filler && t.step.starved(now) {
+		if c.starvedSuspect(now, t) {
 			return c.bestForStarved(now, t)
 		}
 		return nil
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -58,7 +58,7 @@
 		return s.spec.Reserve().Lacking(w.free())
 	}},
 	{
-		name: "isolation", ends: "the isolated start has settled",
+		name: "isolation", ends: "the isolated start has settled, or isolationTimeout is over; starved tasks get isolationGap before the next one",
 		refuse: func(_ *Core, _ time.Time, _ *step, w *worker) string {
 			return when(w.isolated != nil, "kept for a task under which a worker has crashed")
 		},
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -59,6 +59,8 @@
 	// isolated is the task whose isolated start the worker is kept for, or nil; isolatedAt is since when.
 	isolated   *task
 	isolatedAt time.Time
+	// releasedAt is when the worker was last released from such a start.
+	releasedAt time.Time
 	// riskedAt is when a task that doesn't last was last placed there although the worker was doubtful.
 	riskedAt time.Time
 }
