Scheduler: reservations hold for starved tasks, too, unless there is room for two of them

What customers are promised holds while there is room for two such tasks, so whether a starved task may pass a filter is asked for each worker.

--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -39,10 +39,10 @@
 	if s.occ.job.spec.Policy.Advice == nil || s.approvalPending || now.Before(s.nextRequestAt) {
 		return
 	}
-	without := append(c.passableSoon(now, s), "ticket")
+	refusal := c.refusalSoon(now, s)
 	var candidates []*worker
 	for _, w := range c.sortedWorkers {
-		if !s.denied[w.id] && !s.approved(now, w.id) && c.refusalExcept(now, s, w, without...) == "" {
+		if !s.denied[w.id] && !s.approved(now, w.id) && refusal(w) == "" {
 			candidates = append(candidates, w)
 		}
 	}
@@ -62,14 +62,19 @@
 	c.approvalRequests = append(c.approvalRequests, req)
 }
 
-// passableSoon returns the names of the filters that a waiting task of a step may pass now or once it is starved; approvals of
-// doubtful workers are asked for only then.
-func (c *Core) passableSoon(now time.Time, s *step) []string {
+// refusalSoon returns the function that tells why a worker, once it is approved, can't take a waiting task of a step now, nor
+// once the task is starved; approvals of doubtful workers are asked for only then.
+func (c *Core) refusalSoon(now time.Time, s *step) func(w *worker) string {
 	suspect := func(t *task) bool { return t.state == stateWaiting && t.startsAlone() }
 	if c.yields(now, s) != "" && !slices.ContainsFunc(s.tasks, suspect) {
-		return nil
+		return func(w *worker) string { return c.refusalExcept(now, s, w, "ticket") }
+	}
+	return func(w *worker) string {
+		if c.doubts(now, w) && !s.starved(now) {
+			return healthName
+		}
+		return c.starvedRefusal(now, s, w, "ticket")
 	}
-	return slices.DeleteFunc(s.passable(), func(name string) bool { return name == healthName && !s.starved(now) })
 }
 
 // ApprovalRequests returns the requests to send to the policy service, most urgent first.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -17,16 +17,23 @@
 	refuse func(c *Core, now time.Time, s *step, w *worker) string
 	// ends is the event or the time that ends a refusal.
 	ends string
-	// passes reports whether a starved task of a step may pass the filter; nil means that none may. See placeStarved.
-	passes func(s *step) bool
+	// passes reports whether a starved task of a step may pass the filter on a worker; nil means that none may. See placeStarved.
+	passes func(s *step, w *worker) bool
 }
 
-// Kinds of steps whose starved tasks may pass a filter.
+// healthName is the name of the filter that keeps tasks off doubtful workers.
+const healthName = "health"
+
+// Starved tasks that may pass a filter.
 var (
-	anyTask    = func(*step) bool { return true }
-	fillers    = func(s *step) bool { return s.spec.Filler }
-	thatLasts  = func(s *step) bool { return s.spec.LongRunning }
-	healthName = "health"
+	anyTask   = func(*step, *worker) bool { return true }
+	fillers   = func(s *step, _ *worker) bool { return s.spec.Filler }
+	thatLasts = func(s *step, _ *worker) bool { return s.spec.LongRunning }
+	// thatLastsTwice lets a task that lasts pass while there is room for two of them.
+	thatLastsTwice = func(s *step, w *worker) bool {
+		need := s.spec.Reserve()
+		return s.spec.LongRunning && need.Add(need).Fits(w.free())
+	}
 )
 
 // filters are evaluated in order; the first refusal counts.
@@ -85,7 +92,8 @@
 		},
 	},
 	{
-		name: "reserved", ends: "the task that the room is reserved for is placed", passes: thatLasts,
+		name: "reserved", ends: "the task that the room is reserved for is placed, or its room isn't expected within reserveHorizon",
+		passes: thatLastsTwice,
 		refuse: func(c *Core, now time.Time, s *step, w *worker) string { return c.reservedRefusal(now, s, w) },
 	},
 	{name: "anti-affinity", ends: "a run of the step on the worker ends", refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
@@ -97,15 +105,18 @@
 	}},
 }
 
-// passable returns the names of the filters that starved tasks of a step may pass.
-func (s *step) passable() []string {
-	var out []string
+// starvedRefusal returns why a worker can't take a starved task of a step either, or an empty string.
+func (c *Core) starvedRefusal(now time.Time, s *step, w *worker, without ...string) string {
 	for i := range filters {
-		if f := &filters[i]; f.passes != nil && f.passes(s) {
-			out = append(out, f.name)
+		f := &filters[i]
+		if f.passes != nil && f.passes(s, w) || slices.Contains(without, f.name) {
+			continue
+		}
+		if reason := f.refuse(c, now, s, w); reason != "" {
+			return f.name + ": " + reason
 		}
 	}
-	return out
+	return ""
 }
 
 // when returns a reason if a condition holds, otherwise an empty string.
@@ -374,15 +385,15 @@
 	c       *Core
 	now     time.Time
 	step    *step
-	without []string // the filters that the workers needn't pass
+	refusal func(now time.Time, s *step, w *worker) string
 	workers []*worker
 	scores  []float64
 	full    []bool
 }
 
-// rankWorkers scores workers for the tasks of a step, which needn't pass the named filters.
-func (c *Core) rankWorkers(now time.Time, s *step, candidates []*worker, without ...string) *ranking {
-	r := &ranking{c: c, now: now, step: s, without: without, workers: candidates, scores: make([]float64, len(candidates)), full: make([]bool, len(candidates))}
+// rankWorkers scores workers for the tasks of a step.
+func (c *Core) rankWorkers(now time.Time, s *step, candidates []*worker) *ranking {
+	r := &ranking{c: c, now: now, step: s, refusal: c.refusal, workers: candidates, scores: make([]float64, len(candidates)), full: make([]bool, len(candidates))}
 	for i := range candidates {
 		r.scores[i] = c.score(s.spec, s, candidates[i])
 	}
@@ -410,7 +421,7 @@
 // recordPlacement updates the ranking after a worker got a task of the step.
 func (r *ranking) recordPlacement(i int) {
 	w := r.workers[i]
-	if r.c.refusalExcept(r.now, r.step, w, r.without...) != "" {
+	if r.refusal(r.now, r.step, w) != "" {
 		r.full[i] = true
 		return
 	}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -239,7 +239,7 @@
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state != stateWaiting }) {
 		return
 	}
-	if c.placeMembers(now, s, c.feasible(now, s)) {
+	if c.placeMembers(now, s, c.rankWorkers(now, s, c.feasible(now, s))) {
 		s.unplacedSince = time.Time{}
 		return
 	}
@@ -248,22 +248,20 @@
 	if c.fallbackRefusal(now, s) != "" {
 		return
 	}
-	without := s.passable()
+	refusal := func(now time.Time, s *step, w *worker) string { return c.starvedRefusal(now, s, w) }
 	candidates := slices.DeleteFunc(slices.Clone(c.sortedWorkers), func(w *worker) bool {
-		refuses := func(t *task) bool { return !c.mayRisk(now, t, w) }
-		return c.refusalExcept(now, s, w, without...) != "" || slices.ContainsFunc(s.tasks, refuses)
+		risks := func(t *task) bool { return !c.mayRisk(now, t, w) }
+		return refusal(now, s, w) != "" || slices.ContainsFunc(s.tasks, risks)
 	})
-	since := s.unplacedSince
-	if c.placeMembers(now, s, candidates, without...) {
-		s.unplacedSince = since
-	}
+	r := c.rankWorkers(now, s, candidates)
+	r.refusal = refusal
+	c.placeMembers(now, s, r)
 }
 
-// placeMembers places all tasks of a gang on some workers, which needn't pass the named filters, and reports whether they fit.
-func (c *Core) placeMembers(now time.Time, s *step, candidates []*worker, without ...string) bool {
+// placeMembers places all tasks of a gang on ranked workers, and reports whether they fit.
+func (c *Core) placeMembers(now time.Time, s *step, r *ranking) bool {
 	run := 0
 	var placed []*task
-	r := c.rankWorkers(now, s, candidates, without...)
 	for _, t := range s.tasks {
 		i := r.best(t)
 		if i < 0 {
--- a/internal/sched/starved.go
+++ b/internal/sched/starved.go
@@ -53,10 +53,9 @@
 // that isn't doubtful, if there is any, where the task hasn't failed. A filler takes the one that keeps the most headroom
 // beside it.
 func (c *Core) bestForStarved(now time.Time, t *task) *worker {
-	without := t.step.passable()
 	var candidates []*worker
 	for _, w := range c.sortedWorkers {
-		if !w.hasCopy(t) && c.refusalExcept(now, t.step, w, without...) == "" && c.mayRisk(now, t, w) {
+		if !w.hasCopy(t) && c.starvedRefusal(now, t.step, w) == "" && c.mayRisk(now, t, w) {
 			candidates = append(candidates, w)
 		}
 	}
