Probation: a run that goes well ends it

What callers saw: a worker that is sound again takes no tasks until its probation of up to a minute is over, although a starved task that was started there runs; jobs queue for one start each 1.5 s there.

Cause: only the time ended a probation. Starts on probation came with the fallback for starved tasks, and nothing looked at how they went.

Change: the first task that is started on probation is watched. Once it has succeeded, or has been listed for Limits.Proof, the worker is on trial with one trial passed. Its failure changes nothing.

TestRunEndsProbation and TestFailureOnProbationProvesNothing fail before: the worker stays on probation.

--- a/internal/probation/probation.go
+++ b/internal/probation/probation.go
@@ -4,7 +4,7 @@
 // workers, the task counts as faulty and its failures no longer count against any of them. A worker whose
 // failure ratio is an outlier among its peers is put on probation. It returns by trial, one task at a
 // time; after a failed trial the next probation is twice as long. A trial passes when its task succeeds or has run for
-// long enough: a task that lasts has no end to wait for.
+// long enough: a task that lasts has no end to wait for. A task that is started on probation all the same ends it in the same way.
 package probation
 
 import (
@@ -64,7 +64,7 @@
 	probationUntil  time.Time
 	probationLength time.Duration
 	trialsPassed    int
-	// trialTask is the task that runs on trial, listed since listedSince; empty if none.
+	// trialTask is the task that runs on trial, or that was started first on probation, listed since listedSince; empty if none.
 	trialTask   string
 	listedSince time.Time
 	// proven are the tasks whose trial has passed while they run on; their end is no trial any more.
@@ -102,9 +102,12 @@
 		t.recordFailure(name, task)
 	}
 	w.outcomes = append(w.prune(now.Add(-t.limits.Window)), outcome{task, failed, now})
-	if before == Trial {
+	switch {
+	case before == Trial:
 		t.recordTrial(now, w, task, failed)
-	} else if before == Good && t.isOutlier(name) {
+	case before == Probation:
+		t.recordEarly(w, task, failed)
+	case t.isOutlier(name):
 		w.suspend(now)
 	}
 	return w.state != before
@@ -197,6 +200,19 @@
 	}
 }
 
+// recordEarly records the outcome of an attempt on a worker on probation. Success of one that was started there since ends the
+// probation and counts as a trial; a failure tells nothing new.
+func (t *Tracker) recordEarly(w *worker, task string, failed bool) {
+	if task != w.trialTask {
+		return
+	}
+	w.trialTask = ""
+	if !failed {
+		w.state = Trial
+		t.passTrial(w)
+	}
+}
+
 // passTrial records a trial that has passed.
 func (t *Tracker) passTrial(w *worker) {
 	w.trialsPassed++
@@ -206,12 +222,13 @@
 }
 
 // Listed records that a worker lists the run of a task, and reports whether the worker's state changed. A task on trial that
-// has been listed for Limits.Proof passes its trial.
+// has been listed for Limits.Proof passes its trial; one that was started on probation ends it, too.
 func (t *Tracker) Listed(now time.Time, name, task string) bool {
 	w := t.workers[name]
-	if w == nil || w.trialTask != task || t.State(now, name) != Trial {
+	if w == nil || w.trialTask != task || t.State(now, name) == Good {
 		return false
 	}
+	before := w.state
 	if w.listedSince.IsZero() {
 		w.listedSince = now
 	}
@@ -223,8 +240,9 @@
 		w.proven = map[string]bool{}
 	}
 	w.proven[task] = true
+	w.state = Trial
 	t.passTrial(w)
-	return w.state != Trial
+	return w.state != before
 }
 
 // State returns the state of a worker now. A worker whose probation is over goes on trial.
@@ -252,10 +270,11 @@
 	return ""
 }
 
-// Started records that a task was placed on a worker; a worker on trial runs only one task at a time.
+// Started records that a task was placed on a worker; a worker on trial runs only one task at a time. On one on probation the
+// first is watched.
 func (t *Tracker) Started(now time.Time, name, task string) {
-	if t.State(now, name) == Trial {
-		w := t.workers[name]
+	state := t.State(now, name)
+	if w := t.workers[name]; state == Trial || state == Probation && w.trialTask == "" {
 		w.trialTask, w.listedSince = task, time.Time{}
 	}
 }
--- a/internal/probation/probation_test.go
+++ b/internal/probation/probation_test.go
@@ -117,3 +117,62 @@
 		t.Errorf("worker is %s after two trials", tr.State(now, "w"))
 	}
 }
+
+// longProbation are limits under which a probation outlasts the proof that a worker is sound.
+func longProbation() Limits {
+	l := DefaultLimits()
+	l.First = 4 * l.Proof
+	return l
+}
+
+// onProbation returns a tracker with a worker that has just been put on probation.
+func onProbation(t *testing.T) *Tracker {
+	t.Helper()
+	tr := New(longProbation())
+	for n := range DefaultLimits().Failures {
+		tr.Ended(start, "w", fmt.Sprint(n), true)
+	}
+	if tr.State(start, "w") != Probation {
+		t.Fatalf("worker is %s, want it on probation", tr.State(start, "w"))
+	}
+	return tr
+}
+
+// TestRunEndsProbation guards against a worker that is sound again and takes nothing until its probation is over, although a run
+// that was started there meanwhile shows it.
+func TestRunEndsProbation(t *testing.T) {
+	tr := onProbation(t)
+	tr.Started(start, "w", "bold")
+	tr.Listed(start, "w", "bold")
+	if tr.Listed(start.Add(DefaultLimits().Proof-1), "w", "bold") || tr.State(start, "w") != Probation {
+		t.Fatal("probation is over before the run has been listed for long enough")
+	}
+	if !tr.Listed(start.Add(DefaultLimits().Proof), "w", "bold") || tr.State(start, "w") != Trial || tr.Refuse(start, "w") != "" {
+		t.Fatalf("worker is %s and refuses with %q after the run has been listed for long enough", tr.State(start, "w"), tr.Refuse(start, "w"))
+	}
+	tr.Started(start, "w", "second")
+	tr.Ended(start, "w", "second", false)
+	if tr.State(start, "w") != Good {
+		t.Errorf("worker is %s after a trial beside that", tr.State(start, "w"))
+	}
+}
+
+// TestFailureOnProbationProvesNothing checks that a run which fails on probation neither ends nor lengthens it, and that success
+// of one that was started before doesn't end it.
+func TestFailureOnProbationProvesNothing(t *testing.T) {
+	tr := onProbation(t)
+	tr.Ended(start, "w", "earlier", false)
+	tr.Started(start, "w", "bold")
+	tr.Ended(start, "w", "bold", true)
+	if tr.State(start, "w") != Probation {
+		t.Fatalf("worker is %s, want it on probation", tr.State(start, "w"))
+	}
+	if tr.State(start.Add(longProbation().First), "w") != Trial {
+		t.Error("a failure on probation has lengthened it")
+	}
+	tr = onProbation(t)
+	tr.Started(start, "w", "bold")
+	if tr.Ended(start, "w", "bold", false); tr.State(start, "w") != Trial {
+		t.Errorf("worker is %s after a success, want it on trial", tr.State(start, "w"))
+	}
+}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -94,7 +94,7 @@
 
 // listed records that a worker lists the newest run of a task.
 func (h *health) listed(now time.Time, id string, t *task) {
-	if h.onTrial(now, id) {
+	if h.track.State(now, id) != probation.Good {
 		h.track.Listed(now, id, t.id.String())
 	}
 }
