Guard: fencing tokens grow with each birth of the worker

A start that was held up could run in the next birth in the same way, if its guard had been replaced or 30 s had passed since it was sent.

Cause: calls name the ID only, and the fencing token was the owner's epoch, the same before and after a rebirth; a birth has seen no token.

The token is now made of the epoch and, in its low 21 bits, a number that the guard raises when another birth answers. That answer doesn't count; the one to the next poll, with the raised token, begins the birth for the guard, and nothing is started, renewed, acknowledged or reported before. From then on the worker refuses every call to an earlier birth. Guards begin with the second of their start, so that calls of the process before are refused too. A guard whose clock was set back is refused as well; being the only caller it raises its number until it isn't, sixteen polls at most.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -69,6 +69,8 @@
 	WorkerLost            Message = "worker lost"
 	WorkerRegained        Message = "worker regained"
 	IncarnationEnded      Message = "life of the worker over"
+	WorkerReborn          Message = "worker reborn"
+	TokenTooLow           Message = "token too low"
 	OwnerLinked           Message = "linked to owner"
 	OwnerLost             Message = "no link to owner"
 	CommandsIgnored       Message = "orders void"
@@ -158,6 +160,8 @@
 	{WorkerLost, "warn", "guard", "guard", []string{"failed_looks", "err"}, "the worker doesn't answer; the lease of its runs is not renewed"},
 	{WorkerRegained, "info", "guard", "guard", []string{"worker", "failed_looks"}, "the worker answers again"},
 	{IncarnationEnded, "warn", "guard", "guard", []string{"worker"}, "another incarnation of the worker has answered; nothing is running in the previous one"},
+	{WorkerReborn, "info", "guard", "guard", []string{"worker", "running", "ended", "token"}, "another birth of the worker has answered, with what it lists; the token keeps calls to earlier births out of it from the next poll on"},
+	{TokenTooLow, "warn", "guard", "guard", []string{"worker", "token", "next"}, "the worker refuses calls since it has seen a higher fencing token, of a newer owner or of an earlier guard process; next is the token of the next call"},
 	{OwnerLinked, "info", "guard", "guard", []string{"owner"}, "the guard takes commands from this owner"},
 	{OwnerLost, "warn", "guard", "guard", []string{"owner", "err"}, "the guard's link to the owner has ended or can't be opened"},
 	{CommandsIgnored, "info", "guard", "guard", []string{"worker", "starts"}, "commands for an incarnation of the worker that has ended were ignored"},
--- a/internal/guard/commands.go
+++ b/internal/guard/commands.go
@@ -135,6 +135,7 @@
 		g.log.Debug("no answer about runs in doubt", "err", err)
 		return
 	}
+	l.Token = q.Token
 	g.observe(resolvable, l)
 	if l.EndsCut {
 		// Another probe would show no more. The polling loop goes on once ends are acknowledged.
--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -18,6 +18,9 @@
 	// Drained reports whether this process knows that a data centre is drained; nil where none can be. The owner
 	// starts nothing there; this second check holds also for the commands of an owner that doesn't know it yet.
 	Drained func(dataCentre string) bool
+	// StartedUnix is the time of day at which this process started, in Unix seconds. Tokens of later processes exceed those of
+	// earlier ones by it.
+	StartedUnix int64
 }
 
 // Core is the state machine of a guard: the state of its worker and the authority of the owner. It does no
@@ -43,6 +46,7 @@
 	// listedEnd is the number of the newest end in the newest listing; 0 for none. Only listed ends are acknowledged, so
 	// that as few polls as possible can drop ends of another incarnation if they are carried out late.
 	listedEnd     int64
+	births        births
 	pacer         pacer
 	unresponsive  bool          // the worker doesn't answer
 	silentSinceMS int64         // when the first of the polls since the last answer failed; 0 for none
@@ -103,7 +107,7 @@
 
 // NewCore returns a core without a worker or an owner.
 func NewCore(opt Options) *Core {
-	return &Core{opt: opt, runs: map[link.RunRef]*run{}, lateStarts: map[link.RunRef]int64{}, pacer: newPacer()}
+	return &Core{opt: opt, runs: map[link.RunRef]*run{}, lateStarts: map[link.RunRef]int64{}, births: newBirths(opt.StartedUnix), pacer: newPacer()}
 }
 
 // lowerSeries are announcements with rising numbers, all lower than the highest one seen: the newest number, and when the
@@ -166,6 +170,7 @@
 	}
 	if d.Epoch > c.epoch {
 		c.epoch = d.Epoch
+		c.births.leap = 0
 		c.inventoryDue = true
 	}
 	if d.EchoMS > 0 {
@@ -187,7 +192,7 @@
 // that doesn't answer gets no renewal: its runs are certain to expire within one lease from then, and the next answer
 // may come from another incarnation, which has another clock.
 func (c *Core) LeaseEnd(nowMS int64) int64 {
-	if c.workerClock == 0 || nowMS >= c.deadline || c.unresponsive || c.silentSinceMS > 0 {
+	if c.workerClock == 0 || nowMS >= c.deadline || c.unresponsive || c.silent() {
 		return 0
 	}
 	left := min(c.deadline-c.workerClockAt, nowMS-c.workerClockAt+c.opt.MaxLease.Milliseconds())
@@ -206,7 +211,7 @@
 		return Command{}, false
 	}
 	c.runs[s.RunRef] = &run{Traits: s.Traits, traitsKnown: true, commandPending: true, pacePercent: fullPace, startMS: nowMS}
-	return Command{Incarnation: c.incarnation, Token: c.epoch, UntilMS: until, Start: s}, true
+	return Command{Incarnation: c.incarnation, Token: c.Token(), UntilMS: until, Start: s}, true
 }
 
 // startRefusal returns why no run may start on the worker now, or an empty string; until is the end of the lease.
@@ -214,7 +219,7 @@
 	switch {
 	case c.info == nil:
 		return "the worker hasn't announced itself"
-	case c.silentSinceMS > 0:
+	case c.silent():
 		return "the worker doesn't answer"
 	case until == 0:
 		return "no lease"
@@ -298,8 +303,8 @@
 	if incarnation == "" {
 		return Poll{}, false
 	}
-	q := Poll{Incarnation: incarnation, Token: c.epoch, UntilMS: c.LeaseEnd(nowMS), AckedEnd: min(c.ackedEnd, c.listedEnd), Wait: wait}
-	if c.silentSinceMS > 0 {
+	q := Poll{Incarnation: incarnation, Token: c.Token(), UntilMS: c.LeaseEnd(nowMS), AckedEnd: min(c.ackedEnd, c.listedEnd), Wait: wait}
+	if c.silent() {
 		// A later start of the same ID may answer, which can't be told before it does.
 		q.AckedEnd, q.Wait = 0, 0
 	}
@@ -313,8 +318,7 @@
 // ObserveListing processes the worker's answer to a poll; resolvable is what Resolvable returned before the poll
 // was sent. A run whose stop had been answered by then and that isn't listed will never exist.
 func (c *Core) ObserveListing(nowMS int64, resolvable map[link.RunRef]bool, l Listing) {
-	if polled := c.polled(); l.Incarnation != polled && !link.Reborn(l.Incarnation, polled) {
-		// A delayed answer of an earlier incarnation.
+	if c.overtaken(l) || !c.begins(l) {
 		return
 	}
 	if l.Incarnation != c.incarnation {
@@ -403,6 +407,7 @@
 	c.absent = nil
 	c.ackedEnd, c.listedEnd = 0, 0
 	c.workerClock, c.silentSinceMS = 0, 0
+	c.births.next, c.births.nextToken = "", 0
 	c.pacer = newPacer()
 	c.inventoryDue, c.described = true, false
 }
@@ -459,7 +464,7 @@
 
 // CommandFor returns a command about a run under the current epoch.
 func (c *Core) CommandFor(s link.RunRef) Command {
-	return Command{Incarnation: c.incarnation, Token: c.epoch, Start: link.Start{Traits: link.Traits{RunRef: s}}}
+	return Command{Incarnation: c.incarnation, Token: c.Token(), Start: link.Start{Traits: link.Traits{RunRef: s}}}
 }
 
 // Pace returns the pace that applies to all fillers, in percent.
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -257,9 +257,17 @@
 	}
 }
 
-// answer has an incarnation answer a poll that is sent now.
+// answer has an incarnation answer a poll that is sent now, and the next one if the answer raises the fencing token.
 func answer(c *Core, nowMS int64, incarnation string, running ...link.RunStatus) {
-	c.ObserveListing(nowMS, c.Resolvable(), Listing{Incarnation: incarnation, ClockMS: nowMS, Running: running})
+	observe(c, nowMS, Listing{Incarnation: incarnation, ClockMS: nowMS, Running: running})
+}
+
+// observe has a worker answer a poll that is sent now, and the next one if the answer raises the fencing token.
+func observe(c *Core, nowMS int64, l Listing) {
+	for l.Token = -1; l.Token != c.Token(); {
+		l.Token = c.Token()
+		c.ObserveListing(nowMS, c.Resolvable(), l)
+	}
 }
 
 // newRebornCore returns a core whose worker has started again under its ID while starts were confirmed (task 0),
--- a/internal/guard/executor.go
+++ b/internal/guard/executor.go
@@ -16,7 +16,7 @@
 type Poll struct {
 	// Incarnation identifies the incarnation of the worker that is addressed; empty for any.
 	Incarnation string
-	// Token is the fencing token of the owner.
+	// Token is the fencing token; see births.
 	Token int64
 	// UntilMS renews the lease of all runs to a time on the worker's clock; 0 leaves it unchanged.
 	UntilMS int64
@@ -34,6 +34,8 @@
 	Ended       []link.RunEnd
 	// EndsCut means that Ended may lack some; see link.Listing.
 	EndsCut bool
+	// Token is the fencing token of the poll.
+	Token int64
 }
 
 // Command is a start, a stop or a change of pace; Start names the run.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -57,7 +57,7 @@
 	mu                sync.Mutex
 	core              *Core
 	listing           *Listing
-	listingUnderEpoch bool // the poll for listing carried the owner's epoch as its fencing token
+	listingUnderEpoch bool // the poll for listing carried the owner's epoch and the newest birth in its fencing token
 	// probing reports whether a poll about runs in doubt is in progress.
 	probing   bool
 	changed   chan struct{}
@@ -154,7 +154,8 @@
 func (g *Guard) pollFailed(q Poll, failed int, err error) {
 	var refused *RefusedError
 	if errors.As(err, &refused) && refused.Reason == ReasonFence {
-		// A newer owner has called the worker, which is well.
+		// The worker is well.
+		g.fenced(q)
 		return
 	}
 	if errors.Is(err, ErrOtherIncarnation) {
@@ -183,16 +184,29 @@
 	defer signal(g.changed)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	l.Token = q.Token
 	g.observe(resolvable, l)
 	g.scope.Gauge("filler_pace_percent").Update(float64(g.core.Pace()))
-	g.listing, g.listingUnderEpoch = &l, q.Token == g.core.Epoch() && q.Token > 0
+	g.listing, g.listingUnderEpoch = &l, g.core.UnderEpoch(q.Token)
 	g.sendDueCommands()
 	return len(l.Ended) > 0
 }
 
+// fenced handles the refusal of a poll since the worker has seen a higher token: of a newer owner, or of an earlier guard process.
+func (g *Guard) fenced(q Poll) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.core.Fenced(q.Token)
+	g.log.Warn(event.TokenTooLow, "worker", q.Incarnation, "token", q.Token, "next", g.core.Token())
+}
+
 // observe passes a listing to the core, and logs what is wrong with it. The caller holds the lock.
 func (g *Guard) observe(resolvable map[link.RunRef]bool, l Listing) {
+	before := g.core.Token()
 	g.core.ObserveListing(g.clock(), resolvable, l)
+	if token := g.core.Token(); token != before {
+		g.log.Info(event.WorkerReborn, "worker", l.Incarnation, "running", len(l.Running), "ended", len(l.Ended), "token", token)
+	}
 	for _, ref := range g.core.TakeVanished() {
 		g.log.Warn(event.RunVanished, "worker", l.Incarnation, "task", ref.Task.String(), "run", ref.Run)
 	}
--- a/internal/guard/incarnation.go
+++ b/internal/guard/incarnation.go
@@ -86,6 +86,7 @@
 		c.noteEnd()
 	}
 	c.incarnation, c.info, c.successor = "", c.successor, nil
+	c.births.seen++
 	c.reset()
 }
 
--- a/internal/guard/listing_test.go
+++ b/internal/guard/listing_test.go
@@ -60,7 +60,7 @@
 func TestRebornSettlesWithCutListings(t *testing.T) {
 	c := newRebornCore(t)
 	cut := Listing{Incarnation: "w@20", ClockMS: 10, EndsCut: true}
-	c.ObserveListing(2000, c.Resolvable(), cut)
+	observe(c, 2000, cut)
 	if !c.Settling() {
 		t.Fatal("no run of the earlier incarnation is in doubt")
 	}
--- a/internal/guard/rebirth_test.go
+++ b/internal/guard/rebirth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/crocusspring/crocusspring/internal/link"
 )
@@ -34,3 +35,59 @@
 		t.Error("a start of a minute ago is still taken for one on its way")
 	}
 }
+
+// TestFirstAnswerOfBirth guards against calls to an earlier birth that are carried out in the next: its first answer may be to a poll
+// with the token that they have too, so that nothing is reported of it, started there or acknowledged before it has answered a poll
+// with a higher one.
+func TestFirstAnswerOfBirth(t *testing.T) {
+	c := newRebornCore(t)
+	c.StartAnswered(ref(1, 1), nil, true, "late")
+	c.StartAnswered(ref(2, 1), nil, true, "late")
+	c.Report(1010, nil, false)
+	early, _ := c.NextPoll(1020, time.Second)
+	first := Listing{Incarnation: "w@20", ClockMS: 10, Token: early.Token}
+	for range 2 {
+		c.ObserveListing(1100, c.Resolvable(), first)
+	}
+	if up := c.Report(1100, &first, true); up.Inventory || len(up.EndedIncarnations) > 0 {
+		t.Errorf("reported %+v of a birth that has answered only to the token of the one before", up)
+	}
+	if _, ok := c.BeginStart(1100, start(5, 1)); ok {
+		t.Error("a run was started in a birth that has answered only to the token of the one before")
+	}
+	q, _ := c.NextPoll(1100, time.Second)
+	if q.Token <= early.Token || q.UntilMS != 0 || q.AckedEnd != 0 || q.Wait != 0 {
+		t.Errorf("poll %+v after one with token %d, want a higher one, without lease, acknowledgement or wait", q, early.Token)
+	}
+	c.ObserveListing(1110, c.Resolvable(), Listing{Incarnation: "w@10", ClockMS: 1090, Token: early.Token})
+	first.Token = q.Token
+	c.ObserveListing(1120, c.Resolvable(), first)
+	if up := c.Report(1120, nil, false); len(up.EndedIncarnations) != 1 || up.EndedIncarnations[0] != "w@10" {
+		t.Errorf("reported the end of %v once the birth has answered to the higher token, want w@10", up.EndedIncarnations)
+	}
+	if c.incarnation != "w@20" || c.Token() != q.Token {
+		t.Errorf("incarnation %s, token %d; want w@20 and %d", c.incarnation, c.Token(), q.Token)
+	}
+}
+
+// TestTokensStayInBounds guards against tokens that JSON readers round, that run into the next epoch, or that are lower than those of
+// an earlier owner.
+func TestTokensStayInBounds(t *testing.T) {
+	c := NewCore(Options{Node: "n", StartedUnix: 1_800_000_000})
+	c.ExtendLease(link.OwnerMessage{Epoch: 1<<32 - 2})
+	for range 100 {
+		before := c.Token()
+		c.Fenced(before)
+		if now := c.Token(); now < before || c.births.leap < 0 {
+			t.Fatalf("token %d after %d", now, before)
+		}
+	}
+	last := c.Token()
+	if c.Fenced(last - 1); c.Token() != last {
+		t.Error("the refusal of an earlier call raises the token")
+	}
+	c.ExtendLease(link.OwnerMessage{Epoch: 1<<32 - 1})
+	if now := c.Token(); now <= last || now >= 1<<53 || !c.UnderEpoch(now) || c.UnderEpoch(last) {
+		t.Errorf("token %d under the next epoch after %d", now, last)
+	}
+}
--- a/internal/guard/refused_test.go
+++ b/internal/guard/refused_test.go
@@ -132,7 +132,7 @@
 		t.Fatal("the start is refused")
 	}
 	c.StartAnswered(start(1, 1).RunRef, context.DeadlineExceeded, false, "")
-	c.ObserveListing(1500, c.Resolvable(), Listing{Incarnation: "w@20", ClockMS: 10})
+	answer(c, 1500, "w@20")
 	if !c.Settling() {
 		t.Fatal("the run whose start wasn't answered isn't looked for in the next start of the worker")
 	}
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -119,7 +119,8 @@
 	lease := common.lease(true)
 	cell := owner.New(common.schedOptions(), c.store, lease, nil, common.scope(), c.log)
 	clock := func() int64 { return time.Since(c.began).Milliseconds() + 1 }
-	g := guard.New(guard.Options{Node: n.Name, RunLease: runLease, MaxLease: runLease}, n.Executor, lease, clock, common.scope(), c.log)
+	opt := guard.Options{Node: n.Name, RunLease: runLease, MaxLease: runLease, StartedUnix: time.Now().Unix()}
+	g := guard.New(opt, n.Executor, lease, clock, common.scope(), c.log)
 	mux := http.NewServeMux()
 	cell.Routes(mux)
 	mux.HandleFunc("POST "+owner.TakeoverPath, owner.ServeTakeover(lease))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -302,7 +302,7 @@
 	defer stop()
 	lease := g.lease(true)
 	cell := owner.New(g.schedOptions(), g.Store, lease, g.Adviser, g.scope(), g.Log.WithPrefix("cell"))
-	opt := guard.Options{Node: g.Node, RunLease: runLease, MaxLease: g.MaxLease}
+	opt := guard.Options{Node: g.Node, RunLease: runLease, MaxLease: g.MaxLease, StartedUnix: time.Now().Unix()}
 	grp, ctx := errgroup.WithContext(ctx)
 	if g.DrainWithin > 0 {
 		drained := drains.NewFollower(g.Store, g.Drains, g.DrainWithin, g.scope(), g.Log.WithPrefix("drains"))
--- a/internal/sched/cell_guard_test.go
+++ b/internal/sched/cell_guard_test.go
@@ -73,7 +73,9 @@
 // bootGuard starts the guard of a machine.
 func (m *cellMachine) bootGuard() {
 	w := m.w
-	g := &cellGuard{w: w, m: m, core: guard.NewCore(guard.Options{Node: m.node, RunLease: cellRunLeaseMS * time.Millisecond, MaxLease: maxHoldMS * time.Millisecond})}
+	g := &cellGuard{w: w, m: m, core: guard.NewCore(guard.Options{
+		Node: m.node, RunLease: cellRunLeaseMS * time.Millisecond, MaxLease: maxHoldMS * time.Millisecond, StartedUnix: w.unix() / 1000,
+	})}
 	m.guard = g
 	w.logf("guard of %s starts", m.node)
 	w.after(w.between(10, 60), func() {
@@ -176,6 +178,7 @@
 	var refused *guard.RefusedError
 	switch {
 	case errors.As(err, &refused) && refused.Reason == guard.ReasonFence:
+		g.core.Fenced(q.Token)
 	case errors.Is(err, guard.ErrOtherIncarnation):
 		g.w.logf("guard of %s: %s has ended", g.m.node, q.Incarnation)
 		if now, ok := g.core.NextPoll(g.clock(), 0); ok && now.Incarnation == q.Incarnation {
@@ -198,8 +201,9 @@
 
 // handleListing processes an answer; it reports whether it lists run ends.
 func (g *cellGuard) handleListing(q guard.Poll, resolvable map[link.RunRef]bool, l guard.Listing) bool {
+	l.Token = q.Token
 	g.observe(resolvable, l)
-	g.listing, g.listingUnderEpoch = &l, q.Token == g.core.Epoch() && q.Token > 0
+	g.listing, g.listingUnderEpoch = &l, g.core.UnderEpoch(q.Token)
 	g.sendDueCommands()
 	g.w.signal(&g.changed)
 	return len(l.Ended) > 0
@@ -336,6 +340,7 @@
 		if err != nil {
 			return
 		}
+		l.Token = q.Token
 		g.observe(resolvable, l)
 		if l.EndsCut {
 			g.sendDueCommands()
