Scheduler: a task waits for a run of it that nothing accounts for

The guard settles such runs before it reports the end of the earlier birth, but not if it has started again itself: then the inventory of the new birth shows the run, the earlier birth counts as over at once, and the task is placed in the same round. A success of such a run was acknowledged and forgotten, and the task started again.

The new filter "stray run" keeps the waiting tasks of a step from being placed while a worker lists a run of one of them that no task accounts for, until it has ended or its lease must have lapsed; speculative tasks may overlap and don't wait. A waiting task of which such a run has succeeded is done. What arrived in the birth after the guard's first answered call is kept out by the fencing token.

--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -31,6 +31,9 @@
 		need := s.spec.Requires
 		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks the label")
 	}},
+	{"stray run", func(c *Core, now time.Time, s *step, _ *worker) string {
+		return when(c.hasStrayRun(now, s), "an earlier run of a task is still there")
+	}},
 	{"capacity", func(_ *Core, _ time.Time, s *step, w *worker) string { return s.spec.Reserve().Lacking(w.free()) }},
 	{"isolation", func(_ *Core, _ time.Time, _ *step, w *worker) string {
 		return when(w.isolated != nil, "kept for a task under which a worker has crashed")
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -81,11 +81,12 @@
 }
 
 // handleLateEnd handles the end of a run that is no longer the newest of its task, or of a copy. A failure
-// still counts, once, and so does the success of a speculative task.
+// still counts, once, and so does the success of a speculative task or of one that waits.
 func (c *Core) handleLateEnd(now time.Time, e link.RunEnd) {
 	t := c.task(e.Task)
 	if t != nil && e.Outcome == link.Done {
 		c.copySucceeded(now, t, e.Run)
+		c.straySucceeded(now, t, e.Run)
 		return
 	}
 	if t == nil || e.Outcome != link.Failed || t.step.spec.LongRunning || t.step.occ.job.state.Terminal() || slices.Contains(t.failedRuns, e.Run) {
@@ -97,6 +98,19 @@
 	c.failIfExhausted(now, t)
 }
 
+// straySucceeded completes a waiting task of which a run has succeeded that nothing accounted for.
+func (c *Core) straySucceeded(now time.Time, t *task, run int) {
+	s := t.step.spec
+	if t.state != stateWaiting || s.Gang || s.LongRunning || t.step.occ.job.state.Terminal() {
+		return
+	}
+	c.logDecision(event.End, t.id.String(), fmt.Sprintf("run=%d outcome=done after it was given up", run))
+	t.step.waiting--
+	t.state = stateDone
+	c.markDirty(t.step.occ.job)
+	c.taskDone(now, t)
+}
+
 // failIfExhausted fails the job of a task that has failed as often as it may.
 func (c *Core) failIfExhausted(now time.Time, t *task) {
 	j := t.step.occ.job
@@ -156,11 +170,36 @@
 		need = t.step.spec.Reserve()
 	}
 	w.unknownRuns[r.RunRef] = need
+	c.strayOn[w] = struct{}{}
 	d := c.commandsFor(c.readyCommands, w.id)
 	d.Stop = append(d.Stop, r.RunRef)
 	c.logDecision(event.Stop, r.Task.String(), fmt.Sprintf("run=%d worker=%s reason=%q", r.Run, w.id, "not assigned there"))
 }
 
+// hasStrayRun reports whether a worker may have a run of a waiting task of a step: one that no task accounts for, since its start
+// was held up and carried out in a later birth of its worker. The task must not run elsewhere before that run has ended. Runs of
+// speculative tasks may overlap.
+func (c *Core) hasStrayRun(now time.Time, s *step) bool {
+	if s.spec.Speculative {
+		return false
+	}
+	for w := range c.strayOn {
+		if len(w.unknownRuns) == 0 || c.workers[w.id] != w {
+			delete(c.strayOn, w)
+			continue
+		}
+		if c.hasLapsed(now, w) {
+			continue
+		}
+		for ref := range w.unknownRuns {
+			if t := c.task(ref.Task); t != nil && t.step == s && t.state == stateWaiting {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // traits returns what local control needs to know about the newest run.
 func (t *task) traits() link.Traits {
 	s := t.step.spec
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -88,6 +88,8 @@
 	workers  map[string]*worker
 	// sortedWorkers lists the workers by ID, so that scheduling is deterministic.
 	sortedWorkers []*worker
+	// strayOn are the workers with runs that no task accounts for, and some that had them; see hasStrayRun.
+	strayOn map[*worker]struct{}
 	// dirty holds the jobs changed since their last record; gatedCommands may be sent only once those are stored.
 	dirty         map[string]*jobState
 	gatedCommands Commands
@@ -149,7 +151,7 @@
 // New returns a Core without jobs or workers.
 func New(opt Options) *Core {
 	return &Core{
-		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{},
+		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{}, strayOn: map[*worker]struct{}{},
 		dirty: map[string]*jobState{}, dirtyNodes: map[string]string{}, gatedCommands: Commands{}, readyCommands: Commands{}, durationRatios: durationRatios{},
 		health: newHealth(), crashed: newCrashes(), drainsKnown: true, awaitingApproval: map[string]*step{}, interferenceModel: interfere.NewTails(),
 	}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -27,7 +27,7 @@
 	// held are the tasks whose newest run may be there; tasks are the same in order of assignment.
 	held  map[job.TaskID]*task
 	tasks []*task
-	// unknownRuns are runs that the worker lists and no task accounts for; they are being stopped.
+	// unknownRuns are runs that the worker lists and no task accounts for; they are being stopped. See hasStrayRun.
 	unknownRuns map[link.RunRef]resource.Vector
 	// unshown are runs that an inventory which was cut short didn't show: they may have ended, or never started.
 	unshown map[link.RunRef]bool
@@ -387,13 +387,18 @@
 
 // expireUnresponsive ends the runs of a worker whose lease its guard could not renew for expiryDelay.
 func (c *Core) expireUnresponsive(now time.Time, w *worker) {
-	if w.unresponsive && len(w.held) > 0 && now.Sub(w.unresponsiveSince) > c.opt.expiryDelay() {
+	if len(w.held) > 0 && c.hasLapsed(now, w) {
 		c.logDecision(event.LeaseExpired, w.id, fmt.Sprintf("not answering held=%d", len(w.held)))
 		c.suspectCrash(w)
 		c.expireRuns(now, w)
 	}
 }
 
+// hasLapsed reports whether the lease of all runs on a worker must have lapsed, since its guard hasn't heard from it for so long.
+func (c *Core) hasLapsed(now time.Time, w *worker) bool {
+	return w.attached && w.unresponsive && now.Sub(w.unresponsiveSince) > c.opt.expiryDelay()
+}
+
 // expireRuns ends all runs of a worker as expired, which doesn't count as a failed attempt.
 func (c *Core) expireRuns(now time.Time, w *worker) {
 	for _, t := range w.tasks {
