Guard: births are ordered by fencing tokens, not by their times

A worker whose clock was set back by more than its age and which then crashes starts again with an earlier time of birth. The guard took each answer of it for a delayed one of an earlier birth, for good: its worker was lost to the owner without a word.

The token now decides: an answer to a poll with a lower token than the current birth has answered to is a delayed one, and the answer of any other birth raises the token, so that whoever answers the next poll is the current birth. Late announcements still go by the times; a birth with an earlier one is described by its first announcement after its first answer.

TestRebornUnderEarlierClock failed before. TestDelayedMessagesOfEarlierBirth had a delayed answer under the token of the newest poll, which nothing can give: it now carries the token of the poll that it answers, and no token may rise by it. Three tests that passed listings of no poll pass those of the newest one.

--- a/internal/guard/births.go
+++ b/internal/guard/births.go
@@ -25,10 +25,12 @@
 	// leap is added while the worker has seen higher numbers under the same epoch, from an earlier guard process beside it whose
 	// time of day was later.
 	leap int64
-	// next is the birth that has answered a call but not yet one with the token nextToken or a higher one; empty for none.
-	// Until it has, calls to the birth before it may be carried out there.
-	next      string
-	nextToken int64
+	// least is the lowest token of polls whose answers count: a birth may have answered polls with lower ones before another
+	// began.
+	least int64
+	// open says that another birth has answered a poll and none one with least yet. Until then calls to the birth before may be
+	// carried out in the next.
+	open bool
 }
 
 // newBirths returns the numbers of a process that started at a time of day in Unix seconds.
@@ -43,31 +45,31 @@
 // UnderEpoch reports whether calls with a token keep out all calls of earlier owners and of earlier births.
 func (c *Core) UnderEpoch(token int64) bool { return c.epoch > 0 && token >= c.Token() }
 
-// begins reports whether an answer is the first one of its birth that counts. The first answer of a birth may be to a call with a
-// token of the birth before; it raises the token, and the answer to the next poll counts.
-func (c *Core) begins(l Listing) bool {
-	if !link.Reborn(l.Incarnation, c.incarnation) {
-		return true
-	}
-	if l.Incarnation != c.births.next {
-		c.births.seen++
-		c.births.next, c.births.nextToken = l.Incarnation, c.Token()
-		return false
-	}
-	return l.Token >= c.births.nextToken
+// raise keeps calls with the tokens used so far out of what answers from now on.
+func (c *Core) raise() {
+	c.births.seen++
+	c.births.least = c.Token()
 }
 
-// overtaken reports whether an answer is a delayed one, of a birth that a later one has followed.
-func (c *Core) overtaken(l Listing) bool {
-	current := c.polled()
-	if c.births.next != "" {
-		current = c.births.next
+// counts reports whether an answer counts. The first answer of another birth may be to a poll with the token of the birth before: it
+// raises the token, and whoever answers the next poll is the current birth. Times of birth don't order them, since clocks may be
+// set back.
+func (c *Core) counts(l Listing) bool {
+	switch {
+	case link.ParseIncarnation(l.Incarnation).ID != link.ParseIncarnation(c.polled()).ID, l.Token < c.births.least:
+		// A delayed answer.
+		return false
+	case c.incarnation != "" && l.Incarnation != c.incarnation && !c.births.open:
+		c.raise()
+		c.births.open = true
+		return false
 	}
-	return l.Incarnation != current && !link.Reborn(l.Incarnation, current)
+	c.births.open = false
+	return true
 }
 
 // silent reports whether the worker may have started again: a poll wasn't answered, or another birth has answered one.
-func (c *Core) silent() bool { return c.silentSinceMS > 0 || c.births.next != "" }
+func (c *Core) silent() bool { return c.silentSinceMS > 0 || c.births.open }
 
 // Fenced records that the worker has refused a poll since it has seen a higher token. Only guards on this machine call it: if the
 // epoch is that of the owner, an earlier process used a higher number.
--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -318,7 +318,7 @@
 // ObserveListing processes the worker's answer to a poll; resolvable is what Resolvable returned before the poll
 // was sent. A run whose stop had been answered by then and that isn't listed will never exist.
 func (c *Core) ObserveListing(nowMS int64, resolvable map[link.RunRef]bool, l Listing) {
-	if c.overtaken(l) || !c.begins(l) {
+	if !c.counts(l) {
 		return
 	}
 	if l.Incarnation != c.incarnation {
@@ -407,7 +407,6 @@
 	c.absent = nil
 	c.ackedEnd, c.listedEnd = 0, 0
 	c.workerClock, c.silentSinceMS = 0, 0
-	c.births.next, c.births.nextToken = "", 0
 	c.pacer = newPacer()
 	c.inventoryDue, c.described = true, false
 }
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -181,7 +181,7 @@
 	c := newTestCore(t)
 	c.IncarnationEnded("life-1")
 	c.Describe(1000, worker("life-2"), 0)
-	c.ObserveListing(1200, nil, Listing{Incarnation: "life-2", ClockMS: 7})
+	observe(c, 1200, Listing{Incarnation: "life-2", ClockMS: 7})
 	d := link.OwnerMessage{Epoch: 1, EchoMS: 1300, Worker: "life-1", Start: []link.Start{start(0, 1)}, AckedEnd: 5}
 	if !c.ExtendLease(d) {
 		t.Fatal("owner is refused")
@@ -193,7 +193,7 @@
 		t.Errorf("ends up to %d are acknowledged in the new incarnation", q.AckedEnd)
 	}
 	d.Worker = "life-2"
-	c.ObserveListing(1300, nil, Listing{Incarnation: "life-2", ClockMS: 107, Ended: []link.RunEnd{{Number: 5, RunRef: ref(1, 1), Outcome: link.Done}}})
+	observe(c, 1300, Listing{Incarnation: "life-2", ClockMS: 107, Ended: []link.RunEnd{{Number: 5, RunRef: ref(1, 1), Outcome: link.Done}}})
 	c.ExtendLease(d)
 	if q, _ := c.NextPoll(1300, 0); !c.Matches(d) || q.AckedEnd != 5 {
 		t.Errorf("commands for the new incarnation are ignored, ends acknowledged up to %d", q.AckedEnd)
@@ -328,7 +328,7 @@
 		t.Fatalf("stops %+v, settling %v; want a stop of the listed run", got, c.Settling())
 	}
 	c.StopAnswered(ref(0, 1), nil)
-	c.ObserveListing(1200, c.Resolvable(), Listing{
+	observe(c, 1200, Listing{
 		Incarnation: "w@20", ClockMS: 9, Ended: []link.RunEnd{{Number: 1, RunRef: ref(0, 1), Outcome: link.Stopped}},
 	})
 	if c.Settling() {
@@ -341,12 +341,16 @@
 // it, since it may be of another kind.
 func TestDelayedMessagesOfEarlierBirth(t *testing.T) {
 	c := newRebornCore(t)
+	delayed := Listing{Incarnation: "w@10", ClockMS: 1090, Token: c.Token(), Running: []link.RunStatus{{RunRef: ref(0, 1)}}}
 	answer(c, 1100, "w@20")
 	if c.Described() {
 		t.Fatal("described by the announcement of the earlier incarnation")
 	}
 	c.Describe(1000, worker("w@10"), 2)
-	answer(c, 1150, "w@10", link.RunStatus{RunRef: ref(0, 1)})
+	c.ObserveListing(1150, c.Resolvable(), delayed)
+	if q, _ := c.NextPoll(1150, 0); q.Token != c.births.least || c.births.open {
+		t.Errorf("poll %+v after a delayed answer, want the token that the next birth has answered to", q)
+	}
 	if c.incarnation != "w@20" || c.successor != nil || c.Described() {
 		t.Fatalf("incarnation %s, successor %v after delayed messages", c.incarnation, c.successor)
 	}
--- a/internal/guard/incarnation.go
+++ b/internal/guard/incarnation.go
@@ -86,14 +86,15 @@
 		c.noteEnd()
 	}
 	c.incarnation, c.info, c.successor = "", c.successor, nil
-	c.births.seen++
+	c.raise()
+	c.births.open = false
 	c.reset()
 }
 
 // begin makes the incarnation that has answered a poll the current one.
 func (c *Core) begin(nowMS int64, resolvable map[link.RunRef]bool, l Listing) {
 	var inherited []link.RunRef
-	if link.Reborn(l.Incarnation, c.incarnation) {
+	if link.ParseIncarnation(l.Incarnation).ID == link.ParseIncarnation(c.incarnation).ID {
 		inherited = c.mayBeInherited(nowMS, resolvable, l)
 	} else {
 		clear(c.lateStarts)
--- a/internal/guard/listing_test.go
+++ b/internal/guard/listing_test.go
@@ -75,7 +75,7 @@
 	for _, o := range c.DueStops() {
 		c.StopAnswered(o.Start.RunRef, nil)
 	}
-	c.ObserveListing(2100, c.Resolvable(), cut)
+	observe(c, 2100, cut)
 	if c.Settling() {
 		t.Error("still settling after all stops were answered")
 	}
--- a/internal/guard/rebirth_test.go
+++ b/internal/guard/rebirth_test.go
@@ -91,3 +91,25 @@
 		t.Errorf("token %d under the next epoch after %d", now, last)
 	}
 }
+
+// TestRebornUnderEarlierClock guards against a worker that is lost for good: it crashes after its clock was set back and starts again
+// under its ID, so that its birth seems to be the earlier one, and its answers counted as delayed ones.
+func TestRebornUnderEarlierClock(t *testing.T) {
+	c := newRebornCore(t)
+	c.StartAnswered(ref(1, 1), nil, true, "late")
+	c.StartAnswered(ref(2, 1), nil, true, "late")
+	delayed := Listing{Incarnation: "w@10", ClockMS: 1090, Token: c.Token(), Running: []link.RunStatus{{RunRef: ref(0, 1)}}}
+	c.PollFailed(1050)
+	answer(c, 1100, "w@5")
+	c.Describe(1110, worker("w@5"), 1)
+	if up := c.Report(1120, nil, false); len(up.EndedIncarnations) != 1 || up.EndedIncarnations[0] != "w@10" || !c.Described() {
+		t.Fatalf("ended %v, incarnation %s; want the end of w@10", up.EndedIncarnations, c.incarnation)
+	}
+	c.ObserveListing(1130, c.Resolvable(), delayed)
+	c.Describe(1140, worker("w@10"), 2)
+	answer(c, 1150, "w@5")
+	c.ExtendLease(link.OwnerMessage{Epoch: 1, EchoMS: 1150, Worker: "w@5"})
+	if _, ok := c.BeginStart(1160, start(7, 1)); !ok || c.incarnation != "w@5" {
+		t.Errorf("no run starts in the new birth, incarnation %s", c.incarnation)
+	}
+}
