--- a/internal/guard/births.go
+++ b/internal/guard/births.go
@@ -6,7 +6,7 @@
 // guard has seen. Calls name the worker's ID only, so that one that is held up may be carried out by a later birth: it has no
 // effect there once that birth has answered a call with a higher token.
 const (
-	// birthBits is the size of the low part, in bits. Epochs grow with the records of the owners' topic, two a second at most;
+	// birthBits is the size of the low part, in bits. Epochs grow with the records of the owners' topic, about two a second;
 	// below 2^32 tokens stay below 2^53, which any reader of JSON keeps exactly.
 	birthBits = 21
 	// maxBirth is the highest number of the low part. A guard that reaches it keeps it until the next epoch.
--- /dev/null
+++ b/internal/sched/cell_stray_test.go
@@ -0,0 +1,48 @@
+package sched_test
+
+import (
+	"testing"
+
+	"github.com/crocusspring/crocusspring/internal/guard"
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/resource"
+)
+
+// TestLateStartBeforeNewGuard guards against two runs of a task at a time: worker and guard of a machine start again, and a start that
+// was held up reaches the new birth before the new guard has called it. The run is listed with the first inventory, which also
+// says that the earlier birth is over.
+func TestLateStartBeforeNewGuard(t *testing.T) {
+	w := sceneWorld(3, nil)
+	w.runUntil(1000)
+	s := w.drawSpec("late")
+	s.Steps = []job.Step{{Count: 1, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, EstimateMS: 10_000, MayMiss: job.NoMissLimit}}
+	w.submit(s)
+	w.runUntil(1500)
+	var m *cellMachine
+	var ref link.RunRef
+	for _, other := range w.machines {
+		if refs := other.exec.refs(); len(refs) == 1 {
+			m, ref = other, refs[0]
+		}
+	}
+	if m == nil {
+		t.Fatal("the task doesn't run")
+	}
+	token := m.exec.token
+	w.touch(2000)
+	m.guard.kill()
+	m.crash()
+	w.runUntil(1700)
+	m.boot(true)
+	late := guard.Command{Token: token, UntilMS: m.exec.clock() + cellRunLeaseMS, Start: link.Start{Traits: link.Traits{RunRef: ref}}}
+	if err := m.exec.start(late); err != nil {
+		t.Fatal(err)
+	}
+	m.bootGuard()
+	w.runUntil(30_000)
+	w.reportAll(t)
+	if v, _ := w.newest().core.Job("late"); v.State != "completed" {
+		t.Errorf("job is %+v", v)
+	}
+}
