--- a/internal/guard/listing_test.go
+++ b/internal/guard/listing_test.go
@@ -60,7 +60,7 @@
 func TestRebornSettlesWithCutListings(t *testing.T) {
 	c := newRebornCore(t)
 	cut := Listing{Incarnation: "w@20", ClockMS: 10, EndsCut: true}
-	c.ObserveListing(2000, c.Resolvable(), cut)
+	observe(c, 2000, cut)
 	if !c.Settling() {
 		t.Fatal("no run of the earlier incarnation is in doubt")
 	}
@@ -75,7 +75,7 @@
 	for _, o := range c.DueStops() {
 		c.StopAnswered(o.Start.RunRef, nil)
 	}
-	c.ObserveListing(2100, c.Resolvable(), cut)
+	observe(c, 2100, cut)
 	if c.Settling() {
 		t.Error("still settling after all stops were answered")
 	}
--- a/internal/sched/endings_test.go
+++ b/internal/sched/endings_test.go
@@ -115,6 +115,15 @@
 		filter: "label", step: job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000, Requires: "large"}, arrange: func(time.Time, *Core) {},
 		end: func(now time.Time, c *Core) { attach(now, c, "b", "pool", "large") },
 	},
+	{
+		filter: "stray run", step: finiteStep, arrange: func(now time.Time, c *Core) {
+			row := link.RunStatus{RunRef: link.RunRef{Task: job.TaskID{Job: "job"}, Run: 7}}
+			c.Report(now, "a", link.Listing{Running: []link.RunStatus{row}})
+		},
+		end: func(now time.Time, c *Core) {
+			c.Ended(now, "a", []link.RunEnd{{RunRef: link.RunRef{Task: job.TaskID{Job: "job"}, Run: 7}, Outcome: link.Stopped}})
+		},
+	},
 	{
 		filter: "capacity", step: finiteStep, arrange: occupy, end: func(now time.Time, c *Core) {
 			c.Cancel(now, "occupant")
@@ -152,6 +161,9 @@
 			}
 			rows = append(rows, row)
 		}
+		for ref := range w.unknownRuns {
+			rows = append(rows, link.RunStatus{RunRef: ref})
+		}
 		c.Report(now, w.id, link.Listing{Running: rows})
 	}
 }
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -61,6 +61,9 @@
 		need := s.spec.Requires
 		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks the label")
 	}},
+	{name: "stray run", ends: "the run ends after its stop, or its lease has lapsed", refuse: func(c *Core, now time.Time, s *step, _ *worker) string {
+		return when(c.hasStrayRun(now, s), "an earlier run of a task is still there")
+	}},
 	{name: "capacity", ends: "a run ends, or the worker grows", refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
 		return s.spec.Reserve().Lacking(w.free())
 	}},
@@ -325,7 +328,7 @@
 			out = append(out, w)
 		}
 	}
-	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" {
+	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" && !c.hasStrayRun(now, s) {
 		c.round.refused[s.kind()] = s.spec.Demand
 	}
 	return out
