Relayed jobs share appends, and a slow store is told from a silent one

Cause: a node made an append of its own for each relay, and bounded it by 0.6 s whether the store answered or not.

--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -72,19 +72,19 @@
 	jsonhttp.Write(w, http.StatusOK, counts)
 }
 
-// serveRelay appends jobs for an entry that can't reach the store.
+// serveRelay appends jobs for an entry to which the store doesn't answer, or answers slowly.
 func (c *Cell) serveRelay(w http.ResponseWriter, r *http.Request) {
 	var records []store.Record
 	if err := jsonhttp.Read(w, r, maxBodyBytes, &records); err != nil {
 		jsonhttp.WriteError(w, http.StatusBadRequest, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-	defer cancel()
-	_, err := c.store.Append(ctx, store.TopicJobs, store.AnyOffset, records)
+	err := c.relayed.Append(r.Context(), records)
 	switch {
 	case err == nil:
 		jsonhttp.Write(w, http.StatusOK, struct{}{})
+	case errors.Is(err, store.ErrBusy):
+		jsonhttp.WriteError(w, http.StatusTooManyRequests, err)
 	case errors.Is(err, store.ErrRejected):
 		jsonhttp.WriteError(w, http.StatusUnprocessableEntity, err)
 	case errors.Is(err, store.ErrRefused):
@@ -163,13 +163,16 @@
 	return out, err
 }
 
-// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored, and a
-// store.ErrRejected when the store doesn't take them.
+// Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored, among
+// these a store.ErrRejected when the store doesn't take them and a store.ErrBusy when it is slow.
 func (c *Client) Relay(ctx context.Context, addr string, records []store.Record) error {
 	status, err := c.do(ctx, http.MethodPost, addr, pathRelay, records, nil)
 	if status == http.StatusUnprocessableEntity {
 		return fmt.Errorf("relay: %w", store.ErrRejected)
 	}
+	if status == http.StatusTooManyRequests {
+		return fmt.Errorf("relay: %w", store.ErrBusy)
+	}
 	if status == http.StatusServiceUnavailable || status == http.StatusNotFound {
 		return fmt.Errorf("relay: %w", store.ErrRefused)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -72,6 +72,8 @@
 	// approvalRequests holds requests that wait for the policy service.
 	approvalRequests chan sched.ApprovalRequest
 	adviser          Adviser
+	// relayed appends the jobs that entries relay through this node.
+	relayed *store.Group
 	// extendCheckedAt is when mayExtend was called last, stalledAt when it found that the process had stood still.
 	extendCheckedAt, stalledAt time.Time
 	// broken is the panic after which the state of core may be inconsistent, or nil; the cell is then loaded anew.
@@ -86,6 +88,7 @@
 	return &Cell{
 		opt: opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
 		approvalRequests: make(chan sched.ApprovalRequest, maxApprovalRequests), adviser: adviser,
+		relayed: store.NewGroup(s, store.TopicJobs, scope),
 	}
 }
 
--- /dev/null
+++ b/internal/owner/relay_test.go
@@ -0,0 +1,77 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/sched"
+	"github.com/crocusspring/crocusspring/internal/store"
+	"github.com/crocusspring/crocusspring/internal/store/memstore"
+)
+
+// gatedStore answers reads at once, and appends when the gate is open.
+type gatedStore struct {
+	store.Store
+	gate    chan struct{}
+	appends atomic.Int32
+}
+
+// Append implements store.Store.
+func (s *gatedStore) Append(ctx context.Context, topic string, at store.Offset, records []store.Record) (store.Offset, error) {
+	s.appends.Add(1)
+	select {
+	case <-s.gate:
+		return s.Store.Append(ctx, topic, at, records)
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// TestRelaysShareAppends guards against relayed jobs that wait for each other in the queue of a slow store: while an append is
+// in progress those of all entries wait for the next one, and their callers learn that the store is slow when it takes long.
+func TestRelaysShareAppends(t *testing.T) {
+	s := &gatedStore{Store: memstore.New(), gate: make(chan struct{})}
+	c := New(sched.Options{}, s, nil, nil, tally.NoopScope, logs.Discard())
+	mux := http.NewServeMux()
+	c.Routes(mux)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	addr := strings.TrimPrefix(server.URL, "http://")
+	relay := func(i int) error {
+		return NewClient().Relay(t.Context(), addr, []store.Record{{Key: fmt.Sprint("j/", i), Value: []byte("{}")}})
+	}
+	var wg sync.WaitGroup
+	errs := make([]error, 4)
+	var refused atomic.Int32
+	for i := range errs {
+		wg.Go(func() {
+			if errs[i] = relay(i); errs[i] != nil && refused.Add(1) == int32(len(errs)-1) {
+				close(s.gate)
+			}
+		})
+	}
+	wg.Wait()
+	stored, busy := 0, 0
+	for _, err := range errs {
+		switch {
+		case err == nil:
+			stored++
+		case errors.Is(err, store.ErrBusy) && errors.Is(err, store.ErrRefused):
+			busy++
+		}
+	}
+	snap, err := s.Newest(t.Context(), store.TopicJobs)
+	if err != nil || stored+busy != len(errs) || busy == 0 || len(snap.Records) != stored || s.appends.Load() != 1 {
+		t.Errorf("%d stored of %d, %d busy, %d appends, %v: %v", len(snap.Records), stored, busy, s.appends.Load(), err, errs)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -44,6 +44,10 @@
 // a *ConflictError, an append may have taken effect or may still do so.
 var ErrRefused = errors.New("refused by the store")
 
+// ErrBusy means that records were not sent, since the store takes too long for the appends before them; another way to it
+// would take as long. It is an ErrRefused.
+var ErrBusy = fmt.Errorf("%w: busy with other appends", ErrRefused)
+
 // ErrExpired means that the records at the requested offset are no longer kept; take a snapshot with
 // Newest instead.
 var ErrExpired = errors.New("records expired")
