A slow store is used by one writer for all entries, without copies

TestSlowStoreUnderLoad: 3 of 160 accepted, all of those after the first 3.3 s refused. Cause: entries took a slow store for one that is away. After 0.3 s each sent copies of its append through three nodes, after 0.7 s it gave up on appends that were carried out all the same, and stored them again. A trace shows 8 or 9 appends in the store's queue from 0.5 s on, six to seven of them given up and from 4 s on nearly all copies; 485 calls for 160 jobs. Change: while an append takes over 0.1 s and the store answers reads, an entry sends its jobs to the owner, which appends for all entries; it sends no copies and doesn't count the store as away. A job waits in the entry or at the owner, is refused there after 0.8 s, for certain, and isn't sent when its caller has left. A repeat of a job that is being stored waits for the same append. The owner is asked whether it reaches the store, and left aside when it doesn't answer. Why it works: with one writer an append takes all that came during the one before, so that the store does four a second and serves any number of jobs with them; 33 appends for 160 jobs. Without the common writer, but without copies and giving up, 30 were accepted: nine appends of a quarter of a second each are longer than callers wait. The test's check and bounds are as before.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,8 @@
 	RequestRefused        Message = "request refused"
 	StoreLost             Message = "store lost"
 	StoreRegained         Message = "store regained"
+	StoreSlow             Message = "store slow"
+	StoreFast             Message = "store fast again"
 	JobsRelayed           Message = "jobs relayed"
 	JobsNotStored         Message = "jobs not stored"
 	OwnerChanged          Message = "owner changed"
@@ -113,8 +115,10 @@
 	{RequestRefused, "info", "entry", "front", []string{"method", "path", "status", "reason"}, "a request was answered with an error status"},
 	{StoreLost, "warn", "entry", "intake", []string{"unknown", "err"}, "no way to the store is known; jobs are refused at once. unknown is the number of records that may or may not be stored"},
 	{StoreRegained, "info", "entry", "intake", []string{}, "jobs are accepted again"},
-	{JobsRelayed, "info", "entry", "intake", []string{"records", "cause"}, "records were appended through another node, since the store can't be reached directly"},
-	{JobsNotStored, "warn", "entry", "intake", []string{"records", "err"}, "records were stored neither directly nor through another node; err has the reason of each way"},
+	{StoreSlow, "warn", "entry", "intake", []string{}, "the store answers and takes long for appends; jobs are stored through the owner, in common appends of all entries"},
+	{StoreFast, "info", "entry", "intake", []string{}, "the store is fast again, or nothing was appended for a while; jobs are stored directly"},
+	{JobsRelayed, "info", "entry", "intake", []string{"records", "took", "cause"}, "records were appended through another node, since the store is slow or can't be reached directly"},
+	{JobsNotStored, "warn", "entry", "intake", []string{"records", "slow", "err"}, "records were stored neither directly nor through another node; err has the reason of each way"},
 	{OwnerChanged, "info", "all", "lease", []string{"owner", "addr", "epoch", "held"}, "this process has learned of a new owner of the cell"},
 	{LeaseUnreadable, "error", "all", "lease", []string{"err"}, "the record of the lease can't be parsed; the lease is treated as free"},
 	{LeaseNotRenewed, "warn", "guard", "lease", []string{"err"}, "the store didn't answer the owner's renewal of its lease, or a candidate's attempt to take it; further failures are counted"},
--- a/internal/intake/append.go
+++ b/internal/intake/append.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/event"
@@ -11,219 +12,259 @@
 )
 
 const (
-	// appendTimeout bounds one append by all ways together; a healthy store answers within milliseconds, a slow
-	// one within a few hundred.
-	appendTimeout = 700 * time.Millisecond
-	// relayDelay is how long the store has to answer before an append is also relayed.
-	relayDelay = 300 * time.Millisecond
-	// maxPeerRelays is the most nodes besides the owner that one append is relayed through.
-	maxPeerRelays = 2
-	// maxWays is the most ways that one append takes: directly, through the owner and through other nodes.
-	maxWays = 2 + maxPeerRelays
 	// maxBatch is the most records in one append.
 	maxBatch = 100
+	// relayInterval is the least time between two batches through the owner while the store is slow, so that an entry
+	// makes few calls to it.
+	relayInterval = 100 * time.Millisecond
+	// turnPoll is the time between two looks whether records that wait for the append before theirs go through the owner.
+	turnPoll = 50 * time.Millisecond
 )
 
-// pendingAppend is one record that waits for its append, and the channel for the result.
+// pendingAppend is one record that is being stored, for one or more callers.
 type pendingAppend struct {
 	record store.Record
-	done   chan error
+	// doubted says that an earlier append of the same record may still take effect.
+	doubted bool
+	// callers is how many wait for the result.
+	callers int
+	// done is closed when err is the result.
+	done chan struct{}
+	err  error
 }
 
-// errAway means that no way to the store is known.
-var errAway = errors.New("the store can't be reached")
+// Errors of records that were not sent.
+var (
+	// errAway means that no way to the store is known.
+	errAway = errors.New("the store can't be reached")
+	// errLeft means that no caller waits any longer.
+	errLeft = errors.New("the caller has left")
+)
 
-// append stores one record, in a batch with those of concurrent calls. While no way to the store is known nothing
-// is sent, so that the refusal is certain.
+// append stores one record, in a batch with those of concurrent calls. A record waits in the entry while an append is in
+// progress, where it can still be refused for certain.
 func (in *Intake) append(ctx context.Context, r store.Record) error {
-	k := &pendingAppend{record: r, done: make(chan error, 1)}
+	k, err := in.enqueue(r)
+	if err != nil {
+		return err
+	}
+	wait := time.NewTimer(store.MaxWait)
+	defer wait.Stop()
+	for {
+		select {
+		case <-k.done:
+			return k.err
+		case <-wait.C:
+			in.withdraw(k, store.ErrBusy)
+		case <-ctx.Done():
+			if in.leave(k) {
+				return k.err
+			}
+			return fmt.Errorf("%w: %w", ErrUnknown, ctx.Err())
+		}
+	}
+}
+
+// enqueue adds a record to the pending ones, or joins the append of the same record. While no way to the store is known
+// nothing is sent, so that the refusal is certain.
+func (in *Intake) enqueue(r store.Record) (*pendingAppend, error) {
 	in.mu.Lock()
+	defer in.mu.Unlock()
+	if k := in.current[r.Key]; k != nil {
+		k.callers++
+		return k, nil
+	}
+	_, doubted := in.unresolved[r.Key]
+	k := &pendingAppend{record: r, doubted: doubted, callers: 1, done: make(chan struct{})}
 	if in.away {
-		defer in.mu.Unlock()
-		return in.refusal(r)
+		return nil, k.result(errNotSent(errAway))
 	}
+	in.current[r.Key] = k
 	in.pending = append(in.pending, k)
 	if !in.draining {
 		in.draining = true
 		go in.drain()
 	}
-	in.mu.Unlock()
-	select {
-	case err := <-k.done:
-		return err
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", ErrUnknown, ctx.Err())
-	}
+	return k, nil
 }
 
-// refusal returns the result of a record that is not sent. An earlier append of the same record may still take
-// effect. The caller holds the lock.
-func (in *Intake) refusal(r store.Record) error {
-	if _, ok := in.unresolved[r.Key]; ok {
-		return fmt.Errorf("%w: %w", ErrUnknown, errAway)
+// errNotSent returns the error for a record that was not sent.
+func errNotSent(cause error) error { return fmt.Errorf("%w: %w", ErrNotAccepted, cause) }
+
+// result returns what the callers learn when an append ends with err. A record that is certainly not stored now may be
+// by an earlier append.
+func (k *pendingAppend) result(err error) error {
+	if k.doubted && errors.Is(err, ErrNotAccepted) && !errors.Is(err, ErrUnstorable) {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
-	return fmt.Errorf("%w: %w", ErrNotAccepted, errAway)
+	return err
 }
 
-// drain stores pending records in batches until none is left.
-func (in *Intake) drain() {
-	for {
-		in.mu.Lock()
-		n := in.nextBatch()
-		batch := in.pending[:n:n]
-		in.pending = in.pending[n:]
-		in.draining = n > 0
-		in.mu.Unlock()
-		if n == 0 {
-			return
-		}
-		in.write(batch)
+// finish completes the calls for a record. The caller holds the lock.
+func (in *Intake) finish(k *pendingAppend, err error) {
+	if err == nil {
+		delete(in.unresolved, k.record.Key)
 	}
+	delete(in.current, k.record.Key)
+	k.err = k.result(err)
+	close(k.done)
 }
 
-// nextBatch returns how many of the pending records fit into the next append. The caller holds the lock.
-func (in *Intake) nextBatch() int {
-	records := recordsOf(in.pending[:min(len(in.pending), maxBatch)])
-	if calls := in.store.Limits().Calls(records); len(calls) > 0 {
-		return len(calls[0])
-	}
-	return 0
+// withdraw refuses a record that wasn't sent yet, and reports false if it was.
+func (in *Intake) withdraw(k *pendingAppend, cause error) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.withdrawLocked(k, cause)
 }
 
-// recordsOf returns the records of appends.
-func recordsOf(batch []*pendingAppend) []store.Record {
-	records := make([]store.Record, len(batch))
-	for i, k := range batch {
-		records[i] = k.record
+// withdrawLocked is withdraw for a caller that holds the lock.
+func (in *Intake) withdrawLocked(k *pendingAppend, cause error) bool {
+	i := slices.Index(in.pending, k)
+	if i < 0 {
+		return false
 	}
-	return records
+	in.pending = slices.Delete(in.pending, i, i+1)
+	in.finish(k, errNotSent(cause))
+	return true
 }
 
-// write stores one batch and completes its calls. When the batch can't be stored, the calls that wait behind it
-// are refused, unless it is for what the batch holds: then each record is stored by itself.
-func (in *Intake) write(batch []*pendingAppend) {
-	records := recordsOf(batch)
-	err := in.storeAnyWay(records)
-	if errors.Is(err, store.ErrRejected) && len(batch) > 1 {
-		for i := range batch {
-			in.write(batch[i : i+1])
+// leave records that a caller no longer waits, and reports whether its record was withdrawn: nobody else waits for it, and
+// it wasn't sent.
+func (in *Intake) leave(k *pendingAppend) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	k.callers--
+	return k.callers == 0 && in.withdrawLocked(k, errLeft)
+}
+
+// drain stores pending records in batches until none is left.
+func (in *Intake) drain() {
+	for in.hasPending() {
+		direct := in.turn()
+		batch := in.take()
+		if len(batch) == 0 {
+			// Their callers have left meanwhile.
+			in.release(direct)
+			continue
 		}
-		return
-	}
-	if errors.Is(err, store.ErrRejected) {
-		err = fmt.Errorf("%w: %w", ErrUnstorable, err)
-	} else if err != nil {
-		in.loseStore(records, err)
-	}
-	for _, k := range batch {
-		k.done <- err
+		go in.write(batch, direct)
 	}
 }
 
-// appendResult is the outcome of an append by one way.
-type appendResult struct {
-	relayed bool
-	err     error
+// hasPending reports whether records are pending; if not, drain ends.
+func (in *Intake) hasPending() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.draining = len(in.pending) > 0
+	return in.draining
 }
 
-// storeAnyWay stores records directly and, when that fails or takes long, also through other nodes. Storing a record
-// twice is harmless. The error is ErrNotAccepted when the records are certain not to be stored, otherwise
-// ErrUnknown.
-func (in *Intake) storeAnyWay(records []store.Record) error {
-	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-	defer cancel()
-	results := make(chan appendResult, maxWays)
-	go func() { results <- appendResult{err: in.appendDirect(ctx, records)} }()
-	hedge := time.NewTimer(in.hedgeDelay())
-	defer hedge.Stop()
-	var failures []error
-	for open, relaying := 1, false; open > 0; {
+// turn waits until a batch may be sent, and reports whether directly: then the append before has ended, and the caller
+// holds the turn. While the store is slow batches go through the owner, which appends for all entries together.
+func (in *Intake) turn() (direct bool) {
+	for {
+		if in.throughOwner() {
+			time.Sleep(in.untilRelay())
+			return false
+		}
+		poll := time.NewTimer(turnPoll)
 		select {
-		case r := <-results:
-			open--
-			if r.err == nil {
-				in.noteRelay(len(records), r.relayed, failures)
-				return nil
-			}
-			failures = append(failures, r.err)
-			if errors.Is(r.err, store.ErrRejected) {
-				// The store refuses the same records by every way.
-				return r.err
+		case in.appending <- struct{}{}:
+			poll.Stop()
+			if !in.throughOwner() {
+				return true
 			}
-		case <-hedge.C:
-		}
-		if !relaying {
-			relaying = true
-			open += in.startRelays(ctx, records, results)
+			in.release(true)
+		case <-poll.C:
 		}
 	}
-	err := verdict(failures)
-	in.log.Warn(event.JobsNotStored, "records", len(records), "err", err)
-	return err
 }
 
-// verdict returns the error for an append that failed by every way: ErrNotAccepted if all of them are certain not
-// to have stored the records.
-func verdict(failures []error) error {
-	for _, err := range failures {
-		if !errors.Is(err, store.ErrRefused) {
-			return fmt.Errorf("%w: %w", ErrUnknown, errors.Join(failures...))
-		}
+// untilRelay returns the time until the next batch may go through the owner, and counts from then on to the one after it.
+func (in *Intake) untilRelay() time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	now := time.Now()
+	at := now
+	if next := in.relayedAt.Add(relayInterval); next.After(now) {
+		at = next
 	}
-	return fmt.Errorf("%w: %w", ErrNotAccepted, errors.Join(failures...))
+	in.relayedAt = at
+	return at.Sub(now)
 }
 
-// noteRelay logs that records were stored through another node.
-func (in *Intake) noteRelay(records int, relayed bool, failures []error) {
-	if relayed {
-		in.log.Info(event.JobsRelayed, "records", records, "cause", errors.Join(failures...))
+// release gives a direct turn back.
+func (in *Intake) release(direct bool) {
+	if direct {
+		<-in.appending
 	}
 }
 
-// hedgeDelay returns how long to wait for the store before an append is relayed.
-func (in *Intake) hedgeDelay() time.Duration {
+// throughOwner reports whether appends go through the owner, and logs a change.
+func (in *Intake) throughOwner() bool {
+	slow := in.store.Slow()
 	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.directFailed {
-		return 0
-	}
-	return relayDelay
-}
-
-// appendDirect stores records by a call to the store.
-func (in *Intake) appendDirect(ctx context.Context, records []store.Record) error {
-	_, err := in.store.Append(ctx, store.TopicJobs, store.AnyOffset, records)
-	if !errors.Is(err, context.Canceled) {
-		in.setDirectFailed(err != nil)
+	changed := slow != in.slow
+	in.slow = slow
+	in.mu.Unlock()
+	if changed && slow {
+		in.log.Warn(event.StoreSlow)
+	} else if changed {
+		in.log.Info(event.StoreFast)
 	}
-	return err
+	return slow && in.locator.OwnerAddr() != ""
 }
 
-// setDirectFailed records whether the store answers this node; while it doesn't, appends are relayed at once.
-func (in *Intake) setDirectFailed(failed bool) {
+// take takes the pending records that fit into one append.
+func (in *Intake) take() []*pendingAppend {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.directFailed = failed
+	n := in.nextBatch()
+	batch := slices.Clone(in.pending[:n])
+	in.pending = slices.Delete(in.pending, 0, n)
+	return batch
 }
 
-// startRelays starts to store records through the owner and other nodes, and returns how many results will come.
-func (in *Intake) startRelays(ctx context.Context, records []store.Record, results chan<- appendResult) int {
-	in.setDirectFailed(true)
-	addrs := in.relays()
-	for _, addr := range addrs {
-		go func() { results <- appendResult{true, in.client.Relay(ctx, addr, records)} }()
+// nextBatch returns how many of the pending records fit into the next append. The caller holds the lock.
+func (in *Intake) nextBatch() int {
+	records := recordsOf(in.pending[:min(len(in.pending), maxBatch)])
+	if calls := in.store.Limits().Calls(records); len(calls) > 0 {
+		return len(calls[0])
 	}
-	return len(addrs)
+	return 0
 }
 
-// relays returns the addresses of the nodes to relay through: the owner and a few others.
-func (in *Intake) relays() []string {
-	var out []string
-	if addr := in.locator.OwnerAddr(); addr != "" {
-		out = append(out, addr)
+// recordsOf returns the records of appends.
+func recordsOf(batch []*pendingAppend) []store.Record {
+	records := make([]store.Record, len(batch))
+	for i, k := range batch {
+		records[i] = k.record
 	}
-	if in.peers != nil {
-		out = append(out, in.peers.Pick(maxPeerRelays)...)
+	return records
+}
+
+// write stores one batch, completes its calls and gives a direct turn back. When the batch can't be stored, the calls that
+// wait behind it are refused, unless it is for what the batch holds: then each record is stored by itself.
+func (in *Intake) write(batch []*pendingAppend, direct bool) {
+	began := time.Now()
+	records := recordsOf(batch)
+	err := in.storeAnyWay(records, direct)
+	if errors.Is(err, store.ErrRejected) && len(batch) > 1 {
+		in.release(direct)
+		for i := range batch {
+			in.write(batch[i:i+1], in.turn())
+		}
+		return
+	}
+	defer in.release(direct)
+	if errors.Is(err, store.ErrRejected) {
+		err = fmt.Errorf("%w: %w", ErrUnstorable, err)
+	} else if err != nil {
+		in.loseStore(records, err, in.store.ReachedSince(began))
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, k := range batch {
+		in.finish(k, err)
 	}
-	return out
 }
--- a/internal/intake/away.go
+++ b/internal/intake/away.go
@@ -18,10 +18,10 @@
 	findTimeout = 400 * time.Millisecond
 )
 
-// loseStore records that a batch couldn't be stored by any way. Until a way is found, pending and further records
-// are refused at once, since none of them was sent. Records with an unknown outcome are stored as soon as a way is
-// found, so that a caller who asks again learns one answer.
-func (in *Intake) loseStore(records []store.Record, cause error) {
+// loseStore records that a batch couldn't be stored by any way. Unless the store answers meanwhile, pending and further
+// records are refused at once until a way is found, since none of them was sent. Records with an unknown outcome are
+// stored as soon as a way is found, so that a caller who asks again learns one answer.
+func (in *Intake) loseStore(records []store.Record, cause error, answers bool) {
 	in.mu.Lock()
 	if errors.Is(cause, ErrUnknown) {
 		for _, r := range records {
@@ -29,28 +29,34 @@
 		}
 	}
 	unknown := len(in.unresolved)
-	pending := in.pending
-	in.pending = nil
-	for _, k := range pending {
-		k.done <- in.refusal(k.record)
-	}
-	first := !in.away
-	if first {
+	lost := !answers && !in.away
+	if lost {
 		in.away, in.awaySince = true, time.Now()
+		for _, k := range in.pending {
+			in.finish(k, errNotSent(errAway))
+		}
+		in.pending = nil
+	}
+	if find := !in.finding && (in.away || unknown > 0); find {
+		in.finding = true
+		go in.findStore()
 	}
 	in.mu.Unlock()
-	if first {
+	if lost {
 		in.log.Warn(event.StoreLost, "unknown", unknown, "err", cause)
-		go in.findStore()
 	}
 }
 
-// findStore searches for a way to the store, stores what is unresolved, and then lets jobs be accepted again.
+// findStore searches for a way to the store if none is known, stores what is unresolved, and then lets jobs be accepted
+// again.
 func (in *Intake) findStore() {
 	for {
 		time.Sleep(findDelay)
-		if in.findOnce() && in.resolve() {
-			in.log.Info(event.StoreRegained)
+		lost := !in.Available()
+		if (!lost || in.findOnce()) && in.resolve() {
+			if lost {
+				in.log.Info(event.StoreRegained)
+			}
 			return
 		}
 	}
@@ -86,7 +92,7 @@
 			records = append(records, r)
 		}
 		if len(records) == 0 {
-			in.away = false
+			in.away, in.finding = false, false
 			in.mu.Unlock()
 			return true
 		}
@@ -104,7 +110,9 @@
 // resolveCall stores the unresolved records of one append. Records that the store rejects are resolved as well: they are
 // certain not to be stored.
 func (in *Intake) resolveCall(records []store.Record) bool {
-	err := in.storeAnyWay(records)
+	direct := in.turn()
+	err := in.storeAnyWay(records, direct)
+	in.release(direct)
 	switch rejected := errors.Is(err, store.ErrRejected); {
 	case rejected && len(records) > 1:
 		for i := range records {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -49,8 +49,8 @@
 // Peers returns the addresses of up to n nodes that may reach the store, in an order that varies.
 type Peers interface{ Pick(n int) []string }
 
-// Client calls other nodes. Relay returns a store.ErrRefused when the records are certain not to be stored, and
-// CheckStore whether a node can reach the store.
+// Client calls other nodes. Relay returns a store.ErrRefused when the records are certain not to be stored, a store.ErrBusy
+// among these when the store is slow, and CheckStore whether a node can reach the store.
 type Client interface {
 	Job(ctx context.Context, addr, id string) (v sched.View, found bool, err error)
 	// ConfirmedJob is Job, with a false confirmed by the store.
@@ -63,22 +63,32 @@
 
 // Intake accepts, cancels and queries jobs. Use New to make one.
 type Intake struct {
-	store   store.Store
+	store   *store.Pulse
 	client  Client
 	locator Locator
 	peers   Peers
 	scope   tally.Scope
 	log     *log.Logger
 
-	mu       sync.Mutex
-	pending  []*pendingAppend
+	// appending holds one element while an append is sent to the store directly.
+	appending chan struct{}
+
+	mu      sync.Mutex
+	pending []*pendingAppend // not sent yet
+	// current holds the records that are pending or being stored, by key.
+	current  map[string]*pendingAppend
 	draining bool // drain is running
 	// directFailed says that the store didn't answer the last append that was sent to it directly, or not soon.
 	directFailed bool
+	// slow says that the store was slow when it was last looked at.
+	slow bool
+	// relayedAt is when the last batch went through the owner of a slow store.
+	relayedAt time.Time
 	// away says that no way to the store is known since awaySince; jobs are refused without an append until one
 	// is found.
 	away      bool
 	awaySince time.Time
+	finding   bool // findStore is running
 	// unresolved holds the records whose outcome is unknown, by key.
 	unresolved map[string]store.Record
 	// counts is the cached number of waiting jobs by queue, queried at countsAt.
@@ -88,7 +98,10 @@
 
 // New returns an intake.
 func New(s store.Store, client Client, locator Locator, peers Peers, scope tally.Scope, l *log.Logger) *Intake {
-	return &Intake{store: s, client: client, locator: locator, peers: peers, scope: scope, log: l, unresolved: map[string]store.Record{}}
+	return &Intake{
+		store: store.NewPulse(s), client: client, locator: locator, peers: peers, scope: scope, log: l,
+		appending: make(chan struct{}, 1), current: map[string]*pendingAppend{}, unresolved: map[string]store.Record{},
+	}
 }
 
 // Submit accepts a job. It is idempotent.
--- a/internal/intake/slow_test.go
+++ b/internal/intake/slow_test.go
@@ -22,7 +22,7 @@
 	appendTime, readTime time.Duration
 	mu                   sync.Mutex
 	freeAt               time.Time
-	appends              int
+	appends, reads       int
 }
 
 // slowTimeout is how long callers may wait for an answer of a slow store.
@@ -58,6 +58,7 @@
 // Newest implements store.Store.
 func (s *serialStore) Newest(ctx context.Context, topic string) (store.Snapshot, error) {
 	s.mu.Lock()
+	s.reads++
 	takes := s.readTime
 	s.mu.Unlock()
 	select {
@@ -68,22 +69,25 @@
 	}
 }
 
-// slowNodes is a Client whose nodes append to a slow store, each for itself.
+// slowNodes is a Client whose nodes append to a slow store, each for all entries as owners do.
 type slowNodes struct {
 	nodes
-	store store.Store
+	store  store.Store
+	groups map[string]*store.Group
 }
 
 func (n *slowNodes) CheckStore(ctx context.Context, _ string) error { return store.Check(ctx, n.store) }
 
-func (n *slowNodes) Relay(ctx context.Context, _ string, records []store.Record) error {
-	_, err := n.store.Append(ctx, store.TopicJobs, store.AnyOffset, records)
-	return err
+func (n *slowNodes) Relay(ctx context.Context, addr string, records []store.Record) error {
+	return n.groups[addr].Append(ctx, records)
 }
 
 // newSlowEntries returns entries on a slow store, with an owner and other nodes to relay through.
 func newSlowEntries(s store.Store, n int) []*entry {
-	relays := &slowNodes{store: s}
+	relays := &slowNodes{store: s, groups: map[string]*store.Group{}}
+	for _, addr := range []string{"owner", "peer-1", "peer-2"} {
+		relays.groups[addr] = store.NewGroup(s, store.TopicJobs, tally.NoopScope)
+	}
 	var out []*entry
 	for range n {
 		out = append(out, &entry{Intake: New(s, relays, relays, relays, tally.NoopScope, logs.Discard())})
