Takeover: half of the guards end the extension of leases

Seen: a third of the machines or more go with the owner, and lasting tasks from there stand still for over 12 s (TestLossOfManyMachines, which failed before; TestCell).

Cause: a predecessor without a lease extends those of runs while it hears from over half of the guards, a successor concluded only at two thirds that it doesn't. The gap was there since the two counted over sets that could differ. Two more faults of the same count: a report that a link had held up counted as if its guard had just sent it, and a node with two incarnations counted twice.

Change: both count nodes over the set of the stored records of workers, more than half against at least half. What an append without an answer may have changed counts against the predecessor. The set stays as it is while an earlier owner may extend. Owners send their clock, guards name the highest epoch that they have had a message of and the readings they had from it; the predecessor counts a guard by the age of the reading that it confirms, the successor counts those that name its epoch.

Why it holds: the two counts share a guard. It sent what it confirms to the predecessor before it first named the successor's epoch, so the predecessor stops at most GuardSilence after the successor's conclusion.

TestNodesStayWhileExtended fails without the hold on the set. TestLostWorkerAfterTakeover now says that the linked guards follow the successor, which the driver takes from their messages.

--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -33,6 +33,8 @@
 	// the guard's clock.
 	epoch    int64
 	deadline int64
+	// follows is what the owners hear of that.
+	follows link.Following
 	// workerClock is the worker's clock reading at the time workerClockAt of the guard's clock; 0 before the first.
 	workerClock, workerClockAt int64
 	runs                       map[link.RunRef]*run
@@ -166,8 +168,10 @@
 	}
 	if d.Epoch > c.epoch {
 		c.epoch = d.Epoch
+		c.follows = link.Following{Epoch: d.Epoch, SinceMS: d.ClockMS}
 		c.inventoryDue = true
 	}
+	c.follows.HeardMS = max(c.follows.HeardMS, d.ClockMS)
 	if d.EchoMS > 0 {
 		c.deadline = max(c.deadline, d.EchoMS+c.opt.RunLease.Milliseconds())
 	}
@@ -470,7 +474,7 @@
 
 // Heartbeat returns a message without a report on the current incarnation.
 func (c *Core) Heartbeat(nowMS int64) link.GuardMessage {
-	u := link.GuardMessage{ClockMS: nowMS, Pace: fullPace, Unresponsive: c.unresponsive}
+	u := link.GuardMessage{ClockMS: nowMS, Follows: c.follows, Pace: fullPace, Unresponsive: c.unresponsive}
 	if !c.Settling() {
 		c.reportEnded(&u)
 	}
@@ -480,7 +484,7 @@
 // Report returns the next message to the owner; l is the newest listing, or nil when there is no new one. With
 // full set, the message is a complete inventory.
 func (c *Core) Report(nowMS int64, l *Listing, full bool) link.GuardMessage {
-	u := link.GuardMessage{ClockMS: nowMS, Pace: c.pacer.wholePercent(), Unresponsive: c.unresponsive}
+	u := link.GuardMessage{ClockMS: nowMS, Follows: c.follows, Pace: c.pacer.wholePercent(), Unresponsive: c.unresponsive}
 	if c.Settling() {
 		return u
 	}
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -480,3 +480,24 @@
 		t.Errorf("message %+v, want the inventory of the incarnation that answers", up)
 	}
 }
+
+// TestFollowsHighestEpoch checks what owners hear of whom a guard follows: messages of an owner that was replaced confirm nothing,
+// and late ones take nothing back. A successor counts on that.
+func TestFollowsHighestEpoch(t *testing.T) {
+	c := NewCore(Options{Node: "n", RunLease: 4 * time.Second})
+	for _, tt := range []struct {
+		epoch, clockMS int64
+		want           link.Following
+	}{
+		{3, 500, link.Following{Epoch: 3, SinceMS: 500, HeardMS: 500}},
+		{3, 800, link.Following{Epoch: 3, SinceMS: 500, HeardMS: 800}},
+		{3, 700, link.Following{Epoch: 3, SinceMS: 500, HeardMS: 800}},
+		{7, 20, link.Following{Epoch: 7, SinceMS: 20, HeardMS: 20}},
+		{3, 900, link.Following{Epoch: 7, SinceMS: 20, HeardMS: 20}},
+	} {
+		c.ExtendLease(link.OwnerMessage{Epoch: tt.epoch, ClockMS: tt.clockMS})
+		if c.Linked(); c.Heartbeat(1000).Follows != tt.want || c.Report(1000, nil, false).Follows != tt.want {
+			t.Errorf("after a message of owner %d the guard follows %+v, want %+v", tt.epoch, c.Heartbeat(1000).Follows, tt.want)
+		}
+	}
+}
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -135,14 +135,27 @@
 	Unresponsive bool `json:"mute,omitempty"`
 	// ClockMS is the guard's monotonic clock when the message was made, in milliseconds.
 	ClockMS int64 `json:"clock"`
+	// Follows names the ownership that the guard follows; zero before the first message of an owner.
+	Follows Following `json:"follows,omitzero"`
 	// UnixMS is the guard's time of day, in Unix milliseconds; it is sent from time to time, otherwise 0.
 	UnixMS int64 `json:"unix,omitempty"`
 }
 
+// Following is the ownership that a guard follows: the one with the highest epoch that it has had a message of. The guard obeys
+// none with a lower epoch any more.
+type Following struct {
+	Epoch int64 `json:"epoch"`
+	// SinceMS is OwnerMessage.ClockMS of the first message under the epoch, HeardMS that of the newest one.
+	SinceMS int64 `json:"since"`
+	HeardMS int64 `json:"heard"`
+}
+
 // OwnerMessage is one message of the owner.
 type OwnerMessage struct {
 	// Epoch numbers the ownership; a guard that has seen a higher one rejects the message.
 	Epoch int64 `json:"epoch"`
+	// ClockMS is the owner's clock when the message was made, in milliseconds; it also advances while the machine is suspended.
+	ClockMS int64 `json:"clock,omitempty"`
 	// EchoMS is the newest clock reading received from the guard, in milliseconds; the lease of runs counts from
 	// it.
 	EchoMS int64 `json:"echo"`
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -74,6 +74,8 @@
 	adviser          Adviser
 	// extendCheckedAt is when mayExtend was called last, stalledAt when it found that the process had stood still.
 	extendCheckedAt, stalledAt time.Time
+	// clockMS reads a clock in milliseconds that also advances while the machine is suspended; it is never 0.
+	clockMS func() int64
 	// broken is the panic after which the state of core may be inconsistent, or nil; the cell is then loaded anew.
 	broken error
 	// drains is nil where data centres can't be drained.
@@ -83,8 +85,10 @@
 // New returns a cell that this process doesn't own yet.
 func New(opt sched.Options, s store.Store, lease *ownership.Runner, adviser Adviser, scope tally.Scope, l *log.Logger) *Cell {
 	opt.RecordBytes = s.Limits().Record
+	began := time.Now()
 	return &Cell{
-		opt: opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
+		clockMS: func() int64 { return time.Since(began).Milliseconds() + 1 },
+		opt:     opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
 		approvalRequests: make(chan sched.ApprovalRequest, maxApprovalRequests), adviser: adviser,
 	}
 }
@@ -92,6 +96,10 @@
 // UseDrains makes the cell observe drains of data centres. It must be called before Run.
 func (c *Cell) UseDrains(f *drains.Follower) { c.drains = f }
 
+// UseClock makes the cell read a clock that also advances while the machine is suspended, in milliseconds above 0. It must be
+// called before Run.
+func (c *Cell) UseClock(clockMS func() int64) { c.clockMS = clockMS }
+
 // applyDrains passes the current view of the drains to the scheduler. The caller holds the lock.
 func (c *Cell) applyDrains(now time.Time) {
 	if c.drains != nil {
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -23,9 +23,8 @@
 	// worker is the incarnation of the worker whose inventory the guard sent last; empty before the first and after
 	// that incarnation has ended or attached over another link.
 	worker string
-	// echoMS is the newest clock reading received from the guard, in milliseconds, at heardAt.
-	echoMS  int64
-	heardAt time.Time
+	// echoMS is the newest clock reading received from the guard, in milliseconds.
+	echoMS int64
 	// outbox holds commands until sendLoop sends them.
 	outbox link.OwnerMessage
 	wake   chan struct{}
@@ -81,10 +80,13 @@
 		return errStale
 	}
 	now := time.Now()
-	p.echoMS, p.heardAt = max(p.echoMS, up.ClockMS), now
+	p.echoMS = max(p.echoMS, up.ClockMS)
 	if up.Node != "" {
 		p.node = up.Node
 	}
+	if up.Follows.Epoch == epoch {
+		c.core.Followed(now, p.node, up.Follows)
+	}
 	if up.UnixMS > 0 {
 		c.clock.Observe(now, p.node, up.UnixMS)
 	}
@@ -186,7 +188,7 @@
 		return link.OwnerMessage{}, err
 	}
 	d := p.nextCommands()
-	d.Epoch, d.Worker = epoch, p.worker
+	d.Epoch, d.Worker, d.ClockMS = epoch, p.worker, c.clockMS()
 	if c.mayExtend(time.Now()) {
 		d.EchoMS = p.echoMS
 	}
@@ -198,8 +200,8 @@
 const maxStall = 1500 * time.Millisecond
 
 // mayExtend reports whether this process may extend the leases of runs. After its own lease has expired it may as long as it
-// hears from most guards: a successor knows by the guards that follow it when that is over. After a stall it waits until it
-// must have read that it was replaced; what its links still hold says nothing. The caller holds the lock.
+// most guards confirm its messages: a successor knows by the guards that follow it when that is over. After a stall it waits until
+// it must have read that it was replaced. The caller holds the lock.
 func (c *Cell) mayExtend(now time.Time) bool {
 	// The monotonic clock stands still while the machine is suspended; the wall clock doesn't.
 	gap := max(now.Sub(c.extendCheckedAt), now.Round(0).Sub(c.extendCheckedAt.Round(0)))
@@ -210,16 +212,12 @@
 	if now.Sub(c.stalledAt) < c.opt.GuardSilence {
 		return false
 	}
-	if _, sinceExpiry, ok := c.lease.Holds(); ok && sinceExpiry <= 0 {
-		return true
-	}
-	heard := 0
-	for _, p := range c.links {
-		if now.Sub(p.heardAt) < c.opt.GuardSilence {
-			heard++
-		}
+	_, sinceExpiry, ok := c.lease.Holds()
+	if !ok || sinceExpiry <= 0 {
+		return ok
 	}
-	return c.core.MayExtend(heard)
+	nowMS := c.clockMS()
+	return c.core.MayExtend(nowMS, nowMS-sinceExpiry.Milliseconds())
 }
 
 // maxStartBytes bounds the starts of one message, in bytes; the next message has the others. A link takes only so much at a
--- a/internal/owner/peer_test.go
+++ b/internal/owner/peer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/store"
 	"github.com/crocusspring/crocusspring/internal/store/memstore"
 )
 
@@ -70,3 +71,55 @@
 		check(time.Millisecond, true)
 	})
 }
+
+// TestExtensionCountsConfirmations checks which guards an owner counts after its lease has ended: those that confirm messages of
+// the last GuardSilence. A report that a link held up proves nothing: its guard may follow another owner by now.
+func TestExtensionCountsConfirmations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := memstore.New()
+		var records []store.Record
+		for _, node := range []string{"a", "b", "c"} {
+			records = append(records, store.Record{Key: "w/worker-" + node, Value: []byte(node)})
+		}
+		if _, err := mem.Append(t.Context(), store.TopicRuns, store.AnyOffset, records); err != nil {
+			t.Fatal(err)
+		}
+		c := ownedCell(t, mem)
+		first := c.clockMS()
+		check := func(what string, want bool) {
+			t.Helper()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if got := c.mayExtend(time.Now()); got != want {
+				t.Errorf("%s: may extend: %v, want %v", what, got, want)
+			}
+		}
+		confirm := func(heardMS int64, nodes ...string) {
+			for _, node := range nodes {
+				up := link.GuardMessage{Node: node, ClockMS: 1, Follows: link.Following{Epoch: c.epoch, SinceMS: first, HeardMS: heardMS}}
+				if err := c.report(&peer{}, c.epoch, up); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+		check("with a lease", true)
+		mem.SetFaults(func(string, string) memstore.Fault { return memstore.Fault{Refuse: true} })
+		for range 2 {
+			time.Sleep(time.Second)
+			c.mu.Lock()
+			c.mayExtend(time.Now())
+			c.mu.Unlock()
+		}
+		check("without a lease or a guard", false)
+		sent := c.clockMS()
+		confirm(sent, "a")
+		check("with one guard of three", false)
+		confirm(sent, "b")
+		check("with two guards of three", true)
+		time.Sleep(c.opt.GuardSilence)
+		confirm(sent, "a", "b", "c")
+		check("with reports that were held up", false)
+		confirm(c.clockMS(), "b", "c")
+		check("with two others", true)
+	})
+}
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -117,8 +117,9 @@
 	common := c.common(n.Name)
 	common.Inner = l.Addr().String()
 	lease := common.lease(true)
-	cell := owner.New(common.schedOptions(), c.store, lease, nil, common.scope(), c.log)
 	clock := func() int64 { return time.Since(c.began).Milliseconds() + 1 }
+	cell := owner.New(common.schedOptions(), c.store, lease, nil, common.scope(), c.log)
+	cell.UseClock(clock)
 	g := guard.New(guard.Options{Node: n.Name, RunLease: runLease, MaxLease: runLease}, n.Executor, lease, clock, common.scope(), c.log)
 	mux := http.NewServeMux()
 	cell.Routes(mux)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -302,6 +302,7 @@
 	defer stop()
 	lease := g.lease(true)
 	cell := owner.New(g.schedOptions(), g.Store, lease, g.Adviser, g.scope(), g.Log.WithPrefix("cell"))
+	cell.UseClock(g.Clock)
 	opt := guard.Options{Node: g.Node, RunLease: runLease, MaxLease: g.MaxLease}
 	grp, ctx := errgroup.WithContext(ctx)
 	if g.DrainWithin > 0 {
--- a/internal/sched/cell_owner_test.go
+++ b/internal/sched/cell_owner_test.go
@@ -45,13 +45,12 @@
 
 // cellPeer is a guard with an open link, as the owner sees it.
 type cellPeer struct {
-	l       *cellLink
-	node    string
-	worker  string
-	echoMS  int64
-	heardAt int64
-	outbox  link.OwnerMessage
-	wake    cellSignal
+	l      *cellLink
+	node   string
+	worker string
+	echoMS int64
+	outbox link.OwnerMessage
+	wake   cellSignal
 }
 
 // newCellLink returns an open link.
@@ -345,10 +344,13 @@
 		return false
 	}
 	now := o.time()
-	p.echoMS, p.heardAt = max(p.echoMS, up.ClockMS), o.w.now
+	p.echoMS = max(p.echoMS, up.ClockMS)
 	if up.Node != "" {
 		p.node = up.Node
 	}
+	if up.Follows.Epoch == o.epoch {
+		o.core.Followed(now, p.node, up.Follows)
+	}
 	for _, crash := range up.Crashed {
 		o.core.WorkerCrashed(now, crash)
 	}
@@ -419,7 +421,7 @@
 	}
 	d := p.outbox
 	p.outbox = link.OwnerMessage{}
-	d.Epoch, d.Worker = o.epoch, p.worker
+	d.Epoch, d.Worker, d.ClockMS = o.epoch, p.worker, o.clockMS(o.w.now)
 	if o.mayExtend() {
 		d.EchoMS = p.echoMS
 	}
@@ -439,15 +441,12 @@
 	if o.leaseOverAt == 0 || o.w.now < o.leaseOverAt {
 		return true
 	}
-	heard := 0
-	for _, p := range o.links {
-		if o.w.now-p.heardAt < guardSilenceMS {
-			heard++
-		}
-	}
-	return o.core.MayExtend(heard)
+	return o.core.MayExtend(o.clockMS(o.w.now), o.clockMS(o.leaseOverAt))
 }
 
+// clockMS returns what the owner's clock reads at a time of the world; it is never 0.
+func (o *cellOwner) clockMS(at int64) int64 { return at + 1 }
+
 // queueCommands queues the scheduler's commands on the links of their workers.
 func (o *cellOwner) queueCommands() {
 	commands := o.core.Commands()
--- a/internal/sched/cell_scene_test.go
+++ b/internal/sched/cell_scene_test.go
@@ -131,7 +131,7 @@
 }
 
 // TestLossOfManyMachines guards against lasting tasks that wait for the expiry of a lease that nobody extends: 5 of 13 machines
-// go for good, one of them with the owner. Its successor hears from less than two thirds of the guards and waits for the rest.
+// go for good, one of them with the owner. Its successor heard from less than two thirds of the guards and waited for the rest.
 func TestLossOfManyMachines(t *testing.T) {
 	w := loadedScene()
 	w.runUntil(6000)
--- /dev/null
+++ b/internal/sched/quorum.go
@@ -0,0 +1,143 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/event"
+	"github.com/crocusspring/crocusspring/internal/link"
+)
+
+// guardQuorum decides by the guards when an owner without a lease of its own may extend the leases of runs, and when its
+// successor knows that it doesn't. Both count over the same set, the nodes in the stored records of workers: the successor's
+// fence ends what its predecessor stores. The one needs more than half, the other at least half, and a guard that follows the
+// successor confirms no message of the predecessor any more.
+type guardQuorum struct {
+	// records are the stored records of workers.
+	records nodeRecords
+	// inherited are the nodes that they named at the takeover, and takenOverAt when that was.
+	inherited   map[string]bool
+	takenOverAt time.Time
+	// followers are the nodes whose guards have followed this owner.
+	followers map[string]link.Following
+	// extensionOver says that no predecessor extends the leases of runs for longer than GuardSilence from then.
+	extensionOver bool
+}
+
+// newGuardQuorum returns a quorum without nodes.
+func newGuardQuorum() guardQuorum {
+	return guardQuorum{records: nodeRecords{}, inherited: map[string]bool{}, followers: map[string]link.Following{}}
+}
+
+// nodeRecords holds the possible values of the stored record of each worker: a node, or nothing for one without a record. There
+// are several while the outcome of an append is unknown.
+type nodeRecords map[string][]string
+
+// attempt notes that a record is being stored.
+func (r nodeRecords) attempt(worker, node string) {
+	if len(r[worker]) == 0 {
+		r[worker] = []string{""}
+	}
+	if !slices.Contains(r[worker], node) {
+		r[worker] = append(r[worker], node)
+	}
+}
+
+// settle notes the value that a record has for certain.
+func (r nodeRecords) settle(worker, node string) {
+	if r[worker] = []string{node}; node == "" {
+		delete(r, worker)
+	}
+}
+
+// members returns the nodes that the records name, true for those that they name for certain.
+func (r nodeRecords) members() map[string]bool {
+	out := map[string]bool{}
+	for _, nodes := range r {
+		for _, node := range nodes {
+			if node != "" {
+				out[node] = out[node] || len(nodes) == 1
+			}
+		}
+	}
+	return out
+}
+
+// inheritNode takes the record of a worker that was stored before the takeover.
+func (c *Core) inheritNode(now time.Time, worker, node string) {
+	c.guards.takenOverAt = now
+	c.guards.records.settle(worker, node)
+	if node != "" {
+		c.guards.inherited[node] = true
+	}
+}
+
+// Followed takes the word of a node's guard that it follows this owner.
+func (c *Core) Followed(now time.Time, node string, f link.Following) {
+	before, known := c.guards.followers[node]
+	if node == "" || known && f.HeardMS < before.HeardMS {
+		return
+	}
+	c.guards.followers[node] = f
+	if !known {
+		c.endExtension(now)
+	}
+}
+
+// MayExtend reports whether an owner whose lease has ended may extend the leases of runs; both times are readings of its clock.
+// It may while more than half of the nodes have confirmed messages of the last GuardSilence, whichever appends have succeeded. A
+// guard that has followed the owner only since its lease ended doesn't count: its process may be a new one on a node whose guard
+// followed a successor.
+func (c *Core) MayExtend(nowMS, leaseEndMS int64) bool {
+	margin := 0
+	for node, stored := range c.guards.records.members() {
+		f := c.guards.followers[node]
+		heard := f.HeardMS > 0 && nowMS-f.HeardMS < c.opt.GuardSilence.Milliseconds() && f.SinceMS < leaseEndMS
+		switch {
+		case !heard:
+			margin--
+		case stored:
+			margin++
+		}
+	}
+	return margin > 0
+}
+
+// endExtension shortens the wait for workers whose guards haven't linked, once at least half of the nodes follow this owner.
+func (c *Core) endExtension(now time.Time) {
+	g := &c.guards
+	follow := 0
+	for node := range g.inherited {
+		if _, ok := g.followers[node]; ok {
+			follow++
+		}
+	}
+	if g.extensionOver || len(g.inherited) == 0 || 2*follow < len(g.inherited) {
+		return
+	}
+	g.extensionOver = true
+	by := now.Add(c.opt.GuardSilence + c.opt.expiryDelay())
+	for _, w := range c.sortedWorkers {
+		if !w.attached && w.expiresAt.After(by) {
+			w.expiresAt = by
+		}
+	}
+	c.logDecision(event.Worker, "cell", fmt.Sprintf("most guards follow follow=%d of=%d lapse_in=%s", follow, len(g.inherited), by.Sub(now)))
+}
+
+// storableNodes returns the workers whose records may be stored now, in order. While a predecessor may extend the leases of runs
+// the set of nodes stays as it is: a further successor must count over the same one.
+func (c *Core) storableNodes(now time.Time) []string {
+	all := slices.Sorted(maps.Keys(c.dirtyNodes))
+	g := &c.guards
+	if g.extensionOver || len(g.inherited) == 0 || now.After(g.takenOverAt.Add(c.opt.RunLeaseExtension+c.opt.Margin)) {
+		return all
+	}
+	return slices.DeleteFunc(all, func(id string) bool {
+		node := c.dirtyNodes[id]
+		other := func(v string) bool { return v != "" && v != node }
+		return !g.inherited[node] || slices.ContainsFunc(g.records[id], other)
+	})
+}
--- /dev/null
+++ b/internal/sched/quorum_model_test.go
@@ -0,0 +1,220 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/crocusspring/crocusspring/internal/guard"
+	"github.com/crocusspring/crocusspring/internal/link"
+)
+
+// quorumLeaseMS is the length of an owner's lease, in milliseconds.
+const quorumLeaseMS = 1500
+
+// quorumOwner is an owner of quorumWorld.
+type quorumOwner struct {
+	epoch int64
+	core  *Core
+	// leaseEndMS is when its lease ends, and concludedMS when it concluded that no predecessor extends leases; 0 before.
+	leaseEndMS, concludedMS int64
+	// batch is the append that hasn't been answered.
+	batch *Batch
+	// stored says that the batch is in the store.
+	stored bool
+}
+
+// quorumGuard is the guard of a node.
+type quorumGuard struct {
+	node  string
+	core  *guard.Core
+	owner *quorumOwner
+}
+
+// quorumWorld is owners that take a cell one after the other and may live on, the guards, what is on its way between them, and
+// the records of workers in the store.
+type quorumWorld struct {
+	t       *rapid.T
+	nowMS   int64
+	owners  []*quorumOwner
+	guards  []*quorumGuard
+	records map[string]string
+	transit []func()
+	// extended and decided count the extensions by owners without a lease, and the conclusions.
+	extended, decided *int
+}
+
+// now returns the time of the world.
+func (w *quorumWorld) now() time.Time { return epoch0.Add(time.Duration(w.nowMS) * time.Millisecond) }
+
+// pick draws an index.
+func (w *quorumWorld) pick(name string, n int) int { return rapid.IntRange(0, n-1).Draw(w.t, name) }
+
+// newest returns the newest owner.
+func (w *quorumWorld) newest() *quorumOwner { return w.owners[len(w.owners)-1] }
+
+// boot starts the guard of a node; it knows nothing of a process before it.
+func (w *quorumWorld) boot(g *quorumGuard) {
+	g.core = guard.NewCore(guard.Options{Node: g.node, RunLease: 4 * time.Second})
+}
+
+// takeOver lets a new owner take the cell.
+func (w *quorumWorld) takeOver() {
+	core := New(quorumOptions())
+	for key, node := range w.records {
+		if err := core.Restore(w.now(), key, []byte(node)); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	w.owners = append(w.owners, &quorumOwner{epoch: int64(len(w.owners) + 1), core: core, leaseEndMS: w.nowMS + quorumLeaseMS})
+}
+
+// extends reports whether an owner whose lease has ended may extend the leases of runs.
+func (w *quorumWorld) extends(o *quorumOwner) bool {
+	since := w.nowMS - o.leaseEndMS
+	return since > 0 && since <= o.core.opt.RunLeaseExtension.Milliseconds() && o.core.MayExtend(w.nowMS, o.leaseEndMS)
+}
+
+// sendDown sends a message of an owner to a guard.
+func (w *quorumWorld) sendDown(o *quorumOwner, g *quorumGuard) {
+	to, d := g.core, link.OwnerMessage{Epoch: o.epoch, ClockMS: w.nowMS}
+	w.transit = append(w.transit, func() {
+		if g.core == to && g.owner == o && !to.ExtendLease(d) {
+			g.owner = nil
+		}
+	})
+}
+
+// sendUp sends a message of a guard to the owner that it is linked to; attach says that it is an inventory.
+func (w *quorumWorld) sendUp(g *quorumGuard, attach bool) {
+	o, up := g.owner, g.core.Heartbeat(w.nowMS)
+	if o == nil {
+		return
+	}
+	w.transit = append(w.transit, func() {
+		if up.Follows.Epoch == o.epoch {
+			o.core.Followed(w.now(), g.node, up.Follows)
+		}
+		if attach {
+			o.core.Attach(w.now(), g.node, nodeWorker(g.node), link.Listing{})
+		}
+	})
+}
+
+// store carries out the append of an owner, unless a successor has fenced it.
+func (w *quorumWorld) store(o *quorumOwner) {
+	if o.batch == nil || o.stored || o != w.newest() {
+		return
+	}
+	o.stored = true
+	for _, r := range o.batch.Records {
+		if delete(w.records, r.Key); len(r.Value) > 0 {
+			w.records[r.Key] = string(r.Value)
+		}
+	}
+}
+
+// step does one thing.
+func (w *quorumWorld) step() {
+	o, g := w.owners[max(0, len(w.owners)-1-w.pick("owner", 3))], w.guards[w.pick("guard", len(w.guards))]
+	switch w.pick("event", 16) {
+	case 0, 1:
+		w.nowMS += rapid.Int64Range(1, 700).Draw(w.t, "passes")
+	case 2, 3:
+		for _, g := range w.guards {
+			if g.owner != nil {
+				w.sendDown(g.owner, g)
+			}
+		}
+	case 4, 5:
+		for _, g := range w.guards {
+			w.sendUp(g, false)
+		}
+	case 6, 7:
+		// What was sent lately arrives.
+		for _, f := range w.transit {
+			f()
+		}
+		w.transit = nil
+	case 8:
+		if len(w.transit) > 0 {
+			w.transit[w.pick("message", len(w.transit))]()
+		}
+	case 9:
+		if o.epoch >= g.core.Epoch() {
+			g.owner = o
+		}
+	case 10:
+		w.boot(g)
+		g.owner = o
+	case 11:
+		w.sendUp(g, true)
+	case 12:
+		o.core.RemoveWorker(w.now(), nodeWorker(g.node).ID)
+	case 13:
+		if b, ok := o.core.Flush(w.now()); ok {
+			o.batch, o.stored = &b, false
+		}
+	case 14:
+		w.store(o)
+		if o.stored && rapid.Bool().Draw(w.t, "answered") {
+			o.core.Stored(w.now(), o.batch.Seq)
+			o.batch, o.stored = nil, false
+		}
+	case 15:
+		switch n := w.newest(); {
+		case w.nowMS < n.leaseEndMS && rapid.Bool().Draw(w.t, "renewed"):
+			n.leaseEndMS = w.nowMS + quorumLeaseMS
+		case w.nowMS >= n.leaseEndMS:
+			w.takeOver()
+		}
+	}
+}
+
+// check checks that no owner extends leases once a successor counts on that.
+func (w *quorumWorld) check() {
+	for i, next := range w.owners {
+		if next.concludedMS == 0 && next.core.guards.extensionOver {
+			next.concludedMS = w.nowMS
+			*w.decided++
+		}
+		silence := next.core.opt.GuardSilence.Milliseconds()
+		for _, o := range w.owners[:i] {
+			extends := w.extends(o)
+			*w.extended += toInt(extends)
+			if extends && next.concludedMS > 0 && w.nowMS >= next.concludedMS+silence {
+				w.t.Fatalf("owner %d extends leases at %d ms, owner %d concluded at %d ms that nobody does; records %v", o.epoch, w.nowMS, next.epoch,
+					next.concludedMS, w.records)
+			}
+		}
+	}
+}
+
+// TestNoExtensionBesideSuccessor plays owners and guards with late messages, restarts, workers that come and go, and appends
+// without an answer: an owner without a lease never extends the leases of runs once a successor counts on the contrary.
+func TestNoExtensionBesideSuccessor(t *testing.T) {
+	extended, decided := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := &quorumWorld{t: t, nowMS: 1000, records: map[string]string{}, extended: &extended, decided: &decided}
+		recorded := rapid.IntRange(1, 5).Draw(t, "recorded")
+		for i := range recorded + rapid.IntRange(0, 3).Draw(t, "unrecorded") {
+			g := &quorumGuard{node: fmt.Sprint(i)}
+			w.guards = append(w.guards, g)
+			if i < recorded {
+				w.records[workerPrefix+nodeWorker(g.node).ID] = g.node
+			}
+		}
+		w.takeOver()
+		for _, g := range w.guards {
+			w.boot(g)
+			g.owner = w.newest()
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			w.step()
+			w.check()
+		}
+	})
+	t.Logf("owners without a lease could extend %d times, successors concluded %d times", extended, decided)
+}
--- /dev/null
+++ b/internal/sched/quorum_test.go
@@ -0,0 +1,264 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/store"
+)
+
+// quorumOptions are options with the times of a deployment.
+func quorumOptions() Options {
+	opt := options
+	opt.RunLease, opt.RunLeaseExtension, opt.GuardSilence = 4*time.Second, 6*time.Second, time.Second
+	return opt
+}
+
+// nodeWorker returns a worker of a node.
+func nodeWorker(node string) link.Worker {
+	return link.Worker{ID: "w-" + node, Service: "pool", Capacity: big}
+}
+
+// restoreNodes returns a core that has taken over a store with records of workers.
+func restoreNodes(tb testing.TB, now time.Time, records map[string]string) *Core {
+	tb.Helper()
+	c := New(quorumOptions())
+	for key, value := range records {
+		if err := c.Restore(now, key, []byte(value)); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	return c
+}
+
+// recordFate is what the predecessor of quorumSplit has done with the record of a worker.
+type recordFate int
+
+const (
+	stored recordFate = iota
+	beingStored
+	beingDeleted
+	fates
+)
+
+// guardSide is whom a guard follows.
+type guardSide int
+
+const (
+	withPredecessor guardSide = iota
+	withSuccessor
+	silent
+	sides
+)
+
+// quorumSplit is one split of the guards between an owner whose appends are unanswered and its successor.
+type quorumSplit struct {
+	fate []recordFate
+	side []guardSide
+}
+
+// splits calls f with every split of n guards.
+func splits(n int, f func(quorumSplit)) {
+	kinds := int(fates) * int(sides)
+	total := 1
+	for range n {
+		total *= kinds
+	}
+	for code := range total {
+		var s quorumSplit
+		for range n {
+			s.fate = append(s.fate, recordFate(code%int(fates)))
+			s.side = append(s.side, guardSide(code/int(fates)%int(sides)))
+			code /= kinds
+		}
+		f(s)
+	}
+}
+
+// predecessor returns an owner with an append in flight, what was stored before, and the records of the append.
+func (s quorumSplit) predecessor(t *testing.T) (*Core, map[string]string, []store.Record) {
+	t.Helper()
+	before := map[string]string{}
+	for i, fate := range s.fate {
+		if fate != beingStored {
+			node := fmt.Sprint(i)
+			before[workerPrefix+nodeWorker(node).ID] = node
+		}
+	}
+	c := restoreNodes(t, epoch0, before)
+	c.guards.extensionOver = true
+	for i, fate := range s.fate {
+		node := fmt.Sprint(i)
+		switch fate {
+		case beingStored:
+			c.Attach(epoch0, node, nodeWorker(node), link.Listing{})
+		case beingDeleted:
+			c.RemoveWorker(epoch0, nodeWorker(node).ID)
+		}
+	}
+	b, _ := c.Flush(epoch0)
+	return c, before, b.Records
+}
+
+// TestExtensionNeedsMostGuards checks with every split of up to four guards, and every outcome of the records that an append was
+// to store, that an owner whose lease has ended may not extend the leases of runs once its successor counts on that.
+func TestExtensionNeedsMostGuards(t *testing.T) {
+	const nowMS, leaseEndMS = 10_000, 9000
+	cases, extended, concluded := 0, 0, 0
+	for n := 1; n <= 4; n++ {
+		splits(n, func(s quorumSplit) {
+			c, before, records := s.predecessor(t)
+			for i, side := range s.side {
+				if side == withPredecessor {
+					c.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 1, SinceMS: 1, HeardMS: nowMS})
+				}
+			}
+			may := c.MayExtend(nowMS, leaseEndMS)
+			for outcome := range 1 << len(records) {
+				after := map[string]string{}
+				for key, value := range before {
+					after[key] = value
+				}
+				for i, r := range records {
+					if outcome>>i&1 == 0 {
+						continue
+					}
+					if delete(after, r.Key); len(r.Value) > 0 {
+						after[r.Key] = string(r.Value)
+					}
+				}
+				next := restoreNodes(t, epoch0, after)
+				for i, side := range s.side {
+					if side == withSuccessor {
+						next.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 2, SinceMS: 1, HeardMS: 1})
+					}
+				}
+				cases++
+				extended += toInt(may)
+				concluded += toInt(next.guards.extensionOver)
+				if may && next.guards.extensionOver {
+					t.Fatalf("%+v, append %v with outcome %b: the owner extends leases while its successor counts on the contrary", s, records, outcome)
+				}
+			}
+		})
+	}
+	t.Logf("%d cases: the predecessor may extend in %d, the successor concludes in %d", cases, extended, concluded)
+	if extended == 0 || concluded == 0 {
+		t.Error("no case in which one of the two comes to anything")
+	}
+}
+
+// TestHalfOfTheGuardsEndExtension checks that a successor concludes as soon as the guards that are left can't be most, whatever
+// their number, and that the guards of all nodes let an owner extend.
+func TestHalfOfTheGuardsEndExtension(t *testing.T) {
+	for n := 1; n <= 60; n++ {
+		records := map[string]string{}
+		for i := range n {
+			records[fmt.Sprint(workerPrefix, i)] = fmt.Sprint(i)
+		}
+		before, next := restoreNodes(t, epoch0, records), restoreNodes(t, epoch0, records)
+		for i := range n {
+			before.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 1, SinceMS: 1, HeardMS: 1000})
+			over := 2*i >= n
+			if next.guards.extensionOver != over {
+				t.Fatalf("%d of %d guards follow: extension over is %t, want %t", i, n, !over, over)
+			}
+			next.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 2, SinceMS: 1, HeardMS: 1000})
+			if may := 2*(i+1) > n; before.MayExtend(1000, 500) != may {
+				t.Fatalf("%d of %d guards confirm: may extend is %t, want %t", i+1, n, !may, may)
+			}
+		}
+	}
+}
+
+// TestStaleConfirmations checks that what a guard confirmed too long ago doesn't count, however late it arrives, nor what a
+// guard confirms that has followed the owner only since its lease ended.
+func TestStaleConfirmations(t *testing.T) {
+	const leaseEndMS = 5000
+	for _, tt := range []struct {
+		name string
+		f    link.Following
+		want bool
+	}{
+		{"fresh", link.Following{Epoch: 1, SinceMS: 1, HeardMS: 6000}, true},
+		{"stale", link.Following{Epoch: 1, SinceMS: 1, HeardMS: 5000}, false},
+		{"follows since the lease ended", link.Following{Epoch: 1, SinceMS: leaseEndMS, HeardMS: 6000}, false},
+		{"confirms nothing", link.Following{Epoch: 1}, false},
+	} {
+		c := restoreNodes(t, epoch0, map[string]string{workerPrefix + "w": "a"})
+		c.Followed(epoch0, "a", tt.f)
+		if got := c.MayExtend(6000, leaseEndMS); got != tt.want {
+			t.Errorf("%s: may extend is %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestNodesStayWhileExtended guards against runs that go on beside their successors after two takeovers in a row: an owner of two
+// guards out of five recorded three new ones, so that a further successor had most of the guards, although the first owner still
+// heard from most of those that there were.
+func TestNodesStayWhileExtended(t *testing.T) {
+	records := map[string]string{}
+	for _, node := range []string{"a", "b", "c", "d", "e"} {
+		records[workerPrefix+nodeWorker(node).ID] = node
+	}
+	first, second := restoreNodes(t, epoch0, records), restoreNodes(t, epoch0, records)
+	for _, node := range []string{"a", "b", "c"} {
+		first.Followed(epoch0, node, link.Following{Epoch: 1, SinceMS: 1, HeardMS: 5000})
+	}
+	joined := []string{"f", "g", "h"}
+	for _, node := range append([]string{"d", "e"}, joined...) {
+		second.Followed(epoch0, node, link.Following{Epoch: 2, SinceMS: 1, HeardMS: 1})
+		second.Attach(epoch0, node, nodeWorker(node), link.Listing{})
+	}
+	flush := func(now time.Time) {
+		b, _ := second.Flush(now)
+		for _, r := range b.Records {
+			if delete(records, r.Key); len(r.Value) > 0 {
+				records[r.Key] = string(r.Value)
+			}
+		}
+		second.Stored(now, b.Seq)
+	}
+	flush(epoch0)
+	third := restoreNodes(t, epoch0, records)
+	for _, node := range append([]string{"d", "e"}, joined...) {
+		third.Followed(epoch0, node, link.Following{Epoch: 3, SinceMS: 1, HeardMS: 1})
+	}
+	if !first.MayExtend(5000, 4000) || third.guards.extensionOver {
+		t.Errorf("first may extend: %t, third counts on the contrary: %t", first.MayExtend(5000, 4000), third.guards.extensionOver)
+	}
+	opt := quorumOptions()
+	flush(epoch0.Add(opt.RunLeaseExtension + opt.Margin + time.Millisecond))
+	for _, node := range joined {
+		if records[workerPrefix+nodeWorker(node).ID] != node {
+			t.Errorf("the worker of node %s isn't recorded once the extension is over", node)
+		}
+	}
+}
+
+// TestOverwrittenNodeIsUncertain checks that a record that another writer has overwritten doesn't let an owner extend until it
+// has been stored again.
+func TestOverwrittenNodeIsUncertain(t *testing.T) {
+	key := workerPrefix + nodeWorker("a").ID
+	c := restoreNodes(t, epoch0, map[string]string{key: "a"})
+	c.Followed(epoch0, "a", link.Following{Epoch: 1, SinceMS: 1, HeardMS: 1000})
+	may := func() bool { return c.MayExtend(1000, 500) }
+	if !may() {
+		t.Error("may not extend with the guard of the only node")
+	}
+	c.Overwritten([]string{key})
+	if may() {
+		t.Error("may extend although the record may name no node")
+	}
+	b, _ := c.Flush(epoch0)
+	c.Overwritten([]string{key})
+	if c.Stored(epoch0, b.Seq); may() {
+		t.Error("may extend although the record was overwritten again")
+	}
+	b, _ = c.Flush(epoch0)
+	if c.Stored(epoch0, b.Seq); !may() {
+		t.Error("may not extend although the record is stored again")
+	}
+}
--- a/internal/sched/records.go
+++ b/internal/sched/records.go
@@ -378,6 +378,10 @@
 func (c *Core) Overwritten(keys []string) {
 	for _, key := range keys {
 		if worker, ok := strings.CutPrefix(key, workerPrefix); ok {
+			c.guards.records.attempt(worker, "")
+			if c.inFlight != nil {
+				delete(c.inFlight.nodes, worker)
+			}
 			c.dirtyNodes[worker] = ""
 			if w := c.workers[worker]; w != nil {
 				c.dirtyNodes[worker] = w.node
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -16,6 +16,7 @@
 	}
 	if worker, ok := strings.CutPrefix(id, workerPrefix); ok {
 		c.ensureWorker(now, worker).node = string(value)
+		c.inheritNode(now, worker, string(value))
 		return nil
 	}
 	if strings.HasPrefix(id, partPrefix) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -29,7 +29,7 @@
 	// RunLeaseExtension is how long an owner may go on extending the leases of runs, by echoes, after its own
 	// lease has ended.
 	RunLeaseExtension time.Duration
-	// GuardSilence is how long an owner may go on with that after it last heard from most guards.
+	// GuardSilence is how long an owner may go on with that after the newest of its messages that most guards have confirmed.
 	GuardSilence time.Duration
 	// Margin is added to every expiry delay for the granularity of clocks and timers.
 	Margin time.Duration
@@ -122,8 +122,7 @@
 	// unixMS is the time of day, in Unix milliseconds, at the time unixAt; see SetTimeOfDay.
 	unixMS int64
 	unixAt time.Time
-	// extensionOver says that no predecessor extends the leases of runs any more, as far as that follows from the guards.
-	extensionOver bool
+	guards guardQuorum
 	// maxAge bounds the age of a job that is submitted, by the time of day of its entry; 0 for no bound.
 	maxAge time.Duration
 	// interferenceSavedAt is when the interference estimates were stored last.
@@ -135,6 +134,8 @@
 	seq      int64
 	commands Commands
 	states   map[*jobState]State
+	// nodes are the records of workers in it.
+	nodes map[string]string
 }
 
 // DecisionRecord is one scheduling decision, for the log.
@@ -150,7 +151,7 @@
 func New(opt Options) *Core {
 	return &Core{
 		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{},
-		dirty: map[string]*jobState{}, dirtyNodes: map[string]string{}, gatedCommands: Commands{}, readyCommands: Commands{}, durationRatios: durationRatios{},
+		dirty: map[string]*jobState{}, dirtyNodes: map[string]string{}, gatedCommands: Commands{}, readyCommands: Commands{}, durationRatios: durationRatios{}, guards: newGuardQuorum(),
 		health: newHealth(), crashed: newCrashes(), drainsKnown: true, awaitingApproval: map[string]*step{}, interferenceModel: interfere.NewTails(),
 	}
 }
@@ -183,11 +184,12 @@
 // Flush returns the next batch to store, if anything has changed and no batch is in flight. Its records may be stored by
 // several appends, in order.
 func (c *Core) Flush(now time.Time) (Batch, bool) {
-	if c.inFlight != nil || len(c.dirty) == 0 && len(c.gatedCommands) == 0 && len(c.dirtyNodes) == 0 {
+	nodes := c.storableNodes(now)
+	if c.inFlight != nil || len(c.dirty) == 0 && len(c.gatedCommands) == 0 && len(nodes) == 0 {
 		return Batch{}, false
 	}
 	c.seq++
-	f := &inFlightBatch{seq: c.seq, commands: c.gatedCommands, states: map[*jobState]State{}}
+	f := &inFlightBatch{seq: c.seq, commands: c.gatedCommands, states: map[*jobState]State{}, nodes: map[string]string{}}
 	b := Batch{Seq: c.seq}
 	for _, id := range slices.Sorted(maps.Keys(c.dirty)) {
 		j := c.dirty[id]
@@ -199,10 +201,12 @@
 		b.Records = append(b.Records, records...)
 		f.states[j] = j.state
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.dirtyNodes)) {
-		b.Records = append(b.Records, store.Record{Key: workerPrefix + id, Value: []byte(c.dirtyNodes[id])})
+	for _, id := range nodes {
+		f.nodes[id] = c.dirtyNodes[id]
+		c.guards.records.attempt(id, f.nodes[id])
+		b.Records = append(b.Records, store.Record{Key: workerPrefix + id, Value: []byte(f.nodes[id])})
+		delete(c.dirtyNodes, id)
 	}
-	clear(c.dirtyNodes)
 	if len(b.Records) > 0 {
 		c.appendInterference(now, &b)
 	}
@@ -218,6 +222,11 @@
 		return
 	}
 	c.inFlight = nil
+	for id, node := range f.nodes {
+		if !slices.Contains(rejected, workerPrefix+id) {
+			c.guards.records.settle(id, node)
+		}
+	}
 	unstored := c.jobsOf(rejected)
 	for j, s := range f.states {
 		if !unstored[j] {
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -45,6 +45,7 @@
 		for _, id := range workers {
 			if id != lost && linked > 0 {
 				linked--
+				next.Followed(now, "node-"+id, link.Following{Epoch: 2, SinceMS: 1, HeardMS: 1})
 				next.Attach(now, "node-"+id, link.Worker{ID: id, Service: "pool", Capacity: big}, link.Listing{Running: rows[id]})
 			}
 		}
@@ -58,24 +59,3 @@
 		}
 	}
 }
-
-// TestExtensionNeedsMostGuards checks that the two shares of guards exclude each other: an owner that hears from those that
-// don't follow its successor may not extend the leases of runs, whatever the number of workers.
-func TestExtensionNeedsMostGuards(t *testing.T) {
-	for n := 1; n <= 400; n++ {
-		c := New(options)
-		for i := range n {
-			c.ensureWorker(epoch0, string(rune('a'+i)))
-		}
-		follow := 0
-		for float64(follow) < followShare*float64(n) {
-			follow++
-		}
-		if c.MayExtend(n - follow) {
-			t.Fatalf("of %d workers, %d may follow the new owner while the other one extends", n, follow)
-		}
-		if !c.MayExtend(n) {
-			t.Fatalf("an owner that hears from all %d guards may not extend", n)
-		}
-	}
-}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -194,44 +194,6 @@
 	}
 	c.reconcileCopies(now, w, listed, l.EndsCut)
 	c.Report(now, info.ID, l)
-	c.endExtension(now)
-}
-
-// Quorums of guards: an owner whose lease has expired extends the leases of runs only while it hears from more than one in
-// extendQuorum workers' guards; a new owner to which at least followShare of them are linked concludes that no predecessor
-// does any more. The shares exclude each other with room for a few workers that one of the two doesn't know.
-const (
-	extendQuorum = 2
-	followShare  = 2.0 / 3
-)
-
-// MayExtend reports whether an owner whose lease has expired may extend the leases of runs while it hears from the guards of
-// some workers.
-func (c *Core) MayExtend(heard int) bool { return extendQuorum*heard > len(c.workers) }
-
-// endExtension shortens the wait for workers whose guards haven't linked, once most guards follow this owner: a guard follows
-// one owner at a time, so that a predecessor hears from too few to extend the leases of runs.
-func (c *Core) endExtension(now time.Time) {
-	if c.extensionOver {
-		return
-	}
-	attached := 0
-	for _, w := range c.sortedWorkers {
-		if w.attached {
-			attached++
-		}
-	}
-	if float64(attached) < followShare*float64(len(c.workers)) {
-		return
-	}
-	c.extensionOver = true
-	by := now.Add(c.opt.GuardSilence + c.opt.expiryDelay())
-	for _, w := range c.sortedWorkers {
-		if !w.attached && w.expiresAt.After(by) {
-			w.expiresAt = by
-		}
-	}
-	c.logDecision(event.Worker, "cell", fmt.Sprintf("most guards linked attached=%d of=%d lapse_in=%s", attached, len(c.workers), by.Sub(now)))
 }
 
 // settleUnshown stops the runs that the inventory didn't show since it was cut short, once a listing is complete: those
