Takeover: a quarter of the guards end the extension of leases after two seconds

Seen: more than half of the machines go with the owner, and lasting tasks from there stand still for over 12 s (TestLossOfMostMachines, 7 and 9 of 13 machines; it failed before).

Cause: the predecessor may extend the leases of runs for 6 s with more than half of the guards, and a successor that has less than half can't tell whether it does.

Change: more than half suffice for 2 s after the end of the lease, then it takes more than three quarters. A successor that a quarter follow knows that nobody extends 2 s after its takeover. The extension is there for a store that is away for everybody; then all guards confirm, so that its length stays 6 s.

Why it holds: at each time the guards that the predecessor needs and those that the successor has share one, as before. The lease of the predecessor ended before the takeover, so the 2 s count later at the successor.

TestLostWorkerAfterTakeover: one guard of three now ends the wait at 2 s; a case without any keeps that of the whole time.

--- a/internal/owner/write_test.go
+++ b/internal/owner/write_test.go
@@ -36,7 +36,7 @@
 	lease := ownership.NewRunner(ownership.Options{
 		Node: node, Incarnation: "1", Candidate: true, Length: 1500 * time.Millisecond, RenewEvery: 500 * time.Millisecond,
 	}, mem, logs.Discard())
-	opt := sched.Options{RunLease: 4 * time.Second, RunLeaseExtension: 6 * time.Second, GuardSilence: time.Second, Margin: 200 * time.Millisecond, JobRetention: time.Minute}
+	opt := sched.Options{RunLease: 4 * time.Second, RunLeaseExtension: 6 * time.Second, HalfQuorumTime: 2 * time.Second, GuardSilence: time.Second, Margin: 200 * time.Millisecond, JobRetention: time.Minute}
 	c = New(opt, mem, lease, nil, tally.NoopScope, logs.Discard())
 	done := make(chan struct{}, 2)
 	for _, run := range []func(context.Context) error{lease.Run, c.Run} {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -51,6 +51,8 @@
 	// runLeaseExtension is how long an owner goes on extending the leases of runs after its own lease has
 	// expired, while the store is unavailable and no other candidate can have taken over the cell.
 	runLeaseExtension = 6 * time.Second
+	// halfQuorumTime is how long more than half of the guards suffice for that; then it takes more than three quarters.
+	halfQuorumTime = 2 * time.Second
 	// guardSilence is how long an owner goes on with that after it last heard from most guards: a few heartbeats.
 	guardSilence = time.Second
 	// expiryMargin is added to the expiry of run leases for the granularity of timers and clocks.
@@ -106,7 +108,7 @@
 
 // schedOptions returns the parameters of the scheduler.
 func (c *Common) schedOptions() sched.Options {
-	return sched.Options{RunLease: runLease, RunLeaseExtension: runLeaseExtension, GuardSilence: guardSilence, Margin: expiryMargin, JobRetention: c.JobRetention}
+	return sched.Options{RunLease: runLease, RunLeaseExtension: runLeaseExtension, HalfQuorumTime: halfQuorumTime, GuardSilence: guardSilence, Margin: expiryMargin, JobRetention: c.JobRetention}
 }
 
 // lease returns the runner that follows the cell's lease for this process and, if the process is a
--- a/internal/sched/cell_owner_test.go
+++ b/internal/sched/cell_owner_test.go
@@ -18,13 +18,14 @@
 	ownerRetryMS   = 100
 	guardSilenceMS = 1000
 	extensionMS    = 6000
+	halfQuorumMS   = 2000
 )
 
 // cellOptions are the options of the scheduler in a deployment; see internal/process.
 func cellOptions(recordBytes int) sched.Options {
 	return sched.Options{
-		RunLease: cellRunLeaseMS * time.Millisecond, RunLeaseExtension: extensionMS * time.Millisecond, GuardSilence: guardSilenceMS * time.Millisecond,
-		Margin: 200 * time.Millisecond, JobRetention: time.Hour, RecordBytes: recordBytes,
+		RunLease: cellRunLeaseMS * time.Millisecond, RunLeaseExtension: extensionMS * time.Millisecond, HalfQuorumTime: halfQuorumMS * time.Millisecond,
+		GuardSilence: guardSilenceMS * time.Millisecond, Margin: 200 * time.Millisecond, JobRetention: time.Hour, RecordBytes: recordBytes,
 	}
 }
 
--- a/internal/sched/cell_scene_test.go
+++ b/internal/sched/cell_scene_test.go
@@ -135,17 +135,42 @@
 func TestLossOfManyMachines(t *testing.T) {
 	w := loadedScene()
 	w.runUntil(6000)
+	w.loseWithOwner(5)
+	w.runUntil(w.now + 15_000)
+	w.reportAll(t)
+}
+
+// TestLossOfMostMachines is TestLossOfManyMachines with most machines, which are left to tasks that last.
+func TestLossOfMostMachines(t *testing.T) {
+	for _, n := range []int{7, 9} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := sceneWorld(13, nil)
+			w.runUntil(1000)
+			for k := range 8 {
+				s := w.drawSpec(fmt.Sprintf("lasts%d", k))
+				s.Steps = []job.Step{{Count: 3, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, LongRunning: true, MayMiss: 1}}
+				w.submit(s)
+			}
+			w.runUntil(6000)
+			w.loseWithOwner(n)
+			w.runUntil(w.now + 15_000)
+			w.reportAll(t)
+		})
+	}
+}
+
+// loseWithOwner lets some machines go for good with the owner; another one takes the cell two seconds later.
+func (w *cellWorld) loseWithOwner(n int) {
+	left := len(w.machines) - n
 	w.touch(2500)
-	for _, m := range w.machines[8:] {
+	for _, m := range w.machines[left:] {
 		m.gone = true
 		m.guard.kill()
 		m.crash()
 	}
-	w.machines = w.machines[:8]
+	w.machines = w.machines[:left]
 	w.newest().kill()
 	w.runUntil(w.now + 2000)
 	w.takeOver(0)
 	w.guardsFollow(500)
-	w.runUntil(w.now + 15_000)
-	w.reportAll(t)
 }
--- a/internal/sched/quorum.go
+++ b/internal/sched/quorum.go
@@ -12,8 +12,9 @@
 
 // guardQuorum decides by the guards when an owner without a lease of its own may extend the leases of runs, and when its
 // successor knows that it doesn't. Both count over the same set, the nodes in the stored records of workers: the successor's
-// fence ends what its predecessor stores. The one needs more than half, the other at least half, and a guard that follows the
-// successor confirms no message of the predecessor any more.
+// fence ends what its predecessor stores. The one needs more than half, the other at least half; after Options.HalfQuorumTime the
+// one needs more than three quarters, the other a quarter. A guard that follows the successor confirms no message of the
+// predecessor any more.
 type guardQuorum struct {
 	// records are the stored records of workers.
 	records nodeRecords
@@ -22,10 +23,17 @@
 	takenOverAt time.Time
 	// followers are the nodes whose guards have followed this owner.
 	followers map[string]link.Following
-	// extensionOver says that no predecessor extends the leases of runs for longer than GuardSilence from then.
-	extensionOver bool
+	// silentFrom is from when no predecessor extends the leases of runs.
+	silentFrom time.Time
 }
 
+// How many guards that confirm its messages an owner needs for each that doesn't, and one more: up to Options.HalfQuorumTime after
+// the end of its lease, and later.
+const (
+	earlyRatio = 1
+	lateRatio  = 3
+)
+
 // newGuardQuorum returns a quorum without nodes.
 func newGuardQuorum() guardQuorum {
 	return guardQuorum{records: nodeRecords{}, inherited: map[string]bool{}, followers: map[string]link.Following{}}
@@ -67,7 +75,7 @@
 
 // inheritNode takes the record of a worker that was stored before the takeover.
 func (c *Core) inheritNode(now time.Time, worker, node string) {
-	c.guards.takenOverAt = now
+	c.guards.takenOverAt, c.guards.silentFrom = now, now.Add(c.opt.RunLeaseExtension)
 	c.guards.records.settle(worker, node)
 	if node != "" {
 		c.guards.inherited[node] = true
@@ -87,17 +95,21 @@
 }
 
 // MayExtend reports whether an owner whose lease has ended may extend the leases of runs; both times are readings of its clock.
-// It may while more than half of the nodes have confirmed messages of the last GuardSilence, whichever appends have succeeded. A
+// It may while enough of the nodes have confirmed messages of the last GuardSilence, whichever appends have succeeded. A
 // guard that has followed the owner only since its lease ended doesn't count: its process may be a new one on a node whose guard
 // followed a successor.
 func (c *Core) MayExtend(nowMS, leaseEndMS int64) bool {
+	ratio := earlyRatio
+	if nowMS-leaseEndMS >= c.opt.HalfQuorumTime.Milliseconds() {
+		ratio = lateRatio
+	}
 	margin := 0
 	for node, stored := range c.guards.records.members() {
 		f := c.guards.followers[node]
 		heard := f.HeardMS > 0 && nowMS-f.HeardMS < c.opt.GuardSilence.Milliseconds() && f.SinceMS < leaseEndMS
 		switch {
 		case !heard:
-			margin--
+			margin -= ratio
 		case stored:
 			margin++
 		}
@@ -105,7 +117,8 @@
 	return margin > 0
 }
 
-// endExtension shortens the wait for workers whose guards haven't linked, once at least half of the nodes follow this owner.
+// endExtension shortens the wait for workers whose guards haven't linked, once so many nodes follow this owner that the others are
+// too few for a predecessor.
 func (c *Core) endExtension(now time.Time) {
 	g := &c.guards
 	follow := 0
@@ -114,25 +127,33 @@
 			follow++
 		}
 	}
-	if g.extensionOver || len(g.inherited) == 0 || 2*follow < len(g.inherited) {
+	from, others := now.Add(c.opt.GuardSilence), len(g.inherited)-follow
+	switch late := g.takenOverAt.Add(c.opt.HalfQuorumTime); {
+	case others > lateRatio*follow:
+		return
+	case others > earlyRatio*follow && late.After(from):
+		from = late
+	}
+	if !from.Before(g.silentFrom) {
 		return
 	}
-	g.extensionOver = true
-	by := now.Add(c.opt.GuardSilence + c.opt.expiryDelay())
+	g.silentFrom = from
+	by := from.Add(c.opt.expiryDelay())
 	for _, w := range c.sortedWorkers {
 		if !w.attached && w.expiresAt.After(by) {
 			w.expiresAt = by
 		}
 	}
-	c.logDecision(event.Worker, "cell", fmt.Sprintf("most guards follow follow=%d of=%d lapse_in=%s", follow, len(g.inherited), by.Sub(now)))
+	c.logDecision(event.Worker, "cell", fmt.Sprintf("guards follow=%d of=%d lapse_in=%s", follow, len(g.inherited), by.Sub(now)))
 }
 
 // storableNodes returns the workers whose records may be stored now, in order. While a predecessor may extend the leases of runs
-// the set of nodes stays as it is: a further successor must count over the same one.
+// the set of nodes stays as it is, since a further successor must count over the same one. Not for the last GuardSilence of that: by
+// the guards that successor can't conclude anything before it is over.
 func (c *Core) storableNodes(now time.Time) []string {
 	all := slices.Sorted(maps.Keys(c.dirtyNodes))
 	g := &c.guards
-	if g.extensionOver || len(g.inherited) == 0 || now.After(g.takenOverAt.Add(c.opt.RunLeaseExtension+c.opt.Margin)) {
+	if len(g.inherited) == 0 || !now.Before(g.silentFrom.Add(-c.opt.GuardSilence)) {
 		return all
 	}
 	return slices.DeleteFunc(all, func(id string) bool {
--- a/internal/sched/quorum_model_test.go
+++ b/internal/sched/quorum_model_test.go
@@ -18,8 +18,8 @@
 type quorumOwner struct {
 	epoch int64
 	core  *Core
-	// leaseEndMS is when its lease ends, and concludedMS when it concluded that no predecessor extends leases; 0 before.
-	leaseEndMS, concludedMS int64
+	// leaseEndMS is when its lease ends.
+	leaseEndMS int64
 	// batch is the append that hasn't been answered.
 	batch *Batch
 	// stored says that the batch is in the store.
@@ -42,7 +42,7 @@
 	guards  []*quorumGuard
 	records map[string]string
 	transit []func()
-	// extended and decided count the extensions by owners without a lease, and the conclusions.
+	// extended and decided count the extensions by owners without a lease, and the checks after a conclusion by the guards.
 	extended, decided *int
 }
 
@@ -176,17 +176,15 @@
 // check checks that no owner extends leases once a successor counts on that.
 func (w *quorumWorld) check() {
 	for i, next := range w.owners {
-		if next.concludedMS == 0 && next.core.guards.extensionOver {
-			next.concludedMS = w.nowMS
-			*w.decided++
-		}
-		silence := next.core.opt.GuardSilence.Milliseconds()
+		g := &next.core.guards
+		silent := !w.now().Before(g.silentFrom)
+		*w.decided += toInt(silent && g.silentFrom.Before(g.takenOverAt.Add(next.core.opt.RunLeaseExtension)))
 		for _, o := range w.owners[:i] {
 			extends := w.extends(o)
 			*w.extended += toInt(extends)
-			if extends && next.concludedMS > 0 && w.nowMS >= next.concludedMS+silence {
-				w.t.Fatalf("owner %d extends leases at %d ms, owner %d concluded at %d ms that nobody does; records %v", o.epoch, w.nowMS, next.epoch,
-					next.concludedMS, w.records)
+			if extends && silent {
+				w.t.Fatalf("owner %d extends leases at %d ms, owner %d counts on the contrary from %d ms on; records %v", o.epoch, w.nowMS, next.epoch,
+					g.silentFrom.Sub(epoch0).Milliseconds(), w.records)
 			}
 		}
 	}
@@ -216,5 +214,5 @@
 			w.check()
 		}
 	})
-	t.Logf("owners without a lease could extend %d times, successors concluded %d times", extended, decided)
+	t.Logf("owners without a lease could extend %d times, successors counted on the contrary %d times", extended, decided)
 }
--- a/internal/sched/quorum_test.go
+++ b/internal/sched/quorum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 // quorumOptions are options with the times of a deployment.
 func quorumOptions() Options {
 	opt := options
-	opt.RunLease, opt.RunLeaseExtension, opt.GuardSilence = 4*time.Second, 6*time.Second, time.Second
+	opt.RunLease, opt.RunLeaseExtension, opt.HalfQuorumTime, opt.GuardSilence = 4*time.Second, 6*time.Second, 2*time.Second, time.Second
 	return opt
 }
 
@@ -88,7 +89,7 @@
 		}
 	}
 	c := restoreNodes(t, epoch0, before)
-	c.guards.extensionOver = true
+	c.guards.silentFrom = epoch0
 	for i, fate := range s.fate {
 		node := fmt.Sprint(i)
 		switch fate {
@@ -102,44 +103,57 @@
 	return c, before, b.Records
 }
 
+// after returns what is in the store after an append of which some records were stored, by the bits of outcome.
+func after(before map[string]string, records []store.Record, outcome int) map[string]string {
+	out := maps.Clone(before)
+	for i, r := range records {
+		if outcome>>i&1 == 0 {
+			continue
+		}
+		if delete(out, r.Key); len(r.Value) > 0 {
+			out[r.Key] = string(r.Value)
+		}
+	}
+	return out
+}
+
+// follow lets the guards of one side follow an owner; they have confirmed its messages up to a reading of its clock.
+func (s quorumSplit) follow(c *Core, side guardSide, epoch, heardMS int64) {
+	for i, of := range s.side {
+		if of == side {
+			c.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: epoch, SinceMS: 1, HeardMS: heardMS})
+		}
+	}
+}
+
 // TestExtensionNeedsMostGuards checks with every split of up to four guards, and every outcome of the records that an append was
-// to store, that an owner whose lease has ended may not extend the leases of runs once its successor counts on that.
+// to store, that an owner whose lease has ended may not extend the leases of runs at any time from which on its successor counts on
+// that. The successor takes over at that end and hears at once from all guards that follow it.
 func TestExtensionNeedsMostGuards(t *testing.T) {
-	const nowMS, leaseEndMS = 10_000, 9000
+	const leaseEndMS = 10_000
+	opt := quorumOptions()
+	checkAfter := []time.Duration{opt.GuardSilence, opt.HalfQuorumTime - time.Millisecond, opt.HalfQuorumTime, opt.RunLeaseExtension - time.Millisecond}
 	cases, extended, concluded := 0, 0, 0
 	for n := 1; n <= 4; n++ {
 		splits(n, func(s quorumSplit) {
 			c, before, records := s.predecessor(t)
-			for i, side := range s.side {
-				if side == withPredecessor {
-					c.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 1, SinceMS: 1, HeardMS: nowMS})
-				}
+			may := map[time.Duration]bool{}
+			for _, d := range checkAfter {
+				nowMS := leaseEndMS + d.Milliseconds()
+				s.follow(c, withPredecessor, 1, nowMS)
+				may[d] = c.MayExtend(nowMS, leaseEndMS)
+				extended += toInt(may[d])
 			}
-			may := c.MayExtend(nowMS, leaseEndMS)
 			for outcome := range 1 << len(records) {
-				after := map[string]string{}
-				for key, value := range before {
-					after[key] = value
-				}
-				for i, r := range records {
-					if outcome>>i&1 == 0 {
-						continue
-					}
-					if delete(after, r.Key); len(r.Value) > 0 {
-						after[r.Key] = string(r.Value)
-					}
-				}
-				next := restoreNodes(t, epoch0, after)
-				for i, side := range s.side {
-					if side == withSuccessor {
-						next.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 2, SinceMS: 1, HeardMS: 1})
-					}
-				}
+				next := restoreNodes(t, epoch0, after(before, records, outcome))
+				s.follow(next, withSuccessor, 2, 1)
 				cases++
-				extended += toInt(may)
-				concluded += toInt(next.guards.extensionOver)
-				if may && next.guards.extensionOver {
-					t.Fatalf("%+v, append %v with outcome %b: the owner extends leases while its successor counts on the contrary", s, records, outcome)
+				concluded += toInt(next.guards.silentFrom.Before(epoch0.Add(opt.RunLeaseExtension)))
+				for _, d := range checkAfter {
+					if may[d] && !epoch0.Add(d).Before(next.guards.silentFrom) {
+						t.Fatalf("%+v, append %v with outcome %b: the owner extends leases %s after its own has ended, its successor counts on the contrary",
+							s, records, outcome, d)
+					}
 				}
 			}
 		})
@@ -150,9 +164,10 @@
 	}
 }
 
-// TestHalfOfTheGuardsEndExtension checks that a successor concludes as soon as the guards that are left can't be most, whatever
-// their number, and that the guards of all nodes let an owner extend.
-func TestHalfOfTheGuardsEndExtension(t *testing.T) {
+// TestGuardsEndExtension checks that a successor concludes as soon as the guards that are left are too few for its predecessor,
+// whatever their number, and that its predecessor needs no more than that.
+func TestGuardsEndExtension(t *testing.T) {
+	opt := quorumOptions()
 	for n := 1; n <= 60; n++ {
 		records := map[string]string{}
 		for i := range n {
@@ -160,14 +175,21 @@
 		}
 		before, next := restoreNodes(t, epoch0, records), restoreNodes(t, epoch0, records)
 		for i := range n {
-			before.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 1, SinceMS: 1, HeardMS: 1000})
-			over := 2*i >= n
-			if next.guards.extensionOver != over {
-				t.Fatalf("%d of %d guards follow: extension over is %t, want %t", i, n, !over, over)
-			}
 			next.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 2, SinceMS: 1, HeardMS: 1000})
-			if may := 2*(i+1) > n; before.MayExtend(1000, 500) != may {
-				t.Fatalf("%d of %d guards confirm: may extend is %t, want %t", i+1, n, !may, may)
+			want := opt.RunLeaseExtension
+			if follow := i + 1; 2*follow >= n {
+				want = opt.GuardSilence
+			} else if 4*follow >= n {
+				want = opt.HalfQuorumTime
+			}
+			if got := next.guards.silentFrom.Sub(epoch0); got != want {
+				t.Fatalf("%d of %d guards follow: leases aren't extended from %s on, want %s", i+1, n, got, want)
+			}
+			before.Followed(epoch0, fmt.Sprint(i), link.Following{Epoch: 1, SinceMS: 1, HeardMS: 10_000})
+			leaseEndMS := 10_000 - opt.HalfQuorumTime.Milliseconds()
+			early, late := before.MayExtend(10_000, leaseEndMS+1), before.MayExtend(10_000, leaseEndMS)
+			if early != (2*(i+1) > n) || late != (4*(i+1) > 3*n) {
+				t.Fatalf("%d of %d guards confirm: may extend is %t, and later %t", i+1, n, early, late)
 			}
 		}
 	}
@@ -226,10 +248,10 @@
 	for _, node := range append([]string{"d", "e"}, joined...) {
 		third.Followed(epoch0, node, link.Following{Epoch: 3, SinceMS: 1, HeardMS: 1})
 	}
-	if !first.MayExtend(5000, 4000) || third.guards.extensionOver {
-		t.Errorf("first may extend: %t, third counts on the contrary: %t", first.MayExtend(5000, 4000), third.guards.extensionOver)
-	}
 	opt := quorumOptions()
+	if !first.MayExtend(5000, 4000) || third.guards.silentFrom.Sub(epoch0) < opt.HalfQuorumTime {
+		t.Errorf("first may extend: %t, third counts on the contrary from %s on", first.MayExtend(5000, 4000), third.guards.silentFrom.Sub(epoch0))
+	}
 	flush(epoch0.Add(opt.RunLeaseExtension + opt.Margin + time.Millisecond))
 	for _, node := range joined {
 		if records[workerPrefix+nodeWorker(node).ID] != node {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -29,6 +29,8 @@
 	// RunLeaseExtension is how long an owner may go on extending the leases of runs, by echoes, after its own
 	// lease has ended.
 	RunLeaseExtension time.Duration
+	// HalfQuorumTime is how long half of the guards suffice for that; then it takes three quarters.
+	HalfQuorumTime time.Duration
 	// GuardSilence is how long an owner may go on with that after the newest of its messages that most guards have confirmed.
 	GuardSilence time.Duration
 	// Margin is added to every expiry delay for the granularity of clocks and timers.
--- a/internal/sched/standstill_world_test.go
+++ b/internal/sched/standstill_world_test.go
@@ -38,7 +38,7 @@
 
 // dayOptions are those of a deployment.
 var dayOptions = Options{
-	RunLease: 4 * time.Second, RunLeaseExtension: 6 * time.Second, GuardSilence: time.Second, Margin: 200 * time.Millisecond, JobRetention: time.Hour,
+	RunLease: 4 * time.Second, RunLeaseExtension: 6 * time.Second, HalfQuorumTime: 2 * time.Second, GuardSilence: time.Second, Margin: 200 * time.Millisecond, JobRetention: time.Hour,
 }
 
 // dayRun is a run on a worker.
--- a/internal/sched/takeover_test.go
+++ b/internal/sched/takeover_test.go
@@ -13,9 +13,9 @@
 // followed the new one. With fewer it must wait, since the predecessor may be cut off with the others.
 func TestLostWorkerAfterTakeover(t *testing.T) {
 	opt := options
-	opt.RunLeaseExtension, opt.GuardSilence = 6*time.Second, time.Second
+	opt.RunLeaseExtension, opt.HalfQuorumTime, opt.GuardSilence = 6*time.Second, 2*time.Second, time.Second
 	workers := []string{"a", "b", "c"}
-	for linked, want := range map[int]time.Duration{1: opt.RunLeaseExtension, 2: opt.GuardSilence} {
+	for linked, want := range map[int]time.Duration{0: opt.RunLeaseExtension, 1: opt.HalfQuorumTime, 2: opt.GuardSilence} {
 		now := epoch0
 		before := New(opt)
 		for _, id := range workers {
