--- a/internal/process/process_test.go
+++ b/internal/process/process_test.go
@@ -173,6 +173,35 @@
 	}
 }
 
+// TestRunsOutlastStore checks that runs go on while the store is away for everybody for as long as the owner extends their leases
+// without one of its own: it learns from the guards that no other process has taken the cell.
+func TestRunsOutlastStore(t *testing.T) {
+	const away = leaseLength + halfQuorumTime + runLease + time.Second
+	c := newClusterWith(t, 3, time.Minute)
+	s := spec("job")
+	s.Steps = s.Steps[:1]
+	c.submit(s)
+	running := func() int {
+		n := 0
+		for _, node := range c.Nodes {
+			n += len(node.Executor.Running())
+		}
+		return n
+	}
+	for running() < s.Steps[0].Count {
+		if t.Context().Err() != nil {
+			t.Fatalf("%d tasks run", running())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.store.SetFaults(func(string, string) memstore.Fault { return memstore.Fault{Refuse: true} })
+	time.Sleep(away)
+	if n := running(); n != s.Steps[0].Count {
+		t.Errorf("%d of %d runs are left after %s without the store", n, s.Steps[0].Count, away)
+	}
+	c.store.SetFaults(nil)
+}
+
 // TestCancel checks that a cancelled job ends, and that cancelling an unknown job reports that it was not
 // found.
 func TestCancel(t *testing.T) {
