Sched: a scene of a cell that is split between two owners

An owner loses the store with some of the guards and extends the leases of their runs for 6 s, another one takes the cell with the others: TestSplitCell, each number of followers on 2 to 9 machines.

--- a/internal/sched/cell_owner_test.go
+++ b/internal/sched/cell_owner_test.go
@@ -166,7 +166,9 @@
 	peers []*cellPeer
 	// dead means that the process has ended. leaseOverAt is when its lease ends, replacedAt when it learns of a successor; 0
 	// while there is none.
-	dead                    bool
+	dead bool
+	// cutOff means that the store doesn't answer this owner.
+	cutOff                  bool
 	leaseOverAt, replacedAt int64
 	// frozenUntil is until when the process stands still; see owner.Cell for the other two.
 	frozenUntil, extendCheckedAt, stalledAt int64
@@ -490,6 +492,9 @@
 
 // append stores records for an owner, sooner or later; done gets false if a successor has fenced it.
 func (w *cellWorld) append(o *cellOwner, records []store.Record, done func(ok bool)) {
+	if o.cutOff {
+		return
+	}
 	storedIn, answeredIn := w.between(2, 15), w.between(16, 30)
 	if w.now < w.storeSilentUntil {
 		left := w.storeSilentUntil - w.now
--- a/internal/sched/cell_scene_test.go
+++ b/internal/sched/cell_scene_test.go
@@ -174,3 +174,36 @@
 	w.takeOver(0)
 	w.guardsFollow(500)
 }
+
+// TestSplitCell guards against runs that go on beside their successors: an owner loses the store together with some of the guards
+// and extends the leases of their runs, while another one takes the cell with the other guards.
+func TestSplitCell(t *testing.T) {
+	for n := 2; n <= 9; n++ {
+		for follow := range n + 1 {
+			t.Run(fmt.Sprintf("%d-of-%d", follow, n), func(t *testing.T) {
+				w := sceneWorld(n, nil)
+				w.runUntil(1000)
+				s := w.drawSpec("lasts")
+				s.Steps = []job.Step{{Count: 2 * n, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, LongRunning: true, MayMiss: 1}}
+				w.submit(s)
+				w.runUntil(3000)
+				w.split(follow)
+				w.runUntil(w.now + 20_000)
+				w.reportAll(t)
+			})
+		}
+	}
+}
+
+// split lets another owner take the cell that some of the guards follow; the others follow the one before, which is cut off from the
+// store, until it gives up.
+func (w *cellWorld) split(follow int) {
+	old, all := w.newest(), w.machines
+	w.touch(extensionMS + 500)
+	old.cutOff = true
+	w.takeOver(extensionMS)
+	w.machines = all[:follow]
+	w.guardsFollow(300)
+	w.machines = all
+	w.after(extensionMS, func() { w.guardsFollow(500) })
+}
