--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -51,6 +51,8 @@
 	// runLeaseExtension is how long an owner goes on extending the leases of runs after its own lease has
 	// expired, while the store is unavailable and no other candidate can have taken over the cell.
 	runLeaseExtension = 6 * time.Second
+	// halfQuorumTime is how long more than half of the guards suffice for that; then it takes more than three quarters.
+	halfQuorumTime = 2 * time.Second
 	// guardSilence is how long an owner goes on with that after it last heard from most guards: a few heartbeats.
 	guardSilence = time.Second
 	// expiryMargin is added to the expiry of run leases for the granularity of timers and clocks.
@@ -106,7 +108,7 @@
 
 // schedOptions returns the parameters of the scheduler.
 func (c *Common) schedOptions() sched.Options {
-	return sched.Options{RunLease: runLease, RunLeaseExtension: runLeaseExtension, GuardSilence: guardSilence, Margin: expiryMargin, JobRetention: c.JobRetention}
+	return sched.Options{RunLease: runLease, RunLeaseExtension: runLeaseExtension, HalfQuorumTime: halfQuorumTime, GuardSilence: guardSilence, Margin: expiryMargin, JobRetention: c.JobRetention}
 }
 
 // lease returns the runner that follows the cell's lease for this process and, if the process is a
@@ -302,6 +304,7 @@
 	defer stop()
 	lease := g.lease(true)
 	cell := owner.New(g.schedOptions(), g.Store, lease, g.Adviser, g.scope(), g.Log.WithPrefix("cell"))
+	cell.UseClock(g.Clock)
 	opt := guard.Options{Node: g.Node, RunLease: runLease, MaxLease: g.MaxLease, StartedUnix: time.Now().Unix()}
 	grp, ctx := errgroup.WithContext(ctx)
 	if g.DrainWithin > 0 {
--- a/internal/sched/cell_owner_test.go
+++ b/internal/sched/cell_owner_test.go
@@ -18,13 +18,14 @@
 	ownerRetryMS   = 100
 	guardSilenceMS = 1000
 	extensionMS    = 6000
+	halfQuorumMS   = 2000
 )
 
 // cellOptions are the options of the scheduler in a deployment; see internal/process.
 func cellOptions(recordBytes int) sched.Options {
 	return sched.Options{
-		RunLease: cellRunLeaseMS * time.Millisecond, RunLeaseExtension: extensionMS * time.Millisecond, GuardSilence: guardSilenceMS * time.Millisecond,
-		Margin: 200 * time.Millisecond, JobRetention: time.Hour, RecordBytes: recordBytes,
+		RunLease: cellRunLeaseMS * time.Millisecond, RunLeaseExtension: extensionMS * time.Millisecond, HalfQuorumTime: halfQuorumMS * time.Millisecond,
+		GuardSilence: guardSilenceMS * time.Millisecond, Margin: 200 * time.Millisecond, JobRetention: time.Hour, RecordBytes: recordBytes,
 	}
 }
 
@@ -45,13 +46,12 @@
 
 // cellPeer is a guard with an open link, as the owner sees it.
 type cellPeer struct {
-	l       *cellLink
-	node    string
-	worker  string
-	echoMS  int64
-	heardAt int64
-	outbox  link.OwnerMessage
-	wake    cellSignal
+	l      *cellLink
+	node   string
+	worker string
+	echoMS int64
+	outbox link.OwnerMessage
+	wake   cellSignal
 }
 
 // newCellLink returns an open link.
@@ -166,7 +166,9 @@
 	peers []*cellPeer
 	// dead means that the process has ended. leaseOverAt is when its lease ends, replacedAt when it learns of a successor; 0
 	// while there is none.
-	dead                    bool
+	dead bool
+	// cutOff means that the store doesn't answer this owner.
+	cutOff                  bool
 	leaseOverAt, replacedAt int64
 	// frozenUntil is until when the process stands still; see owner.Cell for the other two.
 	frozenUntil, extendCheckedAt, stalledAt int64
@@ -345,10 +347,13 @@
 		return false
 	}
 	now := o.time()
-	p.echoMS, p.heardAt = max(p.echoMS, up.ClockMS), o.w.now
+	p.echoMS = max(p.echoMS, up.ClockMS)
 	if up.Node != "" {
 		p.node = up.Node
 	}
+	if up.Follows.Epoch == o.epoch {
+		o.core.Followed(now, p.node, up.Follows)
+	}
 	for _, crash := range up.Crashed {
 		o.core.WorkerCrashed(now, crash)
 	}
@@ -419,7 +424,7 @@
 	}
 	d := p.outbox
 	p.outbox = link.OwnerMessage{}
-	d.Epoch, d.Worker = o.epoch, p.worker
+	d.Epoch, d.Worker, d.ClockMS = o.epoch, p.worker, o.clockMS(o.w.now)
 	if o.mayExtend() {
 		d.EchoMS = p.echoMS
 	}
@@ -439,15 +444,12 @@
 	if o.leaseOverAt == 0 || o.w.now < o.leaseOverAt {
 		return true
 	}
-	heard := 0
-	for _, p := range o.links {
-		if o.w.now-p.heardAt < guardSilenceMS {
-			heard++
-		}
-	}
-	return o.core.MayExtend(heard)
+	return o.core.MayExtend(o.clockMS(o.w.now), o.clockMS(o.leaseOverAt))
 }
 
+// clockMS returns what the owner's clock reads at a time of the world; it is never 0.
+func (o *cellOwner) clockMS(at int64) int64 { return at + 1 }
+
 // queueCommands queues the scheduler's commands on the links of their workers.
 func (o *cellOwner) queueCommands() {
 	commands := o.core.Commands()
@@ -490,6 +492,9 @@
 
 // append stores records for an owner, sooner or later; done gets false if a successor has fenced it.
 func (w *cellWorld) append(o *cellOwner, records []store.Record, done func(ok bool)) {
+	if o.cutOff {
+		return
+	}
 	storedIn, answeredIn := w.between(2, 15), w.between(16, 30)
 	if w.now < w.storeSilentUntil {
 		left := w.storeSilentUntil - w.now
--- a/internal/sched/cell_scene_test.go
+++ b/internal/sched/cell_scene_test.go
@@ -131,21 +131,79 @@
 }
 
 // TestLossOfManyMachines guards against lasting tasks that wait for the expiry of a lease that nobody extends: 5 of 13 machines
-// go for good, one of them with the owner. Its successor hears from less than two thirds of the guards and waits for the rest.
+// go for good, one of them with the owner. Its successor heard from less than two thirds of the guards and waited for the rest.
 func TestLossOfManyMachines(t *testing.T) {
 	w := loadedScene()
 	w.runUntil(6000)
+	w.loseWithOwner(5)
+	w.runUntil(w.now + 15_000)
+	w.reportAll(t)
+}
+
+// TestLossOfMostMachines is TestLossOfManyMachines with most machines, which are left to tasks that last.
+func TestLossOfMostMachines(t *testing.T) {
+	for _, n := range []int{7, 9} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := sceneWorld(13, nil)
+			w.runUntil(1000)
+			for k := range 8 {
+				s := w.drawSpec(fmt.Sprintf("lasts%d", k))
+				s.Steps = []job.Step{{Count: 3, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, LongRunning: true, MayMiss: 1}}
+				w.submit(s)
+			}
+			w.runUntil(6000)
+			w.loseWithOwner(n)
+			w.runUntil(w.now + 15_000)
+			w.reportAll(t)
+		})
+	}
+}
+
+// loseWithOwner lets some machines go for good with the owner; another one takes the cell two seconds later.
+func (w *cellWorld) loseWithOwner(n int) {
+	left := len(w.machines) - n
 	w.touch(2500)
-	for _, m := range w.machines[8:] {
+	for _, m := range w.machines[left:] {
 		m.gone = true
 		m.guard.kill()
 		m.crash()
 	}
-	w.machines = w.machines[:8]
+	w.machines = w.machines[:left]
 	w.newest().kill()
 	w.runUntil(w.now + 2000)
 	w.takeOver(0)
 	w.guardsFollow(500)
-	w.runUntil(w.now + 15_000)
-	w.reportAll(t)
+}
+
+// TestSplitCell guards against runs that go on beside their successors: an owner loses the store together with some of the guards
+// and extends the leases of their runs, while another one takes the cell with the other guards.
+func TestSplitCell(t *testing.T) {
+	for n := 2; n <= 9; n++ {
+		for follow := range n + 1 {
+			t.Run(fmt.Sprintf("%d-of-%d", follow, n), func(t *testing.T) {
+				w := sceneWorld(n, nil)
+				w.runUntil(1000)
+				s := w.drawSpec("lasts")
+				s.Steps = []job.Step{{Count: 2 * n, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, LongRunning: true, MayMiss: 1}}
+				w.submit(s)
+				w.runUntil(3000)
+				w.split(follow)
+				w.runUntil(w.now + 20_000)
+				w.reportAll(t)
+			})
+		}
+	}
+}
+
+// split lets another owner take the cell that some of the guards follow; the others follow the one before, which is cut off from the
+// store, until it gives up.
+func (w *cellWorld) split(follow int) {
+	old, all := w.newest(), w.machines
+	w.touch(extensionMS + 500)
+	old.cutOff = true
+	w.takeOver(extensionMS)
+	w.machines = all[:follow]
+	w.guardsFollow(300)
+	w.machines = all
+	w.after(extensionMS, func() { w.guardsFollow(500) })
 }
