Scheduler: crashes of most workers at the same time give up no task

Seen: five power cuts of all workers within a minute, and the jobs whose tasks ran each time are failed: "5 workers have crashed under task" (TestFifthBlackout). Nothing in those tasks crashes workers.

Cause: maxCrashes counts every crash under a task, whatever else crashed with it. The owner knew neither when a worker crashed nor that others did.

Evidence: the fail lines of the test list five settled crashes each, one for each cut.

Why this works: a guard tells how long ago its worker stopped answering, also on later links. Within 250 ms tasks that were started in isolation, as all are from the third crash on, crash at most a quarter of the workers, or half across a takeover. If more than half went, and three at least, it was an outage, and a crash in one is no evidence. The verdict waits for a second after a crash for other reports, longer after a takeover.

--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -480,3 +480,16 @@
 		t.Errorf("message %+v, want the inventory of the incarnation that answers", up)
 	}
 }
+
+// TestTimeOfCrash checks that a guard says how long ago a crash was, on each new link: an owner tells by the time what
+// workers have crashed together.
+func TestTimeOfCrash(t *testing.T) {
+	c := crashedCore(t, false)
+	for _, now := range []int64{6020, 9000} {
+		up := c.Heartbeat(now)
+		if len(up.Crashed) != 1 || up.Crashed[0].AgoMS != now-3000 || up.Crashed[0].Node != "n" || up.Crashed[0].Service != worker("w@10").Service {
+			t.Errorf("at %d: crashes %+v, want one at 3000", now, up.Crashed)
+		}
+		c.Linked()
+	}
+}
--- a/internal/guard/incarnation.go
+++ b/internal/guard/incarnation.go
@@ -15,15 +15,17 @@
 // endedIncarnation is an incarnation of the worker that has ended.
 type endedIncarnation struct {
 	id string
-	// crash is nil if it had announced that it would leave.
+	// crash is nil if it had announced that it would leave; atMS is when it happened.
 	crash *link.Crash
+	atMS  int64
 }
 
 // noteEnd records the end of the current incarnation.
 func (c *Core) noteEnd() {
 	end := endedIncarnation{id: c.incarnation}
 	if c.info != nil && c.info.ID == c.incarnation && !c.info.Draining {
-		end.crash = &link.Crash{Worker: c.incarnation, Runs: c.crashedRuns()}
+		end.atMS = c.silentAt()
+		end.crash = &link.Crash{Worker: c.incarnation, Node: c.opt.Node, Service: c.info.Service, Runs: c.crashedRuns(end.atMS)}
 	}
 	c.ended = append(c.ended, end)
 	if n := len(c.ended) - maxEnded; n > 0 {
@@ -31,13 +33,17 @@
 	}
 }
 
+// silentAt returns when the current incarnation stopped answering.
+func (c *Core) silentAt() int64 {
+	if c.silentSinceMS > 0 {
+		return c.silentSinceMS
+	}
+	return c.workerClockAt
+}
+
 // crashedRuns returns the runs that the current incarnation had when it stopped answering, in the order of their
 // start. No start is sent after that.
-func (c *Core) crashedRuns() []link.CrashedRun {
-	at := c.silentSinceMS
-	if at == 0 {
-		at = c.workerClockAt
-	}
+func (c *Core) crashedRuns(at int64) []link.CrashedRun {
 	var out []link.CrashedRun
 	for ref, r := range c.runs {
 		if !r.inherited {
@@ -55,7 +61,9 @@
 	for _, e := range c.ended[c.endedReported:] {
 		u.EndedIncarnations = append(u.EndedIncarnations, e.id)
 		if e.crash != nil {
-			u.Crashed = append(u.Crashed, *e.crash)
+			crash := *e.crash
+			crash.AgoMS = max(1, u.ClockMS-e.atMS)
+			u.Crashed = append(u.Crashed, crash)
 		}
 	}
 	c.endedReported = len(c.ended)
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -96,8 +96,14 @@
 
 // Crash is the end of an incarnation of a worker that hadn't announced that it would leave.
 type Crash struct {
-	// Worker is the incarnation.
+	// Worker is the incarnation, Node names its guard.
 	Worker string `json:"w"`
+	Node   string `json:"node,omitempty"`
+	// Service is the one that the worker belonged to.
+	Service string `json:"service,omitempty"`
+	// AgoMS is how long before the message was made the worker was last known to answer or first failed to, in
+	// milliseconds; 0 if it isn't known.
+	AgoMS int64 `json:"ago,omitempty"`
 	// Runs are those that it had or may have had.
 	Runs []CrashedRun `json:"runs,omitempty"`
 }
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -25,8 +25,10 @@
 	maxStartCrashes  = 2
 	maxSharedCrashes = 3
 	// maxCrashes bounds the crashes under a task in whatever state, including those that it may not have been there at:
-	// customers allow two starts after the third crash.
+	// customers allow two starts after the third crash. Crashes in outages count too, unless all were in outages.
 	maxCrashes = 5
+	// maxKeptCrashes bounds the crashes that are kept with a task.
+	maxKeptCrashes = 8
 	// isolationCrashes is the number of crashes from which on a task is started in isolation, although it was settled
 	// at each of them.
 	isolationCrashes = 3
@@ -49,6 +51,8 @@
 	Unsure bool `json:"u,omitempty"`
 	// Pending means that the worker doesn't answer; it isn't known yet whether it has crashed.
 	Pending bool `json:"p,omitempty"`
+	// Outage means that most workers of the service crashed at the same time.
+	Outage bool `json:"m,omitempty"`
 }
 
 // starting reports whether the run was starting when the worker crashed.
@@ -56,7 +60,7 @@
 
 // counts reports whether the crash is certain to have happened under a start of the task. A worker may crash for another
 // reason while it holds back the answer to a start, or before it carries one out.
-func (cr *crash) counts() bool { return cr.starting() && !cr.Pending && !cr.Unsure }
+func (cr *crash) counts() bool { return cr.starting() && !cr.Pending && !cr.Unsure && !cr.Outage }
 
 // nodeCrash is a crash of the worker beside a node that no task is known to have caused.
 type nodeCrash struct {
@@ -70,11 +74,15 @@
 	tasks map[*task]bool
 	// byNode lists the crashes beside each node that no task is known to have caused.
 	byNode map[string][]nodeCrash
+	// recent are the crashes of the last outageMemory whose time is known.
+	recent []*workerCrash
+	// verdicts holds the tasks that can't be decided on yet, and until when that is waited for.
+	verdicts map[*task]time.Time
 }
 
 // newCrashes returns a crashes without any.
 func newCrashes() crashes {
-	return crashes{tasks: map[*task]bool{}, byNode: map[string][]nodeCrash{}}
+	return crashes{tasks: map[*task]bool{}, byNode: map[string][]nodeCrash{}, verdicts: map[*task]time.Time{}}
 }
 
 // fresh reports whether the newest run of a task may just be starting on its worker. A run that was started under an
@@ -109,6 +117,7 @@
 		c.crashed.byNode[w.node] = append(c.recentCrashes(now, w.node), nodeCrash{id, now})
 		c.suspectCrash(w)
 	}
+	known := c.noteCrash(now, report)
 	rows, starting := crashedRuns(report)
 	var affected []*task
 	for t := range c.crashed.tasks {
@@ -130,10 +139,12 @@
 	}
 	c.logDecision(event.Crash, id, fmt.Sprintf("runs=%d starting=%v tasks=%d", len(rows), starting, len(affected)))
 	c.RemoveWorker(now, id)
+	c.noteOutage(known)
 	slices.SortFunc(affected, compareSuspects)
 	for _, t := range affected {
 		c.judge(now, t)
 	}
+	c.judgeDue(now)
 }
 
 // crashedRuns returns the runs of a report, and those among them that were starting.
@@ -194,6 +205,9 @@
 	if t.over() || t.crashOn(cr.Worker) >= 0 {
 		return
 	}
+	if i := slices.IndexFunc(t.crashes, func(cr crash) bool { return cr.Outage }); i >= 0 && len(t.crashes) >= maxKeptCrashes {
+		c.removeCrash(t, i)
+	}
 	t.crashes = append(t.crashes, cr)
 	c.crashed.tasks[t] = true
 	c.markDirty(t.step.occ.job)
@@ -209,6 +223,7 @@
 	t.crashes = crashes
 	if len(crashes) == 0 {
 		delete(c.crashed.tasks, t)
+		c.endVerdict(t)
 	}
 	c.markDirty(t.step.occ.job)
 }
@@ -257,25 +272,32 @@
 
 // crashing reports whether the crashes under a task are enough to give it up.
 func (t *task) crashing() bool {
-	all, starts, sole := 0, 0, false
+	all, starts, sole, own := 0, 0, false, false
 	for i := range t.crashes {
 		cr := &t.crashes[i]
 		if !cr.Pending {
 			all++
+			own = own || !cr.Outage
 		}
 		if cr.counts() {
 			starts++
 			sole = sole || cr.Sole
 		}
 	}
-	return sole && starts >= maxStartCrashes || starts >= maxSharedCrashes || all >= maxCrashes
+	return sole && starts >= maxStartCrashes || starts >= maxSharedCrashes || own && all >= maxCrashes
 }
 
-// judge fails the job of a task that crashes workers.
+// judge fails the job of a task that crashes workers, once an outage can be ruled out.
 func (c *Core) judge(now time.Time, t *task) {
-	if t.over() || !t.crashing() {
+	if t.over() || !t.crashing() || c.excusable(t) {
+		c.endVerdict(t)
+		return
+	}
+	if until := c.verdictAt(t); now.Before(until) {
+		c.awaitVerdict(t, until)
 		return
 	}
+	c.endVerdict(t)
 	j := t.step.occ.job
 	c.logDecision(event.Fail, j.spec.ID, fmt.Sprintf("task=%s crashes=%+v", t.id, t.crashes))
 	c.explainCrashes(t)
@@ -287,7 +309,7 @@
 func (c *Core) explainCrashes(cause *task) {
 	own := map[string]bool{}
 	for i := range cause.crashes {
-		if cr := &cause.crashes[i]; cr.starting() {
+		if cr := &cause.crashes[i]; cr.starting() && !cr.Outage {
 			own[cr.Worker] = true
 		}
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -90,6 +90,8 @@
 	openTasks int // tasks that are not done
 	// waiting counts the tasks that can be placed once the step is ready.
 	waiting int
+	// verdicts counts the tasks of which it isn't known yet whether they crash workers; no other starts meanwhile.
+	verdicts int
 	// blocks are the indices at which the blocks of stored parts begin; nil before any was needed. Tasks from unrestored
 	// on have been restored.
 	blocks     []int
@@ -198,8 +200,11 @@
 	return true
 }
 
-// ready reports whether the steps that a step depends on are complete.
+// ready reports whether the steps that a step depends on are complete, and no verdict on a task of it is waited for.
 func (s *step) ready() bool {
+	if s.verdicts > 0 {
+		return false
+	}
 	for _, d := range s.spec.DependsOn {
 		if s.occ.steps[d].openTasks > 0 {
 			return false
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -71,6 +71,9 @@
 	if t.crashes = r.Crashes; len(t.crashes) > 0 {
 		c.crashed.tasks[t] = true
 	}
+	if t.crashing() {
+		c.awaitVerdict(t, now.Add(takeoverVerdictDelay))
+	}
 	for _, cp := range r.Copies {
 		c.addCopy(c.ensureWorker(now, cp.Worker), t, cp.Run)
 	}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -49,6 +49,7 @@
 	if fillers {
 		c.nextFillerRound = now.Add(fillerInterval)
 	}
+	c.judgeDue(now)
 	c.startIsolated(now, fillers)
 	c.reserve(now)
 	for _, j := range slices.Clone(c.openJobs) {
