Scheduler: a run that settles leaves the ages of its task's crashes

Cause: after the third crash a task starts in isolation. If its worker doesn't answer for a moment within half a second of the start, a pending crash at age 0 is noted. The listing that follows shows a settled run, and clearIfSettled set the age of each crash under the task to 0.5 s, also of those at 10.8 s. So provenAfter fell from 21.6 to 10 s, and the run, which lasted longer, made the owner forget all crashes.

Why this works: ages are only raised to that of a settled run, so that a run proves no harm before it is twice as old as at any crash.

TestSettledRunKeepsAgesOfCrashes failed before with seven starts.

--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -254,7 +254,7 @@
 	}
 	out := slices.Clone(t.crashes)
 	for i := range out {
-		out[i].AgeMS, out[i].Sole = settleTime.Milliseconds(), false
+		out[i].AgeMS, out[i].Sole = max(out[i].AgeMS, settleTime.Milliseconds()), false
 	}
 	c.setCrashes(t, out)
 }
--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -424,3 +424,34 @@
 		t.Errorf("%d starts, job is %+v", starts, v)
 	}
 }
+
+// TestSettledRunKeepsAgesOfCrashes guards against a task that crashes workers after some work, and whose crashes are forgotten
+// sooner than that since one worker crashed when it started: once a run had settled, all its crashes counted as those of runs
+// that had just settled.
+func TestSettledRunKeepsAgesOfCrashes(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 60_000}))
+	starts := 0
+	for ; starts < 8; starts++ {
+		o := started(settle(now, c))
+		if len(o) == 0 {
+			break
+		}
+		for id, s := range o {
+			work := 11 * time.Second
+			if starts == 1 {
+				work = 100 * time.Millisecond
+			}
+			for at := time.Duration(0); at < work; at += crashPoolStep {
+				c.Report(now, id, link.Listing{Running: []link.RunStatus{{RunRef: s[0].RunRef, Percent: at.Seconds()}}})
+				now = now.Add(crashPoolStep)
+			}
+			c.WorkerCrashed(now, crashed(id, s[0].RunRef, work.Milliseconds()))
+			c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, link.Listing{})
+		}
+	}
+	if v, _ := c.Job("job"); starts > maxCrashes || c.jobs["job"].state != Failed {
+		t.Errorf("%d starts, job is %+v", starts, v)
+	}
+}
