Scheduler: no start while a fifth crash may be pending

Cause: the lease of its fifth run expires, or the task is speculative and gets a copy, before the guard reports the crash. A crash that isn't known yet is pending and counts for nothing, so that the task goes on to the next worker, which it crashes too.

Why this works: with four crashes, one of them the task's own, a worker that doesn't answer holds the task's step back until its guard has reported it or it answers again, for ten seconds at most; then the start is allowed, as before, since the worker may be gone for good. Such a task gets no copy.

TestDeadlyTasksInOutages now plays takeovers and crashes after 11 s.

--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -52,7 +52,7 @@
 	if !s.Speculative || s.Gang || s.LongRunning || s.Filler || len(t.copies) >= maxCopies || t.step.occ.job.state.Terminal() {
 		return ""
 	}
-	if t.startsAlone() && t.fresh() {
+	if t.startsAlone() && t.fresh() || len(t.crashes) >= maxCrashes-1 {
 		// Another run would crash another worker, if the task is the cause.
 		return ""
 	}
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -53,6 +53,8 @@
 	Pending bool `json:"p,omitempty"`
 	// Outage means that most workers of the service crashed at the same time.
 	Outage bool `json:"m,omitempty"`
+	// waited means that a pending crash isn't waited for any longer.
+	waited bool
 }
 
 // starting reports whether the run was starting when the worker crashed.
@@ -142,6 +144,7 @@
 	c.noteOutage(known)
 	slices.SortFunc(affected, compareSuspects)
 	for _, t := range affected {
+		c.endVerdict(t)
 		c.judge(now, t)
 	}
 	c.judgeDue(now)
@@ -211,6 +214,9 @@
 	t.crashes = append(t.crashes, cr)
 	c.crashed.tasks[t] = true
 	c.markDirty(t.step.occ.job)
+	if t.mayBeCrashing() {
+		c.awaitVerdict(t, time.Time{})
+	}
 }
 
 // removeCrash removes a crash of a task.
@@ -287,10 +293,24 @@
 	return sole && starts >= maxStartCrashes || starts >= maxSharedCrashes || own && all >= maxCrashes
 }
 
+// mayBeCrashing reports whether the crashes under a task are enough to give it up if a worker that doesn't answer has crashed.
+func (t *task) mayBeCrashing() bool {
+	all, own, pending := 0, false, false
+	for i := range t.crashes {
+		cr := &t.crashes[i]
+		own = own || !cr.Pending && !cr.Outage
+		pending = pending || cr.Pending && !cr.waited
+		if !cr.Pending || !cr.waited {
+			all++
+		}
+	}
+	return own && pending && all >= maxCrashes
+}
+
 // judge fails the job of a task that crashes workers, once an outage can be ruled out.
 func (c *Core) judge(now time.Time, t *task) {
 	if t.over() || !t.crashing() || c.excusable(t) {
-		c.endVerdict(t)
+		c.awaitCrash(now, t)
 		return
 	}
 	if until := c.verdictAt(t); now.Before(until) {
--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -455,3 +455,65 @@
 		t.Errorf("%d starts, job is %+v", starts, v)
 	}
 }
+
+// TestNoStartBeforeCrashIsKnown guards against a task that is started once more than allowed: the lease of its run expires before
+// the guard reports the crash that fails its job, or it gets a copy.
+func TestNoStartBeforeCrashIsKnown(t *testing.T) {
+	for _, speculative := range []bool{false, true} {
+		t.Run(fmt.Sprintf("speculative %t", speculative), func(t *testing.T) { noStartBeforeCrashIsKnown(t, speculative) })
+	}
+}
+
+// noStartBeforeCrashIsKnown plays TestNoStartBeforeCrashIsKnown.
+func noStartBeforeCrashIsKnown(t *testing.T, speculative bool) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 60_000, Speculative: speculative}))
+	var id string
+	var ref link.RunRef
+	for n := range maxCrashes {
+		id, ref = firstStart(t, settle(now, c))
+		for range 20 {
+			c.Report(now, id, link.Listing{Running: []link.RunStatus{{RunRef: ref}}})
+			now = now.Add(crashPoolStep)
+		}
+		if n < maxCrashes-1 {
+			c.WorkerCrashed(now, crashed(id, ref, 3000))
+			c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, link.Listing{})
+		}
+	}
+	c.UpdatePressure(now, id, 100, true)
+	for end := now.Add(3 * options.expiryDelay()); now.Before(end); now = now.Add(sweepInterval) {
+		if got := started(settle(now, c)); len(got) > 0 {
+			t.Fatalf("started on %v before it is known whether a fifth worker has crashed", got)
+		}
+	}
+	c.WorkerCrashed(now, crashed(id, ref, 3000))
+	if c.jobs["job"].state != Failed {
+		t.Error("the job hasn't failed after five crashes")
+	}
+}
+
+// TestStartAfterVanishedWorker guards against a task that is never started again since it isn't known what became of its
+// worker.
+func TestStartAfterVanishedWorker(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 60_000}))
+	var id string
+	for n := range maxCrashes {
+		var ref link.RunRef
+		id, ref = firstStart(t, settle(now, c))
+		if n < maxCrashes-1 {
+			c.WorkerCrashed(now, crashed(id, ref, 3000))
+			c.Attach(now, "node-"+id, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, link.Listing{})
+		}
+	}
+	c.Detach(now, id)
+	for end := now.Add(2 * maxPendingWait); now.Before(end); now = now.Add(sweepInterval) {
+		if len(started(settle(now, c))) > 0 {
+			return
+		}
+	}
+	t.Error("the task isn't started again")
+}
--- a/internal/sched/outage.go
+++ b/internal/sched/outage.go
@@ -28,6 +28,8 @@
 	// takeoverVerdictDelay is how long a new owner waits for them while it hasn't heard from all workers: guards repeat crashes
 	// when they link, and it doesn't know since when a worker doesn't answer.
 	takeoverVerdictDelay = 3 * time.Second
+	// maxPendingWait is how long a task waits at most until it is known whether its worker has crashed.
+	maxPendingWait = 10 * time.Second
 	// outageMemory is how long after a crash it can be found to belong to an outage: workers may come back late.
 	outageMemory = 10 * time.Minute
 )
@@ -189,6 +191,23 @@
 	c.crashed.verdicts[t] = until
 }
 
+// awaitCrash holds a task back while it isn't known whether its worker has crashed, if that would fail its job: another start
+// would be one too many.
+func (c *Core) awaitCrash(now time.Time, t *task) {
+	until, waits := c.crashed.verdicts[t]
+	switch {
+	case t.over() || !t.mayBeCrashing():
+		c.endVerdict(t)
+	case !waits || until.IsZero():
+		c.awaitVerdict(t, now.Add(maxPendingWait))
+	case !now.Before(until):
+		for i := range t.crashes {
+			t.crashes[i].waited = true
+		}
+		c.endVerdict(t)
+	}
+}
+
 // endVerdict ends the wait for the decision on a task.
 func (c *Core) endVerdict(t *task) {
 	if _, ok := c.crashed.verdicts[t]; ok {
--- a/internal/sched/outage_test.go
+++ b/internal/sched/outage_test.go
@@ -293,23 +293,24 @@
 // TestDeadlyTasksInOutages guards against tasks that crash workers and are started more often since all workers crash for
 // another reason now and then, or since several such tasks crash most workers of a pool at the same time.
 func TestDeadlyTasksInOutages(t *testing.T) {
-	for _, workers := range []int{1, 2, 3, 4, 13} {
-		for _, after := range []time.Duration{20 * time.Millisecond, 3 * time.Second} {
+	for _, workers := range []int{1, 3, 13} {
+		for _, after := range []time.Duration{20 * time.Millisecond, 3 * time.Second, 11 * time.Second} {
 			for _, gang := range []bool{false, true} {
-				for seed := range uint64(2) {
+				for seed := range uint64(4) {
 					t.Run(fmt.Sprintf("%d workers, after %s, gang %t, seed %d", workers, after, gang, seed), func(t *testing.T) {
 						p := newOutagePool(t, workers, seed)
+						takeovers := time.Duration(seed/2) * 5 * time.Second
 						p.submit("lasting", job.Step{Count: workers, Demand: cores(0.5), LongRunning: true}, 0)
 						p.play(time.Second, 0)
 						p.submit("many", job.Step{Count: workers, Demand: cores(2), EstimateMS: outageWork.Milliseconds(), Gang: gang}, after)
 						p.submit("one", job.Step{Count: 1, Demand: cores(0.5), EstimateMS: outageWork.Milliseconds()}, after)
 						for range 3 {
-							p.play(p.between(time.Second, 8*time.Second), 0)
+							p.play(p.between(time.Second, 8*time.Second), takeovers)
 							if seed%2 == 1 {
 								p.crashAll()
 							}
 						}
-						p.play(10*after+20*time.Second, 0)
+						p.play(10*after+20*time.Second, takeovers)
 						p.checkBudget()
 						for id := range p.deadly {
 							if v, _ := p.core.Job(id); v.State != Failed {
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -71,7 +71,7 @@
 	if t.crashes = r.Crashes; len(t.crashes) > 0 {
 		c.crashed.tasks[t] = true
 	}
-	if t.crashing() {
+	if t.crashing() || t.mayBeCrashing() {
 		c.awaitVerdict(t, now.Add(takeoverVerdictDelay))
 	}
 	for _, cp := range r.Copies {
