Scheduler: a task that crashes workers explains its part in outages

Cause: several tasks that crash workers looked like an outage at their first crashes. A crash in an outage was no longer explained by the task whose job has failed, so that all that had been starting beside it stayed suspects.

Evidence: the findings show suspects with one crash each, in an outage, on the worker of a task whose job had failed.

Why this works: as for other crashes, a task that was starting at two or more and is given up explains all of them.

TestDeadlyTaskExplainsOutage fails without the change.

--- a/internal/sched/cell_scene_test.go
+++ b/internal/sched/cell_scene_test.go
@@ -149,3 +149,16 @@
 	w.runUntil(w.now + 15_000)
 	w.reportAll(t)
 }
+
+// TestSixthBlackout guards against tasks that wait for long after their workers have crashed for the sixth time for no fault of
+// theirs.
+func TestSixthBlackout(t *testing.T) {
+	w := loadedScene()
+	for range 6 {
+		w.runUntil(w.now + 6000)
+		w.crashAll()
+		w.restarted()
+	}
+	w.runUntil(w.now + 30_000)
+	w.reportAll(t)
+}
--- a/internal/sched/crashes.go
+++ b/internal/sched/crashes.go
@@ -329,7 +329,7 @@
 func (c *Core) explainCrashes(cause *task) {
 	own := map[string]bool{}
 	for i := range cause.crashes {
-		if cr := &cause.crashes[i]; cr.starting() && !cr.Outage {
+		if cr := &cause.crashes[i]; cr.starting() {
 			own[cr.Worker] = true
 		}
 	}
--- a/internal/sched/outage_test.go
+++ b/internal/sched/outage_test.go
@@ -323,3 +323,65 @@
 		}
 	}
 }
+
+// TestDeadlyTaskExplainsOutage guards against tasks that wait for isolated starts since workers have crashed together, although
+// the task that was starting on theirs has turned out to crash workers.
+func TestDeadlyTaskExplainsOutage(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	crash := func(id string, runs ...link.RunRef) {
+		report := link.Crash{Worker: id, Node: "node-" + id[:1], Service: "pool", AgoMS: 1}
+		for _, ref := range runs {
+			report.Runs = append(report.Runs, link.CrashedRun{RunRef: ref, AgeMS: 20})
+		}
+		c.WorkerCrashed(now, report)
+		c.Attach(now, report.Node, link.Worker{ID: id + "'", Service: "pool", Capacity: big}, link.Listing{})
+	}
+	c.Submit(now, one("deadly", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000}))
+	id, deadly := firstStart(t, settle(now, c))
+	c.Submit(now, one("other", 0, job.Step{Count: 9, Demand: cores(1), EstimateMS: 1000}))
+	var beside []link.RunRef
+	for at, starts := range started(settle(now, c)) {
+		for _, s := range starts {
+			if at == id {
+				beside = append(beside, s.RunRef)
+			}
+		}
+	}
+	if len(beside) == 0 {
+		t.Fatal("nothing starts beside the deadly task")
+	}
+	for _, w := range []string{"a", "b", "c"} {
+		if w == id {
+			crash(w, append(beside, deadly)...)
+		} else {
+			crash(w)
+		}
+	}
+	task := c.task(deadly.Task)
+	if len(task.crashes) != 1 || !task.crashes[0].Outage {
+		t.Fatalf("crashes %+v, want one in an outage", task.crashes)
+	}
+	running := map[string][]link.RunStatus{}
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(outageReports) {
+		for at, starts := range started(settle(now, c)) {
+			for _, s := range starts {
+				running[at] = append(running[at], link.RunStatus{RunRef: s.RunRef})
+				if s.Task == deadly.Task {
+					crash(at, s.RunRef)
+				}
+			}
+		}
+		for at, rows := range running {
+			c.Report(now, at, link.Listing{Running: rows})
+		}
+	}
+	if c.jobs["deadly"].state != Failed {
+		t.Fatalf("the deadly task isn't given up: %+v", task.crashes)
+	}
+	for _, ref := range beside {
+		if got := c.task(ref.Task).crashes; len(got) > 0 {
+			t.Errorf("%s still has crashes %+v", ref.Task, got)
+		}
+	}
+}
--- a/internal/sched/standstill_world_test.go
+++ b/internal/sched/standstill_world_test.go
@@ -95,6 +95,7 @@
 	changed   time.Time
 	overSince time.Time
 	crash     *link.Crash // seen by the guard and not reported to this owner
+	crashedAt time.Time   // when it crashed last
 }
 
 // dayCall is a call to the policy service in progress.
@@ -691,7 +692,7 @@
 // attach links a guard to the owner.
 func (d *day) attach(h *dayHost) {
 	if h.crash != nil {
-		d.core.WorkerCrashed(d.now, *h.crash)
+		d.reportCrash(h, *h.crash)
 		h.crash = nil
 	}
 	for _, id := range d.core.SupersededWorkers(h.id, h.node) {
@@ -722,10 +723,17 @@
 	d.core.UpdatePressure(d.now, h.id, int(h.pace), mute)
 }
 
+// reportCrash reports a crash of a worker, and how long ago it was.
+func (d *day) reportCrash(h *dayHost, report link.Crash) {
+	report.AgoMS = max(1, d.now.Sub(h.crashedAt).Milliseconds())
+	d.core.WorkerCrashed(d.now, report)
+}
+
 // crashHost crashes a worker; seen says whether its guard can tell.
 func (d *day) crashHost(h *dayHost, seen bool, down time.Duration) {
 	d.trace("%s crashes, seen=%t, back in %s", h.id, seen, down)
-	report := link.Crash{Worker: h.id}
+	report := link.Crash{Worker: h.id, Node: h.node, Service: d.info(h).Service}
+	h.crashedAt = d.now
 	for _, r := range h.sorted() {
 		report.Runs = append(report.Runs, link.CrashedRun{RunRef: r.RunRef, AgeMS: d.now.Sub(r.began).Milliseconds()})
 		if r.spec.LongRunning {
@@ -740,7 +748,7 @@
 		d.after(d.between(100*time.Millisecond, 400*time.Millisecond), func() {
 			if h.linked && h.id == id {
 				h.linked = false
-				d.core.WorkerCrashed(d.now, report)
+				d.reportCrash(h, report)
 				d.core.RemoveWorker(d.now, id)
 			} else {
 				h.crash = &report
