--- a/internal/sched/cell_scene_test.go
+++ b/internal/sched/cell_scene_test.go
@@ -207,3 +207,16 @@
 	w.machines = all
 	w.after(extensionMS, func() { w.guardsFollow(500) })
 }
+
+// TestSixthBlackout guards against tasks that wait for long after their workers have crashed for the sixth time for no fault of
+// theirs.
+func TestSixthBlackout(t *testing.T) {
+	w := loadedScene()
+	for range 6 {
+		w.runUntil(w.now + 6000)
+		w.crashAll()
+		w.restarted()
+	}
+	w.runUntil(w.now + 30_000)
+	w.reportAll(t)
+}
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -12,9 +12,9 @@
 
 const (
 	// maxIsolatedShare is the part of a pool's workers that may be kept for isolated starts, maxStarvedShare the one for those
-	// of starved suspects; one always may.
+	// of starved suspects; one always may. See outageShare.
 	maxIsolatedShare = 0.25
-	maxStarvedShare  = 0.5
+	maxStarvedShare  = 0.4
 	// isolationTimeout is how long a worker may be kept for a start that isn't made: its runs settle in less.
 	isolationTimeout = 3 * time.Second
 	// isolationGap is how long a worker that was kept isn't kept again while other tasks are starved.
@@ -175,14 +175,13 @@
 	if t.queuedFor(now) >= starvationDelay && (t.step.spec.LongRunning || !c.active(now, t.step.occ.job)) {
 		share = maxStarvedShare
 	}
-	p := c.pool(t.step)
 	kept := 0
-	for _, w := range p.workers {
-		if w.isolated != nil {
+	for _, w := range c.sortedWorkers {
+		if w.isolated != nil && w.info.Service == t.step.occ.job.spec.Policy.Service {
 			kept++
 		}
 	}
-	return kept < max(1, int(share*float64(len(p.workers))))
+	return kept < max(1, int(share*float64(len(c.pool(t.step).workers))))
 }
 
 // othersStarve reports whether a task that needs no isolated start is starved while nothing of its job runs.
