Scheduler: requests to the policy service are chosen when the service is free

Cause: each refused step queued its request, and the driver sent the queue first in, first out. After an outage of the policy service dozens of requests of fillers and short jobs went before those of steps that last; each named all workers, whatever the step needed.

What is needed no more is dropped. A request names no more workers than have room for twice the waiting tasks, and at least three. A step whose requests fail waits twice as long each time, up to 1.2 s. The driver asks for the next request whenever the service is free; its bounded queue is gone. The log line says how long the step waited, its class and place. The random test drives the core in the same way, one call at a time.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -151,7 +151,7 @@
 	{Reject, "info", "guard", "cell", decisionFields, "the progress of a job can't be stored, which ends the job as failed, or another record was left out"},
 	{Reserve, "info", "guard", "cell", decisionFields, "room on a worker is reserved for a waiting task of a step: when it is expected to be free, how many tasks wait and since when"},
 	{Standstill, "info", "guard", "cell", decisionFields, "a job, or a task that lasts, has nothing running although there is room: for how long, the refusals of its step by reason with the number of workers, why the fallback doesn't apply, workers kept for isolated starts, runs that it is believed to have, and the room of the workers that take tasks and of all linked ones; repeated every 3 s while it lasts"},
-	{Advice, "info", "guard", "cell", decisionFields, "a response of the policy service about a step"},
+	{Advice, "info", "guard", "cell", decisionFields, "a response of the policy service about a step: how many workers it was asked about and approved, how long the step waited for the service, and its class and place among the steps that waited then"},
 	{WorkerDrains, "info", "guard", "guard", []string{"worker", "remaining_ms"}, "the worker has reported that it will leave"},
 	{WorkerLeaves, "info", "guard", "control", []string{"worker"}, "the worker has reported that it leaves now"},
 	{AnnouncementSkipped, "warn", "guard", "control", []string{"worker", "err"}, "an announcement can't be parsed; its worker is not used"},
--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -19,38 +19,64 @@
 const maxAdvice = 5 * time.Second
 
 // advise sends the scheduler's requests to the policy service, one at a time: the service handles one request
-// at a time for each caller, so a second one in progress would only wait there.
+// at a time for each caller, so a second one in progress would only wait there. The scheduler chooses each request when the
+// service is free for it.
 func (c *Cell) advise(ctx context.Context) error {
 	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case q := <-c.approvalRequests:
-			call, cancel := context.WithTimeout(ctx, min(max(0, q.Within), maxAdvice)+adviceSlack)
-			a, err := c.adviser.Advise(call, q.Step, q.Workers)
-			cancel()
-			err = c.protect("handle an approval", func() error {
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				c.core.HandleApproval(time.Now(), q, a, err)
-				return nil
-			})
-			if err != nil {
-				return err
+		q, ok, err := c.nextApprovalRequest()
+		if err != nil {
+			return err
+		}
+		if !ok {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-c.approvalsDue:
 			}
-			c.wake()
+			continue
+		}
+		if err := c.askForApproval(ctx, q); err != nil {
+			return err
 		}
 	}
 }
 
-// queueApprovalRequests queues the scheduler's requests for advise; those that don't fit fail. The caller holds the
-// lock.
-func (c *Cell) queueApprovalRequests() {
-	for _, q := range c.core.ApprovalRequests() {
-		select {
-		case c.approvalRequests <- q:
-		default:
-			c.core.HandleApproval(time.Now(), q, sched.Approval{}, errTooManyApprovalRequests)
+// nextApprovalRequest returns the request to send now; false if there is none.
+func (c *Cell) nextApprovalRequest() (q sched.ApprovalRequest, ok bool, err error) {
+	err = c.protect("choose an approval request", func() error {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.broken != nil {
+			return c.broken
 		}
+		q, ok = c.core.NextApprovalRequest(time.Now())
+		return nil
+	})
+	return q, ok, err
+}
+
+// askForApproval sends a request to the policy service and passes the response to the scheduler.
+func (c *Cell) askForApproval(ctx context.Context, q sched.ApprovalRequest) error {
+	call, cancel := context.WithTimeout(ctx, min(max(0, q.Within), maxAdvice)+adviceSlack)
+	a, err := c.adviser.Advise(call, q.Step, q.Workers)
+	cancel()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	err = c.protect("handle an approval", func() error {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.core.HandleApproval(time.Now(), q, a, err)
+		return nil
+	})
+	c.wake()
+	return err
+}
+
+// announceApprovals tells advise that a round may have found steps that want approvals.
+func (c *Cell) announceApprovals() {
+	select {
+	case c.approvalsDue <- struct{}{}:
+	default:
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -42,8 +42,6 @@
 	// arrives within it shares one append.
 	maxRoundInterval = 100 * time.Millisecond
 	minRoundInterval = 15 * time.Millisecond
-	// maxApprovalRequests is the most requests that wait for the policy service.
-	maxApprovalRequests = 64
 	// sweepInterval is the time between two sweeps of ended jobs.
 	sweepInterval = 5 * time.Second
 	// ownerKey is the key in TopicRuns under which an owner fences earlier ones.
@@ -69,9 +67,9 @@
 	links      map[string]*peer // by worker ID
 	clock      *wallclock.Estimate
 	roundDue   chan struct{} // starts the next round at once
-	// approvalRequests holds requests that wait for the policy service.
-	approvalRequests chan sched.ApprovalRequest
-	adviser          Adviser
+	// approvalsDue lets advise look for requests to the policy service.
+	approvalsDue chan struct{}
+	adviser      Adviser
 	// extendCheckedAt is when mayExtend was called last, stalledAt when it found that the process had stood still.
 	extendCheckedAt, stalledAt time.Time
 	// broken is the panic after which the state of core may be inconsistent, or nil; the cell is then loaded anew.
@@ -85,7 +83,7 @@
 	opt.RecordBytes = s.Limits().Record
 	return &Cell{
 		opt: opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
-		approvalRequests: make(chan sched.ApprovalRequest, maxApprovalRequests), adviser: adviser,
+		approvalsDue: make(chan struct{}, 1), adviser: adviser,
 	}
 }
 
@@ -157,9 +155,6 @@
 // errReplaced means that another process has taken the cell.
 var errReplaced = errors.New("another process has taken the cell")
 
-// errTooManyApprovalRequests means that the policy service doesn't keep up with the requests.
-var errTooManyApprovalRequests = errors.New("too many requests wait for the policy service")
-
 // errExpired means that the lease expired so long ago that this process may no longer extend leases of runs.
 var errExpired = errors.New("lease expired")
 
@@ -344,7 +339,7 @@
 	b, _ := c.core.Flush(time.Now())
 	c.logDecisions()
 	c.recordMetrics()
-	c.queueApprovalRequests()
+	c.announceApprovals()
 	c.queueCommands()
 	c.scope.Histogram("round_seconds", metrics.Seconds()).RecordValue(time.Since(began).Seconds())
 	return b, c.runsEnd, nil
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -1,19 +1,17 @@
 package sched
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/event"
 )
 
 const (
-	// maxRequestWorkers is the most workers in one approval request; its service time grows with each.
-	maxRequestWorkers = 30
-	// approvalRetryDelay is how long after a failed approval request a step may send the next one.
-	approvalRetryDelay = 150 * time.Millisecond
+	// approvalRetryDelay is how long after a failed approval request a step may send the next one. It doubles with each
+	// further failure up to maxApprovalRetryDelay, so that a step whose requests fail leaves the policy service to others.
+	approvalRetryDelay    = 150 * time.Millisecond
+	maxApprovalRetryDelay = 1200 * time.Millisecond
 	// ticketMargin is the part of a ticket's validity reserved for the start to reach the worker.
 	ticketMargin = 300 * time.Millisecond
 )
@@ -33,61 +31,89 @@
 	Valid   time.Duration
 }
 
-// requestApproval queues an approval request for a step whose queue takes advice, unless one is pending. Workers that a
-// response has left out are never requested again for that step.
+// approvals holds the steps that need the policy service.
+type approvals struct {
+	// wanted holds the steps that wait for it, with the time since when.
+	wanted map[*step]time.Time
+	// sent holds the requests without a response, by step name.
+	sent map[string]sentRequest
+	// requests counts the requests sent.
+	requests int
+}
+
+// sentRequest is a request to the policy service without a response.
+type sentRequest struct {
+	step *step
+	// waited is how long the step waited for the service, order the place that it had then.
+	waited time.Duration
+	order  approvalPlace
+}
+
+// newApprovals returns approvals without steps.
+func newApprovals() approvals {
+	return approvals{wanted: map[*step]time.Time{}, sent: map[string]sentRequest{}}
+}
+
+// pending reports whether a request about a step has no response yet.
+func (a *approvals) pending(s *step) bool { return a.sent[s.name()].step == s }
+
+// requestApproval notes that a step whose queue takes advice wants approvals, unless one of its requests is in progress or has
+// just failed, or there is no worker to ask about. NextApprovalRequest returns the request when its turn has come.
 func (c *Core) requestApproval(now time.Time, s *step) {
-	if s.occ.job.spec.Policy.Advice == nil || s.approvalPending || now.Before(s.nextRequestAt) {
+	if s.occ.job.spec.Policy.Advice == nil || now.Before(s.nextRequestAt) {
 		return
 	}
-	without := []string{"ticket"}
-	switch {
-	case c.mayDisturb(now, s):
-		without = append(without, starvedFillerExceptions...)
-	case s.spec.LongRunning && s.starved(now):
-		without = append(without, "health")
-	}
-	var candidates []*worker
-	for _, w := range c.sortedWorkers {
-		if !s.denied[w.id] && !s.approved(now, w.id) && c.refusalExcept(now, s, w, without...) == "" {
-			candidates = append(candidates, w)
-		}
-	}
-	if len(candidates) == 0 {
+	if _, ok := c.approvals.wanted[s]; ok || c.approvals.pending(s) || len(c.workersToApprove(now, s)) == 0 {
 		return
 	}
-	slices.SortStableFunc(candidates, func(a, b *worker) int { return -cmp.Compare(c.score(s.spec, s, a), c.score(s.spec, s, b)) })
-	candidates = candidates[:min(len(candidates), maxRequestWorkers)]
-	req := ApprovalRequest{Step: s.name()}
-	for _, w := range candidates {
-		req.Workers = append(req.Workers, w.id)
+	c.approvals.wanted[s] = now
+}
+
+// NextApprovalRequest returns the request that is best to send to the policy service now; false if no step needs one. The
+// caller passes the response to HandleApproval.
+func (c *Core) NextApprovalRequest(now time.Time) (ApprovalRequest, bool) {
+	for len(c.approvals.wanted) > 0 {
+		s, order := c.nextWanted(now)
+		waited := now.Sub(c.approvals.wanted[s])
+		delete(c.approvals.wanted, s)
+		workers := c.workersToApprove(now, s)
+		if s.occ.job.state.Terminal() || len(workers) == 0 {
+			continue
+		}
+		c.approvals.requests++
+		c.approvals.sent[s.name()] = sentRequest{step: s, waited: waited, order: order}
+		return newApprovalRequest(s, workers), true
 	}
-	advice := s.occ.job.spec.Policy.Advice
-	req.Within = time.Duration(advice.DecideMS+advice.EachMS*int64(len(candidates))) * time.Millisecond
-	s.approvalPending = true
-	c.awaitingApproval[req.Step] = s
-	c.approvalRequests = append(c.approvalRequests, req)
+	return ApprovalRequest{}, false
 }
 
-// ApprovalRequests returns the requests to send to the policy service, most urgent first.
-func (c *Core) ApprovalRequests() []ApprovalRequest {
-	out := c.approvalRequests
-	c.approvalRequests = nil
-	return out
+// newApprovalRequest returns the request about workers for a step.
+func newApprovalRequest(s *step, workers []*worker) ApprovalRequest {
+	advice := s.occ.job.spec.Policy.Advice
+	req := ApprovalRequest{Step: s.name(), Within: time.Duration(advice.DecideMS+advice.EachMS*int64(len(workers))) * time.Millisecond}
+	for _, w := range workers {
+		req.Workers = append(req.Workers, w.id)
+	}
+	return req
 }
 
-// HandleApproval takes the response to a request; after an error the request is retried later.
+// HandleApproval takes the response to a request; after an error the step may ask again later.
 func (c *Core) HandleApproval(now time.Time, req ApprovalRequest, a Approval, err error) {
-	s := c.awaitingApproval[req.Step]
-	if s == nil {
+	sent, ok := c.approvals.sent[req.Step]
+	if !ok {
 		return
 	}
-	delete(c.awaitingApproval, req.Step)
-	s.approvalPending, s.placement, s.isolation = false, retry{}, retry{}
+	delete(c.approvals.sent, req.Step)
+	s := sent.step
+	s.placement, s.isolation = retry{}, retry{}
+	wait := fmt.Sprintf("waited=%s %s", sent.waited.Round(time.Millisecond), sent.order)
 	if err != nil {
-		s.nextRequestAt = now.Add(approvalRetryDelay)
-		c.logDecision(event.Advice, req.Step, fmt.Sprintf("workers=%d err=%q", len(req.Workers), err))
+		s.requestDelay = min(max(approvalRetryDelay, 2*s.requestDelay), maxApprovalRetryDelay)
+		s.nextRequestAt = now.Add(s.requestDelay)
+		c.logDecision(event.Advice, req.Step, fmt.Sprintf("workers=%d err=%q %s", len(req.Workers), err, wait))
 		return
 	}
+	s.requestDelay = 0
 	if s.tickets == nil {
 		s.tickets, s.denied = map[string]ticket{}, map[string]bool{}
 	}
@@ -99,5 +125,5 @@
 		}
 		s.tickets[id] = ticket{text: text, until: now.Add(a.Valid - ticketMargin)}
 	}
-	c.logDecision(event.Advice, req.Step, fmt.Sprintf("workers=%d approved=%d valid=%s", len(req.Workers), len(a.Tickets), a.Valid))
+	c.logDecision(event.Advice, req.Step, fmt.Sprintf("workers=%d approved=%d valid=%s %s", len(req.Workers), len(a.Tickets), a.Valid, wait))
 }
--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -55,18 +55,18 @@
 	if got := started(settle(now, c)); len(got) != 0 {
 		t.Fatalf("started %v without advice", got)
 	}
-	requests := c.ApprovalRequests()
+	requests := allRequests(now, c)
 	if len(requests) != 1 || requests[0].Step != "job.0.0" || len(requests[0].Workers) != 3 || requests[0].Within != 35*time.Millisecond {
 		t.Fatalf("requests %+v, want one for three workers", requests)
 	}
 	c.HandleApproval(now, requests[0], Approval{}, errors.New("busy"))
 	settle(now, c)
-	if got := c.ApprovalRequests(); len(got) != 0 {
+	if got := allRequests(now, c); len(got) != 0 {
 		t.Errorf("request repeated at once: %+v", got)
 	}
 	now = now.Add(approvalRetryDelay)
 	settle(now, c)
-	requests = c.ApprovalRequests()
+	requests = allRequests(now, c)
 	if len(requests) != 1 {
 		t.Fatalf("requests %+v after a failed request, want one", requests)
 	}
@@ -75,7 +75,7 @@
 	if len(got) != 1 || len(got["b"]) != 2 || got["b"][0].Ticket != "t1" {
 		t.Errorf("started %+v, want both tasks on b with its ticket", got)
 	}
-	if got := c.ApprovalRequests(); len(got) != 0 {
+	if got := allRequests(now, c); len(got) != 0 {
 		t.Errorf("requests %+v for workers that were denied", got)
 	}
 }
--- /dev/null
+++ b/internal/sched/advice_workers.go
@@ -0,0 +1,138 @@
+package sched
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxRequestWorkers is the most workers in one approval request; its service time grows with each.
+	maxRequestWorkers = 30
+	// minRequestWorkers is the least number of workers in a request, if there are as many to ask about: a worker more costs
+	// less than another request after a denial.
+	minRequestWorkers = 3
+	// requestReserve is how many times the room that a step needs the workers in a request have: some are denied, and others
+	// take the room of some meanwhile.
+	requestReserve = 2
+)
+
+// workersToApprove returns the workers to ask the policy service about for a step now, best first: no more than have room for
+// requestReserve times the tasks for which the approved ones have none. It returns none if the step needs no approval.
+// Workers that a response has left out are never asked about again for that step.
+func (c *Core) workersToApprove(now time.Time, s *step) []*worker {
+	tasks := c.tasksToPlace(s)
+	if tasks == 0 {
+		return nil
+	}
+	candidates := c.approvalCandidates(now, s)
+	if len(candidates) == 0 {
+		return nil
+	}
+	fallback := !c.takesOnceApproved(now, s, candidates[0])
+	missing := tasks - c.approvedRoom(now, s, fallback)
+	if missing <= 0 {
+		return nil
+	}
+	n, room := 0, 0
+	for n < min(len(candidates), maxRequestWorkers) && (n < minRequestWorkers || room < requestReserve*missing) {
+		room += c.roomFor(now, s, candidates[n])
+		n++
+	}
+	return candidates[:n]
+}
+
+// approvalCandidates returns the workers whose approval would help a step, best first: those that lack nothing else, then those
+// that only a fallback for starved steps takes.
+func (c *Core) approvalCandidates(now time.Time, s *step) []*worker {
+	without := c.approvalExceptions(now, s)
+	var takes, fallback []*worker
+	scores := map[*worker]float64{}
+	for _, w := range c.sortedWorkers {
+		if s.denied[w.id] || s.approved(now, w.id) || c.refusalExcept(now, s, w, without...) != "" {
+			continue
+		}
+		scores[w] = c.score(s.spec, s, w)
+		if c.takesOnceApproved(now, s, w) {
+			takes = append(takes, w)
+		} else {
+			fallback = append(fallback, w)
+		}
+	}
+	for _, workers := range [][]*worker{takes, fallback} {
+		slices.SortStableFunc(workers, func(a, b *worker) int { return -cmp.Compare(scores[a], scores[b]) })
+	}
+	return append(takes, fallback...)
+}
+
+// approvalExceptions returns the filters that a worker needn't pass for a step to ask about it: the approval, and what the
+// fallbacks for starved steps leave out.
+func (c *Core) approvalExceptions(now time.Time, s *step) []string {
+	without := []string{"ticket"}
+	switch {
+	case c.mayDisturb(now, s):
+		without = append(without, starvedFillerExceptions...)
+	case s.spec.LongRunning && s.starved(now):
+		without = append(without, "health")
+	}
+	return without
+}
+
+// takesOnceApproved reports whether a worker lacks nothing but the approval to take a task of a step.
+func (c *Core) takesOnceApproved(now time.Time, s *step, w *worker) bool {
+	return c.refusalExcept(now, s, w, "ticket") == ""
+}
+
+// tasksToPlace counts the tasks of a step that wait for a worker or should leave one in a drained data centre.
+func (c *Core) tasksToPlace(s *step) int {
+	n := s.waiting
+	for _, t := range s.tasks {
+		if w := c.workers[t.worker]; t.state == stateRunning && w != nil && c.drainRefusal(w) != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// approvedRoom returns for how many tasks of a step the approved workers have room; fallback includes those that only a fallback
+// for starved steps takes.
+func (c *Core) approvedRoom(now time.Time, s *step, fallback bool) int {
+	without := []string{"ticket"}
+	if fallback {
+		without = c.approvalExceptions(now, s)
+	}
+	sum := 0
+	for _, w := range c.sortedWorkers {
+		if s.approved(now, w.id) && !s.hasCopyOn(w) && c.refusalExcept(now, s, w, without...) == "" {
+			sum += c.roomFor(now, s, w)
+		}
+	}
+	return sum
+}
+
+// hasCopyOn reports whether a worker may still have an earlier run of a waiting task of a step, and so doesn't take that task.
+func (s *step) hasCopyOn(w *worker) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state == stateWaiting && w.hasCopy(t) })
+}
+
+// roomFor estimates how many tasks of a step a worker takes that takes one; a fallback places one at a time.
+func (c *Core) roomFor(now time.Time, s *step, w *worker) int {
+	if !c.takesOnceApproved(now, s, w) {
+		return 1
+	}
+	n := int64(math.MaxInt32)
+	free, need := w.free(), s.spec.Reserve()
+	for _, kind := range [][2]int64{{free.MilliCPU, need.MilliCPU}, {free.MemoryMB, need.MemoryMB}, {free.Accelerators, need.Accelerators}} {
+		if kind[1] > 0 {
+			n = min(n, kind[0]/kind[1])
+		}
+	}
+	if demand := s.spec.Demand.MilliCPU; s.spec.Filler && demand > 0 {
+		n = min(n, w.spare()/demand)
+	}
+	if limit := s.spec.AntiAffinity; limit > 0 {
+		n = min(n, int64(limit-s.countOn(w)))
+	}
+	return int(max(1, n))
+}
--- a/internal/sched/isolate_test.go
+++ b/internal/sched/isolate_test.go
@@ -8,17 +8,29 @@
 	"github.com/crocusspring/crocusspring/internal/link"
 )
 
-// approveAll answers all requests for approval with a ticket for each worker, and returns how many there were.
+// approveAll answers all requests for approval, one after the other, with a ticket for each worker, and returns how many there
+// were.
 func approveAll(now time.Time, c *Core) int {
-	requests := c.ApprovalRequests()
-	for _, q := range requests {
+	for n := 0; ; n++ {
+		q, ok := c.NextApprovalRequest(now)
+		if !ok {
+			return n
+		}
 		tickets := map[string]string{}
 		for _, id := range q.Workers {
 			tickets[id] = "ticket"
 		}
 		c.HandleApproval(now, q, Approval{Tickets: tickets, Valid: 3 * time.Second}, nil)
 	}
-	return len(requests)
+}
+
+// allRequests returns the requests that would be sent one after the other.
+func allRequests(now time.Time, c *Core) []ApprovalRequest {
+	var out []ApprovalRequest
+	for q, ok := c.NextApprovalRequest(now); ok; q, ok = c.NextApprovalRequest(now) {
+		out = append(out, q)
+	}
+	return out
 }
 
 // crashUnder crashes the worker that was starting a run, and brings it back as another incarnation.
@@ -109,7 +121,7 @@
 	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 60_000}
 	c.Submit(now, spec)
 	settle(now, c)
-	for _, q := range c.ApprovalRequests() {
+	for _, q := range allRequests(now, c) {
 		c.HandleApproval(now, q, Approval{Tickets: map[string]string{"a": "t", "b": "t"}, Valid: time.Minute}, nil)
 	}
 	c.Attach(now, "node-c", link.Worker{ID: "c", Service: "pool", Capacity: big}, link.Listing{})
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -99,11 +99,11 @@
 	startup time.Duration
 	// tickets are the approvals of the policy service, by worker.
 	tickets map[string]ticket
-	// denied are the workers that the policy service has not approved. approvalPending says that a request is
-	// in progress, nextRequestAt when the next one may be sent.
-	denied          map[string]bool
-	approvalPending bool
-	nextRequestAt   time.Time
+	// denied are the workers that the policy service has not approved. nextRequestAt is when the next request may be sent
+	// after requestDelay, the delay after the latest one if it has failed.
+	denied        map[string]bool
+	nextRequestAt time.Time
+	requestDelay  time.Duration
 	// unplacedSince is since when no task could be placed; zero when the last one tried was placed.
 	unplacedSince time.Time
 	// placement and isolation say when placement and isolated starts are tried next. They are separate, so that a
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -105,10 +105,7 @@
 	health            *health
 	crashed           crashes
 	interferenceModel *interfere.Tails
-	// approvalRequests are to be sent to the policy service; awaitingApproval holds the steps with a request
-	// pending, by step ID.
-	approvalRequests []ApprovalRequest
-	awaitingApproval map[string]*step
+	approvals         approvals
 	// capacityEvents counts the runs that have ended and the workers that have attached.
 	capacityEvents int
 	// drained holds the data centres in which no task starts; while drainsKnown is false, none starts anywhere.
@@ -151,7 +148,7 @@
 	return &Core{
 		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{},
 		dirty: map[string]*jobState{}, dirtyNodes: map[string]string{}, gatedCommands: Commands{}, readyCommands: Commands{}, durationRatios: durationRatios{},
-		health: newHealth(), crashed: newCrashes(), drainsKnown: true, awaitingApproval: map[string]*step{}, interferenceModel: interfere.NewTails(),
+		health: newHealth(), crashed: newCrashes(), drainsKnown: true, approvals: newApprovals(), interferenceModel: interfere.NewTails(),
 	}
 }
 
--- a/internal/sched/standstill_test.go
+++ b/internal/sched/standstill_test.go
@@ -304,9 +304,9 @@
 			kept = append(kept, w.id+" for "+w.isolated.id.String())
 		}
 	}
-	return fmt.Sprintf("task %s %s width %d demand %v filler=%t advice=%t late=%d held=%d states=%v unplaced=%s alone=%t crashes=%v pool %d workers free %d of %d busy=%t tickets=%d denied=%d pending=%t calls=%d\n  waits: %s\n  held: %s\n  kept: %s",
+	return fmt.Sprintf("task %s %s width %d demand %v filler=%t advice=%t late=%d held=%d states=%v unplaced=%s alone=%t crashes=%v pool %d workers free %d of %d busy=%t tickets=%d denied=%d pending=%t wanted=%d\n  waits: %s\n  held: %s\n  kept: %s",
 		t.id, t.state, len(s.tasks), s.spec.Demand, s.spec.Filler, js.spec.Policy.Advice != nil, js.lateness, js.held, states, since(j.d.now, s.unplacedSince), t.startsAlone(), t.crashes, len(p.workers), p.free, p.capacity, p.busy(),
-		len(s.tickets), len(s.denied), s.approvalPending, len(j.d.calls), c.waitReason(j.d.now, s), strings.Join(held, "; "), strings.Join(kept, "; "))
+		len(s.tickets), len(s.denied), c.approvals.pending(s), len(c.approvals.wanted), c.waitReason(j.d.now, s), strings.Join(held, "; "), strings.Join(kept, "; "))
 }
 
 // paceOf returns the pace of a worker, which may be nil.
--- a/internal/sched/standstill_world_test.go
+++ b/internal/sched/standstill_world_test.go
@@ -148,7 +148,7 @@
 	epoch                 int // counts the owners
 	lossUntil             time.Time
 	silentUntil           time.Time
-	calls                 []dayCall
+	call                  *dayCall // in progress, or nil
 	effect                map[[2]string]float64
 	phase                 map[string]float64
 	works                 map[job.TaskID]float64
@@ -764,7 +764,7 @@
 	if d.batch != nil {
 		d.write(d.batch.Records[:d.rng.IntN(len(d.batch.Records)+1)])
 	}
-	d.batch, d.calls = nil, nil
+	d.batch, d.call = nil, nil
 	for _, h := range d.hosts {
 		h.linked = false
 		h.cutUntil = maxTime(h.cutUntil, d.ownerless.Add(d.between(dayDelay, 900*time.Millisecond)))
@@ -814,19 +814,13 @@
 	}
 }
 
-// advise lets the policy service answer, one call at a time.
+// advise lets the policy service answer, one call at a time; the next request is chosen when the service is free.
 func (d *day) advise() {
-	for _, req := range d.core.ApprovalRequests() {
-		d.calls = append(d.calls, dayCall{req: req})
-	}
-	for len(d.calls) > 0 {
-		c := &d.calls[0]
-		if c.ends.IsZero() {
-			c.ends = d.now.Add(c.req.Within)
-			if d.silentUntil.After(d.now) {
-				c.ends, c.err = c.ends.Add(daySilentCall), errSilent
-			}
+	for {
+		if d.call == nil && !d.beginCall() {
+			return
 		}
+		c := d.call
 		if c.ends.After(d.now) {
 			return
 		}
@@ -836,11 +830,24 @@
 				a.Tickets[id] = fmt.Sprintf("%s %d", id, d.now.Add(a.Valid).UnixMilli())
 			}
 		}
+		d.call = nil
 		d.core.HandleApproval(d.now, c.req, a, c.err)
-		d.calls = d.calls[1:]
 	}
 }
 
+// beginCall sends the next request to the policy service, and reports whether there is one.
+func (d *day) beginCall() bool {
+	req, ok := d.core.NextApprovalRequest(d.now)
+	if !ok {
+		return false
+	}
+	d.call = &dayCall{req: req, ends: d.now.Add(req.Within)}
+	if d.silentUntil.After(d.now) {
+		d.call.ends, d.call.err = d.call.ends.Add(daySilentCall), errSilent
+	}
+	return true
+}
+
 // errSilent is the answer of a policy service that is silent.
 var errSilent = errors.New("silent")
 
--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -136,7 +136,7 @@
 	c.Submit(now, spec)
 	now = now.Add(fillerInterval)
 	settle(now, c)
-	if got := c.ApprovalRequests(); len(got) != 1 || len(got[0].Workers) != 2 {
+	if got := allRequests(now, c); len(got) != 1 || len(got[0].Workers) != 2 {
 		t.Errorf("requests %+v at the first refusal, want one about both workers", got)
 	}
 }
