Scheduler: a filler without approval holds up no others of its image

A filler with approvals wasn't placed although a worker had room. A round remembers the smallest demand of an image that no worker took and tries no larger one again; a filler of a queue with advice that lacked only its approval set that mark for all others of its image, for as long as it waited above them. Approvals are those of a step, so steps that need them set no mark any more. TestUnapprovedFillerHoldsUpNoOthers failed before.

--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -79,3 +79,26 @@
 		t.Errorf("requests %+v for workers that were denied", got)
 	}
 }
+
+// TestUnapprovedFillerHoldsUpNoOthers guards against a filler with approvals that isn't placed although a worker has room: another
+// of the same image, ranked above it, lacked only its own approval, and the round took that for a lack of room.
+func TestUnapprovedFillerHoldsUpNoOthers(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	filler := job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000, Filler: true, Image: "fill"}
+	c.Submit(now, advised("denied", 1, filler))
+	c.Submit(now, advised("approved", 2, filler))
+	now = now.Add(fillerInterval)
+	settle(now, c)
+	for q, ok := c.NextApprovalRequest(now); ok; q, ok = c.NextApprovalRequest(now) {
+		a := Approval{Tickets: map[string]string{}, Valid: 3 * time.Second}
+		if q.Step == "approved.0.0" {
+			a.Tickets[q.Workers[0]] = "t"
+		}
+		c.HandleApproval(now, q, a, nil)
+	}
+	now = now.Add(fillerInterval)
+	if got := started(settle(now, c)); len(got) != 1 {
+		t.Errorf("started %+v, want the approved filler", got)
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -266,7 +266,7 @@
 			out = append(out, w)
 		}
 	}
-	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" {
+	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" && s.occ.job.spec.Policy.Advice == nil {
 		c.round.refused[s.kind()] = s.spec.Demand
 	}
 	return out
