--- a/internal/sched/advice_test.go
+++ b/internal/sched/advice_test.go
@@ -55,18 +55,18 @@
 	if got := started(settle(now, c)); len(got) != 0 {
 		t.Fatalf("started %v without advice", got)
 	}
-	requests := c.ApprovalRequests()
+	requests := allRequests(now, c)
 	if len(requests) != 1 || requests[0].Step != "job.0.0" || len(requests[0].Workers) != 3 || requests[0].Within != 35*time.Millisecond {
 		t.Fatalf("requests %+v, want one for three workers", requests)
 	}
 	c.HandleApproval(now, requests[0], Approval{}, errors.New("busy"))
 	settle(now, c)
-	if got := c.ApprovalRequests(); len(got) != 0 {
+	if got := allRequests(now, c); len(got) != 0 {
 		t.Errorf("request repeated at once: %+v", got)
 	}
 	now = now.Add(approvalRetryDelay)
 	settle(now, c)
-	requests = c.ApprovalRequests()
+	requests = allRequests(now, c)
 	if len(requests) != 1 {
 		t.Fatalf("requests %+v after a failed request, want one", requests)
 	}
@@ -75,7 +75,30 @@
 	if len(got) != 1 || len(got["b"]) != 2 || got["b"][0].Ticket != "t1" {
 		t.Errorf("started %+v, want both tasks on b with its ticket", got)
 	}
-	if got := c.ApprovalRequests(); len(got) != 0 {
+	if got := allRequests(now, c); len(got) != 0 {
 		t.Errorf("requests %+v for workers that were denied", got)
 	}
 }
+
+// TestUnapprovedFillerHoldsUpNoOthers guards against a filler with approvals that isn't placed although a worker has room: another
+// of the same image, ranked above it, lacked only its own approval, and the round took that for a lack of room.
+func TestUnapprovedFillerHoldsUpNoOthers(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	filler := job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000, Filler: true, Image: "fill"}
+	c.Submit(now, advised("denied", 1, filler))
+	c.Submit(now, advised("approved", 2, filler))
+	now = now.Add(fillerInterval)
+	settle(now, c)
+	for q, ok := c.NextApprovalRequest(now); ok; q, ok = c.NextApprovalRequest(now) {
+		a := Approval{Tickets: map[string]string{}, Valid: 3 * time.Second}
+		if q.Step == "approved.0.0" {
+			a.Tickets[q.Workers[0]] = "t"
+		}
+		c.HandleApproval(now, q, a, nil)
+	}
+	now = now.Add(fillerInterval)
+	if got := started(settle(now, c)); len(got) != 1 {
+		t.Errorf("started %+v, want the approved filler", got)
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -328,7 +328,7 @@
 			out = append(out, w)
 		}
 	}
-	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" && !c.hasStrayRun(now, s) {
+	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" && s.occ.job.spec.Policy.Advice == nil && !c.hasStrayRun(now, s) {
 		c.round.refused[s.kind()] = s.spec.Demand
 	}
 	return out
