Scheduler: rounds decide only on tasks whose verdict is due

Each round looked for outages at the crashes of every task that a verdict was waited for, and each look goes through all workers and all suspects. A report of a crash marks the tasks of an outage anyway, so that a round needs to look only once the wait is over.

--- a/internal/sched/outage.go
+++ b/internal/sched/outage.go
@@ -257,11 +257,13 @@
 	return len(nodes) >= outageWorkers
 }
 
-// judgeDue decides on the tasks whose verdict has been waited for.
+// judgeDue decides on the tasks whose verdict has been waited for, or that need none any more.
 func (c *Core) judgeDue(now time.Time) {
 	var due []*task
-	for t := range c.crashed.verdicts {
-		due = append(due, t)
+	for t, until := range c.crashed.verdicts {
+		if t.over() || !now.Before(until) || !t.crashing() && !t.mayBeCrashing() {
+			due = append(due, t)
+		}
 	}
 	slices.SortFunc(due, compareSuspects)
 	for _, t := range due {
