--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -143,7 +143,7 @@
 	{Cancel, "info", "guard", "cell", decisionFields, "the owner learned of a cancellation"},
 	{Copy, "info", "guard", "cell", decisionFields, "a speculative task gets another run while this one may go on, and why"},
 	{Suspect, "info", "guard", "cell", decisionFields, "a worker on which a run makes no progress gets no tasks for a while"},
-	{Crash, "info", "guard", "cell", decisionFields, "a worker has crashed: the number of its runs, the runs that were starting there, and the number of tasks that the crash counts for"},
+	{Crash, "info", "guard", "cell", decisionFields, "a worker has crashed: the number of its runs, the runs that were starting there, and the number of tasks that the crash counts for; or an outage: most workers of a service have crashed together, and the number of tasks that this excuses"},
 	{Isolate, "info", "guard", "cell", decisionFields, "a worker is kept for the start of a task under which workers have crashed, with these crashes"},
 	{Worker, "info", "guard", "cell", decisionFields, "a worker has joined, drains, doesn't answer, or was removed"},
 	{Learn, "info", "guard", "cell", decisionFields, "learned data can't be stored"},
