--- a/internal/sched/quorum.go
+++ b/internal/sched/quorum.go
@@ -73,7 +73,7 @@
 	return out
 }
 
-// inheritNode takes the record of a worker that was stored before the takeover.
+// inheritNode takes the record of a worker that the takeover found in the store.
 func (c *Core) inheritNode(now time.Time, worker, node string) {
 	c.guards.takenOverAt, c.guards.silentFrom = now, now.Add(c.opt.RunLeaseExtension)
 	c.guards.records.settle(worker, node)
