--- a/internal/owner/advice.go
+++ b/internal/owner/advice.go
@@ -46,9 +46,6 @@
 	err = c.protect("choose an approval request", func() error {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.broken != nil {
-			return c.broken
-		}
 		q, ok = c.core.NextApprovalRequest(time.Now())
 		return nil
 	})
--- a/internal/sched/advice.go
+++ b/internal/sched/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/crocusspring/crocusspring/internal/event"
@@ -69,20 +70,32 @@
 	c.approvals.wanted[s] = now
 }
 
+// requestForSuspects asks about the steps of tasks that wait for an isolated start. No worker refuses them while others have all
+// the workers that may be kept.
+func (c *Core) requestForSuspects(now time.Time, waiting []*task) {
+	asked := map[*step]bool{}
+	for _, t := range waiting {
+		if !t.held() && !asked[t.step] {
+			asked[t.step] = true
+			c.requestApproval(now, t.step)
+		}
+	}
+}
+
 // NextApprovalRequest returns the request that is best to send to the policy service now; false if no step needs one. The
 // caller passes the response to HandleApproval.
 func (c *Core) NextApprovalRequest(now time.Time) (ApprovalRequest, bool) {
-	for len(c.approvals.wanted) > 0 {
-		s, order := c.nextWanted(now)
-		waited := now.Sub(c.approvals.wanted[s])
-		delete(c.approvals.wanted, s)
-		workers := c.workersToApprove(now, s)
-		if s.occ.job.state.Terminal() || len(workers) == 0 {
-			continue
+	for waiting := c.orderWanted(now); len(waiting) > 0; {
+		i := c.nextTurn(waiting)
+		w := waiting[i]
+		delete(c.approvals.wanted, w.step)
+		workers := c.workersToApprove(now, w.step)
+		if len(workers) > 0 {
+			c.approvals.requests++
+			c.approvals.sent[w.name] = sentRequest{step: w.step, waited: now.Sub(w.wanted), order: approvalPlace{w.class, i + 1, len(waiting)}}
+			return newApprovalRequest(w.step, workers), true
 		}
-		c.approvals.requests++
-		c.approvals.sent[s.name()] = sentRequest{step: s, waited: waited, order: order}
-		return newApprovalRequest(s, workers), true
+		waiting = slices.Delete(waiting, i, i+1)
 	}
 	return ApprovalRequest{}, false
 }
@@ -123,7 +136,13 @@
 			s.denied[id] = true
 			continue
 		}
-		s.tickets[id] = ticket{text: text, until: now.Add(a.Valid - ticketMargin)}
+		s.tickets[id] = newTicket(now, text, a.Valid)
 	}
 	c.logDecision(event.Advice, req.Step, fmt.Sprintf("workers=%d approved=%d valid=%s %s", len(req.Workers), len(a.Tickets), a.Valid, wait))
 }
+
+// newTicket returns a ticket that has just been issued.
+func newTicket(now time.Time, text string, valid time.Duration) ticket {
+	valid -= ticketMargin
+	return ticket{text: text, until: now.Add(valid), renewAt: now.Add(valid - min(renewalLead, valid/2))}
+}
--- a/internal/sched/advice_order.go
+++ b/internal/sched/advice_order.go
@@ -9,9 +9,9 @@
 )
 
 // longestWaitShare is the share of the requests to the policy service, as a divisor, that goes to the step that has waited for it
-// longest, whatever its class. It ends every wait: a step has fewer than its number of older ones times longestWaitShare
-// requests before it, however many urgent ones come. A step that asks again, since its tickets have expired or its request has
-// failed, begins a new wait.
+// longest, whatever its class. It ends every wait: at most longestWaitShare requests go before that of a step for itself and each
+// one that has waited longer, however many urgent ones come. A step that asks again, since its tickets have expired or its
+// request has failed, begins a new wait.
 const longestWaitShare = 4
 
 // approvalClass ranks the steps that wait for the policy service; lower ones go first.
@@ -32,7 +32,7 @@
 // approvalPlace is the place of a step among those that wait for the policy service.
 type approvalPlace struct {
 	class approvalClass
-	// place counts from 1; it is above 1 for a step whose turn has come by longestWaitShare.
+	// place counts from 1; it is above 1 for a step whose turn has come since it has waited longest.
 	place, of int
 }
 
@@ -52,18 +52,17 @@
 	rank int
 }
 
-// nextWanted returns the step whose request is best to send now, with its place in the order.
-func (c *Core) nextWanted(now time.Time) (*step, approvalPlace) {
-	all := c.orderWanted(now)
-	i := 0
+// nextTurn returns the index of the step whose turn it is, of those that wait for the policy service in order.
+func (c *Core) nextTurn(waiting []wantedStep) int {
+	longest := 0
 	if c.approvals.requests%longestWaitShare == longestWaitShare-1 {
-		for k := range all {
-			if all[k].wanted.Before(all[i].wanted) {
-				i = k
+		for i := range waiting {
+			if waiting[i].wanted.Before(waiting[longest].wanted) {
+				longest = i
 			}
 		}
 	}
-	return all[i].step, approvalPlace{class: all[i].class, place: i + 1, of: len(all)}
+	return longest
 }
 
 // orderWanted returns the steps that wait for the policy service: those that last and miss tasks first, then those of jobs with
--- a/internal/sched/advice_workers.go
+++ b/internal/sched/advice_workers.go
@@ -16,16 +16,25 @@
 	// requestReserve is how many times the room that a step needs the workers in a request have: some are denied, and others
 	// take the room of some meanwhile.
 	requestReserve = 2
+	// renewalLead is how long before the end of a ticket the policy service is asked again about a worker that is kept, at
+	// most half of its validity.
+	renewalLead = time.Second
 )
 
-// workersToApprove returns the workers to ask the policy service about for a step now, best first: no more than have room for
-// requestReserve times the tasks for which the approved ones have none. It returns none if the step needs no approval.
+// workersToApprove returns the workers to ask the policy service about for a step now; none if the step needs no approval.
 // Workers that a response has left out are never asked about again for that step.
 func (c *Core) workersToApprove(now time.Time, s *step) []*worker {
 	tasks := c.tasksToPlace(s)
-	if tasks == 0 {
+	if tasks == 0 || s.occ.job.state.Terminal() {
 		return nil
 	}
+	out := append(c.keptToApprove(now, s), c.roomToApprove(now, s, tasks)...)
+	return out[:min(len(out), maxRequestWorkers)]
+}
+
+// roomToApprove returns workers to ask about for tasks of a step, best first: no more than have room for requestReserve times those
+// for which the approved workers have none.
+func (c *Core) roomToApprove(now time.Time, s *step, tasks int) []*worker {
 	candidates := c.approvalCandidates(now, s)
 	if len(candidates) == 0 {
 		return nil
@@ -43,6 +52,32 @@
 	return candidates[:n]
 }
 
+var (
+	// keptChecks are the filters that a worker kept for a task of a step needn't pass to be asked about for the step,
+	// sharedChecks those for one that is kept for another task.
+	keptChecks   = append([]string{"ticket", healthName}, isolationChecks...)
+	sharedChecks = []string{"ticket", "isolation"}
+)
+
+// keptToApprove returns the workers kept for isolated starts to ask about for a step: that of a task of the step, whose ticket may
+// expire before its runs have settled, and those on which tasks of the step may start beside another one.
+func (c *Core) keptToApprove(now time.Time, s *step) []*worker {
+	shares := slices.ContainsFunc(s.tasks, func(t *task) bool {
+		return t.state == stateWaiting && t.startsAlone() && t.mayShareStart()
+	})
+	var out []*worker
+	for _, w := range c.sortedWorkers {
+		t := w.isolated
+		if t == nil || t.held() || s.denied[w.id] || now.Before(s.tickets[w.id].renewAt) {
+			continue
+		}
+		if t.step == s && c.refusalExcept(now, s, w, keptChecks...) == "" || shares && t.mayShareStart() && c.refusalExcept(now, s, w, sharedChecks...) == "" {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // approvalCandidates returns the workers whose approval would help a step, best first: those that lack nothing else, then those
 // that only a fallback for starved steps takes.
 func (c *Core) approvalCandidates(now time.Time, s *step) []*worker {
@@ -97,8 +132,8 @@
 	return n
 }
 
-// approvedRoom returns for how many tasks of a step the approved workers have room; fallback includes those that only a fallback
-// for starved steps takes.
+// approvedRoom returns for how many tasks of a step the approved workers have room or are kept; fallback includes those that only a
+// fallback for starved steps takes.
 func (c *Core) approvedRoom(now time.Time, s *step, fallback bool) int {
 	refusal := func(w *worker) string { return c.refusalExcept(now, s, w, "ticket") }
 	if fallback {
@@ -106,7 +141,11 @@
 	}
 	sum := 0
 	for _, w := range c.sortedWorkers {
-		if s.approved(now, w.id) && !s.hasCopyOn(w) && refusal(w) == "" {
+		switch {
+		case !s.approved(now, w.id) || s.hasCopyOn(w):
+		case w.isolated != nil && w.isolated.step == s && !w.isolated.held():
+			sum++
+		case refusal(w) == "":
 			sum += c.roomFor(now, s, w)
 		}
 	}
--- a/internal/sched/approval_order_test.go
+++ b/internal/sched/approval_order_test.go
@@ -220,3 +220,80 @@
 		}
 	}
 }
+
+// keptPool returns workers a, which is kept for a suspect of the step kept.0.0 and whose runs haven't settled, and b, and the steps
+// of that job and of another suspect, which the policy service has approved for a and for b.
+func keptPool(now time.Time, valid time.Duration) (c *Core, kept, other *step) {
+	c = pool(now, "a", "b")
+	c.Submit(now, one("busy", 0, job.Step{Count: 1, Demand: cores(3), EstimateMS: 10_000}))
+	settle(now, c)
+	suspect := func(id, worker string) *step {
+		c.Submit(now, advised(id, 0, job.Step{Count: 1, Demand: cores(0.5), EstimateMS: 1000}))
+		s := c.jobs[id].occurrences[0].steps[0]
+		c.addCrash(s.tasks[0], crash{Worker: "gone", Run: 1})
+		s.tickets, s.denied = map[string]ticket{worker: newTicket(now, "t", valid)}, map[string]bool{}
+		return s
+	}
+	kept, other = suspect("kept", "a"), suspect("other", "b")
+	c.workers["a"].isolated = kept.tasks[0]
+	return c, kept, other
+}
+
+// TestSuspectAsksAboutKeptWorker guards against suspects that queue for a worker of their own: they may start beside the one that a
+// worker is kept for, but no one asked about that worker.
+func TestSuspectAsksAboutKeptWorker(t *testing.T) {
+	now := epoch0
+	c, _, other := keptPool(now, time.Minute)
+	now = now.Add(placementRetryDelay)
+	settle(now, c)
+	if q, _ := c.NextApprovalRequest(now); q.Step != other.name() || !slices.Equal(q.Workers, []string{"a"}) {
+		t.Errorf("request %+v, want one of %s about the kept worker", q, other.name())
+	}
+}
+
+// TestTicketOfKeptWorkerIsRenewed guards against a worker that is kept in vain: the ticket expires before the runs on it have
+// settled, so that the suspect waits for another worker.
+func TestTicketOfKeptWorkerIsRenewed(t *testing.T) {
+	now := epoch0
+	valid := 3 * time.Second
+	c, kept, _ := keptPool(now, valid)
+	renewed := func() bool {
+		settle(now, c)
+		return slices.ContainsFunc(allRequests(now, c), func(q ApprovalRequest) bool {
+			return q.Step == kept.name() && slices.Equal(q.Workers, []string{"a"})
+		})
+	}
+	now = now.Add(valid - ticketMargin - renewalLead - placementRetryDelay)
+	if renewed() {
+		t.Error("request about the kept worker while its ticket lasts")
+	}
+	now = now.Add(placementRetryDelay)
+	if !renewed() {
+		t.Error("no request about the kept worker while its ticket is about to expire")
+	}
+}
+
+// TestShortTicketIsRenewedSeldom guards against a step that asks about its kept worker again after each response, since its tickets
+// are always about to expire.
+func TestShortTicketIsRenewedSeldom(t *testing.T) {
+	now := epoch0
+	valid := ticketMargin + renewalLead/2
+	c, kept, _ := keptPool(now, valid)
+	asked := 0
+	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(placementRetryDelay) {
+		settle(now, c)
+		for q, ok := c.NextApprovalRequest(now); ok; q, ok = c.NextApprovalRequest(now) {
+			a := Approval{Tickets: map[string]string{}, Valid: valid}
+			for _, id := range q.Workers {
+				a.Tickets[id] = "t"
+			}
+			c.HandleApproval(now, q, a, nil)
+			if q.Step == kept.name() {
+				asked++
+			}
+		}
+	}
+	if asked < 2 || asked > 10 {
+		t.Errorf("%d requests about the kept worker in 2 s", asked)
+	}
+}
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -56,6 +56,7 @@
 			c.startBeside(now, w, t, waiting[i+1:])
 		}
 	}
+	c.requestForSuspects(now, waiting)
 }
 
 // suspects returns the tasks that wait for an isolated start, in the order in which they get workers.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -134,6 +134,8 @@
 type ticket struct {
 	text  string
 	until time.Time
+	// renewAt is when the policy service may be asked again about a worker that is kept.
+	renewAt time.Time
 }
 
 // task is one task of a step.
