Tests: relays that surely wait for another append, and a guard that follows the newest owner at its start

The other relays now begin once the first append is in progress, and the check asks for exactly one stored and three refused.

TestCell: the model let word of an earlier owner reach a guard after its start and before it had read the lease, and the guard then followed the dead owner for good. A guard process reads the newest lease of the store when it starts.

--- a/internal/owner/relay_test.go
+++ b/internal/owner/relay_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -52,8 +53,13 @@
 	}
 	var wg sync.WaitGroup
 	errs := make([]error, 4)
+	wg.Go(func() { errs[0] = relay(0) })
+	for s.appends.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	// The first append is in progress, so that the others can't be part of it.
 	var refused atomic.Int32
-	for i := range errs {
+	for i := 1; i < len(errs); i++ {
 		wg.Go(func() {
 			if errs[i] = relay(i); errs[i] != nil && refused.Add(1) == int32(len(errs)-1) {
 				close(s.gate)
@@ -71,7 +77,7 @@
 		}
 	}
 	snap, err := s.Newest(t.Context(), store.TopicJobs)
-	if err != nil || stored+busy != len(errs) || busy == 0 || len(snap.Records) != stored || s.appends.Load() != 1 {
+	if err != nil || stored != 1 || busy != len(errs)-1 || len(snap.Records) != stored || s.appends.Load() != 1 {
 		t.Errorf("%d stored of %d, %d busy, %d appends, %v: %v", len(snap.Records), stored, busy, s.appends.Load(), err, errs)
 	}
 }
--- a/internal/sched/cell_guard_test.go
+++ b/internal/sched/cell_guard_test.go
@@ -79,8 +79,9 @@
 	m.guard = g
 	w.logf("guard of %s starts", m.node)
 	w.after(w.between(10, 60), func() {
-		if g.owner == nil {
-			g.owner = w.newest()
+		// A process reads the newest lease when it starts; word of an earlier owner may still be on its way then.
+		if o := w.newest(); g.owner == nil || g.owner.epoch < o.epoch {
+			g.owner = o
 		}
 	})
 	g.poll()
