--- a/internal/sched/copies.go
+++ b/internal/sched/copies.go
@@ -31,8 +31,18 @@
 	task *task
 	// stopSentAt is when a stop was last sent for it; zero while it may continue.
 	stopSentAt time.Time
-	// fresh says that the run had not settled when it became a copy.
-	fresh bool
+	// fresh says that the run had not settled when it became a copy, and hasn't been listed for settleTime since; listedSince is
+	// since when it is listed.
+	fresh       bool
+	listedSince time.Time
+}
+
+// listed notes that the worker lists the copy.
+func (cp *runCopy) listed(now time.Time) {
+	if cp.listedSince.IsZero() {
+		cp.listedSince = now
+	}
+	cp.fresh = cp.fresh && now.Sub(cp.listedSince) < settleTime
 }
 
 // startCopies gives speculative tasks another run where the newest one may be lost or is slow.
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -84,9 +84,9 @@
 	}
 }
 
-// onTrial reports whether a worker is on trial after probation.
-func (h *health) onTrial(now time.Time, id string) bool {
-	return h.track.State(now, id) == probation.Trial
+// hasTrial reports whether a worker is on trial after probation with a task.
+func (h *health) hasTrial(now time.Time, id string) bool {
+	return h.track.State(now, id) == probation.Trial && h.track.Refuse(now, id) != ""
 }
 
 // started records the start of a run.
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -19,6 +19,10 @@
 	isolationTimeout = 3 * time.Second
 	// isolationGap is how long a worker that was kept isn't kept again while other tasks are starved.
 	isolationGap = 100 * time.Millisecond
+	// gangTurn is how long no further worker is kept once a gang is starved, which may need all of them at the same time;
+	// gangPeriod is the time from one such turn to the next.
+	gangTurn   = 1500 * time.Millisecond
+	gangPeriod = 5 * time.Second
 )
 
 // isolationChecks are the filters that a worker kept for an isolated start needn't pass any more: they rank workers, and
@@ -66,7 +70,7 @@
 		switch {
 		case t.over():
 			delete(c.crashed.tasks, t)
-		case t.state == stateWaiting && t.startsAlone() && !t.step.spec.Gang && t.step.ready():
+		case t.state == stateWaiting && t.startsAlone() && !t.step.spec.Gang && t.step.ready() && !c.heldBack(now, t):
 			if t.queuedAt.IsZero() {
 				t.queuedAt = now
 			}
@@ -95,16 +99,34 @@
 			served[j] = true
 		}
 	}
-	slices.SortStableFunc(first, func(a, b *task) int { return a.queuedAt.Compare(b.queuedAt) })
+	slices.SortStableFunc(first, func(a, b *task) int { return a.turn().Compare(b.turn()) })
 	return append(first, others...)
 }
 
+// turn returns since when a suspect's turn for an isolated start is due: since it waits, or since its job had the last one. A task
+// that lasts has its own.
+func (t *task) turn() time.Time {
+	if j := t.step.occ.job; !t.step.spec.LongRunning && j.isolatedAt.After(t.queuedAt) {
+		return j.isolatedAt
+	}
+	return t.queuedFrom()
+}
+
+// queuedFrom returns since when a task waits for an isolated start; zero while it doesn't. One that lasts waits since it ran last,
+// although it may have had a run since that nobody has listed.
+func (t *task) queuedFrom() time.Time {
+	if idle := t.idle.since; t.step.spec.LongRunning && !t.queuedAt.IsZero() && !idle.IsZero() && idle.Before(t.queuedAt) {
+		return idle
+	}
+	return t.queuedAt
+}
+
 // queuedFor returns for how long a task has waited for an isolated start.
 func (t *task) queuedFor(now time.Time) time.Duration {
 	if t.queuedAt.IsZero() {
 		return 0
 	}
-	return now.Sub(t.queuedAt)
+	return now.Sub(t.queuedFrom())
 }
 
 // startBeside starts others of the waiting suspects together with one that has just got a worker, as far as they may share
@@ -164,7 +186,7 @@
 	starved := c.refusalExcept(now, t.step, w, "isolation") != ""
 	c.noteRisk(now, t, w)
 	c.assign(now, t, w, 0)
-	t.pinned = starved
+	t.pinned, t.step.occ.job.isolatedAt = starved, now
 	if t.step.waiting == 0 {
 		t.step.unplacedSince = time.Time{}
 	}
@@ -178,7 +200,7 @@
 	}
 	kept := 0
 	for _, w := range c.sortedWorkers {
-		if w.isolated != nil && w.info.Service == t.step.occ.job.spec.Policy.Service {
+		if w.isolated != nil && w.info.Service == t.step.occ.job.spec.Policy.Service && w.silentFor(now) < outageWindow+silenceLag {
 			kept++
 		}
 	}
@@ -187,12 +209,24 @@
 
 // othersStarve reports whether a task that needs no isolated start is starved while nothing of its job runs.
 func (c *Core) othersStarve(now time.Time) bool {
+	return c.starves(now, func(s *step) bool {
+		return s.spec.Gang || slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state == stateWaiting && !t.startsAlone() })
+	})
+}
+
+// gangsTurn reports whether a gang is starved whose turn it is.
+func (c *Core) gangsTurn(now time.Time) bool {
+	return c.starves(now, func(s *step) bool {
+		return s.spec.Gang && (now.Sub(s.unplacedSince)-starvationDelay)%gangPeriod < gangTurn
+	})
+}
+
+// starves reports whether a step of some kind is starved while nothing of its job runs.
+func (c *Core) starves(now time.Time, kind func(s *step) bool) bool {
 	for _, j := range c.openJobs {
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.waiting > 0 && s.ready() && c.fallbackRefusal(now, s) == "" && slices.ContainsFunc(s.tasks, func(t *task) bool {
-					return t.state == stateWaiting && !t.startsAlone()
-				}) {
+				if s.waiting > 0 && s.starved(now) && s.ready() && kind(s) && c.fallbackRefusal(now, s) == "" {
 					return true
 				}
 			}
@@ -205,7 +239,7 @@
 // at any start.
 func (c *Core) keepWorker(now time.Time, t *task) *worker {
 	w := c.workerToIsolate(now, t)
-	if w != nil && now.Sub(w.releasedAt) < isolationGap && c.othersStarve(now) {
+	if w != nil && (now.Sub(w.releasedAt) < isolationGap && c.othersStarve(now) || c.gangsTurn(now)) {
 		return nil
 	}
 	if w != nil {
@@ -242,7 +276,8 @@
 	candidates := slices.DeleteFunc(c.feasible(now, t.step), func(w *worker) bool { return w.hasCopy(t) })
 	if len(candidates) == 0 {
 		if c.starvedSuspect(now, t) {
-			return c.bestForStarved(now, t)
+			w, _ := c.bestForStarved(now, t)
+			return w
 		}
 		return nil
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -55,6 +55,8 @@
 	next, finished int
 	// acceptedAt is when the job was accepted, due when it misses its objective, for jobs that run at once.
 	acceptedAt, due time.Time
+	// isolatedAt is when a task of the job was last started in isolation.
+	isolatedAt time.Time
 	// lateness is that of the latest round; see Core.lateness.
 	lateness int
 	// fillerWork is that of the latest round; see remainingFillerWork.
@@ -90,7 +92,7 @@
 	openTasks int // tasks that are not done
 	// waiting counts the tasks that can be placed once the step is ready.
 	waiting int
-	// verdicts counts the tasks of which it isn't known yet whether they crash workers; no other starts meanwhile.
+	// verdicts counts the tasks of which it isn't known yet whether they crash workers.
 	verdicts int
 	// blocks are the indices at which the blocks of stored parts begin; nil before any was needed. Tasks from unrestored
 	// on have been restored.
@@ -204,9 +206,9 @@
 	return true
 }
 
-// ready reports whether the steps that a step depends on are complete, and no verdict on a task of it is waited for.
+// ready reports whether the steps that a step depends on are complete, and no verdict on a member of a gang is waited for.
 func (s *step) ready() bool {
-	if s.verdicts > 0 {
+	if s.verdicts > 0 && s.spec.Gang {
 		return false
 	}
 	for _, d := range s.spec.DependsOn {
--- a/internal/sched/outage.go
+++ b/internal/sched/outage.go
@@ -183,7 +183,7 @@
 }
 
 // awaitVerdict postpones the decision on a task under which too many workers have crashed, while reports of other crashes at
-// the same time may come. The tasks of its step don't start meanwhile.
+// the same time may come. It doesn't start meanwhile.
 func (c *Core) awaitVerdict(t *task, until time.Time) {
 	if _, ok := c.crashed.verdicts[t]; !ok {
 		t.step.verdicts++
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -62,7 +62,7 @@
 		return when(need != "" && need != w.info.Kind && need != w.info.Rack, "lacks the label")
 	}},
 	{name: "stray run", ends: "the run ends after its stop, or its lease has lapsed", refuse: func(c *Core, now time.Time, s *step, _ *worker) string {
-		return when(c.hasStrayRun(now, s), "an earlier run of a task is still there")
+		return when(c.hasStrayRuns(now, s), "an earlier run of a task is still there")
 	}},
 	{name: "capacity", ends: "a run ends, or the worker grows", refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
 		return s.spec.Reserve().Lacking(w.free())
@@ -240,16 +240,20 @@
 	// refused is the latest demand that no worker took, by kind of filler; equal or larger ones aren't tried
 	// again in the round.
 	refused map[fillerKind]resource.Vector
+	// strays are the tasks of which a worker lists a run that no task accounts for, by step; nil before the first use.
+	strays map[*step][]*task
 }
 
 // fillerKind is what the filters take into account of a filler besides its demand.
 type fillerKind struct {
-	image string
-	late  bool
+	service, image string
+	late           bool
 }
 
 // kind returns the kind of a step's fillers.
-func (s *step) kind() fillerKind { return fillerKind{s.spec.Image, s.occ.job.lateness > 0} }
+func (s *step) kind() fillerKind {
+	return fillerKind{s.occ.job.spec.Policy.Service, s.spec.Image, s.occ.job.lateness > 0}
+}
 
 // workerPool holds the workers of a service that accept tasks.
 type workerPool struct {
@@ -328,7 +332,7 @@
 			out = append(out, w)
 		}
 	}
-	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" && s.occ.job.spec.Policy.Advice == nil && !c.hasStrayRun(now, s) {
+	if len(out) == 0 && s.spec.Filler && s.spec.Requires == "" && s.spec.AntiAffinity == 0 && s.occ.job.spec.Policy.Advice == nil && !c.hasStrayRuns(now, s) {
 		c.round.refused[s.kind()] = s.spec.Demand
 	}
 	return out
--- a/internal/sched/reserve.go
+++ b/internal/sched/reserve.go
@@ -67,6 +67,9 @@
 		return
 	}
 	limit := min(maxReservations, max(1, int(maxReservedShare*float64(len(p.workers)))))
+	if open[p] >= limit {
+		return
+	}
 	need := s.spec.Reserve()
 	var candidates []*worker
 	var rooms []backfill.Worker
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -125,7 +125,9 @@
 func (c *Core) handleListed(now time.Time, w *worker, r link.RunStatus) {
 	t := w.held[r.Task]
 	if t == nil || t.run != r.Run {
-		if w.copies[r.RunRef] == nil {
+		if cp := w.copies[r.RunRef]; cp != nil {
+			cp.listed(now)
+		} else {
 			c.stopUnknownRun(w, r)
 		}
 		return
@@ -176,13 +178,38 @@
 	c.logDecision(event.Stop, r.Task.String(), fmt.Sprintf("run=%d worker=%s reason=%q", r.Run, w.id, "not assigned there"))
 }
 
-// hasStrayRun reports whether a worker may have a run of a waiting task of a step: one that no task accounts for, since its start
-// was held up and carried out in a later birth of its worker. The task must not run elsewhere before that run has ended. Runs of
-// speculative tasks may overlap.
-func (c *Core) hasStrayRun(now time.Time, s *step) bool {
-	if s.spec.Speculative {
-		return false
+// hasStrayRuns reports whether stray runs keep all waiting tasks of a step from starting, or one of them a gang.
+func (c *Core) hasStrayRuns(now time.Time, s *step) bool {
+	strays := c.strays(now, s)
+	waits := func(t *task) bool { return t.state == stateWaiting }
+	if s.spec.Gang {
+		return slices.ContainsFunc(strays, waits)
+	}
+	return len(strays) > 0 && !slices.ContainsFunc(s.tasks, func(t *task) bool { return waits(t) && !slices.Contains(strays, t) })
+}
+
+// heldBack reports whether a waiting task must not start for a while: a worker may still have a run of it that no task accounts
+// for, since its start was held up and carried out in a later birth of its worker, or it isn't known yet whether the
+// task has crashed its worker.
+func (c *Core) heldBack(now time.Time, t *task) bool {
+	_, verdict := c.crashed.verdicts[t]
+	return verdict || slices.Contains(c.strays(now, t.step), t)
+}
+
+// strays returns the tasks of a step with such runs. Runs of speculative tasks may overlap.
+func (c *Core) strays(now time.Time, s *step) []*task {
+	if len(c.strayOn) == 0 || s.spec.Speculative {
+		return nil
+	}
+	if c.round.strays == nil {
+		c.round.strays = c.strayRuns(now)
 	}
+	return c.round.strays[s]
+}
+
+// strayRuns returns the tasks of which workers list runs that no task accounts for, by step.
+func (c *Core) strayRuns(now time.Time) map[*step][]*task {
+	out := map[*step][]*task{}
 	for w := range c.strayOn {
 		if len(w.unknownRuns) == 0 || c.workers[w.id] != w {
 			delete(c.strayOn, w)
@@ -192,12 +219,12 @@
 			continue
 		}
 		for ref := range w.unknownRuns {
-			if t := c.task(ref.Task); t != nil && t.step == s && t.state == stateWaiting {
-				return true
+			if t := c.task(ref.Task); t != nil {
+				out[t.step] = append(out[t.step], t)
 			}
 		}
 	}
-	return false
+	return out
 }
 
 // traits returns what local control needs to know about the newest run.
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -192,7 +192,7 @@
 		c.placeGang(now, s)
 		return
 	}
-	waiting := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != stateWaiting || t.startsAlone() })
+	waiting := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != stateWaiting || t.startsAlone() || c.heldBack(now, t) })
 	if len(waiting) == 0 {
 		return
 	}
--- a/internal/sched/starved.go
+++ b/internal/sched/starved.go
@@ -21,10 +21,14 @@
 	}
 	placed := false
 	for _, t := range s.tasks {
-		if t.state != stateWaiting || t.startsAlone() {
+		if t.state != stateWaiting || t.startsAlone() || c.heldBack(now, t) {
+			continue
+		}
+		w, risky := c.bestForStarved(now, t)
+		if w == nil && risky {
+			// Another task of the step may take the risk.
 			continue
 		}
-		w := c.bestForStarved(now, t)
 		if w == nil {
 			break
 		}
@@ -51,16 +55,20 @@
 
 // bestForStarved returns the worker for a starved task among those that refuse it only by filters that it may pass, or nil: one
 // that isn't doubtful, if there is any, where the task hasn't failed. A filler takes the one that keeps the most headroom
-// beside it.
-func (c *Core) bestForStarved(now time.Time, t *task) *worker {
+// beside it. Without one it reports whether some are left out only since the task must not risk a start there.
+func (c *Core) bestForStarved(now time.Time, t *task) (best *worker, risky bool) {
 	var candidates []*worker
 	for _, w := range c.sortedWorkers {
-		if !w.hasCopy(t) && c.starvedRefusal(now, t.step, w) == "" && c.mayRisk(now, t, w) {
+		switch {
+		case w.hasCopy(t) || c.starvedRefusal(now, t.step, w) != "":
+		case c.mayRisk(now, t, w):
 			candidates = append(candidates, w)
+		default:
+			risky = true
 		}
 	}
 	if len(candidates) == 0 {
-		return nil
+		return nil, risky
 	}
 	return slices.MinFunc(candidates, func(a, b *worker) int {
 		return cmp.Or(
@@ -69,7 +77,7 @@
 			-cmp.Compare(c.starvedScore(now, t, a), c.starvedScore(now, t, b)),
 			strings.Compare(a.id, b.id),
 		)
-	})
+	}), false
 }
 
 // starvedScore ranks workers for a starved task; higher is better.
@@ -90,7 +98,7 @@
 	switch {
 	case !c.doubts(now, w):
 		return true
-	case c.health.onTrial(now, w.id):
+	case c.health.hasTrial(now, w.id):
 		return false
 	case t.step.spec.LongRunning:
 		return now.Sub(t.doubtfulAt) >= starvationDelay
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -155,6 +155,17 @@
 // answers reports whether the guard of a worker is linked and hears from it; false without a worker.
 func (w *worker) answers() bool { return w != nil && w.attached && !w.unresponsive }
 
+// silentFor returns for how long nothing has been heard from a worker; 0 while it answers.
+func (w *worker) silentFor(now time.Time) time.Duration {
+	switch {
+	case !w.attached:
+		return now.Sub(w.detachedAt)
+	case w.unresponsive:
+		return now.Sub(w.unresponsiveSince)
+	}
+	return 0
+}
+
 // spare returns the processors that fillers could still use, in thousandths of a core.
 func (w *worker) spare() int64 {
 	used := int64(float64(w.load.servingCPU)*servingUtilization) + w.load.otherCPU
