Log of what stands still: attempts left, and what ends the refusals of doubtful workers

The line told that workers are on probation, not whether the task waits for the end of that with its last attempt or is about to be risked there.

--- a/internal/probation/probation.go
+++ b/internal/probation/probation.go
@@ -270,6 +270,18 @@
 	return ""
 }
 
+// Outlook returns what ends the refusals of a worker: the end of its probation, zero if it isn't on probation, and the task whose run
+// is its trial, empty if there is none.
+func (t *Tracker) Outlook(now time.Time, name string) (until time.Time, trial string) {
+	switch w := t.workers[name]; t.State(now, name) {
+	case Probation:
+		return w.probationUntil, w.trialTask
+	case Trial:
+		return time.Time{}, w.trialTask
+	}
+	return time.Time{}, ""
+}
+
 // Started records that a task was placed on a worker; a worker on trial runs only one task at a time. On one on probation the
 // first is watched.
 func (t *Tracker) Started(now time.Time, name, task string) {
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -69,6 +69,17 @@
 	return h.track.Refuse(now, id)
 }
 
+// outlook describes what ends the refusals of a worker: the time until its block or probation is over, and the task on trial there.
+func (h *health) outlook(now time.Time, id string) string {
+	until, trial := h.track.Outlook(now, id)
+	until = laterOf(until, h.blockedUntil[id])
+	out := "over_in=" + max(0, until.Sub(now)).Round(time.Millisecond).String()
+	if trial != "" {
+		out += " trial=" + trial
+	}
+	return out
+}
+
 // penalty returns how much to deduct from a worker's score for its recent blocks.
 func (h *health) penalty(now time.Time, id string) float64 {
 	if u, ok := h.blockedUntil[id]; ok && now.Sub(u) < suspectPenaltyDuration {
--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -28,6 +28,8 @@
 	maxStandstillLines = 8
 	// maxStandstillRuns bounds the runs that a line lists.
 	maxStandstillRuns = 4
+	// maxStandstillWorkers bounds the doubtful workers that a line lists.
+	maxStandstillWorkers = 12
 )
 
 // idleness tracks since when a job, or a task that lasts, has nothing running although a task's turn has come.
@@ -194,11 +196,11 @@
 	if !s.unplacedSince.IsZero() {
 		starved = now.Sub(s.unplacedSince)
 	}
-	return fmt.Sprintf("task=%s state=%s idle=%s waiting=%d alone=%d held=%d lateness=%d unplaced=%s queued=%s before=%d refused=%q besides_health=%q fallback=%q isolated=%q runs=%q "+
+	return fmt.Sprintf("task=%s state=%s idle=%s waiting=%d alone=%d held=%d lateness=%d unplaced=%s attempts=%d/%d queued=%s before=%d refused=%q besides_health=%q fallback=%q isolated=%q runs=%q doubtful=%q "+
 		"pool_workers=%d pool_free=%d pool_capacity=%d workers=%d free=%d capacity=%d demand=%s",
-		t.id, t.state, idle.Round(time.Millisecond), s.waiting, alone, j.held, j.lateness, starved.Round(time.Millisecond),
+		t.id, t.state, idle.Round(time.Millisecond), s.waiting, alone, j.held, j.lateness, starved.Round(time.Millisecond), len(t.failedRuns), j.spec.Policy.MaxAttempts,
 		t.queuedFor(now).Round(time.Millisecond), c.suspectsBefore(now, t), c.waitReason(now, s),
-		c.refusals(now, s, "health"), c.fallbackRefusal(now, s), c.isolationSummary(now), c.heldSummary(now, j),
+		c.refusals(now, s, "health"), c.fallbackRefusal(now, s), c.isolationSummary(now), c.heldSummary(now, j), c.doubtfulSummary(now, s),
 		len(p.workers), p.free, p.capacity, room.workers, room.free, room.capacity, describe(s.spec.Demand))
 }
 
@@ -240,3 +242,23 @@
 	}
 	return strings.Join(out, ", ")
 }
+
+// doubtfulSummary lists the workers that refuse tasks of a step since runs have failed or stalled there, with what ends that and since
+// when a task was risked there last.
+func (c *Core) doubtfulSummary(now time.Time, s *step) string {
+	var out []string
+	for _, w := range c.sortedWorkers {
+		if w.info.Service != s.occ.job.spec.Policy.Service || !w.answers() || !c.doubts(now, w) {
+			continue
+		}
+		if len(out) == maxStandstillWorkers {
+			break
+		}
+		line := w.id + " " + c.health.outlook(now, w.id)
+		if !w.riskedAt.IsZero() {
+			line += " risked=" + now.Sub(w.riskedAt).Round(time.Millisecond).String()
+		}
+		out = append(out, line)
+	}
+	return strings.Join(out, ", ")
+}
--- a/internal/sched/standstill_log_test.go
+++ b/internal/sched/standstill_log_test.go
@@ -40,6 +40,11 @@
 	if len(lines) != 2 || !strings.Contains(lines[0], "health: runs stand still x1") || !strings.Contains(lines[0], "idle=3") {
 		t.Errorf("lines %q, want two with the reason, the first after three seconds", lines)
 	}
+	for _, want := range []string{"attempts=0/1", `doubtful="a over_in=`} {
+		if len(lines) > 0 && !strings.Contains(lines[0], want) {
+			t.Errorf("line %q, want %q in it", lines[0], want)
+		}
+	}
 	if c.Standing() != 1 {
 		t.Errorf("%d jobs stand still, want one", c.Standing())
 	}
