Test: every refusal ends by time, at each number of attempts left

TestEveryRefusalEnds plays each filter with one job of each kind that a filter refuses, with one to four attempts of which all but the last fail, and for the filter health with each way to doubt workers: a block, stalls, the longest probation after runs that failed, a trial with another task; with one worker and with three. Workers without runs don't report, so that no report ends a refusal.

--- a/internal/sched/endings_test.go
+++ b/internal/sched/endings_test.go
@@ -1,6 +1,9 @@
 package sched
 
 import (
+	"fmt"
+	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +26,17 @@
 	advice bool
 	// before is how many tasks the step has besides, which are started at once.
 	before int
+	// workers are attached first; only worker a if there are none.
+	workers []string
+	// takes is how long arrange takes.
+	takes time.Duration
+	// doubt names why the workers are doubtful; empty if they aren't.
+	doubt string
+}
+
+// name names a scene.
+func (r *refusalScene) name() string {
+	return fmt.Sprintf("%s-%s/%s/%d-workers", r.filter, r.doubt, kindOf(&r.step), max(1, len(r.workers)))
 }
 
 // attach attaches a worker of a service, with a label.
@@ -75,11 +89,97 @@
 	gangStep    = job.Step{Count: 2, Demand: cores(1), EstimateMS: 1000, Gang: true}
 )
 
-// blocked lets worker a take no tasks for a minute, as after failures.
+// blocked lets the workers take no tasks for a minute, as after failures.
 func blocked(now time.Time, c *Core) {
-	c.health.block(now.Add(time.Minute), "a", "worker is on probation")
+	for _, w := range c.sortedWorkers {
+		c.health.block(now.Add(time.Minute), w.id, "worker is on probation")
+	}
+}
+
+// onProbation lets all workers be on the longest probation: all tasks have failed there, those of the trials as well.
+func onProbation(now time.Time, c *Core) {
+	limits := probationLimits()
+	for _, w := range c.sortedWorkers {
+		track, at := c.health.track, now.Add(-4*limits.Max)
+		for n := 0; ; n++ {
+			until, _ := track.Outlook(at, w.id)
+			if until.Sub(at) == limits.Max {
+				break
+			}
+			at = laterOf(at, until)
+			task := fmt.Sprintf("failed-on-%s-%d", w.id, n)
+			track.Started(at, w.id, task)
+			track.Ended(at, w.id, task, true)
+		}
+		// The times of the last trial are those of now.
+		until, _ := track.Outlook(at, w.id)
+		task := "failed-last-on-" + w.id
+		track.Started(until, w.id, task)
+		track.Ended(now, w.id, task, true)
+	}
+}
+
+// standing lets a run stand still on each worker and be stopped for it.
+func standing(now time.Time, c *Core) {
+	c.Submit(now, one("stands", 0, job.Step{Count: len(c.workers), Demand: cores(1), EstimateMS: 60_000, AntiAffinity: 1}))
+	settle(now, c)
+	for _, at := range []time.Duration{0, stallTimeout + time.Millisecond} {
+		for _, w := range c.sortedWorkers {
+			c.Report(now.Add(at), w.id, link.Listing{Running: []link.RunStatus{{RunRef: w.tasks[0].ref(), Percent: 30}}})
+		}
+		settle(now.Add(at), c)
+	}
+	c.Cancel(now.Add(stallTimeout), "stands")
+	for _, w := range c.sortedWorkers {
+		c.Ended(now.Add(stallTimeout), w.id, []link.RunEnd{{Number: 1, RunRef: w.tasks[0].ref(), Outcome: link.Stopped}})
+	}
+}
+
+// trying lets each worker be on trial with a task that runs on.
+func trying(now time.Time, c *Core) {
+	for _, w := range c.sortedWorkers {
+		for n := range probationLimits().Failures {
+			task := fmt.Sprintf("failed-on-%s-%d", w.id, n)
+			c.health.track.Started(now.Add(-probationLimits().First), w.id, task)
+			c.health.track.Ended(now.Add(-probationLimits().First), w.id, task, true)
+		}
+	}
+	c.Submit(now, one("tries", 0, job.Step{Count: len(c.workers), Demand: cores(0.1), EstimateMS: 60_000}))
+	settle(now, c)
+}
+
+// doubtfulScenes are scenes of the filter health: each way in which workers come to be doubtful, for steps of each kind, with one worker
+// and with several.
+func doubtfulScenes() []refusalScene {
+	var out []refusalScene
+	for _, s := range []job.Step{finiteStep, fillerStep, lastingStep, gangStep} {
+		for _, ids := range [][]string{{"a"}, {"a", "b", "c"}} {
+			out = append(out,
+				refusalScene{filter: healthName, step: s, workers: ids, arrange: blocked, doubt: "block"},
+				refusalScene{filter: healthName, step: s, workers: ids, arrange: onProbation, doubt: "probation"},
+				refusalScene{filter: healthName, step: s, workers: ids, arrange: standing, doubt: "stall", takes: stallTimeout + sweepInterval},
+				refusalScene{filter: healthName, step: s, workers: ids, arrange: trying, doubt: "trial"},
+			)
+		}
+	}
+	return out
+}
+
+// ofEachKind returns scenes that differ from one in the kind of the step.
+func (r refusalScene) ofEachKind() []refusalScene {
+	var out []refusalScene
+	for _, s := range []job.Step{finiteStep, fillerStep, lastingStep, gangStep} {
+		s.Requires, s.AntiAffinity = r.step.Requires, r.step.AntiAffinity
+		other := r
+		other.step = s
+		out = append(out, other)
+	}
+	return out
 }
 
+// kindless are the filters that refuse steps of all kinds alike.
+var kindless = []string{"service", "attached", "draining", "data centre", "mute", "label", "stray run", "isolation", "ticket"}
+
 // refusalScenes has a scene for each filter at least. Worker a is the only one.
 var refusalScenes = []refusalScene{
 	{
@@ -107,10 +207,6 @@
 		filter: "mute", step: finiteStep, arrange: func(now time.Time, c *Core) { c.UpdatePressure(now, "a", 100, true) },
 		end: func(now time.Time, c *Core) { c.UpdatePressure(now, "a", 100, false) },
 	},
-	{filter: "health", step: finiteStep, arrange: blocked},
-	{filter: "health", step: fillerStep, arrange: blocked},
-	{filter: "health", step: lastingStep, arrange: blocked},
-	{filter: "health", step: gangStep, arrange: blocked},
 	{
 		filter: "label", step: job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000, Requires: "large"}, arrange: func(time.Time, *Core) {},
 		end: func(now time.Time, c *Core) { attach(now, c, "b", "pool", "large") },
@@ -150,7 +246,7 @@
 // a tail latency of 100 ms.
 func reportProgress(now time.Time, c *Core) {
 	for _, w := range c.sortedWorkers {
-		if w.unresponsive {
+		if w.unresponsive || len(w.tasks)+len(w.unknownRuns) == 0 {
 			continue
 		}
 		var rows []link.RunStatus
@@ -170,28 +266,49 @@
 
 // startsOf plays until a time and returns how many tasks of a job are started.
 func startsOf(c *Core, id string, now *time.Time, until time.Time) int {
-	n := 0
-	for ; now.Before(until); *now = now.Add(fillerInterval) {
-		for _, starts := range started(settle(*now, c)) {
+	return len(startedRuns(c, id, now, until, math.MaxInt))
+}
+
+// startedRun is a run that was started on a worker.
+type startedRun struct {
+	worker string
+	ref    link.RunRef
+}
+
+// startedRuns plays until a time, or until a number of tasks of a job are started, and returns their runs.
+func startedRuns(c *Core, id string, now *time.Time, until time.Time, enough int) []startedRun {
+	var out []startedRun
+	for ; now.Before(until) && len(out) < enough; *now = now.Add(fillerInterval) {
+		for w, starts := range started(settle(*now, c)) {
 			for _, s := range starts {
 				if s.Task.Job == id {
-					n++
+					out = append(out, startedRun{w, s.RunRef})
 				}
 			}
 		}
 		reportProgress(*now, c)
 	}
-	return n
+	return out
 }
 
-// TestEveryRefusalEnds guards against a refusal without an end: a task stands still with room for it, since nothing brings the
-// end about or its time is longer than customers wait. It goes through all filters: what a filter names ends its refusals, or a
-// starved task passes it in time.
+// TestEveryRefusalEnds guards against a refusal that nothing ends, or only other work: a task stands still with room for it, since
+// nothing brings the end about, or its time is longer than customers wait. It goes through all filters, with one job and at each
+// number of attempts that are left: what a filter names ends its refusals, or a starved task passes it in time.
 func TestEveryRefusalEnds(t *testing.T) {
-	seen := map[string]bool{}
+	scenes := doubtfulScenes()
 	for _, scene := range refusalScenes {
+		if slices.Contains(kindless, scene.filter) {
+			scenes = append(scenes, scene.ofEachKind()...)
+		} else {
+			scenes = append(scenes, scene)
+		}
+	}
+	seen := map[string]bool{}
+	for _, scene := range scenes {
 		seen[scene.filter] = true
-		t.Run(scene.filter+"/"+kindOf(&scene.step), func(t *testing.T) { playRefusal(t, scene) })
+		for attempts := 1; attempts <= 4; attempts++ {
+			t.Run(fmt.Sprintf("%s/%d-attempts", scene.name(), attempts), func(t *testing.T) { playRefusal(t, scene, attempts) })
+		}
 	}
 	for i := range filters {
 		if f := &filters[i]; f.ends == "" || !seen[f.name] {
@@ -213,16 +330,21 @@
 	return "finite"
 }
 
-// playRefusal plays one scene.
-func playRefusal(t *testing.T, scene refusalScene) {
+// playRefusal plays one scene with a number of attempts, of which all but the last fail.
+func playRefusal(t *testing.T, scene refusalScene, attempts int) {
 	now := epoch0
 	c := New(options)
-	if scene.filter != "service" {
-		attach(now, c, "a", "pool", "")
+	ids := scene.workers
+	if len(ids) == 0 && scene.filter != "service" {
+		ids = []string{"a"}
+	}
+	for _, id := range ids {
+		attach(now, c, id, "pool", "")
 	}
 	scene.arrange(now, c)
-	now = now.Add(reserveDelay)
+	now = now.Add(max(reserveDelay, scene.takes))
 	spec := one("job", 0, scene.step)
+	spec.Policy.MaxAttempts = attempts
 	if scene.advice {
 		spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
 	}
@@ -237,19 +359,38 @@
 		t.Fatalf("worker a refuses the task with %q, want a refusal of filter %s", got, scene.filter)
 	}
 	reportProgress(now, c)
-	early := startsOf(c, "job", &now, now.Add(standstillDelay))
-	if scene.end == nil {
-		if early < scene.step.Count {
-			t.Errorf("%d tasks are started within %s, want %d; the step waits for: %s", early, standstillDelay, scene.step.Count, c.waitReason(now, s))
+	allowed := standstillDelay
+	if scene.end != nil {
+		if n := startsOf(c, "job", &now, now.Add(standstillDelay)); n > 0 {
+			t.Errorf("%d tasks are started although nothing has ended the refusal", n)
 		}
-		return
+		scene.end(now, c)
+		allowed = time.Second
 	}
-	if early > 0 {
-		t.Errorf("%d tasks are started although nothing has ended the refusal", early)
+	for attempt := 1; attempt <= attempts; attempt++ {
+		runs := startedRuns(c, "job", &now, now.Add(allowed), scene.step.Count)
+		if len(runs) < scene.step.Count {
+			t.Fatalf("attempt %d of %d: %d tasks are started within %s, want %d; the step waits for: %s", attempt, attempts, len(runs), allowed,
+				scene.step.Count, c.waitReason(now, s))
+		}
+		if attempt < attempts {
+			failRuns(now, c, runs)
+		}
+		allowed = standstillDelay
+	}
+	if v, _ := c.Job("job"); v.State.Terminal() {
+		t.Errorf("the job is %s: %s", v.State, v.Reason)
 	}
-	scene.end(now, c)
-	if n := startsOf(c, "job", &now, now.Add(time.Second)); n < scene.step.Count {
-		t.Errorf("%d tasks are started within a second after the end, want %d; the step waits for: %s", n, scene.step.Count, c.waitReason(now, s))
+}
+
+// failRuns lets the first of some runs fail, and the others end for it.
+func failRuns(now time.Time, c *Core, runs []startedRun) {
+	for i, r := range runs {
+		end := link.RunEnd{Number: c.workers[r.worker].acknowledged + 1, RunRef: r.ref, Outcome: link.GangBroken}
+		if i == 0 {
+			end.Outcome = link.Failed
+		}
+		c.Ended(now, r.worker, []link.RunEnd{end})
 	}
 }
 
