A task's last attempt waits for a sound worker for a bounded time

Callers saw LOST: a task with one attempt left, all of whose workers were doubtful, waited until probation was over, up to a minute, unless a run of another task went well there. In an idle service no other task is there.

Cause: mayRisk never let a last attempt start on a doubtful worker. The end of that refusal was other work, or a time far beyond the 3 s that are promised.

Now the last attempt may start there once nothing of its job has run for lastAttemptDelay (1.75 s, from the search for what stands still, which runs every 250 ms, and from the job's latest start), and nobody has tried the worker for as long. Tasks with more attempts may from 1.5 s on, so that they come first. It goes on waiting while more than half of the service is in use and a sound worker has the room for it once a run ends: the promise doesn't hold then, and the run's end is near. Of a step's tasks the one that has failed least takes the risk; of doubtful workers that whose probation or block ends first. Gangs and suspects ask the same mayRisk.

--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -69,11 +69,16 @@
 	return h.track.Refuse(now, id)
 }
 
+// doubtfulUntil returns until when a worker's block or probation lasts.
+func (h *health) doubtfulUntil(now time.Time, id string) time.Time {
+	until, _ := h.track.Outlook(now, id)
+	return laterOf(until, h.blockedUntil[id])
+}
+
 // outlook describes what ends the refusals of a worker: the time until its block or probation is over, and the task on trial there.
 func (h *health) outlook(now time.Time, id string) string {
-	until, trial := h.track.Outlook(now, id)
-	until = laterOf(until, h.blockedUntil[id])
-	out := "over_in=" + max(0, until.Sub(now)).Round(time.Millisecond).String()
+	_, trial := h.track.Outlook(now, id)
+	out := "over_in=" + max(0, h.doubtfulUntil(now, id).Sub(now)).Round(time.Millisecond).String()
 	if trial != "" {
 		out += " trial=" + trial
 	}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -57,6 +57,8 @@
 	acceptedAt, due time.Time
 	// isolatedAt is when a task of the job was last started in isolation.
 	isolatedAt time.Time
+	// placedAt is when a task of the job that doesn't last was last placed.
+	placedAt time.Time
 	// lateness is that of the latest round; see Core.lateness.
 	lateness int
 	// fillerWork is that of the latest round; see remainingFillerWork.
--- /dev/null
+++ b/internal/sched/last_attempt_test.go
@@ -0,0 +1,111 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/link"
+)
+
+// lastAttempt submits a job of one task with one attempt.
+func lastAttempt(now time.Time, c *Core) {
+	spec := one("last", 0, finiteStep)
+	spec.Policy.MaxAttempts = 1
+	c.Submit(now, spec)
+}
+
+// TestLastAttemptTakesSoundWorker guards against a job that fails on a doubtful worker although a sound one has room for the task's last
+// attempt, or will have once one of the runs ends that fill the service.
+func TestLastAttemptTakesSoundWorker(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		now := epoch0
+		c := pool(now, "a")
+		blocked(now, c)
+		attach(now, c, "b", "pool", "")
+		if full {
+			c.Submit(now, one("fills", 0, job.Step{Count: 1, Demand: cores(4), EstimateMS: 6000}))
+			settle(now, c)
+		}
+		lastAttempt(now, c)
+		if full {
+			if runs := startedRuns(c, "last", &now, now.Add(6*time.Second), 1); len(runs) > 0 {
+				t.Errorf("the last attempt starts on %s while half of the service is in use", runs[0].worker)
+			}
+			c.Ended(now, "b", []link.RunEnd{{Number: 1, RunRef: c.workers["b"].tasks[0].ref(), Outcome: link.Done}})
+		}
+		if runs := startedRuns(c, "last", &now, now.Add(fillerInterval), 1); len(runs) != 1 || runs[0].worker != "b" {
+			t.Errorf("full %t: started %v once the sound worker has room, want the task there", full, runs)
+		}
+	}
+}
+
+// TestLastAttemptComesAfterOthers guards against a job that fails on a doubtful worker which a task with more attempts, of another job or
+// of the same step, may try first or is trying: it gets the worker first, and the last attempt starts once that has gone well or has
+// failed and the worker has been left alone for a while.
+func TestLastAttemptComesAfterOthers(t *testing.T) {
+	for _, outcome := range []link.Outcome{link.Done, link.Failed} {
+		now := epoch0
+		c := pool(now, "a")
+		blocked(now, c)
+		lastAttempt(now, c)
+		c.Submit(now, one("other", 0, finiteStep))
+		runs := startedRuns(c, "other", &now, now.Add(standstillDelay), 1)
+		if len(runs) != 1 || c.jobs["last"].held > 0 {
+			t.Fatalf("%v of the job with two attempts and %d of the one with one are started, want the first alone", runs, c.jobs["last"].held)
+		}
+		tried := now
+		if n := startsOf(c, "last", &now, now.Add(time.Second)); n > 0 {
+			t.Error("the last attempt starts beside the task that tries the worker")
+		}
+		c.health.blockedUntil["a"] = now
+		if outcome == link.Failed {
+			blocked(now, c)
+		}
+		c.Ended(now, "a", []link.RunEnd{{Number: 1, RunRef: runs[0].ref, Outcome: outcome}})
+		last := startedRuns(c, "last", &now, now.Add(standstillDelay), 1)
+		switch after := now.Add(-fillerInterval).Sub(tried); {
+		case len(last) != 1:
+			t.Errorf("%s: the last attempt isn't started within %s", outcome, standstillDelay)
+		case outcome == link.Failed && after < lastAttemptDelay-fillerInterval:
+			t.Errorf("the last attempt starts %s after another task tried the worker, want %s", after, lastAttemptDelay)
+		}
+	}
+}
+
+// TestTaskWithFewestFailuresTriesWorker guards against a step that risks a task's last attempt, or the one that has failed most, on a
+// doubtful worker while another of its tasks may try it.
+func TestTaskWithFewestFailuresTriesWorker(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	blocked(now, c)
+	spec := one("job", 0, job.Step{Count: 3, Demand: cores(1), EstimateMS: 1000})
+	spec.Policy.MaxAttempts = 3
+	c.Submit(now, spec)
+	tasks := c.jobs["job"].occurrences[0].steps[0].tasks
+	tasks[0].failedRuns, tasks[1].failedRuns = []int{1, 2}, []int{1}
+	var order []int
+	for range 2 {
+		for _, r := range startedRuns(c, "job", &now, now.Add(standstillDelay), 1) {
+			order = append(order, r.ref.Task.Index)
+			failRuns(now, c, []startedRun{r})
+		}
+	}
+	if len(order) != 2 || order[0] != 2 || order[1] == 0 {
+		t.Errorf("tasks %v try the worker, want task 2, which hasn't failed yet, and then 1 or 2", order)
+	}
+}
+
+// TestDoubtfulWorkerWithLeastLeft guards against a starved task that takes any doubtful worker rather than the one whose failures are
+// longest ago.
+func TestDoubtfulWorkerWithLeastLeft(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	for id, left := range map[string]time.Duration{"a": 40 * time.Second, "b": 20 * time.Second, "c": time.Minute} {
+		c.health.block(now.Add(left), id, "worker is on probation")
+	}
+	lastAttempt(now, c)
+	if runs := startedRuns(c, "last", &now, now.Add(standstillDelay), 1); len(runs) != 1 || runs[0].worker != "b" {
+		t.Errorf("started %v, want the task on b, whose probation ends first", runs)
+	}
+}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -314,12 +314,12 @@
 	t.appearedAt, t.listedAt, t.progressAt, t.lastActive = time.Time{}, time.Time{}, now, time.Time{}
 	t.percent, t.pinned, t.inherited, t.notified = 0, false, false, false
 	t.missingSince, t.queuedAt = time.Time{}, time.Time{}
+	j := t.step.occ.job
 	if !t.step.spec.LongRunning {
-		t.step.unplacedSince = time.Time{}
+		t.step.unplacedSince, j.placedAt = time.Time{}, now
 	}
 	t.transition(eventAssign)
 	c.holdRun(now, t)
-	j := t.step.occ.job
 	if p := c.round.pools[j.spec.Policy.Service]; p != nil {
 		p.free -= t.step.spec.Reserve().MilliCPU
 	}
--- a/internal/sched/standstill.go
+++ b/internal/sched/standstill.go
@@ -98,13 +98,9 @@
 	if waits.step.spec.LongRunning && i.ranBefore {
 		delay += restartDelay
 	}
-	room, ok := c.standing.room[waits.step]
-	if !ok {
-		room = c.serviceRoom(waits.step)
-		c.standing.room[waits.step] = room
-	}
+	room := c.latestRoom(waits.step)
 	switch {
-	case room.fits < standstillRoom || !waits.step.spec.LongRunning && room.usedShare() >= maxUsedShare:
+	case !room.owed(waits.step):
 		i.roomSince = time.Time{}
 	case i.roomSince.IsZero():
 		i.roomSince = now
@@ -162,6 +158,21 @@
 // usedShare returns the reserved share of the processors.
 func (r serviceRoom) usedShare() float64 { return 1 - float64(r.free)/float64(max(1, r.capacity)) }
 
+// owed reports whether there is so much room that a task of a step must run.
+func (r serviceRoom) owed(s *step) bool {
+	return r.fits >= standstillRoom && (s.spec.LongRunning || r.usedShare() < maxUsedShare)
+}
+
+// latestRoom is serviceRoom at the latest search for what stands still, or later.
+func (c *Core) latestRoom(s *step) serviceRoom {
+	room, ok := c.standing.room[s]
+	if !ok {
+		room = c.serviceRoom(s)
+		c.standing.room[s] = room
+	}
+	return room
+}
+
 // serviceRoom returns the room for tasks of a step.
 func (c *Core) serviceRoom(s *step) serviceRoom {
 	var out serviceRoom
--- a/internal/sched/starved.go
+++ b/internal/sched/starved.go
@@ -12,6 +12,10 @@
 // doubtful: see filter.passes.
 const starvationDelay = 1500 * time.Millisecond
 
+// lastAttemptDelay is how long nothing of a job runs until a task of it may take its last attempt on a doubtful worker: after tasks
+// that have more of them, which may from starvationDelay on, and well before standstillDelay is over.
+const lastAttemptDelay = starvationDelay + 250*time.Millisecond
+
 // placeStarved places a waiting task of a step that no worker takes, once the step is starved: on a worker that refuses it only
 // by filters that its starved tasks may pass. Of steps that last all waiting tasks are placed. It reports whether it has
 // placed any.
@@ -20,7 +24,7 @@
 		return false
 	}
 	placed := false
-	for _, t := range s.tasks {
+	for _, t := range fewestFailuresFirst(s.tasks) {
 		if t.state != stateWaiting || t.startsAlone() || c.heldBack(now, t) {
 			continue
 		}
@@ -41,6 +45,15 @@
 	return placed
 }
 
+// fewestFailuresFirst returns tasks in the order in which they may take a risk.
+func fewestFailuresFirst(tasks []*task) []*task {
+	byFailures := func(a, b *task) int { return cmp.Compare(len(a.failedRuns), len(b.failedRuns)) }
+	if slices.IsSortedFunc(tasks, byFailures) {
+		return tasks
+	}
+	return slices.SortedStableFunc(slices.Values(tasks), byFailures)
+}
+
 // assignStarved gives a starved task its next run on a worker that doesn't take it of its own accord: its step stays starved.
 func (c *Core) assignStarved(now time.Time, t *task, w *worker) {
 	s := t.step
@@ -74,6 +87,7 @@
 		return cmp.Or(
 			cmp.Compare(toInt(c.doubts(now, a)), toInt(c.doubts(now, b))),
 			cmp.Compare(toInt(slices.Contains(t.failedOn, a.id)), toInt(slices.Contains(t.failedOn, b.id))),
+			c.doubtedUntil(now, a).Compare(c.doubtedUntil(now, b)),
 			-cmp.Compare(c.starvedScore(now, t, a), c.starvedScore(now, t, b)),
 			strings.Compare(a.id, b.id),
 		)
@@ -91,9 +105,17 @@
 // doubts reports whether a worker takes no tasks since runs have failed or stalled there.
 func (c *Core) doubts(now time.Time, w *worker) bool { return c.health.refusal(now, w.id) != "" }
 
+// doubtedUntil returns until when a worker is doubtful; zero if it isn't.
+func (c *Core) doubtedUntil(now time.Time, w *worker) time.Time {
+	if !c.doubts(now, w) {
+		return time.Time{}
+	}
+	return c.health.doubtfulUntil(now, w.id)
+}
+
 // mayRisk reports whether a starved task may start on a worker that may be doubtful. One on trial has its task. A task that
-// lasts loses nothing if it fails, and tries again after starvationDelay. Others may lose an attempt, so that they keep their
-// last one for a worker that isn't doubtful, and one at a time tries such a worker.
+// lasts loses nothing if it fails, and tries again after starvationDelay. Others may lose an attempt, so that one at a time
+// tries such a worker, and those with more attempts come before one that has its last.
 func (c *Core) mayRisk(now time.Time, t *task, w *worker) bool {
 	switch {
 	case !c.doubts(now, w):
@@ -102,8 +124,28 @@
 		return false
 	case t.step.spec.LongRunning:
 		return now.Sub(t.doubtfulAt) >= starvationDelay
+	case !t.onLastAttempt():
+		return now.Sub(w.riskedAt) >= starvationDelay
+	}
+	return now.Sub(w.riskedAt) >= lastAttemptDelay && c.lastAttemptDue(now, t)
+}
+
+// onLastAttempt reports whether one more failure of a task would fail its job.
+func (t *task) onLastAttempt() bool {
+	return !t.step.spec.LongRunning && len(t.failedRuns)+1 >= t.step.occ.job.spec.Policy.MaxAttempts
+}
+
+// lastAttemptDue reports whether a task can't keep its last attempt for a sound worker any longer: nothing of its job has run for
+// lastAttemptDelay, and no sound worker will have room for it in a service that is full.
+func (c *Core) lastAttemptDue(now time.Time, t *task) bool {
+	s := t.step
+	j := s.occ.job
+	if j.idle.since.IsZero() || now.Sub(laterOf(laterOf(j.idle.since, j.placedAt), s.unplacedSince)) < lastAttemptDelay {
+		return false
 	}
-	return len(t.failedRuns)+1 < t.step.occ.job.spec.Policy.MaxAttempts && now.Sub(w.riskedAt) >= starvationDelay
+	return c.latestRoom(s).owed(s) || !slices.ContainsFunc(c.pool(s).workers, func(w *worker) bool {
+		return s.spec.Reserve().Fits(w.info.Capacity) && c.refusalExcept(now, s, w, "capacity") == ""
+	})
 }
 
 // noteRisk records that a task is about to start on a worker that may be doubtful.
