A starved gang fills sound workers before doubtful ones

A starved gang ranked sound and doubtful workers by the same score, so that it put members on doubtful ones although sound ones had room for some of them, and a failure there ends the whole gang. And no member took a doubtful worker while any member wasn't allowed to, although that one could go to a sound worker.

Now doubtful workers come after all others, each member is asked about by itself, and those that have failed most choose first: a member with its last attempt takes a sound worker, and only those on doubtful ones risk an attempt.

Evidence: TestStarvedGangTakesSoundWorkersFirst (all three members on the doubtful worker) and TestMemberWithLastAttemptTakesSoundWorker (no start before lastAttemptDelay) failed before.

--- a/internal/sched/last_attempt_test.go
+++ b/internal/sched/last_attempt_test.go
@@ -109,3 +109,44 @@
 		t.Errorf("started %v, want the task on b, whose probation ends first", runs)
 	}
 }
+
+// placedOn returns how many tasks of a job each worker holds.
+func placedOn(c *Core, id string) map[string]int {
+	out := map[string]int{}
+	for _, task := range c.jobs[id].occurrences[0].steps[0].tasks {
+		if task.held() {
+			out[task.worker]++
+		}
+	}
+	return out
+}
+
+// TestStarvedGangTakesSoundWorkersFirst guards against a starved gang that puts members on doubtful workers although sound ones have room
+// for some of them.
+func TestStarvedGangTakesSoundWorkersFirst(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	c.health.block(now.Add(time.Minute), "a", "worker is on probation")
+	c.Submit(now, one("occupant", 0, job.Step{Count: 1, Demand: cores(1.5), EstimateMS: 60_000}))
+	settle(now, c)
+	c.Submit(now, one("gang", 0, job.Step{Count: 3, Demand: cores(1), EstimateMS: 1000, Gang: true, DataRack: "r-a"}))
+	startsOf(c, "gang", &now, now.Add(standstillDelay))
+	if got := placedOn(c, "gang"); got["a"] != 1 || got["b"] != 2 {
+		t.Errorf("members are placed on %v, want two on b, which is sound and has room for them", got)
+	}
+}
+
+// TestMemberWithLastAttemptTakesSoundWorker guards against a gang whose member has its last attempt on a doubtful worker while another
+// member takes the room of a sound one.
+func TestMemberWithLastAttemptTakesSoundWorker(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	c.health.block(now.Add(time.Minute), "a", "worker is on probation")
+	c.Submit(now, one("gang", 0, job.Step{Count: 2, Demand: cores(1), EstimateMS: 1000, Gang: true, AntiAffinity: 1}))
+	tasks := c.jobs["gang"].occurrences[0].steps[0].tasks
+	tasks[1].failedRuns = []int{1}
+	runs := startedRuns(c, "gang", &now, now.Add(lastAttemptDelay-2*fillerInterval), 2)
+	if len(runs) != 2 || tasks[1].worker != "b" {
+		t.Errorf("started %v, want both members before any may risk its last attempt, that with one left on b", runs)
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -189,6 +189,8 @@
 const (
 	// failedWeight keeps a task off workers on which it has failed, if any other is available.
 	failedWeight = 10.0
+	// doubtfulWeight keeps a starved gang off doubtful workers, if any other is available.
+	doubtfulWeight = 30.0
 	// rackWeight draws a task to the rack of its data or of the other tasks of its step; elsewhere it takes far
 	// longer.
 	rackWeight = 2.0
@@ -396,6 +398,8 @@
 	workers []*worker
 	scores  []float64
 	full    []bool
+	// risks says that tasks may start on doubtful workers, as far as each may, and after all others.
+	risks bool
 }
 
 // rankWorkers scores workers for the tasks of a step.
@@ -418,6 +422,12 @@
 		if slices.Contains(t.failedOn, w.id) {
 			v -= failedWeight
 		}
+		if r.risks && r.c.doubts(r.now, w) {
+			if !r.c.mayRisk(r.now, t, w) {
+				continue
+			}
+			v -= doubtfulWeight
+		}
 		if best < 0 || v > top {
 			best, top = i, v
 		}
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -235,7 +235,8 @@
 	}
 }
 
-// placeGang places all tasks of a gang or none; they share one run number. A starved gang takes doubtful workers, too.
+// placeGang places all tasks of a gang or none; they share one run number. A starved gang takes doubtful workers, too, for the members that
+// find no room on others.
 func (c *Core) placeGang(now time.Time, s *step) {
 	if slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state != stateWaiting }) {
 		return
@@ -250,20 +251,18 @@
 		return
 	}
 	refusal := func(now time.Time, s *step, w *worker) string { return c.starvedRefusal(now, s, w) }
-	candidates := slices.DeleteFunc(slices.Clone(c.sortedWorkers), func(w *worker) bool {
-		risks := func(t *task) bool { return !c.mayRisk(now, t, w) }
-		return refusal(now, s, w) != "" || slices.ContainsFunc(s.tasks, risks)
-	})
+	candidates := slices.DeleteFunc(slices.Clone(c.sortedWorkers), func(w *worker) bool { return refusal(now, s, w) != "" })
 	r := c.rankWorkers(now, s, candidates)
-	r.refusal = refusal
+	r.refusal, r.risks = refusal, true
 	c.placeMembers(now, s, r)
 }
 
-// placeMembers places all tasks of a gang on ranked workers, and reports whether they fit.
+// placeMembers places all tasks of a gang on ranked workers, and reports whether they fit. Those that have failed most choose first.
 func (c *Core) placeMembers(now time.Time, s *step, r *ranking) bool {
 	run := 0
 	var placed []*task
-	for _, t := range s.tasks {
+	mostFailuresFirst := func(a, b *task) int { return cmp.Compare(len(b.failedRuns), len(a.failedRuns)) }
+	for _, t := range slices.SortedStableFunc(slices.Values(s.tasks), mostFailuresFirst) {
 		i := r.best(t)
 		if i < 0 {
 			for _, p := range placed {
