Test: every refusal of doubtful workers ends with advice and for suspects, too

The scenes of TestEveryRefusalEnds in which all workers are doubtful are also played on a queue with advice, and with a task that must start in isolation.

--- a/internal/sched/endings_test.go
+++ b/internal/sched/endings_test.go
@@ -32,11 +32,20 @@
 	takes time.Duration
 	// doubt names why the workers are doubtful; empty if they aren't.
 	doubt string
+	// approves says that the queue takes advice, and that each request is granted; suspect that the tasks must start in isolation.
+	approves, suspect bool
 }
 
 // name names a scene.
 func (r *refusalScene) name() string {
-	return fmt.Sprintf("%s-%s/%s/%d-workers", r.filter, r.doubt, kindOf(&r.step), max(1, len(r.workers)))
+	name := fmt.Sprintf("%s-%s/%s/%d-workers", r.filter, r.doubt, kindOf(&r.step), max(1, len(r.workers)))
+	if r.approves {
+		name += "/advice"
+	}
+	if r.suspect {
+		name += "/suspect"
+	}
+	return name
 }
 
 // attach attaches a worker of a service, with a label.
@@ -149,8 +158,24 @@
 }
 
 // doubtfulScenes are scenes of the filter health: each way in which workers come to be doubtful, for steps of each kind, with one worker
-// and with several.
+// and with several, with advice, and for suspects.
 func doubtfulScenes() []refusalScene {
+	var out []refusalScene
+	for _, scene := range waysToDoubt() {
+		advised, suspect := scene, scene
+		advised.approves, suspect.suspect = true, true
+		out = append(out, scene, advised)
+		if !scene.step.Gang {
+			both := suspect
+			both.approves = true
+			out = append(out, suspect, both)
+		}
+	}
+	return out
+}
+
+// waysToDoubt are doubtfulScenes without advice and suspects.
+func waysToDoubt() []refusalScene {
 	var out []refusalScene
 	for _, s := range []job.Step{finiteStep, fillerStep, lastingStep, gangStep} {
 		for _, ids := range [][]string{{"a"}, {"a", "b", "c"}} {
@@ -345,13 +370,16 @@
 	now = now.Add(max(reserveDelay, scene.takes))
 	spec := one("job", 0, scene.step)
 	spec.Policy.MaxAttempts = attempts
-	if scene.advice {
+	if scene.advice || scene.approves {
 		spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
 	}
 	spec.Steps[0].Count += scene.before
 	c.Submit(now, spec)
 	settle(now, c)
 	s := c.jobs["job"].occurrences[0].steps[0]
+	if scene.suspect {
+		c.addCrash(s.tasks[0], crash{Worker: "gone", Run: 1, Sole: true})
+	}
 	if n := s.spec.Count - s.waiting; n != scene.before {
 		t.Fatalf("%d tasks are started at once, want %d", n, scene.before)
 	}
@@ -368,7 +396,13 @@
 		allowed = time.Second
 	}
 	for attempt := 1; attempt <= attempts; attempt++ {
-		runs := startedRuns(c, "job", &now, now.Add(allowed), scene.step.Count)
+		var runs []startedRun
+		for until := now.Add(allowed); now.Before(until) && len(runs) < scene.step.Count; {
+			if scene.approves {
+				approveAll(now, c)
+			}
+			runs = append(runs, startedRuns(c, "job", &now, now.Add(fillerInterval), math.MaxInt)...)
+		}
 		if len(runs) < scene.step.Count {
 			t.Fatalf("attempt %d of %d: %d tasks are started within %s, want %d; the step waits for: %s", attempt, attempts, len(runs), allowed,
 				scene.step.Count, c.waitReason(now, s))
