A last attempt awaits room only that the end of runs brings

A task's last attempt went on waiting, in a service that is more than half in use, for any sound worker that is large enough, also one whose room is taken by tasks that last: only the end of probation ended that. It waits now if the runs there that end by themselves leave the room within reserveHorizon.

Evidence: TestLastAttemptAwaitsRoom.

--- a/internal/sched/last_attempt_test.go
+++ b/internal/sched/last_attempt_test.go
@@ -16,26 +16,40 @@
 }
 
 // TestLastAttemptTakesSoundWorker guards against a job that fails on a doubtful worker although a sound one has room for the task's last
-// attempt, or will have once one of the runs ends that fill the service.
+// attempt.
 func TestLastAttemptTakesSoundWorker(t *testing.T) {
-	for _, full := range []bool{false, true} {
+	now := epoch0
+	c := pool(now, "a")
+	blocked(now, c)
+	attach(now, c, "b", "pool", "")
+	lastAttempt(now, c)
+	if runs := startedRuns(c, "last", &now, now.Add(fillerInterval), 1); len(runs) != 1 || runs[0].worker != "b" {
+		t.Errorf("started %v, want the task on b, which is sound", runs)
+	}
+}
+
+// TestLastAttemptAwaitsRoom guards against a job that fails on a doubtful worker although a sound one will have room for the task's last
+// attempt once a run ends, in a service that is more than half in use, and against one that waits for room that no end brings.
+func TestLastAttemptAwaitsRoom(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
 		now := epoch0
 		c := pool(now, "a")
 		blocked(now, c)
 		attach(now, c, "b", "pool", "")
-		if full {
-			c.Submit(now, one("fills", 0, job.Step{Count: 1, Demand: cores(4), EstimateMS: 6000}))
-			settle(now, c)
-		}
+		c.Submit(now, one("fills", 0, job.Step{Count: 1, Demand: cores(3.6), EstimateMS: 4500, LongRunning: lasts}))
+		c.Submit(now, one("fills too", 0, job.Step{Count: 1, Demand: cores(0.4), EstimateMS: 4500}))
+		settle(now, c)
 		lastAttempt(now, c)
-		if full {
-			if runs := startedRuns(c, "last", &now, now.Add(6*time.Second), 1); len(runs) > 0 {
-				t.Errorf("the last attempt starts on %s while half of the service is in use", runs[0].worker)
-			}
-			c.Ended(now, "b", []link.RunEnd{{Number: 1, RunRef: c.workers["b"].tasks[0].ref(), Outcome: link.Done}})
+		runs := startedRuns(c, "last", &now, now.Add(4*time.Second), 1)
+		if want := toInt(lasts); len(runs) != want {
+			t.Errorf("started %v, want %d runs on the doubtful worker beside a sound one whose room is taken for good: %t", runs, want, lasts)
+		}
+		if lasts {
+			continue
 		}
+		c.Ended(now, "b", []link.RunEnd{{Number: 1, RunRef: c.workers["b"].tasks[0].ref(), Outcome: link.Done}})
 		if runs := startedRuns(c, "last", &now, now.Add(fillerInterval), 1); len(runs) != 1 || runs[0].worker != "b" {
-			t.Errorf("full %t: started %v once the sound worker has room, want the task there", full, runs)
+			t.Errorf("started %v once the run has ended, want the task on b", runs)
 		}
 	}
 }
--- a/internal/sched/starved.go
+++ b/internal/sched/starved.go
@@ -136,7 +136,7 @@
 }
 
 // lastAttemptDue reports whether a task can't keep its last attempt for a sound worker any longer: nothing of its job has run for
-// lastAttemptDelay, and no sound worker will have room for it in a service that is full.
+// lastAttemptDelay, and no sound worker will soon have room for it as runs end, in a service that is full.
 func (c *Core) lastAttemptDue(now time.Time, t *task) bool {
 	s := t.step
 	j := s.occ.job
@@ -144,7 +144,8 @@
 		return false
 	}
 	return c.latestRoom(s).owed(s) || !slices.ContainsFunc(c.pool(s).workers, func(w *worker) bool {
-		return s.spec.Reserve().Fits(w.info.Capacity) && c.refusalExcept(now, s, w, "capacity") == ""
+		in, ok := w.room(now).FreeIn(s.spec.Reserve())
+		return ok && in <= reserveHorizon && c.refusalExcept(now, s, w, "capacity") == ""
 	})
 }
 
