Test: several jobs with their last attempts start in time

On workers that are sound again after the longest probation, eight jobs with one attempt each start within the promise, although one task at a time tries a worker: a run that has been listed for Limits.Proof ends the probation.

--- a/internal/sched/last_attempt_test.go
+++ b/internal/sched/last_attempt_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -164,3 +165,31 @@
 		t.Errorf("started %v, want both members before any may risk its last attempt, that with one left on b", runs)
 	}
 }
+
+// TestManyLastAttemptsStartInTime guards against jobs that stand still behind the last attempt of another one, since one task at a time
+// tries a doubtful worker: all start in time once the first one's run has been listed for a while, also if it doesn't end.
+func TestManyLastAttemptsStartInTime(t *testing.T) {
+	const jobs = 8
+	for _, ids := range [][]string{{"a"}, {"a", "b", "c"}} {
+		now := epoch0
+		c := pool(now, ids...)
+		onProbation(now, c)
+		for n := range jobs {
+			spec := one(fmt.Sprintf("job%d", n), 0, job.Step{Count: 1, Demand: cores(0.2), EstimateMS: 60_000})
+			spec.Policy.MaxAttempts = 1
+			c.Submit(now, spec)
+		}
+		starts := 0
+		for until := now.Add(standstillDelay); now.Before(until); now = now.Add(fillerInterval) {
+			for _, s := range started(settle(now, c)) {
+				starts += len(s)
+			}
+			if now.Sub(epoch0)%(200*time.Millisecond) == 0 {
+				reportProgress(now, c)
+			}
+		}
+		if starts != jobs {
+			t.Errorf("%d of %d jobs start within %s on %d workers that are sound again", starts, jobs, standstillDelay, len(ids))
+		}
+	}
+}
