--- a/internal/sched/last_attempt_test.go
+++ b/internal/sched/last_attempt_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,26 +17,40 @@
 }
 
 // TestLastAttemptTakesSoundWorker guards against a job that fails on a doubtful worker although a sound one has room for the task's last
-// attempt, or will have once one of the runs ends that fill the service.
+// attempt.
 func TestLastAttemptTakesSoundWorker(t *testing.T) {
-	for _, full := range []bool{false, true} {
+	now := epoch0
+	c := pool(now, "a")
+	blocked(now, c)
+	attach(now, c, "b", "pool", "")
+	lastAttempt(now, c)
+	if runs := startedRuns(c, "last", &now, now.Add(fillerInterval), 1); len(runs) != 1 || runs[0].worker != "b" {
+		t.Errorf("started %v, want the task on b, which is sound", runs)
+	}
+}
+
+// TestLastAttemptAwaitsRoom guards against a job that fails on a doubtful worker although a sound one will have room for the task's last
+// attempt once a run ends, in a service that is more than half in use, and against one that waits for room that no end brings.
+func TestLastAttemptAwaitsRoom(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
 		now := epoch0
 		c := pool(now, "a")
 		blocked(now, c)
 		attach(now, c, "b", "pool", "")
-		if full {
-			c.Submit(now, one("fills", 0, job.Step{Count: 1, Demand: cores(4), EstimateMS: 6000}))
-			settle(now, c)
-		}
+		c.Submit(now, one("fills", 0, job.Step{Count: 1, Demand: cores(3.6), EstimateMS: 4500, LongRunning: lasts}))
+		c.Submit(now, one("fills too", 0, job.Step{Count: 1, Demand: cores(0.4), EstimateMS: 4500}))
+		settle(now, c)
 		lastAttempt(now, c)
-		if full {
-			if runs := startedRuns(c, "last", &now, now.Add(6*time.Second), 1); len(runs) > 0 {
-				t.Errorf("the last attempt starts on %s while half of the service is in use", runs[0].worker)
-			}
-			c.Ended(now, "b", []link.RunEnd{{Number: 1, RunRef: c.workers["b"].tasks[0].ref(), Outcome: link.Done}})
+		runs := startedRuns(c, "last", &now, now.Add(4*time.Second), 1)
+		if want := toInt(lasts); len(runs) != want {
+			t.Errorf("started %v, want %d runs on the doubtful worker beside a sound one whose room is taken for good: %t", runs, want, lasts)
+		}
+		if lasts {
+			continue
 		}
+		c.Ended(now, "b", []link.RunEnd{{Number: 1, RunRef: c.workers["b"].tasks[0].ref(), Outcome: link.Done}})
 		if runs := startedRuns(c, "last", &now, now.Add(fillerInterval), 1); len(runs) != 1 || runs[0].worker != "b" {
-			t.Errorf("full %t: started %v once the sound worker has room, want the task there", full, runs)
+			t.Errorf("started %v once the run has ended, want the task on b", runs)
 		}
 	}
 }
@@ -150,3 +165,31 @@
 		t.Errorf("started %v, want both members before any may risk its last attempt, that with one left on b", runs)
 	}
 }
+
+// TestManyLastAttemptsStartInTime guards against jobs that stand still behind the last attempt of another one, since one task at a time
+// tries a doubtful worker: all start in time once the first one's run has been listed for a while, also if it doesn't end.
+func TestManyLastAttemptsStartInTime(t *testing.T) {
+	const jobs = 8
+	for _, ids := range [][]string{{"a"}, {"a", "b", "c"}} {
+		now := epoch0
+		c := pool(now, ids...)
+		onProbation(now, c)
+		for n := range jobs {
+			spec := one(fmt.Sprintf("job%d", n), 0, job.Step{Count: 1, Demand: cores(0.2), EstimateMS: 60_000})
+			spec.Policy.MaxAttempts = 1
+			c.Submit(now, spec)
+		}
+		starts := 0
+		for until := now.Add(standstillDelay); now.Before(until); now = now.Add(fillerInterval) {
+			for _, s := range started(settle(now, c)) {
+				starts += len(s)
+			}
+			if now.Sub(epoch0)%(200*time.Millisecond) == 0 {
+				reportProgress(now, c)
+			}
+		}
+		if starts != jobs {
+			t.Errorf("%d of %d jobs start within %s on %d workers that are sound again", starts, jobs, standstillDelay, len(ids))
+		}
+	}
+}
