Suspects: a job's turn goes to a task that may share a start, on a worker that is settled

After a takeover some 70 suspects of 13 jobs waited for two workers. Each job's turn went to its suspect with the lowest index, often one of two crashes, which needs a start for itself, although another of its suspects could have shared one with three other jobs. And the worker with the fewest runs was chosen although runs were just starting there, or it was in the gap that it leaves to others: 0.8 to 1.1 s of 1.75 s for each start were waiting for these to settle.

A turn goes to a suspect that may share a start, if the job has one. A starved suspect prefers a worker that is not in its gap, and then one whose runs have settled. Which crashes count, how many workers are kept and when a task is given up are as before.

TestSuspectsOfManyJobsShareStarts failed before (sixteen jobs: the last one starts after 7.35 s, nine of them after more than 3 s), as did TestStarvedSuspectStartsWhereRunsHaveSettled.

--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -82,21 +82,24 @@
 }
 
 // starvedFirst moves starved suspects to the front, those that have waited longest first: each one that lasts, and one of each
-// job of which nothing runs.
+// job of which nothing runs, which may share a start if any of its starved suspects may.
 func (c *Core) starvedFirst(now time.Time, suspects []*task) []*task {
-	var first, others []*task
-	served := map[*jobState]bool{}
+	next := map[*jobState]*task{}
 	for _, t := range suspects {
 		j := t.step.occ.job
-		if _, ok := served[j]; !ok {
-			served[j] = c.active(now, j)
+		if t.step.spec.LongRunning || t.queuedFor(now) < starvationDelay || c.active(now, j) {
+			continue
 		}
-		switch {
-		case t.queuedFor(now) < starvationDelay, served[j] && !t.step.spec.LongRunning:
-			others = append(others, t)
-		default:
+		if n := next[j]; n == nil || !n.mayShareStart() && t.mayShareStart() {
+			next[j] = t
+		}
+	}
+	var first, others []*task
+	for _, t := range suspects {
+		if t.step.spec.LongRunning && t.queuedFor(now) >= starvationDelay || next[t.step.occ.job] == t {
 			first = append(first, t)
-			served[j] = true
+		} else {
+			others = append(others, t)
 		}
 	}
 	slices.SortStableFunc(first, func(a, b *task) int { return a.turn().Compare(b.turn()) })
@@ -239,7 +242,7 @@
 // at any start.
 func (c *Core) keepWorker(now time.Time, t *task) *worker {
 	w := c.workerToIsolate(now, t)
-	if w != nil && (now.Sub(w.releasedAt) < isolationGap && c.othersStarve(now) || c.gangsTurn(now)) {
+	if w != nil && (w.inGap(now) && c.othersStarve(now) || c.gangsTurn(now)) {
 		return nil
 	}
 	if w != nil {
@@ -270,8 +273,12 @@
 	return true
 }
 
+// inGap reports whether a worker was kept until just now.
+func (w *worker) inGap(now time.Time) bool { return now.Sub(w.releasedAt) < isolationGap }
+
 // workerToIsolate returns the worker to keep for the start of a task, or nil: a stable one on which a crash would cost
-// the fewest runs.
+// the fewest runs. A suspect that is starved prefers one on which it can start at once: where runs are starting, they must settle
+// first, and one that is in its gap may be needed by others.
 func (c *Core) workerToIsolate(now time.Time, t *task) *worker {
 	candidates := slices.DeleteFunc(c.feasible(now, t.step), func(w *worker) bool { return w.hasCopy(t) })
 	if len(candidates) == 0 {
@@ -281,9 +288,12 @@
 		}
 		return nil
 	}
+	starved := t.queuedFor(now) >= starvationDelay
 	return slices.MinFunc(candidates, func(a, b *worker) int {
 		return cmp.Or(
 			cmp.Compare(toInt(c.unstable(now, a)), toInt(c.unstable(now, b))),
+			cmp.Compare(toInt(starved && a.inGap(now)), toInt(starved && b.inGap(now))),
+			cmp.Compare(toInt(starved && !a.quiet()), toInt(starved && !b.quiet())),
 			cmp.Compare(len(a.tasks)+len(a.copies), len(b.tasks)+len(b.copies)),
 			-cmp.Compare(c.score(t.step.spec, t.step, a), c.score(t.step.spec, t.step, b)),
 			strings.Compare(a.id, b.id),
--- a/internal/sched/isolate_test.go
+++ b/internal/sched/isolate_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -157,3 +158,59 @@
 		}
 	}
 }
+
+// TestSuspectsOfManyJobsShareStarts guards against jobs of which nothing runs for many seconds: each waited for a turn of its own
+// with a task under which two workers had crashed, although another of its tasks might share a start with those of other jobs.
+func TestSuspectsOfManyJobsShareStarts(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b")
+	var jobs []string
+	for i := range 16 {
+		jobs = append(jobs, fmt.Sprintf("job%02d", i))
+		c.Submit(now, one(jobs[i], 0, job.Step{Count: 2, Demand: cores(0.1), EstimateMS: 60_000}))
+		tasks := c.jobs[jobs[i]].occurrences[0].steps[0].tasks
+		c.addCrash(tasks[0], crash{Worker: "gone", Run: 1})
+		c.addCrash(tasks[0], crash{Worker: "gone too", Run: 2})
+		c.addCrash(tasks[1], crash{Worker: "gone", Run: 1})
+	}
+	first := map[string]time.Duration{}
+	for from := now; now.Sub(from) < 20*time.Second; now = now.Add(fillerInterval) {
+		for _, starts := range started(settle(now, c)) {
+			for _, s := range starts {
+				if _, ok := first[s.Task.Job]; !ok {
+					first[s.Task.Job] = now.Sub(from)
+				}
+			}
+		}
+		reportProgress(now, c)
+	}
+	for _, id := range jobs {
+		if d, ok := first[id]; !ok || d > standstillDelay {
+			t.Errorf("%s starts after %s", id, d)
+		}
+	}
+}
+
+// TestStarvedSuspectStartsWhereRunsHaveSettled guards against starved suspects that wait for the runs that have just started on the
+// worker with the fewest runs, one after the other, while runs have settled on another one.
+func TestStarvedSuspectStartsWhereRunsHaveSettled(t *testing.T) {
+	now := epoch0
+	c := pool(now, "b")
+	c.Submit(now, one("settled", 0, job.Step{Count: 3, Demand: cores(0.1), EstimateMS: 60_000}))
+	settle(now, c)
+	reportProgress(now, c)
+	now = now.Add(settleTime)
+	reportProgress(now, c)
+	attach(now, c, "a", "pool", "")
+	c.Submit(now, one("fresh", 0, job.Step{Count: 1, Demand: cores(2), EstimateMS: 60_000, AntiAffinity: 1}))
+	if id, _ := firstStart(t, settle(now, c)); id != "a" {
+		t.Fatalf("the fresh run is on %s, want a", id)
+	}
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(0.1), EstimateMS: 1000}))
+	suspect := c.jobs["job"].occurrences[0].steps[0].tasks[0]
+	c.addCrash(suspect, crash{Worker: "gone", Run: 1, Sole: true})
+	suspect.queuedAt = now.Add(-starvationDelay)
+	if id, ref := firstStart(t, settle(now, c)); id != "b" || ref.Task != suspect.id {
+		t.Errorf("%s starts on %s, want the suspect on b", ref.Task, id)
+	}
+}
