--- a/internal/sched/standstill_test.go
+++ b/internal/sched/standstill_test.go
@@ -103,6 +103,12 @@
 	quietFrom := d.shape.calmEvery
 	for at := time.Duration(0); at < d.shape.length; at = d.now.Sub(epoch0) {
 		s := at.Seconds()
+		if d.ending != nil {
+			d.ending.play(d, at)
+		}
+		if d.ending.keepsOut(at) {
+			fill, short = max(fill, s+dayStep.Seconds()), max(short, s+dayStep.Seconds())
+		}
 		for ; s >= fill; fill += d.rng.ExpFloat64() / d.shape.fillersPerS {
 			n++
 			d.submitFiller(n)
@@ -111,7 +117,7 @@
 			n++
 			d.submitShort(n)
 		}
-		if d.shape.burstAt > 0 && at >= d.shape.burstAt && at < d.shape.burstAt+dayStep {
+		if d.shape.burstAt > 0 && !d.ending.keepsOut(at) && at >= d.shape.burstAt && at < d.shape.burstAt+dayStep {
 			for range 5 + d.rng.IntN(15) {
 				n++
 				d.submitFiller(n)
@@ -127,8 +133,13 @@
 		d.step()
 		j.look()
 	}
+	rest := dayEnd
+	if d.ending != nil {
+		d.ending.over(d)
+		rest = calmEnd
+	}
 	// The end begins when the last disruption is over.
-	for end := maxTime(d.calmSince, d.now).Add(dayEnd); d.now.Before(end); {
+	for end := maxTime(d.calmSince, d.now).Add(rest); d.now.Before(end); {
 		d.step()
 		j.look()
 		end = maxTime(end, d.calmSince.Add(standstillCalm+standstill))
@@ -335,7 +346,7 @@
 }
 
 // dayFor returns the day of a seed, narrowed by STANDSTILL_WITHOUT, which lists what the day goes without ("advice",
-// "deadly", "crashes"), and with STANDSTILL_VANISH one on which workers lose ends.
+// "deadly", "crashes"), with STANDSTILL_VANISH one on which workers lose ends, and with STANDSTILL_ENDS one with a calm end.
 func dayFor(seed uint64) *day {
 	d := newDay(seed)
 	without := os.Getenv("STANDSTILL_WITHOUT")
@@ -351,6 +362,9 @@
 			s.Policy.Advice = nil
 		}
 	}
+	if os.Getenv("STANDSTILL_ENDS") != "" {
+		d.endCalmly()
+	}
 	return d
 }
 
--- a/internal/sched/standstill_world_test.go
+++ b/internal/sched/standstill_world_test.go
@@ -160,6 +160,7 @@
 	lastEnd               map[job.TaskID]time.Time // of the latest run of a lasting task
 	// calmSince is when the latest disruption ended.
 	calmSince time.Time
+	ending    *ending // nil without a calm end
 	trace     func(format string, args ...any)
 }
 
@@ -217,6 +218,9 @@
 // policy returns the policy of a new job.
 func (d *day) policy(queue string, priority int, stretch float64, latencyMS int64) job.Policy {
 	p := job.Policy{Queue: queue, Service: "pool", Priority: priority, MaxAttempts: 4, Stretch: stretch, LatencyTargetMS: latencyMS}
+	if d.ending != nil {
+		p.MaxAttempts = d.ending.drawAttempts()
+	}
 	if d.rng.Float64() < d.shape.advice {
 		p.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
 	}
