Random cells: a success that no listing can show counts for nothing

From 30.405 s all calls to the worker of node-1 are lost for good. Task jeb.0.0.18 succeeds there at 31.122 s; no listing ever shows that end. The lease lapses, the owner ends the run as lapsed (41.240 s) and starts the task again twice; both runs give way to jobs of a higher priority, and from 44.9 s on the filler waits for room, of which there is none. The owner can't know of the success; a job that it showed as completed would be one of which nobody has heard that it has ended.

Cause: the judge of the test took a success for the task's as long as the worker's process lived, whether or not anybody could hear of it. So it demanded that such a job be complete and, the other way round, never that such a task run again.

Change: a success on a worker that has stopped answering for good counts only if it was acknowledged. The check that is replaced is as strict: the task must be started again as any other task whose turn has come (kinds lost and lasting), from which it was exempt before. Sluggish workers still answer slow polls; their successes count as before.

TestSuccessThatNobodyLists failed before for each of the three kinds of silence, and requires that the product completes the job with another run.

--- a/internal/sched/cell_faults_test.go
+++ b/internal/sched/cell_faults_test.go
@@ -1,6 +1,10 @@
 package sched_test
 
-import "github.com/crocusspring/crocusspring/internal/job"
+import (
+	"slices"
+
+	"github.com/crocusspring/crocusspring/internal/job"
+)
 
 // cellFault injects something; every fault touches the world for as long as it lasts.
 type cellFault struct {
@@ -104,7 +108,7 @@
 // disturbCalls disturbs the calls to the worker of a machine for some time.
 func (m *cellMachine) disturbCalls() {
 	w := m.w
-	if m.callFaultsUntil == 1<<40 {
+	if m.callFaultsUntil == forGoodMS {
 		return
 	}
 	ms := w.between(200, 4000)
@@ -223,16 +227,28 @@
 	})
 }
 
+// forGoodMS is the end of faults that last for good.
+const forGoodMS = 1 << 40
+
 // spoilWorker lets all calls to a worker end alike from now on, if enough others are left.
 func (w *cellWorld) spoilWorker(fate cellFate) {
 	if w.removed || len(w.machines) < 4 {
 		return
 	}
 	w.removed = true
-	w.touch(0)
-	m := w.machine()
-	m.callFaultsUntil, m.callFaultShare, m.callFates = 1<<40, 1, []cellFate{fate}
-	w.logf("calls to the worker of %s have fate %d for good", m.node, fate)
+	w.machine().spoil(fate)
+}
+
+// spoil lets all calls to the worker end alike from now on.
+func (m *cellMachine) spoil(fate cellFate) {
+	m.w.touch(0)
+	m.callFaultsUntil, m.callFaultShare, m.callFates = forGoodMS, 1, []cellFate{fate}
+	m.w.logf("calls to the worker of %s have fate %d for good", m.node, fate)
+}
+
+// silentForGood reports whether no call to the worker is answered with a listing any more. A sluggish worker answers slow calls.
+func (m *cellMachine) silentForGood() bool {
+	return m.callFaultsUntil == forGoodMS && !slices.Contains(m.callFates, fateSluggish)
 }
 
 // removeMachines ends the processes of some machines for good, at times with the owner's.
--- a/internal/sched/cell_stray_test.go
+++ b/internal/sched/cell_stray_test.go
@@ -46,3 +46,31 @@
 		t.Errorf("job is %+v", v)
 	}
 }
+
+// TestSuccessThatNobodyLists guards against a job that waits for a success which no listing can show: the worker has answered nothing
+// since before the task succeeded there. Such a success counts for nothing, and the task runs again.
+func TestSuccessThatNobodyLists(t *testing.T) {
+	for _, fate := range []cellFate{fateLost, fateUnanswered, fateRefused} {
+		w := sceneWorld(3, nil)
+		w.runUntil(1000)
+		s := w.drawSpec("unseen")
+		s.Steps = []job.Step{{Count: 1, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, EstimateMS: 2000, MayMiss: job.NoMissLimit}}
+		w.submit(s)
+		w.runUntil(1500)
+		n := w.judge.jobs["unseen"]
+		for _, m := range w.machines {
+			if len(m.exec.running) == 1 {
+				m.spoil(fate)
+			}
+		}
+		w.runUntil(1000 + 200 + 2000*14/10 + 100)
+		if len(n.tasks[0].done) != 1 || n.allDone() {
+			t.Errorf("fate %d: %d successes, all done is %t", fate, len(n.tasks[0].done), n.allDone())
+		}
+		w.runUntil(20_000)
+		w.reportAll(t)
+		if v, _ := w.newest().core.Job("unseen"); v.State != "completed" {
+			t.Errorf("fate %d: job is %+v", fate, v)
+		}
+	}
+}
--- a/internal/sched/cell_world_test.go
+++ b/internal/sched/cell_world_test.go
@@ -241,9 +241,10 @@
 	number int64
 }
 
-// succeeded reports whether a success of the task is on a worker or was acknowledged there.
+// succeeded reports whether a success of the task was acknowledged, or is on a worker that can list it. One on a worker that has
+// stopped answering for good is lost with the worker's lease: nobody can know of it, and the task must run again.
 func (t *cellTask) succeeded() bool {
-	return len(t.done) > 0 && slices.ContainsFunc(t.done, func(s cellSuccess) bool { return s.e.up || s.number <= s.e.acked })
+	return slices.ContainsFunc(t.done, func(s cellSuccess) bool { return s.number <= s.e.acked || s.e.up && !s.e.m.silentForGood() })
 }
 
 const (
