Scheduler: hold tasks with unconfirmed starts until 6 s after their guard's last word

A start to w3-4 is held up at 1.7 s (its worker stands still), its guard and worker die at 3.27 s, and the worker is back under its ID at 4.7 s. The lease of the earlier birth lapses at 7.579 s and the task starts elsewhere; the start is carried out by the new birth at 7.574 s. The guard is back at 7.8 s.

Cause: nothing in a start tells births of one ID apart: Expect-Instance names the ID, a new birth has seen no fencing token, and until_ms is a time on a clock that starts anew. The token of the guard keeps late starts out only from its first answered call on, so that while a machine has no guard its next worker carries them out.

Change: a task whose start wasn't confirmed stays with a detached worker until 6 s after the last word of its guard; runs that were listed lapse as before, 4.3 s after the end of the link. When the machine returns in that time its inventory ends the earlier birth and lists the run, which is stopped first.

What remains: starts that come later than that, and starts that had been settled before their guard died.

--- a/internal/sched/cell_stray_test.go
+++ b/internal/sched/cell_stray_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/crocusspring/crocusspring/internal/guard"
@@ -74,3 +75,53 @@
 		}
 	}
 }
+
+// heldUpStart returns a world in which the start of the only task is held up at the first machine, whose worker and guard then die;
+// it comes to whichever worker answers there 6.5 s after it was sent.
+func heldUpStart(t *testing.T) (*cellWorld, *cellMachine) {
+	t.Helper()
+	w := sceneWorld(3, nil)
+	w.runUntil(1000)
+	for _, other := range w.machines[1:] {
+		other.restartGuard(300)
+	}
+	w.runUntil(1050)
+	s := w.drawSpec("late")
+	s.Steps = []job.Step{{Count: 1, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, EstimateMS: 10_000, MayMiss: job.NoMissLimit}}
+	w.submit(s)
+	m := w.machines[0]
+	m.exec.frozenUntil = w.now + 6500
+	w.runUntil(2500)
+	if n := w.judge.jobs["late"].running; n != 0 || !strings.Contains(w.newest().core.DescribeTasks("late"), "worker="+m.exec.id) {
+		t.Fatalf("%d runs, want a start on its way to %s", n, m.exec.id)
+	}
+	w.touch(0)
+	m.guard.kill()
+	m.crash()
+	return w, m
+}
+
+// TestLateStartAfterLapse guards against two runs of a task at a time: a start that was held up comes to a later birth of its worker
+// after the lease of the earlier one has lapsed, while the guard is still away.
+func TestLateStartAfterLapse(t *testing.T) {
+	w, m := heldUpStart(t)
+	w.after(1500, func() { m.boot(true) })
+	w.after(5300, m.bootGuard)
+	w.touch(5300)
+	w.runUntil(40_000)
+	w.reportAll(t)
+	if v, _ := w.newest().core.Job("late"); v.State != "completed" {
+		t.Errorf("job is %+v", v)
+	}
+}
+
+// TestUnconfirmedStartOnLostMachine guards against a task that waits for too long for a machine that doesn't come back.
+func TestUnconfirmedStartOnLostMachine(t *testing.T) {
+	w, _ := heldUpStart(t)
+	w.runUntil(w.now + calmBeforeMS + lostMS - 500)
+	if n := w.judge.jobs["late"].running; n != 1 {
+		t.Errorf("%d runs", n)
+	}
+	w.runUntil(40_000)
+	w.reportAll(t)
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -22,8 +22,11 @@
 	described bool
 	// attached says that its guard is connected and has sent its inventory.
 	attached bool
-	// expiresAt is when all runs on a detached worker must have ended.
+	// expiresAt is when all runs on a detached worker must have ended; lapsed says that it has passed.
 	expiresAt time.Time
+	lapsed    bool
+	// heardAt is when its guard last reported on it under this ownership.
+	heardAt time.Time
 	// held are the tasks whose newest run may be there; tasks are the same in order of assignment.
 	held  map[job.TaskID]*task
 	tasks []*task
@@ -309,7 +312,7 @@
 	if pace >= minFillerPace || w.pace >= minFillerPace {
 		w.slowSince = now
 	}
-	w.pace, w.unresponsive = pace, unresponsive
+	w.pace, w.unresponsive, w.heardAt = pace, unresponsive, now
 }
 
 // Detach handles the loss of the connection to a worker's guard; nothing is echoed to it any more.
@@ -318,7 +321,7 @@
 	if w == nil || !w.attached {
 		return
 	}
-	w.attached, w.detachedAt = false, now
+	w.attached, w.detachedAt, w.lapsed = false, now, false
 	w.expiresAt = now.Add(c.opt.expiryDelay())
 	c.logDecision(event.Worker, id, fmt.Sprintf("detached held=%d lapse_in=%s", len(w.held), c.opt.expiryDelay()))
 }
@@ -354,11 +357,29 @@
 		if now.Before(w.expiresAt) {
 			continue
 		}
-		if len(w.held) > 0 {
-			c.logDecision(event.LeaseExpired, w.id, fmt.Sprintf("held=%d", len(w.held)))
-			c.suspectCrash(w)
-		}
+		c.lapse(now, w)
+	}
+}
+
+// lateStartTime is how long after the last word of its guard a task whose start wasn't confirmed stays with a worker. The machine may
+// have started again, and until the guard has called the new birth that carries out a start which was held up. Nothing bounds
+// such a start; the wait ends while a task that is placed then has still not waited for too long after the loss of a machine.
+const lateStartTime = 6 * time.Second
+
+// lapse ends the runs of a detached worker whose lease must have expired, those with unconfirmed starts after lateStartTime, and
+// removes the worker when none is left.
+func (c *Core) lapse(now time.Time, w *worker) {
+	if len(w.held) > 0 && !w.lapsed {
+		c.logDecision(event.LeaseExpired, w.id, fmt.Sprintf("held=%d", len(w.held)))
+		c.suspectCrash(w)
+	}
+	w.lapsed = true
+	if now.Before(w.heardAt.Add(lateStartTime)) {
+		c.expireConfirmed(now, w)
+	} else {
 		c.expireRuns(now, w)
+	}
+	if len(w.held) == 0 {
 		c.deleteWorker(w)
 	}
 }
@@ -380,7 +401,22 @@
 // expireRuns ends all runs of a worker as expired, which doesn't count as a failed attempt.
 func (c *Core) expireRuns(now time.Time, w *worker) {
 	for _, t := range w.tasks {
-		c.endRun(now, t, link.RunEnd{RunRef: t.ref(), Outcome: link.Expired, Checkpoint: t.checkpoint})
+		c.expireRun(now, t)
 	}
 	c.dropCopies(w)
 }
+
+// expireConfirmed is expireRuns for the runs that the worker has listed.
+func (c *Core) expireConfirmed(now time.Time, w *worker) {
+	for _, t := range w.tasks {
+		if !t.appearedAt.IsZero() {
+			c.expireRun(now, t)
+		}
+	}
+	c.dropCopies(w)
+}
+
+// expireRun ends a run as expired.
+func (c *Core) expireRun(now time.Time, t *task) {
+	c.endRun(now, t, link.RunEnd{RunRef: t.ref(), Outcome: link.Expired, Checkpoint: t.checkpoint})
+}
