A resend that a stopped entry refuses isn't a lost request

TestTwoFaults/target-crash+entry-stop failed beside load with requests without an outcome, "dial tcp: connection refused", though an entry had only been stopped as planned. A resend whose connection is refused counts as lost, since an earlier send of its key may have run, and the check excused it until the end of the process only: not while the entry was down, and during the stop it took it for a request in progress that was cut. A first send is told apart, as it certainly didn't run. On a busy machine a caller's probe sees the stop later, or finds no other ready entry, and sends there.

A send now records that it found no connection. The check excuses it from the beginning of a recorded stop until the entry has started again, and nothing else: a refused connection of an entry that is up, and a connection that was lost after a stop, stay violations (three planted histories). Both new cases of TestWhatFaultsExcuse failed before.

--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -186,6 +186,15 @@
 			h.Requests[1].Outcome = Lost
 			h.Incidents = append(h.Incidents, &Incident{Kind: ProcessKill, Subject: "entry-1", Start: at(100)})
 		},
+		// Guards against resends that count as lost, although their entry had been stopped as planned and wasn't up yet.
+		"resend refused by an entry that had been stopped": func(h *History) {
+			h.Requests[3].Outcome, h.Requests[3].Answer, h.Requests[3].Unsent = Lost, "", true
+			h.Incidents = append(h.Incidents, stopped(110, 205), &Incident{Op: 73, Kind: ProcessUp, Subject: "entry-1", Start: at(400), End: at(400)})
+		},
+		"resend refused by an entry that was stopping": func(h *History) {
+			h.Requests[3].Outcome, h.Requests[3].Answer, h.Requests[3].Unsent = Lost, "", true
+			h.Incidents = append(h.Incidents, stopped(220, 400))
+		},
 		"finish that died with its worker": func(h *History) {
 			h.Attempts = append(h.Attempts, attempt(28, "job-a", 2, "worker-02", 900, 1300))
 			h.Incidents = append(h.Incidents, &Incident{Kind: WorkerCrash, Subject: "worker-01", Start: at(500)})
--- a/internal/history/events.go
+++ b/internal/history/events.go
@@ -53,7 +53,9 @@
 	Sent, Answer string
 	// Truncated is set when the answer's body ended early.
 	Truncated bool
-	Reason    string
+	// Unsent is set when no connection to the entry could be opened, so that this send reached nothing.
+	Unsent bool
+	Reason string
 }
 
 // String describes the request in reports.
--- a/internal/history/planted_test.go
+++ b/internal/history/planted_test.go
@@ -115,6 +115,30 @@
 			},
 			func(r Report) int { return r.CutRequests },
 		},
+		{
+			"connection refused by an entry that was never stopped", EveryOutcome,
+			[]int{2},
+			func(h *History) { h.Requests[1].Outcome, h.Requests[1].Unsent = Lost, true },
+			func(r Report) int { return r.RequestsLost },
+		},
+		{
+			"connection refused by an entry that had started again", EveryOutcome,
+			[]int{2},
+			func(h *History) {
+				h.Requests[1].Outcome, h.Requests[1].Unsent = Lost, true
+				h.Incidents = append(h.Incidents, stopped(10, 20), &Incident{Op: 73, Kind: ProcessUp, Subject: "entry-1", Start: at(40), End: at(40)})
+			},
+			func(r Report) int { return r.RequestsLost },
+		},
+		{
+			"connection lost after a stop", EveryOutcome,
+			[]int{2},
+			func(h *History) {
+				h.Requests[1].Outcome = Lost
+				h.Incidents = append(h.Incidents, stopped(10, 20))
+			},
+			func(r Report) int { return r.RequestsLost },
+		},
 		{
 			"stop failed", GracefulStop,
 			[]int{72},
@@ -125,3 +149,8 @@
 		},
 	}
 }
+
+// stopped returns a planned stop of the entry of the clean requests.
+func stopped(start, end int) *Incident {
+	return &Incident{Op: 72, Kind: ProcessStop, Subject: "entry-1", Start: at(start), End: at(end)}
+}
--- a/internal/history/requests.go
+++ b/internal/history/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -20,13 +21,32 @@
 			c.r.RequestsUnknown++
 		default:
 			c.r.RequestsLost++
-			if !c.overlapsIncident(q.Start, q.End, q.Entry, ProcessKill, ProcessPause, ProcessStop) {
+			if !c.overlapsIncident(q.Start, q.End, q.Entry, ProcessKill, ProcessPause, ProcessStop) && !c.refusedByStopped(q) {
 				c.addViolation(EveryOutcome, []fmt.Stringer{q}, "the caller received no outcome, although its entry was not killed, paused or stopped: %s", q.Reason)
 			}
 		}
 	}
 }
 
+// refusedByStopped reports whether a send found no connection because a planned stop had ended its entry, which had not
+// started again.
+func (c *checker) refusedByStopped(q *Request) bool {
+	return q.Unsent && slices.ContainsFunc(c.h.Incidents, func(i *Incident) bool {
+		return i.Kind == ProcessStop && i.Subject == q.Entry && !i.Start.After(q.End) && !c.nextStart(i).Before(q.Start)
+	})
+}
+
+// nextStart returns when the process of a planned stop started again; the end of the observation if it didn't.
+func (c *checker) nextStart(stop *Incident) time.Time {
+	next := c.h.End
+	for _, i := range c.h.Incidents {
+		if i.Kind == ProcessUp && i.Subject == stop.Subject && i.Start.After(stop.Start) && i.Start.Before(next) {
+			next = i.Start
+		}
+	}
+	return next
+}
+
 // answers finds answers that are truncated, belong to another caller, or come from no run.
 func (c *checker) answers() {
 	for _, q := range c.h.Requests {
@@ -122,7 +142,7 @@
 }
 
 // stops finds requests that a planned stop interrupted, and stops that failed. A request was in progress if
-// it was sent before the stop began, or if a target ran it nevertheless.
+// it was sent before the stop began, or if a target ran it nevertheless. A send that found no connection never was.
 func (c *checker) stops() {
 	for _, i := range c.h.Incidents {
 		if i.Kind != ProcessStop {
@@ -133,7 +153,7 @@
 		}
 		for _, q := range c.h.Requests {
 			inTime := !q.Start.After(c.end(i.End)) && !q.End.Before(i.Start)
-			cut := q.Outcome == Lost || q.Truncated
+			cut := q.Outcome == Lost && !q.Unsent || q.Truncated
 			if q.Entry != i.Subject || !inTime || !cut {
 				continue
 			}
--- a/internal/workload/request.go
+++ b/internal/workload/request.go
@@ -92,6 +92,7 @@
 	resp, err := c.Client.Do(req)
 	if err != nil {
 		q.Outcome, q.Reason = errorOutcome(err), err.Error()
+		q.Unsent = q.Outcome == history.NotRun
 		if !first && q.Outcome == history.NotRun {
 			// Only this send certainly didn't run; an earlier one of the same key may have.
 			q.Outcome = history.Lost
--- a/internal/workload/resend_test.go
+++ b/internal/workload/resend_test.go
@@ -23,8 +23,8 @@
 	c := &callers{Options: Options{Client: &http.Client{}}}
 	a := Arrival{Token: "t", Workspace: "w", Request: &RequestClass{Class: "paid", Budget: time.Minute}}
 	for first, want := range map[bool]history.Outcome{true: history.NotRun, false: history.Lost} {
-		if q := c.sendOnce(t.Context(), a, "key", closed, time.Now(), first); q.Outcome != want {
-			t.Errorf("first send %v: outcome %q, want %q", first, q.Outcome, want)
+		if q := c.sendOnce(t.Context(), a, "key", closed, time.Now(), first); q.Outcome != want || !q.Unsent {
+			t.Errorf("first send %v: outcome %q, unsent %v, want %q, unsent", first, q.Outcome, q.Unsent, want)
 		}
 	}
 }
