Scripts for jobs: a cell without a current view is asked again

TestJobScripts/job failed beside load in its set-up, after 1.4 s: "no current view: call owner ... context deadline exceeded". An entry says that when an owner didn't answer within its time, and a caller is to ask again, but the set-up took the first such answer as final while the owner started. It also asked without a pause, so that the queries competed with the owner's start for the processors. It now asks every 20 ms until the job has completed, at most for the time in which the other scripts wait for their entries; any other error still fails at once, and so does the script's own part.

--- a/internal/ctl/job_test.go
+++ b/internal/ctl/job_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -9,8 +11,10 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/logs"
+	"github.com/crocusspring/crocusspring/internal/pause"
 	"github.com/crocusspring/crocusspring/internal/process"
 	"github.com/crocusspring/crocusspring/internal/resource"
 	"github.com/crocusspring/crocusspring/internal/sched"
@@ -39,9 +43,14 @@
 	})
 }
 
-// awaitFirstJob waits until a first job has completed, which shows that the worker of a cell takes tasks.
+// firstJobInterval is the time between two queries for the first job of a cell.
+const firstJobInterval = 20 * time.Millisecond
+
+// awaitFirstJob waits until a first job has completed, which shows that the worker of a cell takes tasks. A cell without a
+// current view, such as one whose owner is starting, is queried again.
 func awaitFirstJob(cell *process.LocalCell) error {
-	ctx := context.Background()
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
 	s := &job.Spec{
 		ID: "first", Steps: []job.Step{{Count: 1, Demand: resource.Vector{MilliCPU: 1}}},
 		Policy: job.Policy{Service: "pool", MaxAttempts: 1},
@@ -51,11 +60,14 @@
 	}
 	for {
 		v, _, err := cell.Intake.Job(ctx, s.ID)
-		if err != nil {
+		switch {
+		case err == nil && v.State == sched.Completed:
+			return nil
+		case err != nil && !errors.Is(err, intake.ErrNoView):
 			return err
 		}
-		if v.State == sched.Completed {
-			return nil
+		if !pause.For(ctx, firstJobInterval) {
+			return fmt.Errorf("the first job is %q: %w", v.State, errors.Join(err, ctx.Err()))
 		}
 	}
 }
