A request doesn't wait for the table of members

Beside load callers got no outcome for 10 s beyond their budget, and entries weren't ready within 30 s. A dump of the goroutines of two such deployments showed 98 waiting for the lock of their table of members, among them handlers of announcements and exchanges, and the loop that ends requests at their deadline: every request, and every turn of that loop, reads the table's version under the lock that exchanges with peers hold. When goroutines wait long for a processor, a lock that is handed from one to the next costs each of them the wait of all before it.

The version is read without the lock now, those who only read the table share it, and the list of peers, which doesn't change, needs none. TestVersionNeedsNoLock failed before.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -9,6 +9,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -37,17 +38,20 @@
 
 // Members is the replicated table. Use New to make one.
 type Members struct {
-	mu        sync.Mutex
-	table     *announce.Table
+	mu    sync.RWMutex
+	table *announce.Table
+	// version is the table's version. Every request reads it, so it is read without the lock.
+	version   atomic.Uint64
 	processes map[string]receivedStatus
 	self      Self
-	peers     []*peer
-	byAddr    map[string]*peer
-	client    *http.Client
-	lg        *log.Logger
-	changed   chan struct{}
-	services  Services
-	config    ConfigRelay
+	// peers doesn't change after New.
+	peers    []*peer
+	byAddr   map[string]*peer
+	client   *http.Client
+	lg       *log.Logger
+	changed  chan struct{}
+	services Services
+	config   ConfigRelay
 }
 
 // receivedStatus is the newest status of a process and the time it was received.
@@ -139,8 +143,6 @@
 
 // isPeer reports whether this process itself starts exchanges with an address.
 func (m *Members) isPeer(addr string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	for _, p := range m.peers {
 		if p.addr == addr {
 			return true
@@ -159,7 +161,9 @@
 // fold folds one announcement and triggers an exchange when it must be sent to peers at once. The caller
 // holds the lock.
 func (m *Members) fold(now time.Time, a announce.Announcement) {
-	if m.table.Apply(now, a) != announce.ChangeUrgent {
+	change := m.table.Apply(now, a)
+	m.version.Store(m.table.Version())
+	if change != announce.ChangeUrgent {
 		return
 	}
 	select {
@@ -169,16 +173,12 @@
 }
 
 // Version returns a counter that grows with every change of the table except the renewal of a lease.
-func (m *Members) Version() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.table.Version()
-}
+func (m *Members) Version() uint64 { return m.version.Load() }
 
 // Live returns the members of a role whose lease has not expired.
 func (m *Members) Live(role announce.Role) []announce.Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.mu.RLock()
+	defer m.mu.RUnlock()
 	return m.table.Live(time.Now(), role)
 }
 
@@ -249,8 +249,8 @@
 
 // export returns the members whose lease has not expired, with the remaining time of each lease.
 func (m *Members) export() []*peerv1.Announcement {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	m.mu.RLock()
+	defer m.mu.RUnlock()
 	now := time.Now()
 	var out []*peerv1.Announcement
 	for _, mb := range m.table.All() {
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -116,3 +116,22 @@
 	}
 	t.Logf("a renewal takes %d bytes, an announcement %d", small/100, whole/100)
 }
+
+// TestVersionNeedsNoLock guards against requests that wait, past their deadline on a busy machine, until exchanges with
+// peers have had their turns of the table: every request reads the version.
+func TestVersionNeedsNoLock(t *testing.T) {
+	m := New(&self{}, nil, logs.Discard())
+	m.Announce(target("target-1", 1, false))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	got := make(chan uint64)
+	go func() { got <- m.Version() }()
+	select {
+	case v := <-got:
+		if v != 1 {
+			t.Errorf("version %d, want 1", v)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the version waits for the table")
+	}
+}
