Members: a renewed member that had expired changes the version

Introduced with the version that is read without the lock: only announcements stored it, and the renewal of an expired lease raises it as well. TestRenewedMemberChangesVersion failed before.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -237,6 +237,8 @@
 	for _, r := range rs {
 		m.table.Renew(now, announce.ID{Role: announce.Role(r.Role), Name: r.Name}, r.Incarnation, r.Seq, r.LeaseMs)
 	}
+	// The renewal of a lease that has expired changes the table.
+	m.version.Store(m.table.Version())
 }
 
 // newerStatus reports whether a is newer than b; a nil status is the oldest.
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -135,3 +135,20 @@
 		t.Error("the version waits for the table")
 	}
 }
+
+// TestRenewedMemberChangesVersion guards against requests that don't learn of a member which is back: the renewal of a lease that had
+// expired came without a change of the version.
+func TestRenewedMemberChangesVersion(t *testing.T) {
+	m := New(&self{}, nil, logs.Discard())
+	a := target("target-1", 1, false)
+	a.LeaseMS = 1
+	m.Announce(a)
+	for len(m.Live(announce.RoleTarget)) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	before := m.Version()
+	m.renew([]*peerv1.Renewal{{Role: string(a.Role), Name: a.Name, Incarnation: a.Incarnation, Seq: 2, LeaseMs: time.Minute.Milliseconds()}})
+	if len(m.Live(announce.RoleTarget)) != 1 || m.Version() == before {
+		t.Errorf("live %v, version %d as before; want the member, and another version", m.Live(announce.RoleTarget), m.Version())
+	}
+}
