Starved tasks start beside the trial of a worker that has passed one

Jobs waited 3.5 to 4 s in a service that is calm and idle, on workers that are sound again but on probation: a first run is risked there after 1.5 s and proves the worker after 1 s more, and then one task at a time was on trial. Those whose step wasn't tried in just that round (it is tried again 15 ms after a refusal), and gangs, whose second member found the worker on trial with the first, waited for a second proof. TestManyLastAttemptsStartInTime didn't see it, since its rounds are 25 ms apart, so that all steps are due in each.

A starved task may now start beside a trial once the worker has passed one since its last failure; one with its last attempt still waits until that is due. Of several tasks on trial the first is watched, as on probation: with the latest a trial never passed while more came.

--- a/internal/probation/probation.go
+++ b/internal/probation/probation.go
@@ -282,11 +282,15 @@
 	return time.Time{}, ""
 }
 
-// Started records that a task was placed on a worker; a worker on trial runs only one task at a time. On one on probation the
-// first is watched.
+// Proving reports whether a worker on trial has passed one since its last failure.
+func (t *Tracker) Proving(now time.Time, name string) bool {
+	return t.State(now, name) == Trial && t.workers[name].trialsPassed > 0
+}
+
+// Started records that a task was placed on a worker. Of several on one that is on trial or on probation the first is watched.
 func (t *Tracker) Started(now time.Time, name, task string) {
 	state := t.State(now, name)
-	if w := t.workers[name]; state == Trial || state == Probation && w.trialTask == "" {
+	if w := t.workers[name]; state != Good && w.trialTask == "" {
 		w.trialTask, w.listedSince = task, time.Time{}
 	}
 }
--- a/internal/probation/probation_test.go
+++ b/internal/probation/probation_test.go
@@ -176,3 +176,23 @@
 		t.Errorf("worker is %s after a success, want it on trial", tr.State(start, "w"))
 	}
 }
+
+// TestProving guards against a worker that proves itself before a trial has passed or after one has failed, and against a trial that
+// doesn't pass while further tasks start beside it: the first one is watched.
+func TestProving(t *testing.T) {
+	tr := onProbation(t)
+	now := start.Add(longProbation().First)
+	tr.Started(now, "w", "first")
+	tr.Started(now, "w", "beside")
+	tr.Listed(now, "w", "first")
+	if tr.Proving(now, "w") || tr.Proving(now, "unknown") {
+		t.Error("a worker proves itself without a trial")
+	}
+	now = now.Add(DefaultLimits().Proof)
+	if tr.Listed(now, "w", "first"); !tr.Proving(now, "w") {
+		t.Error("the worker doesn't prove itself although the first task's trial has passed")
+	}
+	if tr.Ended(now, "w", "beside", true); tr.Proving(now, "w") {
+		t.Error("the worker proves itself after a failed trial")
+	}
+}
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -105,6 +105,9 @@
 	return h.track.State(now, id) == probation.Trial && h.track.Refuse(now, id) != ""
 }
 
+// proving reports whether a worker on trial has passed one since its last failure.
+func (h *health) proving(now time.Time, id string) bool { return h.track.Proving(now, id) }
+
 // started records the start of a run.
 func (h *health) started(now time.Time, id string, t *task) { h.track.Started(now, id, t.id.String()) }
 
--- a/internal/sched/last_attempt_test.go
+++ b/internal/sched/last_attempt_test.go
@@ -193,3 +193,42 @@
 		}
 	}
 }
+
+// TestJobsThatComeOneByOneStartInTime guards against jobs that stand still behind the trials of a worker that is sound again: the first
+// run there proves it, and those whose turn didn't come in the same round, and gangs, waited for a second trial as well.
+func TestJobsThatComeOneByOneStartInTime(t *testing.T) {
+	const jobs, interval, round = 8, 35 * time.Millisecond, 5 * time.Millisecond
+	for _, attempts := range []int{1, 2} {
+		for _, step := range []job.Step{finiteStep, fillerStep, gangStep} {
+			for _, ids := range [][]string{{"a"}, {"a", "b"}} {
+				step.Demand, step.EstimateMS = cores(0.1), 60_000
+				now := epoch0
+				c := pool(now, ids...)
+				onProbation(now, c)
+				waits := map[string]time.Duration{}
+				for until := now.Add(2 * standstillDelay); now.Before(until); now = now.Add(round) {
+					at := now.Sub(epoch0)
+					if n := int(at / interval); n < jobs && at%interval == 0 {
+						spec := one(fmt.Sprintf("job%d", n), 0, step)
+						spec.Policy.MaxAttempts = attempts
+						c.Submit(now, spec)
+					}
+					for _, starts := range started(settle(now, c)) {
+						for _, s := range starts {
+							waits[s.Task.Job] = now.Sub(c.jobs[s.Task.Job].acceptedAt)
+						}
+					}
+					if at%(200*time.Millisecond) == 0 {
+						reportProgress(now, c)
+					}
+				}
+				for n := range jobs {
+					id := fmt.Sprintf("job%d", n)
+					if wait, ok := waits[id]; !ok || wait > standstillDelay {
+						t.Errorf("%s steps with %d attempts on %d workers: %s waits for %s, started %t", kindOf(&step), attempts, len(ids), id, wait, ok)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/sched/starved.go
+++ b/internal/sched/starved.go
@@ -113,21 +113,22 @@
 	return c.health.doubtfulUntil(now, w.id)
 }
 
-// mayRisk reports whether a starved task may start on a worker that may be doubtful. One on trial has its task. A task that
-// lasts loses nothing if it fails, and tries again after starvationDelay. Others may lose an attempt, so that one at a time
-// tries such a worker, and those with more attempts come before one that has its last.
+// mayRisk reports whether a starved task may start on a worker that may be doubtful. One on trial has its task, and takes others
+// beside it once it has passed a trial. A task that lasts loses nothing if it fails, and tries again after starvationDelay. Others may
+// lose an attempt, so that one at a time tries such a worker, and those with more attempts come before one that has its last.
 func (c *Core) mayRisk(now time.Time, t *task, w *worker) bool {
+	proving := c.health.proving(now, w.id)
 	switch {
 	case !c.doubts(now, w):
 		return true
-	case c.health.hasTrial(now, w.id):
+	case c.health.hasTrial(now, w.id) && !proving:
 		return false
 	case t.step.spec.LongRunning:
 		return now.Sub(t.doubtfulAt) >= starvationDelay
 	case !t.onLastAttempt():
-		return now.Sub(w.riskedAt) >= starvationDelay
+		return proving || now.Sub(w.riskedAt) >= starvationDelay
 	}
-	return now.Sub(w.riskedAt) >= lastAttemptDelay && c.lastAttemptDue(now, t)
+	return (proving || now.Sub(w.riskedAt) >= lastAttemptDelay) && c.lastAttemptDue(now, t)
 }
 
 // onLastAttempt reports whether one more failure of a task would fail its job.
