The block of a worker on which runs stood still ends once a run makes progress there

Of several jobs on workers that are blocked for 5 s, since runs stood still there, one per worker starts every 1.5 s (every 1.75 s with their last attempts); the others stood still until the block was over, 5 s, although the first runs show that the worker is sound again. Success and proof ended probation alone. A filler's stall is noticed 4 s after its start, so that a block may last until 9 s after the trouble, 2 s longer than callers wait.

TestRunEndsBlock failed before: 1 of 8 jobs started within 3 s, for single tasks, fillers and gangs. A listing that shows progress of a run which was assigned since the block began, and has been listed for Limits.Proof, ends it.

--- a/internal/sched/endings_test.go
+++ b/internal/sched/endings_test.go
@@ -101,7 +101,7 @@
 // blocked lets the workers take no tasks for a minute, as after failures.
 func blocked(now time.Time, c *Core) {
 	for _, w := range c.sortedWorkers {
-		c.health.block(now.Add(time.Minute), w.id, "worker is on probation")
+		c.health.block(now, now.Add(time.Minute), w.id, "worker is on probation")
 	}
 }
 
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -51,14 +51,14 @@
 // health tracks the reliability of workers.
 type health struct {
 	track *probation.Tracker
-	// blockedUntil is the time until which a worker gets no tasks, blockReason why.
-	blockedUntil map[string]time.Time
-	blockReason  map[string]string
+	// blockedUntil is the time until which a worker gets no tasks, blockReason why, and blockedAt since when.
+	blockedUntil, blockedAt map[string]time.Time
+	blockReason             map[string]string
 }
 
 // newHealth returns a health without history.
 func newHealth() *health {
-	return &health{track: probation.New(probationLimits()), blockedUntil: map[string]time.Time{}, blockReason: map[string]string{}}
+	return &health{track: probation.New(probationLimits()), blockedUntil: map[string]time.Time{}, blockedAt: map[string]time.Time{}, blockReason: map[string]string{}}
 }
 
 // refusal returns why a worker gets no tasks now, or an empty string.
@@ -93,10 +93,18 @@
 	return 0
 }
 
-// block keeps tasks off a worker until a time.
-func (h *health) block(until time.Time, id, reason string) {
+// block keeps tasks off a worker from now until a time.
+func (h *health) block(now, until time.Time, id, reason string) {
 	if until.After(h.blockedUntil[id]) {
-		h.blockedUntil[id], h.blockReason[id] = until, reason
+		h.blockedUntil[id], h.blockReason[id], h.blockedAt[id] = until, reason, now
+	}
+}
+
+// unblock ends the block of a worker that lists progress of a run which was assigned since and has been listed for long enough.
+func (h *health) unblock(now time.Time, id string, t *task) {
+	progresses := laterOf(t.progressAt, t.lastActive).Equal(now)
+	if progresses && now.Before(h.blockedUntil[id]) && t.assignedAt.After(h.blockedAt[id]) && now.Sub(t.appearedAt) >= probationLimits().Proof {
+		h.blockedUntil[id] = now
 	}
 }
 
@@ -113,6 +121,7 @@
 
 // listed records that a worker lists the newest run of a task.
 func (h *health) listed(now time.Time, id string, t *task) {
+	h.unblock(now, id, t)
 	if h.track.State(now, id) != probation.Good {
 		h.track.Listed(now, id, t.id.String())
 	}
@@ -134,7 +143,7 @@
 		h.track.Removed(id, name)
 	}
 	if o == link.Absent && !requested {
-		h.block(now.Add(refusalBlock), id, "refused a task")
+		h.block(now, now.Add(refusalBlock), id, "refused a task")
 	}
 }
 
@@ -150,7 +159,7 @@
 				continue
 			}
 			if reason := t.stallReason(w); reason != "" {
-				c.health.block(now.Add(suspectDuration), w.id, "runs stand still")
+				c.health.block(now, now.Add(suspectDuration), w.id, "runs stand still")
 				c.logDecision(event.Suspect, w.id, fmt.Sprintf("task=%s %s", t.id, reason))
 				c.stopRun(now, t, reason)
 			}
--- a/internal/sched/holdups_test.go
+++ b/internal/sched/holdups_test.go
@@ -53,7 +53,7 @@
 		if got := c.health.refusal(now, "a"); got != "" || c.health.track.State(now, "a") != probation.Trial {
 			t.Fatalf("refusal %q, worker is %s", got, c.health.track.State(now, "a"))
 		}
-		c.health.block(now.Add(suspectDuration), "a", "runs stand still")
+		c.health.block(now, now.Add(suspectDuration), "a", "runs stand still")
 		c.Submit(now, one("job", 0, step))
 		if d := startDelay(c, "job", now, 20*time.Second); d < 0 || d >= standstillDelay {
 			t.Errorf("%s: the first start is after %s", kindOf(&step), d)
--- a/internal/sched/last_attempt_test.go
+++ b/internal/sched/last_attempt_test.go
@@ -117,7 +117,7 @@
 	now := epoch0
 	c := pool(now, "a", "b", "c")
 	for id, left := range map[string]time.Duration{"a": 40 * time.Second, "b": 20 * time.Second, "c": time.Minute} {
-		c.health.block(now.Add(left), id, "worker is on probation")
+		c.health.block(now, now.Add(left), id, "worker is on probation")
 	}
 	lastAttempt(now, c)
 	if runs := startedRuns(c, "last", &now, now.Add(standstillDelay), 1); len(runs) != 1 || runs[0].worker != "b" {
@@ -141,7 +141,7 @@
 func TestStarvedGangTakesSoundWorkersFirst(t *testing.T) {
 	now := epoch0
 	c := pool(now, "a", "b")
-	c.health.block(now.Add(time.Minute), "a", "worker is on probation")
+	c.health.block(now, now.Add(time.Minute), "a", "worker is on probation")
 	c.Submit(now, one("occupant", 0, job.Step{Count: 1, Demand: cores(1.5), EstimateMS: 60_000}))
 	settle(now, c)
 	c.Submit(now, one("gang", 0, job.Step{Count: 3, Demand: cores(1), EstimateMS: 1000, Gang: true, DataRack: "r-a"}))
@@ -156,7 +156,7 @@
 func TestMemberWithLastAttemptTakesSoundWorker(t *testing.T) {
 	now := epoch0
 	c := pool(now, "a", "b")
-	c.health.block(now.Add(time.Minute), "a", "worker is on probation")
+	c.health.block(now, now.Add(time.Minute), "a", "worker is on probation")
 	c.Submit(now, one("gang", 0, job.Step{Count: 2, Demand: cores(1), EstimateMS: 1000, Gang: true, AntiAffinity: 1}))
 	tasks := c.jobs["gang"].occurrences[0].steps[0].tasks
 	tasks[1].failedRuns = []int{1}
@@ -232,3 +232,42 @@
 		}
 	}
 }
+
+// TestRunEndsBlock guards against jobs that stand still until the block of a worker on which runs stood still is over, although a run
+// that was risked there meanwhile makes progress, and against a block that ends although it makes none.
+func TestRunEndsBlock(t *testing.T) {
+	const jobs = 8
+	for _, step := range []job.Step{finiteStep, fillerStep, gangStep} {
+		for _, progresses := range []bool{true, false} {
+			step.Demand, step.EstimateMS = cores(0.1), 60_000
+			now := epoch0
+			c := pool(now, "a")
+			standing(now, c)
+			now = now.Add(stallTimeout + sweepInterval)
+			for n := range jobs {
+				c.Submit(now, one(fmt.Sprintf("job%d", n), 0, step))
+			}
+			began := map[string]bool{}
+			for until := now.Add(standstillDelay); now.Before(until); now = now.Add(fillerInterval) {
+				for _, starts := range started(settle(now, c)) {
+					for _, s := range starts {
+						began[s.Task.Job] = true
+					}
+				}
+				var rows []link.RunStatus
+				for _, task := range c.workers["a"].tasks {
+					rows = append(rows, link.RunStatus{RunRef: task.ref()})
+				}
+				if progresses {
+					reportProgress(now, c)
+				} else {
+					c.Report(now, "a", link.Listing{Running: rows})
+				}
+			}
+			if want := map[bool]int{true: jobs, false: 1}[progresses]; len(began) != want {
+				t.Errorf("%s steps: %d of %d jobs start within %s beside a run that makes progress: %t, want %d", kindOf(&step), len(began), jobs,
+					standstillDelay, progresses, want)
+			}
+		}
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -54,7 +54,7 @@
 		return when(w.unresponsive, "not answering")
 	}},
 	{
-		name: healthName, ends: "probation or a block ends after up to probationLimits().Max, a trial with its run; starved tasks pass it, with their last attempt after lastAttemptDelay", passes: anyTask,
+		name: healthName, ends: "probation or a block ends after up to probationLimits().Max, or once a run there goes well, a trial with its run; starved tasks pass it, with their last attempt after lastAttemptDelay", passes: anyTask,
 		refuse: func(c *Core, now time.Time, _ *step, w *worker) string { return c.health.refusal(now, w.id) },
 	},
 	{name: "label", ends: "a worker with the label attaches", refuse: func(_ *Core, _ time.Time, s *step, w *worker) string {
--- a/internal/sched/standstill_log_test.go
+++ b/internal/sched/standstill_log_test.go
@@ -27,7 +27,7 @@
 func TestStandstillIsLogged(t *testing.T) {
 	now := epoch0
 	c := pool(now, "a")
-	c.health.block(now.Add(8*time.Second), "a", "runs stand still")
+	c.health.block(now, now.Add(8*time.Second), "a", "runs stand still")
 	// No starved task starts on a worker without the label either.
 	spec := one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000, Requires: "large"})
 	spec.Policy.MaxAttempts = 1
--- a/internal/sched/starved_test.go
+++ b/internal/sched/starved_test.go
@@ -60,7 +60,7 @@
 	now := epoch0
 	c := servedPool(t, now, 9, "a", "b")
 	c.Attach(now, "node-c", link.Worker{ID: "c", Service: "pool", Capacity: resource.Vector{MilliCPU: 16_000, MemoryMB: 60_000}}, link.Listing{})
-	c.health.block(now.Add(time.Minute), "c", "runs stand still")
+	c.health.block(now, now.Add(time.Minute), "c", "runs stand still")
 	late := one("late", 2, job.Step{Count: 4, Demand: cores(2.3), EstimateMS: 2000, Filler: true, Image: "fill"})
 	late.AcceptedMS -= 8000
 	c.Submit(now, late)
@@ -146,7 +146,7 @@
 func TestLastingTaskTakesDoubtfulWorker(t *testing.T) {
 	now := epoch0
 	c := pool(now, "a", "b")
-	c.health.block(now.Add(time.Minute), "b", "worker is on probation")
+	c.health.block(now, now.Add(time.Minute), "b", "worker is on probation")
 	c.Submit(now, one("job", 0, job.Step{Count: 2, Demand: cores(1), LongRunning: true, AntiAffinity: 1}))
 	if got := started(settle(now, c)); len(got["a"]) != 1 || len(got["b"]) != 0 {
 		t.Fatalf("started %v, want one task on a", got)
@@ -161,7 +161,7 @@
 func TestLastingTaskAsksAboutDoubtfulWorker(t *testing.T) {
 	now := epoch0
 	c := pool(now, "a")
-	c.health.block(now.Add(time.Minute), "a", "worker is on probation")
+	c.health.block(now, now.Add(time.Minute), "a", "worker is on probation")
 	spec := one("job", 0, job.Step{Count: 1, Demand: cores(1), LongRunning: true})
 	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
 	c.Submit(now, spec)
