Up to eight suspects share an isolated start

In services of 3 to 8 workers jobs stood still for over 3 s in calm times behind the suspects of 16 to 40 other jobs: one or two workers are kept at a time, and four suspects started on each, once in about 0.6 to 1.3 s.

TestSuspectsOfSmallServiceStartInTime failed before: 24 of 28 jobs started within 3 s on three workers. Weighed: one crash more for seven harmless tasks instead of three if a shared start is deadly; they are told apart by isolated starts as before.

--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -32,7 +32,7 @@
 // maxSharedStarts is how many tasks may start on a worker that is kept for one of them, if each of them was starting at no
 // more than one crash, beside others. A crash makes suspects of all that were starting; most are harmless, and one at a time
 // they would wait for long. If the worker crashes too, those that were starting there are told apart by isolated starts.
-const maxSharedStarts = 4
+const maxSharedStarts = 8
 
 // startIsolated starts the tasks that must start in isolation; fillers says whether the round places fillers. A worker is
 // kept for each until its runs have settled, and takes nothing else until the task has settled too.
--- a/internal/sched/isolate_test.go
+++ b/internal/sched/isolate_test.go
@@ -214,3 +214,26 @@
 		t.Errorf("%s starts on %s, want the suspect on b", ref.Task, id)
 	}
 }
+
+// TestSuspectsOfSmallServiceStartInTime guards against jobs that stand still after a crash behind suspects of many others, in a service
+// so small that one worker at a time is kept: too few of them shared a start.
+func TestSuspectsOfSmallServiceStartInTime(t *testing.T) {
+	const jobs = 28
+	now := epoch0
+	c := pool(now, "a", "b", "c")
+	for i := range jobs {
+		id := fmt.Sprintf("job%02d", i)
+		c.Submit(now, one(id, 0, job.Step{Count: 1, Demand: cores(0.1), EstimateMS: 60_000}))
+		c.addCrash(c.jobs[id].occurrences[0].steps[0].tasks[0], crash{Worker: "gone", Run: 1})
+	}
+	starts := 0
+	for until := now.Add(standstillDelay); now.Before(until); now = now.Add(fillerInterval) {
+		for _, s := range started(settle(now, c)) {
+			starts += len(s)
+		}
+		reportProgress(now, c)
+	}
+	if starts != jobs {
+		t.Errorf("%d of %d jobs start within %s", starts, jobs, standstillDelay)
+	}
+}
