A worker counts as heard from when it attaches

A task whose start wasn't confirmed stays with a lost machine for 6 s after the last word of its guard, since the start may be carried out late. A worker that was lost between its attachment and the first report after that had no such word, so that its tasks moved once the lease had lapsed, after 4.3 s, and could run twice.

TestStartBeforeFirstReport failed before: the task started elsewhere within 6 s.

--- a/internal/sched/stray_test.go
+++ b/internal/sched/stray_test.go
@@ -123,3 +123,20 @@
 		t.Errorf("the other job is %+v, want its task to be held", v)
 	}
 }
+
+// TestStartBeforeFirstReport guards against two runs of a task at a time: a machine is lost between the attachment of its worker and the
+// first report of its guard after that, and the task moved once the lease had lapsed, although its start may still be carried out.
+func TestStartBeforeFirstReport(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("job", 0, finiteStep))
+	settle(now, c)
+	c.Detach(now, "a")
+	attach(now, c, "b", "pool", "")
+	if n := startsOf(c, "job", &now, epoch0.Add(lateStartTime)); n > 0 {
+		t.Errorf("the task is started elsewhere within %s after the last word of its guard", lateStartTime)
+	}
+	if n := startsOf(c, "job", &now, epoch0.Add(lateStartTime+time.Second)); n != 1 {
+		t.Errorf("%d starts after %s, want one", n, lateStartTime)
+	}
+}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -25,7 +25,7 @@
 	// expiresAt is when all runs on a detached worker must have ended; lapsed says that it has passed.
 	expiresAt time.Time
 	lapsed    bool
-	// heardAt is when its guard last reported on it under this ownership.
+	// heardAt is when its guard last reported on it under this ownership, or attached it.
 	heardAt time.Time
 	// held are the tasks whose newest run may be there; tasks are the same in order of assignment.
 	held  map[job.TaskID]*task
@@ -186,7 +186,7 @@
 	if _, provisional := c.guards.provisional[info.ID]; w.node != node || provisional {
 		w.node, c.dirtyNodes[info.ID] = node, node
 	}
-	w.info, w.described, w.attached, w.unresponsive = info, true, true, false
+	w.info, w.described, w.attached, w.unresponsive, w.heardAt = info, true, true, false, now
 	c.capacityEvents++ // an attached worker adds capacity, like a run that ends
 	if info.Draining {
 		w.drainReportedAt = now
