--- a/internal/sched/quorum_model_test.go
+++ b/internal/sched/quorum_model_test.go
@@ -138,9 +138,24 @@
 	if o.batch == nil {
 		w.flush(o)
 	}
-	if o.batch == nil || o != w.newest() {
+	if o.batch == nil {
+		return
+	}
+	if o == w.newest() {
+		w.append(o)
+	}
+	if o.stored < len(o.batch.Records) || !rapid.Bool().Draw(w.t, "answered") {
 		return
 	}
+	o.core.Stored(w.now(), o.batch.Seq)
+	o.batch = nil
+	if w.flush(o); o.batch == nil && o == w.newest() {
+		w.checkNodes(o)
+	}
+}
+
+// append stores further records of an owner's batch, in order.
+func (w *quorumWorld) append(o *quorumOwner) {
 	if len(w.foreign) > 0 {
 		o.core.Overwritten(w.foreign)
 		w.foreign = nil
@@ -154,14 +169,7 @@
 			w.records[r.Key] = string(r.Value)
 		}
 	}
-	if o.stored = upTo; upTo < len(o.batch.Records) || !rapid.Bool().Draw(w.t, "answered") {
-		return
-	}
-	o.core.Stored(w.now(), o.batch.Seq)
-	o.batch = nil
-	if w.flush(o); o.batch == nil {
-		w.checkNodes(o)
-	}
+	o.stored = upTo
 }
 
 // checkNodes checks that a further owner would know the node of each worker of an owner that has nothing left to store.
