--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -85,6 +85,8 @@
 	checkpoints map[string]int // step.index or step for gangs -> issued
 	lastState   string
 	stalledFrom int64
+	stalled     bool
+	overrun     bool
 }
 
 // queue is a route.
@@ -115,10 +117,19 @@
 	saves  map[string]savedWork
 	queues []*queue
 	stop   chan struct{}
+	// troubles counts the disruptions in progress, calmSince is when the last one ended.
+	troubles  int
+	calmSince int64
+	// lastRequest is when a client last handed in a job.
+	lastRequest int64
+	busy        map[string]bool
+	version     int
 	// advisers holds a lock for each caller of the policy service.
 	advisers sync.Map
 	// outcomeOf may replace the outcome of a run.
 	outcomeOf func(r *workRun) (string, float64)
+	// onStop is called with the lock when a run is being stopped.
+	onStop func(r *workRun)
 	// onStart is called with the lock when a run has begun.
 	onStart func(r *workRun)
 }
@@ -145,7 +156,7 @@
 	}
 	w := &world{
 		cfg: cfg, dir: dir, rec: rec, store: newMetaStore(rec), jobs: map[string]*clientJob{}, gangs: map[string][]*workRun{},
-		saves: map[string]savedWork{}, stop: make(chan struct{}), broken: map[string]int{},
+		saves: map[string]savedWork{}, stop: make(chan struct{}), broken: map[string]int{}, busy: map[string]bool{},
 	}
 	w.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for range 50 {
@@ -630,10 +641,113 @@
 		for _, e := range w.execs {
 			e.tick(now)
 		}
+		if n%20 == 0 {
+			w.findStandstills(now)
+		}
 		w.mu.Unlock()
 	}
 }
 
+// findStandstills looks for jobs of which nothing runs although there is room, and for runs of cancelled jobs, in calm times. The
+// caller holds the lock.
+func (w *world) findStandstills(now int64) {
+	const calm, still, finishMS = 4000, 3000, 14_000
+	var used, all int64
+	active := map[string]bool{}
+	byTask := map[string]*workRun{}
+	for _, e := range w.execs {
+		if !e.up {
+			continue
+		}
+		cpu, _ := e.used()
+		used, all = used+cpu, all+e.cpu
+		for task, r := range e.running {
+			active[strings.SplitN(task, ".", 2)[0]] = true
+			byTask[task] = r
+		}
+	}
+	quiet := w.troubles == 0 && now-w.calmSince >= calm+still
+	for _, j := range w.jobs {
+		if quiet && j.cancelled >= 0 && now-j.cancelled > w.cfg.cancelMS+w.cfg.stopMS && active[j.ID] && !j.overrun {
+			j.overrun = true
+			w.breakRule("UNASKED", "%s runs on %d ms after the answer to its DELETE", j.ID, now-j.cancelled)
+		}
+		if j.accepted < 0 || j.cancelSent >= 0 || j.lastState == "over" {
+			continue
+		}
+		def, step := w.dueStep(j)
+		if def == nil || active[j.ID] || 2*used >= all || w.rooms(def, step) < 2 || now-j.accepted < still {
+			j.stalledFrom = now
+			continue
+		}
+		if quiet && now-j.stalledFrom > still && !j.stalled && now-w.lastRequest > finishMS {
+			j.stalled = true
+			w.breakRule("LOST", "nothing of %s runs for %d ms: %+v used=%d of %d", j.ID, now-j.stalledFrom, *def, used, all)
+		}
+	}
+}
+
+// rooms returns how many times a step (a task, or a whole gang) fits into the free room. The caller holds the lock.
+func (w *world) rooms(def *taskDef, step string) int {
+	n := 0
+	for _, e := range w.execs {
+		if w.cfg.advice && !w.allows(step, e) {
+			continue
+		}
+		if !e.up || e.draining || def.Requires != "" && def.Requires != e.kind && def.Requires != e.rack {
+			continue
+		}
+		cpu, mem := e.used()
+		fit := min((e.cpu-cpu)/max(1, def.CPU), (e.mem-mem)/max(1, def.MemMB))
+		if def.AntiAffinity > 0 {
+			fit = min(fit, int64(def.AntiAffinity))
+		}
+		n += int(max(0, fit))
+	}
+	if def.Gang {
+		n /= def.Count
+	}
+	return n
+}
+
+// dueStep returns a step of a job whose turn has come, or nil. The caller holds the lock.
+func (w *world) dueStep(j *clientJob) (*taskDef, string) {
+	failures := map[string]int{}
+	for _, r := range w.runs {
+		if r.how == "failed" && strings.HasPrefix(r.task, j.ID+".") {
+			failures[r.task]++
+			if failures[r.task] >= w.cfg.maxAttempts && !r.def.LongRunning {
+				j.lastState = "over"
+				return nil, ""
+			}
+		}
+	}
+	open := 0
+	for k := range max(1, j.Repeat) {
+		if j.Repeat > 0 && time.Now().UnixMilli() < j.FirstMS+int64(k)*j.Every {
+			open++
+			continue
+		}
+		for i, s := range j.Steps {
+			if w.stepDone(j.ID, k, i) {
+				continue
+			}
+			open++
+			ready := true
+			for _, d := range s.DependsOn {
+				ready = ready && w.stepDone(j.ID, k, d)
+			}
+			if ready {
+				return s, fmt.Sprintf("%s.%d.%d", j.ID, k, i)
+			}
+		}
+	}
+	if open == 0 {
+		j.lastState = "over"
+	}
+	return nil, ""
+}
+
 // call makes one call of a client.
 func (w *world) call(ctx context.Context, front int, method, path string, body []byte) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.fronts[front].ip+":8161"+path, bytes.NewReader(body))
@@ -678,6 +792,7 @@
 		j.firstSent = w.rec.ms()
 	}
 	j.attempts++
+	w.lastRequest = w.rec.ms()
 	w.mu.Unlock()
 	status, _, err := w.call(ctx, front, http.MethodPost, j.queue.Prefix+j.ID, body)
 	w.rec.note("answer to POST %s: status=%d err=%v", j.ID, status, err)
