--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,7 @@
 	Place                 Message = "place"
 	End                   Message = "end"
 	LeaseExpired          Message = "lapse"
+	LateStart             Message = "late start"
 	Stop                  Message = "stop"
 	Complete              Message = "complete"
 	Fail                  Message = "fail"
@@ -143,6 +144,7 @@
 	{Place, "info", "guard", "cell", decisionFields, "a task is placed on a worker as a run: the worker's free and unused CPU in thousandths of a core, its pace in percent, the time left to the objective"},
 	{End, "info", "guard", "cell", decisionFields, "a run has ended: outcome, percent done, how long the worker had it"},
 	{LeaseExpired, "info", "guard", "cell", decisionFields, "the lease of a worker's runs is known to have expired"},
+	{LateStart, "info", "guard", "cell", decisionFields, "the start of a run got no answer and may still be carried out: the worker on which alone the task runs meanwhile, and for how long at most"},
 	{Stop, "info", "guard", "cell", decisionFields, "a run is to be stopped, and why"},
 	{Complete, "info", "guard", "cell", decisionFields, "all tasks of a job are done; slack is the time left to its objective"},
 	{Fail, "info", "guard", "cell", decisionFields, "a job has failed: the task, its failures and the workers they were on"},
--- a/internal/guard/core.go
+++ b/internal/guard/core.go
@@ -363,7 +363,7 @@
 			r.phase = stopping
 		case r.phase == stopped && resolvable[ref]:
 			delete(c.runs, ref)
-			c.absent = append(c.absent, link.RunEnd{RunRef: ref, Outcome: link.Absent, Reason: r.reason})
+			c.absent = append(c.absent, link.RunEnd{RunRef: ref, Outcome: link.Absent, Reason: r.reason, Unanswered: c.unanswered(ref, r)})
 		case r.phase == listed && resolvable[ref]:
 			// The run has ended, and its end was acknowledged before any listing showed it.
 			delete(c.runs, ref)
@@ -373,6 +373,13 @@
 	c.pacer.observe(nowMS, c.runs)
 }
 
+// unanswered reports whether the start of a run that is absent may have been sent without an answer: by this process, or, if it knows
+// of no start, by an earlier one on this node.
+func (c *Core) unanswered(ref link.RunRef, r *run) bool {
+	_, late := c.lateStarts[ref]
+	return late || r.startMS == 0
+}
+
 // TakeVanished returns the runs that have vanished from the worker's listings since the last call, without an end.
 func (c *Core) TakeVanished() []link.RunRef {
 	out := c.vanished
--- a/internal/guard/core_test.go
+++ b/internal/guard/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -101,8 +102,29 @@
 	}
 	c.ObserveListing(1200, c.Resolvable(), Listing{Incarnation: "life-1", ClockMS: 50_200})
 	up := c.Report(1200, nil, false)
-	if len(up.Ended) != 1 || up.Ended[0].Outcome != link.Absent || up.Ended[0].RunRef != ref(0, 1) {
-		t.Errorf("reported %v, want the run as absent", up.Ended)
+	if len(up.Ended) != 1 || up.Ended[0].Outcome != link.Absent || up.Ended[0].RunRef != ref(0, 1) || !up.Ended[0].Unanswered {
+		t.Errorf("reported %+v, want the run as absent, with an unanswered start", up.Ended)
+	}
+}
+
+// TestAbsentRunsOfUnknownStarts guards against an absent run whose start is believed to be settled although a later birth may still carry
+// it out: a guard can't know what the process before it has sent. A start that was refused, or never sent, is settled.
+func TestAbsentRunsOfUnknownStarts(t *testing.T) {
+	c := newTestCore(t)
+	c.RequestStop(ref(0, 1))
+	c.DueStops()
+	c.StopAnswered(ref(0, 1), nil)
+	c.BeginStart(1000, start(1, 1))
+	c.StartAnswered(ref(1, 1), errors.New("late"), true, "late")
+	c.info.Draining = true
+	c.BeginStart(1000, start(2, 1))
+	c.ObserveListing(1100, c.Resolvable(), Listing{Incarnation: "life-1", ClockMS: 50_100})
+	got := map[int]bool{}
+	for _, end := range c.Report(1100, nil, false).Ended {
+		got[end.Task.Index] = end.Unanswered
+	}
+	if want := map[int]bool{0: true, 1: false, 2: false}; !maps.Equal(got, want) {
+		t.Errorf("unanswered starts by task are %v, want %v", got, want)
 	}
 }
 
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -66,6 +66,9 @@
 	Checkpoint string  `json:"c,omitempty"`
 	// Reason is why a run is absent, as the worker or the guard states it.
 	Reason string `json:"why,omitempty"`
+	// Unanswered means that the start of an absent run may have been sent and got no answer. The incarnation that the end is of
+	// refuses it from now on; a later one of the same ID would carry it out until its guard has called it.
+	Unanswered bool `json:"unanswered,omitempty"`
 }
 
 // Listing is what a worker lists of its runs.
--- a/internal/sched/cell_guard_test.go
+++ b/internal/sched/cell_guard_test.go
@@ -42,6 +42,9 @@
 	callFaultShare         float64
 	callFates              []cellFate
 	lateAnnouncementsUntil int64
+	// nextStartLateMS holds up the next start by so long, unless it is 0; heldUp is its run.
+	nextStartLateMS int64
+	heldUp          link.RunRef
 	// gone means that the machine doesn't come back.
 	gone bool
 }
@@ -284,7 +287,7 @@
 
 // sendStart sends a start command and records its outcome.
 func (g *cellGuard) sendStart(o guard.Command) {
-	g.m.call(o.Incarnation, callTimeoutMS, func(e *cellExec, answer func(error)) { answer(e.start(o)) }, func(err error) { g.whenAwake(func() { g.startAnswered(o, err) }) })
+	g.m.callStart(o, func(err error) { g.whenAwake(func() { g.startAnswered(o, err) }) })
 }
 
 // startAnswered records the outcome of a start command.
--- a/internal/sched/cell_stray_test.go
+++ b/internal/sched/cell_stray_test.go
@@ -125,3 +125,81 @@
 	w.runUntil(40_000)
 	w.reportAll(t)
 }
+
+// settledStart returns a world in which one start of a job with as many tasks as machines gets no answer and is held up: its guard lets
+// the worker refuse it, which is settled, and the machine loses power 800 ms later. The start comes to the next birth of the worker
+// 5.5 s after it was sent. It returns the machine as well.
+func settledStart(t *testing.T, change func(s *job.Step)) (*cellWorld, *cellMachine) {
+	t.Helper()
+	w := sceneWorld(3, nil)
+	w.runUntil(1000)
+	m := w.machines[1]
+	m.holdUpStart(5500)
+	s := w.drawSpec("late")
+	s.Steps = []job.Step{{Count: 3, Demand: resource.Vector{MilliCPU: 700, MemoryMB: 500}, EstimateMS: 15_000, AntiAffinity: 2, MayMiss: job.NoMissLimit}}
+	if change != nil {
+		change(&s.Steps[0])
+	}
+	w.submit(s)
+	w.runUntil(2000)
+	if m.heldUp.Task.Job != "late" {
+		t.Fatal("no start was held up")
+	}
+	if !m.exec.refuses(m.heldUp) {
+		t.Fatalf("the worker doesn't refuse %v", m.heldUp)
+	}
+	w.touch(0)
+	m.guard.kill()
+	m.crash()
+	return w, m
+}
+
+// TestSettledStartInNextBirth guards against two runs of a task at a time: a start without an answer was settled by a stop, its task got
+// the next run elsewhere, and the machine was lost with its guard. The next birth of the worker carried the start out.
+func TestSettledStartInNextBirth(t *testing.T) {
+	steps := map[string]func(s *job.Step){
+		"finite":  nil,
+		"filler":  func(s *job.Step) { s.Filler, s.Image = true, "f" },
+		"lasting": func(s *job.Step) { s.LongRunning, s.MayMiss = true, 1 },
+		"gang":    func(s *job.Step) { s.Gang = true },
+	}
+	for name, change := range steps {
+		t.Run(name, func(t *testing.T) {
+			w, m := settledStart(t, change)
+			w.after(3500, func() { m.boot(true) })
+			w.after(5000, m.bootGuard)
+			w.touch(5000)
+			w.runUntil(40_000)
+			w.reportAll(t)
+			if v, _ := w.newest().core.Job("late"); v.State != "completed" && name != "lasting" {
+				t.Errorf("job is %+v", v)
+			}
+		})
+	}
+}
+
+// TestSettledStartAfterTakeover is TestSettledStartInNextBirth with another owner, which knows of the start from the store only.
+func TestSettledStartAfterTakeover(t *testing.T) {
+	w, m := settledStart(t, nil)
+	w.after(100, func() { w.newest().kill() })
+	w.after(2100, func() {
+		w.takeOver(0)
+		w.guardsFollow(300)
+	})
+	w.after(3500, func() { m.boot(true) })
+	w.after(5000, m.bootGuard)
+	w.touch(5000)
+	w.runUntil(40_000)
+	w.reportAll(t)
+}
+
+// TestSettledStartOnLostMachine guards against a task that waits for too long for a machine that doesn't come back.
+func TestSettledStartOnLostMachine(t *testing.T) {
+	w, m := settledStart(t, func(s *job.Step) { s.LongRunning, s.MayMiss = true, 1 })
+	m.gone = true
+	w.runUntil(40_000)
+	w.reportAll(t)
+	if n := w.judge.jobs["late"].running; n != 3 {
+		t.Errorf("%d runs, want three", n)
+	}
+}
--- a/internal/sched/cell_test.go
+++ b/internal/sched/cell_test.go
@@ -40,7 +40,13 @@
 func playCell(t *testing.T, seed uint64, trace func(string)) {
 	w := newCellWorld(seed, trace)
 	newCellPlan(w).run()
+	reportFindings(t, w)
+}
+
+// reportFindings reports the broken promises of a seed.
+func reportFindings(t *testing.T, w *cellWorld) {
+	t.Helper()
 	for _, f := range w.findings {
-		t.Errorf("seed %d at %.1f s, %.1f s calm: %s: %s", seed, float64(f.at)/1000, float64(f.calmMS)/1000, f.kind, f.text)
+		t.Errorf("seed %d at %.1f s, %.1f s calm: %s: %s", w.seed, float64(f.at)/1000, float64(f.calmMS)/1000, f.kind, f.text)
 	}
 }
--- a/internal/sched/cell_worker_test.go
+++ b/internal/sched/cell_worker_test.go
@@ -499,5 +499,32 @@
 	}
 }
 
+// holdUpStart holds up the next start at the machine.
+func (m *cellMachine) holdUpStart(ms int64) { m.nextStartLateMS, m.heldUp = ms, link.RunRef{} }
+
+// callStart calls the worker of a machine to start a run.
+func (m *cellMachine) callStart(o guard.Command, done func(error)) {
+	carry := func(e *cellExec, answer func(error)) { answer(e.start(o)) }
+	if m.nextStartLateMS == 0 {
+		m.call(o.Incarnation, callTimeoutMS, carry, done)
+		return
+	}
+	lateMS := m.nextStartLateMS
+	m.nextStartLateMS, m.heldUp = 0, o.Start.RunRef
+	m.w.logf("start of %s#%d is held up on %s for %d ms", o.Start.Task, o.Start.Run, m.node, lateMS)
+	m.w.after(callTimeoutMS, func() { done(context.DeadlineExceeded) })
+	m.w.after(lateMS, func() {
+		if e := m.exec; e != nil && link.ParseIncarnation(o.Incarnation).ID == e.id {
+			m.w.touch(0)
+			e.whenAwake(func() { carry(e, func(error) {}) })
+		}
+	})
+}
+
+// refuses reports whether the worker refuses a run, since it or a later one of the task was stopped or has ended there.
+func (e *cellExec) refuses(ref link.RunRef) bool {
+	return e.running[ref] == nil && e.fence[ref.Task] >= ref.Run
+}
+
 // errNoConnection means that no process listens at the worker's address.
 var errNoConnection = errors.New("connection refused")
--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -30,6 +30,8 @@
 	suspectDuration = 5 * time.Second
 	// refusalBlock is how long a worker gets no tasks after it has refused one.
 	refusalBlock = 250 * time.Millisecond
+	// refusedTask is the reason of that block.
+	refusedTask = "refused a task"
 	// suspectPenalty lowers the score of workers that were blocked recently, so that others are preferred.
 	suspectPenalty = 0.5
 	// suspectPenaltyDuration is how long suspectPenalty applies after the block has ended.
@@ -69,6 +71,11 @@
 	return h.track.Refuse(now, id)
 }
 
+// distrust reports whether a worker gets no tasks now for more than the moment after it has refused one.
+func (h *health) distrust(now time.Time, id string) bool {
+	return now.Before(h.blockedUntil[id]) && h.blockReason[id] != refusedTask || h.track.Refuse(now, id) != ""
+}
+
 // doubtfulUntil returns until when a worker's block or probation lasts.
 func (h *health) doubtfulUntil(now time.Time, id string) time.Time {
 	until, _ := h.track.Outlook(now, id)
@@ -143,7 +150,7 @@
 		h.track.Removed(id, name)
 	}
 	if o == link.Absent && !requested {
-		h.block(now, now.Add(refusalBlock), id, "refused a task")
+		h.block(now, now.Add(refusalBlock), id, refusedTask)
 	}
 }
 
--- a/internal/sched/isolate.go
+++ b/internal/sched/isolate.go
@@ -143,7 +143,7 @@
 		if left == 0 {
 			return
 		}
-		if t.mayShareStart() && !t.held() && !w.hasCopy(t) && c.refusalExcept(now, t.step, w, "isolation") == "" {
+		if t.mayShareStart() && !t.held() && !w.bars(t) && c.refusalExcept(now, t.step, w, "isolation") == "" {
 			c.assignAlone(now, t, w)
 			left--
 		}
@@ -280,7 +280,7 @@
 // the fewest runs. A suspect that is starved prefers one on which it can start at once: where runs are starting, they must settle
 // first, and one that is in its gap may be needed by others.
 func (c *Core) workerToIsolate(now time.Time, t *task) *worker {
-	candidates := slices.DeleteFunc(c.feasible(now, t.step), func(w *worker) bool { return w.hasCopy(t) })
+	candidates := slices.DeleteFunc(c.feasible(now, t.step), func(w *worker) bool { return w.bars(t) })
 	if len(candidates) == 0 {
 		if c.starvedSuspect(now, t) {
 			w, _ := c.bestForStarved(now, t)
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -173,6 +173,10 @@
 	inherited bool
 	// notified says that the guard has received the run's traits over its current link.
 	notified bool
+	// sent says that the start of the newest run may have been sent to its guard.
+	sent bool
+	// late is the unanswered start of an earlier run that may still be carried out, or nil.
+	late *doubtfulStart
 	// pinned runs are not stopped for the tail latency of serving tasks; local control throttles them instead.
 	pinned bool
 	// copies are earlier runs that may continue; see runCopy.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -345,7 +345,11 @@
 	if !s.ready() {
 		return "waits for the steps that it depends on"
 	}
-	return c.refusals(now, s)
+	reasons := c.refusals(now, s)
+	if late := s.lateStartReason(now); late != "" {
+		reasons = late + ", " + reasons
+	}
+	return reasons
 }
 
 // refusals returns why workers refuse a task of a step, but for the named filters: the reasons with their counts.
@@ -415,7 +419,7 @@
 func (r *ranking) best(t *task) int {
 	best, top := -1, 0.0
 	for i, w := range r.workers {
-		if r.full[i] || w.hasCopy(t) {
+		if r.full[i] || w.bars(t) {
 			continue
 		}
 		v := r.scores[i]
--- a/internal/sched/records.go
+++ b/internal/sched/records.go
@@ -63,6 +63,8 @@
 	Copies []copyRef `json:"p,omitempty"`
 	// Crashes are the workers that crashed under a run of the task.
 	Crashes []crash `json:"k,omitempty"`
+	// Late is the worker that may still carry out an unanswered start of an earlier run, by its ID without birth; see doubtfulStart.
+	Late string `json:"l,omitempty"`
 }
 
 // errTooLarge means that the progress of a task doesn't fit into a record.
@@ -145,6 +147,9 @@
 	if t.held() {
 		r.Worker = t.worker
 	}
+	if t.late != nil {
+		r.Late = t.late.worker
+	}
 	return r
 }
 
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -82,6 +82,10 @@
 	for _, cp := range r.Copies {
 		c.addCopy(c.ensureWorker(now, cp.Worker), t, cp.Run)
 	}
+	if r.Late != "" {
+		// It isn't known when it was sent.
+		c.setLateStart(t, &doubtfulStart{worker: r.Late, until: now.Add(maxStartDelay), waitsUntil: now.Add(lateStartTime)})
+	}
 	over := t.step.occ.job.state.Terminal()
 	switch {
 	case r.Done:
@@ -89,7 +93,7 @@
 		t.step.openTasks--
 		t.state = stateDone
 	case r.Worker != "":
-		t.worker, t.assignedAt, t.inherited = r.Worker, now, true
+		t.worker, t.assignedAt, t.inherited, t.sent = r.Worker, now, true, true
 		t.transition(eventAssign)
 		c.holdRun(now, t)
 		if over {
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -251,6 +251,12 @@
 	} else {
 		t.transition(eventEnd)
 	}
+	if unansweredStart(t, e) {
+		c.noteLateStart(now, t, c.workers[id])
+	}
+	if t.late != nil {
+		t.late.waitsUntil = now.Add(lateStartTime)
+	}
 	c.dropRun(t)
 	c.markDirty(j)
 	t.saved(now, e.Checkpoint)
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -92,6 +92,8 @@
 	sortedWorkers []*worker
 	// strayOn are the workers with runs that no task accounts for, and some that had them; see hasStrayRun.
 	strayOn map[*worker]struct{}
+	// lateStarts are the tasks with late starts.
+	lateStarts map[*task]struct{}
 	// dirty holds the jobs changed since their last record; gatedCommands may be sent only once those are stored.
 	dirty         map[string]*jobState
 	gatedCommands Commands
@@ -151,7 +153,7 @@
 // New returns a Core without jobs or workers.
 func New(opt Options) *Core {
 	return &Core{
-		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{}, strayOn: map[*worker]struct{}{}, guards: newGuardQuorum(),
+		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{}, strayOn: map[*worker]struct{}{}, lateStarts: map[*task]struct{}{}, guards: newGuardQuorum(),
 		dirty: map[string]*jobState{}, dirtyNodes: map[string]string{}, gatedCommands: Commands{}, readyCommands: Commands{}, durationRatios: durationRatios{},
 		health: newHealth(), crashed: newCrashes(), drainsKnown: true, approvals: newApprovals(), interferenceModel: interfere.NewTails(),
 	}
@@ -278,7 +280,7 @@
 			free = free.Add(need)
 			continue
 		}
-		t.notified = true
+		t.notified, t.sent = true, true
 		out.Start = append(out.Start, s)
 	}
 	out.Stop = append(out.Stop, d.Stop...)
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -31,6 +31,7 @@
 	c.beginRound(now)
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
+		c.sweepLateStarts(now)
 		c.expireLeases(now)
 		c.evacuate(now)
 		c.moveOffDrained(now)
@@ -193,7 +194,7 @@
 		return
 	}
 	waiting := slices.DeleteFunc(slices.Clone(s.tasks), func(t *task) bool { return t.state != stateWaiting || t.startsAlone() || c.heldBack(now, t) })
-	if len(waiting) == 0 {
+	if waiting = c.placeLate(now, s, waiting); len(waiting) == 0 {
 		return
 	}
 	candidates := c.feasible(now, s)
@@ -257,12 +258,15 @@
 	c.placeMembers(now, s, r)
 }
 
-// placeMembers places all tasks of a gang on ranked workers, and reports whether they fit. Those that have failed most choose first.
+// placeMembers places all tasks of a gang on ranked workers, and reports whether they fit. Those with a late start choose first, then
+// those that have failed most.
 func (c *Core) placeMembers(now time.Time, s *step, r *ranking) bool {
 	run := 0
 	var placed []*task
-	mostFailuresFirst := func(a, b *task) int { return cmp.Compare(len(b.failedRuns), len(a.failedRuns)) }
-	for _, t := range slices.SortedStableFunc(slices.Values(s.tasks), mostFailuresFirst) {
+	leastChoiceFirst := func(a, b *task) int {
+		return cmp.Or(-cmp.Compare(toInt(a.late != nil), toInt(b.late != nil)), cmp.Compare(len(b.failedRuns), len(a.failedRuns)))
+	}
+	for _, t := range slices.SortedStableFunc(slices.Values(s.tasks), leastChoiceFirst) {
 		i := r.best(t)
 		if i < 0 {
 			for _, p := range placed {
@@ -311,7 +315,7 @@
 	}
 	t.run, t.worker, t.assignedAt = run, w.id, now
 	t.appearedAt, t.listedAt, t.progressAt, t.lastActive = time.Time{}, time.Time{}, now, time.Time{}
-	t.percent, t.pinned, t.inherited, t.notified = 0, false, false, false
+	t.percent, t.pinned, t.inherited, t.notified, t.sent = 0, false, false, false, false
 	t.missingSince, t.queuedAt = time.Time{}, time.Time{}
 	j := t.step.occ.job
 	if !t.step.spec.LongRunning {
--- a/internal/sched/starved.go
+++ b/internal/sched/starved.go
@@ -29,8 +29,8 @@
 			continue
 		}
 		w, risky := c.bestForStarved(now, t)
-		if w == nil && risky {
-			// Another task of the step may take the risk.
+		if w == nil && (risky || t.late != nil) {
+			// Another task of the step may take the risk, or has more workers to choose from.
 			continue
 		}
 		if w == nil {
@@ -73,7 +73,7 @@
 	var candidates []*worker
 	for _, w := range c.sortedWorkers {
 		switch {
-		case w.hasCopy(t) || c.starvedRefusal(now, t.step, w) != "":
+		case w.bars(t) || c.starvedRefusal(now, t.step, w) != "":
 		case c.mayRisk(now, t, w):
 			candidates = append(candidates, w)
 		default:
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -22,7 +22,7 @@
 	described bool
 	// attached says that its guard is connected and has sent its inventory.
 	attached bool
-	// expiresAt is when all runs on a detached worker must have ended; lapsed says that it has passed.
+	// expiresAt is when all runs on a detached worker must have ended; lapsed says that the lease of its runs must have expired.
 	expiresAt time.Time
 	lapsed    bool
 	// heardAt is when its guard last reported on it under this ownership, or attached it.
@@ -186,7 +186,8 @@
 	if _, provisional := c.guards.provisional[info.ID]; w.node != node || provisional {
 		w.node, c.dirtyNodes[info.ID] = node, node
 	}
-	w.info, w.described, w.attached, w.unresponsive, w.heardAt = info, true, true, false, now
+	w.info, w.described, w.attached, w.unresponsive, w.lapsed, w.heardAt = info, true, true, false, false, now
+	c.endLateStarts(node, info.ID)
 	c.capacityEvents++ // an attached worker adds capacity, like a run that ends
 	if info.Draining {
 		w.drainReportedAt = now
@@ -312,7 +313,7 @@
 	if pace >= minFillerPace || w.pace >= minFillerPace {
 		w.slowSince = now
 	}
-	w.pace, w.unresponsive, w.heardAt = pace, unresponsive, now
+	w.pace, w.unresponsive, w.lapsed, w.heardAt = pace, unresponsive, w.lapsed && unresponsive, now
 }
 
 // Detach handles the loss of the connection to a worker's guard; nothing is echoed to it any more.
@@ -361,24 +362,14 @@
 	}
 }
 
-// lateStartTime is how long after the last word of its guard a task whose start wasn't confirmed stays with a worker. The machine may
-// have started again, and until the guard has called the new birth that carries out a start which was held up. Nothing bounds
-// such a start; the wait ends while a task that is placed then has still not waited for too long after the loss of a machine.
-const lateStartTime = 6 * time.Second
-
-// lapse ends the runs of a detached worker whose lease must have expired, those with unconfirmed starts after lateStartTime, and
-// removes the worker when none is left.
+// lapse ends the runs of a detached worker whose lease must have expired, and removes the worker when none is left.
 func (c *Core) lapse(now time.Time, w *worker) {
-	if len(w.held) > 0 && !w.lapsed {
-		c.logDecision(event.LeaseExpired, w.id, fmt.Sprintf("held=%d", len(w.held)))
-		c.suspectCrash(w)
-	}
-	w.lapsed = true
-	if now.Before(w.heardAt.Add(lateStartTime)) {
-		c.expireConfirmed(now, w)
-	} else {
-		c.expireRuns(now, w)
+	heardAt := w.heardAt
+	if heardAt.IsZero() {
+		// Its guard was linked to an earlier owner only.
+		heardAt = w.detachedAt
 	}
+	c.lapseRuns(now, w, heardAt)
 	if len(w.held) == 0 {
 		c.deleteWorker(w)
 	}
@@ -387,10 +378,25 @@
 // expireUnresponsive ends the runs of a worker whose lease its guard could not renew for expiryDelay.
 func (c *Core) expireUnresponsive(now time.Time, w *worker) {
 	if len(w.held) > 0 && c.hasLapsed(now, w) {
-		c.logDecision(event.LeaseExpired, w.id, fmt.Sprintf("not answering held=%d", len(w.held)))
+		c.lapseRuns(now, w, w.unresponsiveSince)
+	}
+}
+
+// lapseRuns ends the runs of a worker whose lease must have expired, but for tasks of which a start may still be carried out there;
+// nothing has been heard of the worker since heardAt.
+func (c *Core) lapseRuns(now time.Time, w *worker, heardAt time.Time) {
+	if len(w.held) > 0 && !w.lapsed {
+		c.logDecision(event.LeaseExpired, w.id, fmt.Sprintf("answers=%t held=%d", w.answers(), len(w.held)))
 		c.suspectCrash(w)
-		c.expireRuns(now, w)
 	}
+	w.lapsed = true
+	for _, t := range w.tasks {
+		if !t.mayStillStart(now, w, heardAt) {
+			c.clearLateStart(t)
+			c.expireRun(now, t)
+		}
+	}
+	c.dropCopies(w)
 }
 
 // hasLapsed reports whether the lease of all runs on a worker must have lapsed, since its guard hasn't heard from it for so long.
@@ -406,16 +412,6 @@
 	c.dropCopies(w)
 }
 
-// expireConfirmed is expireRuns for the runs that the worker has listed.
-func (c *Core) expireConfirmed(now time.Time, w *worker) {
-	for _, t := range w.tasks {
-		if !t.appearedAt.IsZero() {
-			c.expireRun(now, t)
-		}
-	}
-	c.dropCopies(w)
-}
-
 // expireRun ends a run as expired.
 func (c *Core) expireRun(now time.Time, t *task) {
 	c.endRun(now, t, link.RunEnd{RunRef: t.ref(), Outcome: link.Expired, Checkpoint: t.checkpoint})
