--- a/internal/intake/away.go
+++ b/internal/intake/away.go
@@ -25,7 +25,7 @@
 	in.mu.Lock()
 	if errors.Is(cause, ErrUnknown) {
 		for _, r := range records {
-			in.unresolved[r.Key] = r
+			in.unresolved[r.Key] = unresolvedRecord{r, time.Now()}
 		}
 	}
 	unknown := len(in.unresolved)
@@ -82,15 +82,12 @@
 	return false
 }
 
-// resolve stores the records whose outcome is unknown. It reports whether none is left; then jobs are accepted
+// resolve stores the records whose outcome is unknown, but for those older than maxUnresolvedAge. It reports whether none is left; then jobs are accepted
 // again.
 func (in *Intake) resolve() bool {
 	for {
 		in.mu.Lock()
-		var records []store.Record
-		for _, r := range in.unresolved {
-			records = append(records, r)
-		}
+		records := in.unresolvedRecords(time.Now())
 		if len(records) == 0 {
 			in.away, in.finding = false, false
 			in.mu.Unlock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -90,7 +90,9 @@
 	awaySince time.Time
 	finding   bool // findStore is running
 	// unresolved holds the records whose outcome is unknown, by key.
-	unresolved map[string]store.Record
+	unresolved map[string]unresolvedRecord
+	// unknownCancels bounds the cancellations of jobs that don't exist.
+	unknownCancels cancelLimit
 	// counts is the cached number of waiting jobs by queue, queried at countsAt.
 	counts   map[string]int
 	countsAt time.Time
@@ -100,7 +102,7 @@
 func New(s store.Store, client Client, locator Locator, peers Peers, scope tally.Scope, l *log.Logger) *Intake {
 	return &Intake{
 		store: store.NewPulse(s), client: client, locator: locator, peers: peers, scope: scope, log: l,
-		appending: make(chan struct{}, 1), current: map[string]*pendingAppend{}, unresolved: map[string]store.Record{},
+		appending: make(chan struct{}, 1), current: map[string]*pendingAppend{}, unresolved: map[string]unresolvedRecord{},
 	}
 }
 
@@ -136,13 +138,21 @@
 // cancelValue is the value of the record of a cancellation, whose key holds all information.
 var cancelValue = []byte("{}")
 
-// Cancel stores the cancellation of a job. It reports false only when the job is certain not to exist.
+// Cancel stores the cancellation of a job. It reports false only when the store didn't hold the job before. The cancellation is
+// stored even so: an entry may hold the job in an append of unknown outcome, and store it later.
 func (in *Intake) Cancel(ctx context.Context, id string) (bool, error) {
 	_, found, err := in.queryOwner(ctx, id, queryTimeout, in.client.ConfirmedJob)
-	if err == nil && !found {
+	found = found || err != nil
+	r := store.Record{Key: store.PrefixCancel + id, Value: cancelValue}
+	switch {
+	case found:
+	case in.store.Limits().Check(r) != nil:
+		// The store can't hold the job either.
 		return false, nil
+	case !in.admitUnknownCancel(time.Now()):
+		return false, errNotSent(errManyUnknown)
 	}
-	return true, in.append(ctx, store.Record{Key: store.PrefixCancel + id, Value: cancelValue})
+	return found, in.append(ctx, r)
 }
 
 // Job returns the state of a job. It reports false only when the job is certain not to exist.
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -86,7 +86,7 @@
 // cancel serves the cancellation of a job.
 func cancel(w http.ResponseWriter, r *http.Request, in *intake.Intake) {
 	found, err := in.Cancel(r.Context(), r.PathValue("id"))
-	if !found {
+	if !found && err == nil {
 		jsonhttp.WriteError(w, http.StatusNotFound, fmt.Errorf("job %s is not known", r.PathValue("id")))
 		return
 	}
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -152,7 +152,7 @@
 	return true
 }
 
-// sweep drops the stored records of ended jobs whose state can no longer be queried.
+// sweep drops the stored records of ended jobs whose state can no longer be queried, and cancellations of jobs that never came.
 func (c *Cell) sweep(ctx context.Context) {
 	if c.owns() != nil {
 		// The records of jobs are deleted without a condition.
@@ -160,22 +160,26 @@
 	}
 	c.mu.Lock()
 	ids := c.core.DropExpiredJobs(time.Now())
+	cancelled := c.core.DropExpiredCancellations(time.Now())
 	at := c.runsEnd
 	c.mu.Unlock()
-	if len(ids) == 0 {
-		return
-	}
 	var runs, jobs []store.Record
+	for _, id := range cancelled {
+		jobs = append(jobs, store.Record{Key: store.PrefixCancel + id})
+	}
 	for _, id := range ids {
 		runs = append(runs, store.Record{Key: id})
 		jobs = append(jobs, store.Record{Key: store.PrefixJob + id}, store.Record{Key: store.PrefixCancel + id})
 	}
 	for _, records := range c.store.Limits().Calls(jobs) {
 		if err := c.appendJobs(ctx, records); err != nil {
-			c.log.Warn(event.EndedNotDropped, "topic", store.TopicJobs, "jobs", len(ids), "err", err)
+			c.log.Warn(event.EndedNotDropped, "topic", store.TopicJobs, "jobs", len(ids)+len(cancelled), "err", err)
 			return
 		}
 	}
+	if len(runs) == 0 {
+		return
+	}
 	w, err := c.write(ctx, at, runs)
 	if err != nil {
 		c.log.Warn(event.EndedNotDropped, "topic", store.TopicRuns, "jobs", len(ids), "err", err)
--- a/internal/sched/cell_latestart_test.go
+++ b/internal/sched/cell_latestart_test.go
@@ -1,9 +1,6 @@
 package sched_test
 
-import (
-	"fmt"
-	"testing"
-)
+import "testing"
 
 // lateStartFault holds up the next start at a machine. The machine loses power soon after it was sent, and is back with its worker
 // before its guard, both within the time that a task waits for it.
@@ -35,18 +32,10 @@
 // TestCellWithLateStarts is TestCell with starts that are held up into the next birth of their worker, and nothing else: no task may run
 // twice. CELL_SEED, CELL_SEEDS and CELL_FROM are those of TestCell.
 func TestCellWithLateStarts(t *testing.T) {
-	play := func(t *testing.T, seed uint64, trace func(string)) {
+	playCells(t, func(t *testing.T, seed uint64, trace func(string)) {
 		w := newCellWorld(seed, trace)
 		p := &cellPlan{w: w, faults: []cellFault{lateStartFault}}
 		p.run()
 		reportFindings(t, w)
-	}
-	if seed := envNumber(t, "CELL_SEED", 0); seed > 0 {
-		play(t, seed, func(line string) { fmt.Println(line) })
-		return
-	}
-	from, count := envNumber(t, "CELL_FROM", 1), envNumber(t, "CELL_SEEDS", cellSeedsInCI)
-	for seed := from; seed < from+count; seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed, nil) })
-	}
+	})
 }
--- a/internal/sched/cell_test.go
+++ b/internal/sched/cell_test.go
@@ -26,13 +26,19 @@
 // TestCell joins guards, an owner and simulated workers, injects faults and judges that nothing stands still afterwards.
 // CELL_SEED=n replays one seed with a trace; CELL_SEEDS=n plays that many, from CELL_FROM on.
 func TestCell(t *testing.T) {
+	playCells(t, playCell)
+}
+
+// playCells plays the seeds that the environment asks for, or those of a plain test run.
+func playCells(t *testing.T, play func(t *testing.T, seed uint64, trace func(string))) {
+	t.Helper()
 	if seed := envNumber(t, "CELL_SEED", 0); seed > 0 {
-		playCell(t, seed, func(line string) { fmt.Println(line) })
+		play(t, seed, func(line string) { fmt.Println(line) })
 		return
 	}
 	from, count := envNumber(t, "CELL_FROM", 1), envNumber(t, "CELL_SEEDS", cellSeedsInCI)
 	for seed := from; seed < from+count; seed++ {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playCell(t, seed, nil) })
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { play(t, seed, nil) })
 	}
 }
 
--- a/internal/sched/cell_world_test.go
+++ b/internal/sched/cell_world_test.go
@@ -216,6 +216,8 @@
 	spec       *job.Spec
 	acceptedAt int64
 	cancelled  bool
+	// cancelledAt is when the cancellation of a job that is stored late was acknowledged; 0 for others.
+	cancelledAt int64
 	// running counts its runs on workers, idleSince is since when it stands still though it needn't; 0 while it doesn't.
 	running   int
 	idleSince int64
@@ -291,6 +293,9 @@
 	if t.running > 1 && !t.step.Speculative {
 		w.finding("twice", "task %s runs twice", ref.Task)
 	}
+	if n.cancelledAt > 0 && w.now > n.cancelledAt+cancelMS {
+		w.finding("unasked", "task %s starts %d ms after the cancellation of its job", ref.Task, w.now-n.cancelledAt)
+	}
 }
 
 // runGone notes that a run has ended.
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -243,6 +243,10 @@
 	c.openJobs = append(c.openJobs, j)
 	c.logDecision(event.Accept, spec.ID, fmt.Sprintf("queue=%s steps=%d age=%s", spec.Policy.Queue, len(spec.Steps), age))
 	c.openDueOccurrences(now, j)
+	if _, ok := c.cancelled[spec.ID]; ok {
+		delete(c.cancelled, spec.ID)
+		c.Cancel(now, spec.ID)
+	}
 }
 
 // openDueOccurrences opens the occurrences of a job that are due.
@@ -277,10 +281,17 @@
 	return nil
 }
 
-// Cancel cancels a job, unless it isn't known or has ended.
+// Cancel cancels a job, unless it has ended. The cancellation of a job that isn't known is kept: an entry that doesn't know whether the
+// job is stored may still store it.
 func (c *Core) Cancel(now time.Time, id string) {
 	j := c.jobs[id]
-	if j == nil || j.state.Terminal() {
+	if j == nil {
+		if _, ok := c.cancelled[id]; !ok {
+			c.cancelled[id] = now
+		}
+		return
+	}
+	if j.state.Terminal() {
 		return
 	}
 	c.logDecision(event.Cancel, id, fmt.Sprintf("state=%s held=%d", j.state, j.held))
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -182,3 +182,19 @@
 	}
 	return out
 }
+
+// CancelRetention is how long the cancellation of a job that isn't known is kept. Entries store a job of unknown outcome for a shorter
+// time.
+const CancelRetention = 2 * time.Minute
+
+// DropExpiredCancellations removes the cancellations of jobs that haven't come within CancelRetention, and returns the IDs of the jobs.
+func (c *Core) DropExpiredCancellations(now time.Time) []string {
+	var out []string
+	for id, at := range c.cancelled {
+		if now.Sub(at) > CancelRetention {
+			delete(c.cancelled, id)
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -87,7 +87,9 @@
 	round    round // the scheduling round in progress, or the last one
 	jobs     map[string]*jobState
 	openJobs []*jobState
-	workers  map[string]*worker
+	// cancelled are the jobs that aren't known and were cancelled, with the time when that was read.
+	cancelled map[string]time.Time
+	workers   map[string]*worker
 	// sortedWorkers lists the workers by ID, so that scheduling is deterministic.
 	sortedWorkers []*worker
 	// strayOn are the workers with runs that no task accounts for, and some that had them; see hasStrayRun.
@@ -153,7 +155,7 @@
 // New returns a Core without jobs or workers.
 func New(opt Options) *Core {
 	return &Core{
-		opt: opt, jobs: map[string]*jobState{}, workers: map[string]*worker{}, strayOn: map[*worker]struct{}{}, lateStarts: map[*task]struct{}{}, guards: newGuardQuorum(),
+		opt: opt, jobs: map[string]*jobState{}, cancelled: map[string]time.Time{}, workers: map[string]*worker{}, strayOn: map[*worker]struct{}{}, lateStarts: map[*task]struct{}{}, guards: newGuardQuorum(),
 		dirty: map[string]*jobState{}, dirtyNodes: map[string]string{}, gatedCommands: Commands{}, readyCommands: Commands{}, durationRatios: durationRatios{},
 		health: newHealth(), crashed: newCrashes(), drainsKnown: true, approvals: newApprovals(), interferenceModel: interfere.NewTails(),
 	}
