--- a/internal/sched/health.go
+++ b/internal/sched/health.go
@@ -11,10 +11,9 @@
 )
 
 const (
-	// stallTimeout is how long a run may make no progress before it counts as stalled; progress is reported in
-	// whole percent and the longest tasks take some seconds.
+	// stallTimeout is the shortest time that a run may make no progress before it counts as stalled; see package stall.
 	stallTimeout = 1500 * time.Millisecond
-	// fillerStallTimeout is longer, since fillers may find little spare processor time.
+	// fillerStallTimeout is that of fillers, which may find little spare processor time.
 	fillerStallTimeout = 4 * time.Second
 	// slowFillerTimeout is how long a filler stays on a worker whose local control throttles it.
 	slowFillerTimeout = 1200 * time.Millisecond
@@ -26,6 +25,8 @@
 	// maxStartup is how long a long-running task may take until it is at work while no other task of its step shows
 	// how long that takes: images differ, and some take seconds.
 	maxStartup = 8 * time.Second
+	// fullPace is the pace, in percent, of runs that aren't slowed down.
+	fullPace = 100
 	// suspectDuration is how long a worker gets no tasks after a run has stalled there.
 	suspectDuration = 5 * time.Second
 	// refusalBlock is how long a worker gets no tasks after it has refused one.
@@ -195,13 +196,14 @@
 	if t.step.spec.Gang {
 		return ""
 	}
-	limit := stallTimeout
+	least, pace := stallTimeout, fullPace
 	if t.step.spec.Filler {
-		limit = fillerStallTimeout
+		least, pace = fillerStallTimeout, w.pace
 		if w.pace < minFillerPace {
 			return ""
 		}
 	}
+	limit := t.progress.Limit(least, time.Duration(t.step.spec.EstimateMS)*time.Millisecond, pace)
 	return when(t.listedAt.Sub(t.progressAt) > limit, "no progress")
 }
 
--- a/internal/sched/health_test.go
+++ b/internal/sched/health_test.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -96,3 +98,53 @@
 	}
 	t.Error("a run that takes far longer than the others of its step is not stopped")
 }
+
+// TestLongTasksAreNotStopped guards against tasks of some minutes that never end: their percent stands for seconds, they were stopped as
+// standing still, and began anew on another worker, for ever. A run that hangs is stopped.
+func TestLongTasksAreNotStopped(t *testing.T) {
+	for _, lasts := range []time.Duration{4 * time.Minute, time.Hour} {
+		now := epoch0
+		c := pool(now, "a", "b")
+		c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: lasts.Milliseconds()}))
+		at, ref := "", link.RunRef{}
+		for id, starts := range started(settle(now, c)) {
+			at, ref = id, starts[0].RunRef
+		}
+		report := func(percent float64) *link.OwnerMessage {
+			now = now.Add(400 * time.Millisecond)
+			c.Report(now, at, link.Listing{Running: []link.RunStatus{{RunRef: ref, Percent: percent}}})
+			return settle(now, c)[at]
+		}
+		percent := 0.0
+		for percent < 60 {
+			percent = math.Floor(100 * float64(now.Sub(epoch0)) / float64(lasts))
+			if d := report(percent); d != nil && len(d.Stop) > 0 {
+				t.Fatalf("a task of %s is stopped at %.0f%%, after %s", lasts, percent, now.Sub(epoch0))
+			}
+		}
+		hangs := now
+		for now.Sub(hangs) < lasts/20 {
+			if d := report(percent); d != nil && len(d.Stop) > 0 {
+				break
+			}
+		}
+		if now.Sub(hangs) >= lasts/20 {
+			t.Errorf("a task of %s that hangs isn't stopped within %s", lasts, lasts/20)
+		}
+	}
+}
+
+// TestCheckpointIsProgress guards against a task that is stopped as standing still although it brings new checkpoints.
+func TestCheckpointIsProgress(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a")
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 1000, Checkpoints: true}))
+	ref := started(settle(now, c))["a"][0].RunRef
+	for n := range 20 {
+		now = now.Add(time.Second)
+		c.Report(now, "a", link.Listing{Running: []link.RunStatus{{RunRef: ref, Percent: 1, Checkpoint: fmt.Sprint(n)}}})
+		if d := settle(now, c)["a"]; d != nil && len(d.Stop) > 0 {
+			t.Fatalf("stopped after %s", now.Sub(epoch0))
+		}
+	}
+}
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -8,6 +8,7 @@
 	"github.com/crocusspring/crocusspring/internal/chart"
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/job"
+	"github.com/crocusspring/crocusspring/internal/stall"
 )
 
 // States and events of charts/run.yaml.
@@ -164,7 +165,9 @@
 	measurement float64
 	appearedAt  time.Time
 	listedAt    time.Time // of the latest listing that shows the run, or must show it or its end
-	progressAt  time.Time // when percent last grew
+	progressAt  time.Time // when percent last grew, or the checkpoint changed
+	// progress is what the listings of the newest run show of its steps.
+	progress stall.Progress
 	// missingSince is since when complete listings have lacked the run; zero if the latest one shows it.
 	missingSince time.Time
 	assignedAt   time.Time
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -143,7 +143,11 @@
 		d := c.commandsFor(c.readyCommands, w.id)
 		d.KnownRuns = append(d.KnownRuns, t.traits())
 	}
-	if r.Percent > t.percent {
+	switch {
+	case r.Percent > t.percent:
+		t.progress.Advance(r.Percent-t.percent, now.Sub(t.progressAt))
+		t.progressAt = now
+	case r.Checkpoint != "" && r.Checkpoint != t.checkpoint:
 		t.progressAt = now
 	}
 	if r.Percent >= 100 && t.step.spec.LongRunning {
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/link"
+	"github.com/crocusspring/crocusspring/internal/stall"
 )
 
 // itoa formats a count.
@@ -317,6 +318,7 @@
 	t.appearedAt, t.listedAt, t.progressAt, t.lastActive = time.Time{}, time.Time{}, now, time.Time{}
 	t.percent, t.pinned, t.inherited, t.notified, t.sent = 0, false, false, false, false
 	t.missingSince, t.queuedAt = time.Time{}, time.Time{}
+	t.progress = stall.Progress{}
 	j := t.step.occ.job
 	if !t.step.spec.LongRunning {
 		t.step.unplacedSince, j.placedAt = time.Time{}, now
