--- a/internal/sched/copies_test.go
+++ b/internal/sched/copies_test.go
@@ -126,3 +126,43 @@
 		t.Errorf("started %+v while the guard of the run is disconnected, want a copy", got)
 	}
 }
+
+// TestSurplusCopyAfterTakeover guards against a worker that is filled over its capacity: a speculative job was complete, its surplus copy
+// was still being stopped, and the next owner, which knows nothing of its task any more, gave the copy's room away.
+func TestSurplusCopyAfterTakeover(t *testing.T) {
+	now := epoch0
+	c := New(options)
+	copied := link.RunRef{Task: job.TaskID{Job: "complete"}, Run: 1}
+	running := link.Listing{Running: []link.RunStatus{{RunRef: copied, Percent: 50}}}
+	c.Attach(now, "node-a", link.Worker{ID: "a", Service: "pool", Capacity: big}, running)
+	c.Submit(now, one("job", 0, job.Step{Count: 4, Demand: cores(1), EstimateMS: 60_000}))
+	c.Submit(now, one("fills", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 60_000, Filler: true}))
+	for range 10 {
+		if got := started(settle(now, c)); len(got) > 0 {
+			t.Fatalf("started %v beside a run whose room isn't known", got)
+		}
+		now = now.Add(sweepInterval)
+		c.Report(now, "a", running)
+	}
+	c.Ended(now, "a", []link.RunEnd{{Number: 1, RunRef: copied, Outcome: link.Stopped}})
+	if n := startedWithin(c, now, time.Second)["job"]; n != 4 {
+		t.Errorf("%d tasks start within a second after the end of the copy, want 4", n)
+	}
+}
+
+// TestRunThatNeverStops guards against a worker that is kept from all tasks for good by a run that goes on in spite of its stops.
+func TestRunThatNeverStops(t *testing.T) {
+	now := epoch0
+	c := New(options)
+	running := link.Listing{Running: []link.RunStatus{{RunRef: link.RunRef{Task: job.TaskID{Job: "complete"}, Run: 1}, Percent: 50}}}
+	c.Attach(now, "node-a", link.Worker{ID: "a", Service: "pool", Capacity: big}, running)
+	c.Submit(now, one("job", 0, job.Step{Count: 1, Demand: cores(1), EstimateMS: 60_000}))
+	for now.Sub(epoch0) < unknownRoomTime+time.Second {
+		if len(started(settle(now, c))) > 0 {
+			return
+		}
+		now = now.Add(sweepInterval)
+		c.Report(now, "a", running)
+	}
+	t.Errorf("nothing starts within %s", now.Sub(epoch0))
+}
--- a/internal/sched/crashes_test.go
+++ b/internal/sched/crashes_test.go
@@ -93,6 +93,9 @@
 		for _, s := range commands[id].Start {
 			p.start(id, s)
 		}
+		for _, ref := range commands[id].Stop {
+			p.stop(id, ref)
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.running)) {
 		p.report(id, p.running[id])
@@ -119,6 +122,15 @@
 	}
 }
 
+// stop ends a run on command, if it is there.
+func (p *crashPool) stop(id string, ref link.RunRef) {
+	if _, ok := p.running[id][ref]; ok {
+		p.ends++
+		delete(p.running[id], ref)
+		p.core.Ended(p.now, id, []link.RunEnd{{Number: p.ends, RunRef: ref, Outcome: link.Stopped}})
+	}
+}
+
 // report crashes a worker that has the deadly task; another lists its runs and ends.
 func (p *crashPool) report(id string, runs map[link.RunRef]time.Time) {
 	var rows []link.RunStatus
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,10 @@
 	for _, r := range l.Running {
 		c.handleListed(now, w, r)
 	}
+	maps.DeleteFunc(w.unknownSince, func(ref link.RunRef, _ time.Time) bool {
+		_, listed := w.unknownRuns[ref]
+		return !listed
+	})
 	c.Ended(now, id, l.Ended)
 	c.settleUnshown(now, w, l)
 	if !l.EndsCut {
@@ -128,7 +133,7 @@
 		if cp := w.copies[r.RunRef]; cp != nil {
 			cp.listed(now)
 		} else {
-			c.stopUnknownRun(w, r)
+			c.stopUnknownRun(now, w, r)
 		}
 		return
 	}
@@ -169,11 +174,23 @@
 	}
 }
 
-// stopUnknownRun stops a run that no task accounts for; it occupies resources until it has ended.
-func (c *Core) stopUnknownRun(w *worker, r link.RunStatus) {
+// unknownRoomTime is how long a worker with a run of unknown room takes no tasks: far longer than a stop takes.
+const unknownRoomTime = 3 * time.Second
+
+// stopUnknownRun stops a run that no task accounts for; it occupies resources until it has ended. Those of a run whose task isn't known
+// any more may be any: it may be a surplus copy of a job that was complete before this owner took the cell. For unknownRoomTime it
+// takes all of the worker; one that ends in spite of its stops no sooner must not keep the worker from others for good.
+func (c *Core) stopUnknownRun(now time.Time, w *worker, r link.RunStatus) {
+	since, ok := w.unknownSince[r.RunRef]
+	if !ok {
+		since = now
+		w.unknownSince[r.RunRef] = now
+	}
 	var need resource.Vector
 	if t := c.task(r.Task); t != nil {
 		need = t.step.spec.Reserve()
+	} else if now.Sub(since) < unknownRoomTime {
+		need = w.info.Capacity
 	}
 	w.unknownRuns[r.RunRef] = need
 	c.strayOn[w] = struct{}{}
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -32,6 +32,8 @@
 	tasks []*task
 	// unknownRuns are runs that the worker lists and no task accounts for; they are being stopped. See hasStrayRun.
 	unknownRuns map[link.RunRef]resource.Vector
+	// unknownSince is since when each of them has been listed.
+	unknownSince map[link.RunRef]time.Time
 	// unshown are runs that an inventory which was cut short didn't show: they may have ended, or never started.
 	unshown map[link.RunRef]bool
 	// copies are earlier runs of speculative tasks that may continue here.
@@ -81,7 +83,7 @@
 func (c *Core) ensureWorker(now time.Time, id string) *worker {
 	w := c.workers[id]
 	if w == nil {
-		w = &worker{id: id, held: map[job.TaskID]*task{}, unknownRuns: map[link.RunRef]resource.Vector{}, copies: map[link.RunRef]*runCopy{}, pace: 100}
+		w = &worker{id: id, held: map[job.TaskID]*task{}, unknownRuns: map[link.RunRef]resource.Vector{}, unknownSince: map[link.RunRef]time.Time{}, copies: map[link.RunRef]*runCopy{}, pace: 100}
 		w.expiresAt, w.detachedAt = now.Add(c.opt.expiryDelay()+c.opt.RunLeaseExtension), now
 		c.insertWorker(w)
 	}
