--- a/internal/sched/cell_scene_test.go
+++ b/internal/sched/cell_scene_test.go
@@ -145,7 +145,15 @@
 func TestLossOfMostMachines(t *testing.T) {
 	for n := 7; n <= 12; n++ {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			w := lastingScene(13)
+			w := lastingScene(13, smallTask)
+			lostAt := w.now
+			w.loseWithOwner(n)
+			w.checkRestart(t, lostAt)
+		})
+	}
+	for _, n := range []int{7, 9} {
+		t.Run(fmt.Sprintf("%d-large-tasks", n), func(t *testing.T) {
+			w := lastingScene(13, largeTask)
 			lostAt := w.now
 			w.loseWithOwner(n)
 			w.checkRestart(t, lostAt)
@@ -153,13 +161,19 @@
 	}
 }
 
-// lastingScene returns a world of some machines with 24 tasks that last; each machine has room for all of them.
-func lastingScene(machines int) *cellWorld {
+// Demands of tasks that last: a machine has room for all small ones of a scene, and for eleven large ones.
+var (
+	smallTask = resource.Vector{MilliCPU: 250, MemoryMB: 300}
+	largeTask = resource.Vector{MilliCPU: 700, MemoryMB: 500}
+)
+
+// lastingScene returns a world of some machines with 24 tasks that last, of some demand each.
+func lastingScene(machines int, demand resource.Vector) *cellWorld {
 	w := sceneWorld(machines, nil)
 	w.runUntil(1000)
 	for k := range 8 {
 		s := w.drawSpec(fmt.Sprintf("lasts%d", k))
-		s.Steps = []job.Step{{Count: 3, Demand: resource.Vector{MilliCPU: 250, MemoryMB: 300}, LongRunning: true, MayMiss: 1}}
+		s.Steps = []job.Step{{Count: 3, Demand: demand, LongRunning: true, MayMiss: 1}}
 		w.submit(s)
 	}
 	w.runUntil(6000)
@@ -252,7 +266,7 @@
 	for n := 7; n <= 12; n++ {
 		for first := 1; first < n; first += 3 {
 			t.Run(fmt.Sprintf("%d-then-%d", first, n-first), func(t *testing.T) {
-				w := lastingScene(13)
+				w := lastingScene(13, smallTask)
 				lostAt := w.now
 				w.lose(first)
 				w.runUntil(w.now + 500)
@@ -267,7 +281,7 @@
 func TestLossWithoutOwner(t *testing.T) {
 	for n := 1; n <= 12; n++ {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			w := lastingScene(13)
+			w := lastingScene(13, smallTask)
 			lostAt := w.now
 			w.lose(n)
 			w.checkRestart(t, lostAt)
