--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -202,6 +202,11 @@
 
 // score ranks workers that may take tasks of a step; higher is better.
 func (c *Core) score(s *job.Step, st *step, w *worker) float64 {
+	return c.fitness(s, st, w) - c.lossCost(st, w, nil)
+}
+
+// fitness is the score of a worker but for what its loss costs.
+func (c *Core) fitness(s *job.Step, st *step, w *worker) float64 {
 	capacity := max(1, float64(w.info.Capacity.MilliCPU))
 	var v float64
 	switch {
@@ -212,9 +217,6 @@
 	default:
 		v = float64(w.free().MilliCPU) / capacity
 	}
-	if st.spreads() {
-		v -= c.lossCost(st, w, nil)
-	}
 	v -= c.health.penalty(c.round.now, w.id)
 	if c.delaysReservation(c.round.now, st, w) {
 		v -= reservedPenalty
@@ -245,8 +247,10 @@
 	// refused is the latest demand that no worker took, by kind of filler; equal or larger ones aren't tried
 	// again in the round.
 	refused map[fillerKind]resource.Vector
-	// pressures are those of fillerPressure, by service, while no task has come to a worker or gone.
+	// pressures are those of fillerPressure, by service, while no task has come to a worker or gone; places are where the tasks of steps
+	// that are spread are.
 	pressures map[string]float64
+	places    map[*step]*stepPlaces
 	// strays are the tasks of which a worker lists a run that no task accounts for, by step; nil before the first use.
 	strays map[*step][]*task
 }
@@ -277,7 +281,7 @@
 
 // beginRound starts a scheduling round.
 func (c *Core) beginRound(now time.Time) {
-	c.round = round{now: now, pools: map[string]*workerPool{}, refused: map[fillerKind]resource.Vector{}, pressures: map[string]float64{}}
+	c.round = round{now: now, pools: map[string]*workerPool{}, refused: map[fillerKind]resource.Vector{}, pressures: map[string]float64{}, places: map[*step]*stepPlaces{}}
 }
 
 // pool returns the workers of a step's service that accept tasks.
@@ -408,21 +412,36 @@
 	step    *step
 	refusal func(now time.Time, s *step, w *worker) string
 	workers []*worker
-	scores  []float64
-	full    []bool
+	// scores are those without what losses cost.
+	scores, losses []float64
+	full           []bool
 	// risks says that tasks may start on doubtful workers, as far as each may, and after all others.
 	risks bool
 }
 
 // rankWorkers scores workers for the tasks of a step.
 func (c *Core) rankWorkers(now time.Time, s *step, candidates []*worker) *ranking {
-	r := &ranking{c: c, now: now, step: s, refusal: c.refusal, workers: candidates, scores: make([]float64, len(candidates)), full: make([]bool, len(candidates))}
-	for i := range candidates {
-		r.scores[i] = c.score(s.spec, s, candidates[i])
+	n := len(candidates)
+	r := &ranking{c: c, now: now, step: s, refusal: c.refusal, workers: candidates, scores: make([]float64, n), losses: make([]float64, n), full: make([]bool, n)}
+	for i, w := range candidates {
+		r.scores[i] = c.fitness(s.spec, s, w)
 	}
+	r.weighLosses()
 	return r
 }
 
+// weighLosses updates what losses cost: a task in a rack or a data centre counts at all workers there.
+func (r *ranking) weighLosses() {
+	if !r.step.spreads() {
+		return
+	}
+	for i, w := range r.workers {
+		if !r.full[i] {
+			r.losses[i] = r.c.lossCost(r.step, w, nil)
+		}
+	}
+}
+
 // best returns the index of the worker with the highest score for a task; -1 when none takes it.
 func (r *ranking) best(t *task) int {
 	best, top := -1, 0.0
@@ -430,7 +449,7 @@
 		if r.full[i] || w.bars(t) {
 			continue
 		}
-		v := r.scores[i]
+		v := r.scores[i] - r.losses[i]
 		if slices.Contains(t.failedOn, w.id) {
 			v -= failedWeight
 		}
@@ -449,11 +468,9 @@
 
 // recordPlacement updates the ranking after a worker got a task of the step.
 func (r *ranking) recordPlacement(i int) {
-	r.full[i] = r.refusal(r.now, r.step, r.workers[i]) != ""
-	for k, w := range r.workers {
-		// The loss of a rack or a data centre weighs more for the other workers there, too.
-		if !r.full[k] && (k == i || r.step.spreads()) {
-			r.scores[k] = r.c.score(r.step.spec, r.step, w)
-		}
+	w := r.workers[i]
+	if r.full[i] = r.refusal(r.now, r.step, w) != ""; !r.full[i] {
+		r.scores[i] = r.c.fitness(r.step.spec, r.step, w)
 	}
+	r.weighLosses()
 }
--- a/internal/sched/spread.go
+++ b/internal/sched/spread.go
@@ -46,24 +46,61 @@
 	return c.opt.expiryDelay()
 }
 
+// stepPlaces counts the tasks of a step by where they are.
+type stepPlaces struct {
+	workers            map[*worker]int
+	racks, dataCentres map[string]int
+}
+
+// add counts some more tasks on a worker, or fewer.
+func (p *stepPlaces) add(w *worker, n int) {
+	p.workers[w] += n
+	p.racks[w.info.Rack] += n
+	p.dataCentres[w.info.DataCentre] += n
+}
+
+// placesOf returns where the tasks of a step are in this round.
+func (c *Core) placesOf(s *step) *stepPlaces {
+	if p := c.round.places[s]; p != nil {
+		return p
+	}
+	p := &stepPlaces{workers: map[*worker]int{}, racks: map[string]int{}, dataCentres: map[string]int{}}
+	for _, t := range s.tasks {
+		if w := c.workers[t.worker]; w != nil && t.held() {
+			p.add(w, 1)
+		}
+	}
+	c.round.places[s] = p
+	return p
+}
+
+// noteMoved updates what is known in this round of where tasks are, after some of a step have come to a worker or gone.
+func (c *Core) noteMoved(s *step, w *worker, n int) {
+	clear(c.round.pressures)
+	if p := c.round.places[s]; p != nil {
+		p.add(w, n)
+	}
+}
+
 // lossCost returns what the losses of a worker, its rack and its data centre weigh against a task of a step there, beside the other
 // tasks of the step; t is the task, or nil for any that waits.
 func (c *Core) lossCost(s *step, w *worker, t *task) float64 {
-	var machine, rack, dataCentre int
-	for _, o := range s.tasks {
-		at := c.workers[o.worker]
-		if o == t || at == nil || !o.held() {
-			continue
-		}
-		machine += toInt(at == w)
-		rack += toInt(at.info.Rack == w.info.Rack)
-		dataCentre += toInt(at.info.DataCentre == w.info.DataCentre)
+	if !s.spreads() {
+		return 0
+	}
+	p := c.placesOf(s)
+	machine, rack, dataCentre := p.workers[w], p.racks[w.info.Rack], p.dataCentres[w.info.DataCentre]
+	if t != nil {
+		own := c.workers[t.worker]
+		machine -= toInt(own == w)
+		rack -= toInt(own.info.Rack == w.info.Rack)
+		dataCentre -= toInt(own.info.DataCentre == w.info.DataCentre)
 	}
-	places := []spread.Place{{Held: machine, Frequency: 1}, {Held: dataCentre, Frequency: domainFrequency}}
-	if !s.spec.RackLocality {
-		places = append(places, spread.Place{Held: rack, Frequency: domainFrequency})
+	places := [...]spread.Place{{Held: machine, Frequency: 1}, {Held: dataCentre, Frequency: domainFrequency}, {Held: rack, Frequency: domainFrequency}}
+	if s.spec.RackLocality {
+		places[2].Frequency = 0
 	}
-	return lossWeight * spread.Cost(len(s.tasks), c.recoveryTime(w), c.minor(s), places...)
+	return lossWeight * spread.Cost(len(s.tasks), c.recoveryTime(w), c.minor(s), places[:]...)
 }
 
 // minor returns how far the loss of less than half of a step counts: fully in an idle service, little while fillers need the room that
--- a/internal/sched/worker.go
+++ b/internal/sched/worker.go
@@ -104,7 +104,7 @@
 	w.tasks = append(w.tasks, t)
 	w.tails.stale = true
 	w.load.add(t.step.spec, 1)
-	clear(c.round.pressures)
+	c.noteMoved(t.step, w, 1)
 	t.step.occ.job.held++
 }
 
@@ -117,7 +117,7 @@
 		// A new slice, since callers range over the old one.
 		w.tasks = slices.DeleteFunc(slices.Clone(w.tasks), func(o *task) bool { return o == t })
 		w.load.add(t.step.spec, -1)
-		clear(c.round.pressures)
+		c.noteMoved(t.step, w, -1)
 	}
 	c.capacityEvents++
 	t.step.occ.job.held--
