--- a/internal/sched/spread_test.go
+++ b/internal/sched/spread_test.go
@@ -175,3 +175,66 @@
 		})
 	}
 }
+
+// domainPool is a pool of workers with the leases of a deployment, each in the rack and the data centre that its name begins with.
+func domainPool(now time.Time, ids ...string) *Core {
+	c := New(Options{RunLease: 4 * time.Second, HalfQuorumTime: 2 * time.Second, Margin: 200 * time.Millisecond, JobRetention: time.Hour})
+	for _, id := range ids {
+		c.Attach(now, "node-"+id, link.Worker{ID: id, Service: "pool", Rack: "r-" + id[:2], DataCentre: "dc-" + id[:1], Capacity: big}, link.Listing{})
+	}
+	return c
+}
+
+// TestSpreadsOverDomains guards against services that go down with one data centre or one rack, while machines elsewhere are idle.
+func TestSpreadsOverDomains(t *testing.T) {
+	for name, tt := range map[string]struct {
+		workers []string
+		domain  func(w *worker) string
+	}{
+		"data centres": {[]string{"a1x", "a2x", "a3x", "b1x", "b2x", "b3x"}, func(w *worker) string { return w.info.DataCentre }},
+		"racks":        {[]string{"a1x", "a1y", "a1z", "a2x", "a2y", "a2z"}, func(w *worker) string { return w.info.Rack }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := domainPool(epoch0, tt.workers...)
+			c.Submit(epoch0, one("serve", 0, job.Step{Count: 4, Demand: cores(0.1), LongRunning: true, TailTargetMS: 100, Image: "s"}))
+			settle(epoch0, c)
+			in := map[string]int{}
+			for _, w := range c.sortedWorkers {
+				if n := len(w.tasks); n > 1 {
+					t.Errorf("%d tasks of 4 are on %s", n, w.id)
+				}
+				in[tt.domain(w)] += len(w.tasks)
+			}
+			if len(in) != 2 || in[tt.domain(c.sortedWorkers[0])] != 2 {
+				t.Errorf("the tasks are spread as %v", in)
+			}
+		})
+	}
+}
+
+// TestRackLocalityStaysInRack checks that a step whose tasks belong into one rack is spread over its machines only.
+func TestRackLocalityStaysInRack(t *testing.T) {
+	c := domainPool(epoch0, "a1x", "a1y", "a2x", "a2y")
+	c.Submit(epoch0, one("serve", 0, job.Step{Count: 2, Demand: cores(0.1), LongRunning: true, TailTargetMS: 100, Image: "s", RackLocality: true}))
+	settle(epoch0, c)
+	for _, w := range c.sortedWorkers {
+		if n, want := len(w.tasks), toInt(w.info.Rack == "r-a1"); n != want {
+			t.Errorf("%d tasks are on %s, want %d", n, w.id, want)
+		}
+	}
+}
+
+// TestAsksAboutTwoParts guards against a service on one machine for want of approvals: the policy service was asked about no more
+// workers than have room for the step twice over, as if each could hold all of it.
+func TestAsksAboutTwoParts(t *testing.T) {
+	now := epoch0
+	c := pool(now, "a", "b", "c", "d", "e", "f")
+	spec := one("serve", 0, job.Step{Count: 12, Demand: cores(0.1), LongRunning: true, TailTargetMS: 100, Image: "s"})
+	spec.Policy.Advice = &job.Advice{DecideMS: 20, EachMS: 5, ValidMS: 3000}
+	c.Submit(now, spec)
+	settle(now, c)
+	req, ok := c.NextApprovalRequest(now)
+	if !ok || len(req.Workers) < 4 {
+		t.Errorf("asks about %v for 12 tasks of which a worker should hold 6", req.Workers)
+	}
+}
