Count small losses less from half of a service on

The loss of less than half of a step now counts by how far the service is from half full, with a tenth of the processors assumed for fillers at first, instead of by how far it is from full, with a quarter. An idle service spreads as before.

--- a/internal/sched/fillerdemand.go
+++ b/internal/sched/fillerdemand.go
@@ -8,7 +8,7 @@
 
 const (
 	// assumedDemand is the part of a service's processors that fillers are expected to ask for before any have been seen.
-	assumedDemand = 0.25
+	assumedDemand = 0.1
 	// demandInterval is the time between two looks at the demand of fillers.
 	demandInterval = time.Second
 )
@@ -31,11 +31,11 @@
 	return d
 }
 
-// fillerPressure returns how full a service is with its serving tasks and the fillers that are expected: 1 if these need all the
-// room that is left.
-func (c *Core) fillerPressure(service string) float64 {
-	if p, ok := c.round.pressures[service]; ok {
-		return p
+// usage returns the part of a service's processors that its serving tasks reserve and the fillers that are expected ask for. It may be
+// over 1.
+func (c *Core) usage(service string) float64 {
+	if u, ok := c.round.usages[service]; ok {
+		return u
 	}
 	var serving, all int64
 	for _, w := range c.sortedWorkers {
@@ -44,9 +44,9 @@
 			all += w.info.Capacity.MilliCPU
 		}
 	}
-	p := min(1, float64(serving)/max(1, float64(all))+c.fillerDemand(service).Expected(c.round.now))
-	c.round.pressures[service] = p
-	return p
+	u := float64(serving)/max(1, float64(all)) + c.fillerDemand(service).Expected(c.round.now)
+	c.round.usages[service] = u
+	return u
 }
 
 // observeFillers looks at the processors that open fillers ask for, as a part of those of their service.
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -247,10 +247,10 @@
 	// refused is the latest demand that no worker took, by kind of filler; equal or larger ones aren't tried
 	// again in the round.
 	refused map[fillerKind]resource.Vector
-	// pressures are those of fillerPressure, by service, while no task has come to a worker or gone; places are where the tasks of steps
+	// usages are those of the services while no task has come to a worker or gone; places are where the tasks of steps
 	// that are spread are.
-	pressures map[string]float64
-	places    map[*step]*stepPlaces
+	usages map[string]float64
+	places map[*step]*stepPlaces
 	// strays are the tasks of which a worker lists a run that no task accounts for, by step; nil before the first use.
 	strays map[*step][]*task
 }
@@ -281,7 +281,7 @@
 
 // beginRound starts a scheduling round.
 func (c *Core) beginRound(now time.Time) {
-	c.round = round{now: now, pools: map[string]*workerPool{}, refused: map[fillerKind]resource.Vector{}, pressures: map[string]float64{}, places: map[*step]*stepPlaces{}}
+	c.round = round{now: now, pools: map[string]*workerPool{}, refused: map[fillerKind]resource.Vector{}, usages: map[string]float64{}, places: map[*step]*stepPlaces{}}
 }
 
 // pool returns the workers of a step's service that accept tasks.
--- a/internal/sched/spread.go
+++ b/internal/sched/spread.go
@@ -15,7 +15,9 @@
 	// lossWeight is what a second of a task's service that a loss costs weighs in the score of a worker.
 	lossWeight = 0.2
 	// leastMinor is how far the loss of less than half of a step counts when fillers need all workers that serving tasks leave them.
-	leastMinor = 0.2
+	leastMinor = 0.1
+	// busyUsage is the part of a service's processors from which on it counts as full.
+	busyUsage = 0.5
 	// domainFrequency is how often a rack or a data centre is lost, relative to a machine.
 	domainFrequency = 0.02
 	// moveCost is what the move of a task that lasts weighs: it is away for about a second.
@@ -76,7 +78,7 @@
 
 // noteMoved updates what is known in this round of where tasks are, after some of a step have come to a worker or gone.
 func (c *Core) noteMoved(s *step, w *worker, n int) {
-	clear(c.round.pressures)
+	clear(c.round.usages)
 	if p := c.round.places[s]; p != nil {
 		p.add(w, n)
 	}
@@ -103,10 +105,10 @@
 	return lossWeight * spread.Cost(len(s.tasks), c.recoveryTime(w), c.minor(s), places[:]...)
 }
 
-// minor returns how far the loss of less than half of a step counts: fully in an idle service, little while fillers need the room that
-// serving tasks leave them by sharing workers.
+// minor returns how far the loss of less than half of a step counts: fully in an idle service, little in one where fillers need the room
+// that serving tasks leave them by sharing workers.
 func (c *Core) minor(s *step) float64 {
-	return max(leastMinor, 1-c.fillerPressure(s.occ.job.spec.Policy.Service))
+	return max(leastMinor, 1-c.usage(s.occ.job.spec.Policy.Service)/busyUsage)
 }
 
 // openSteps returns the steps of all open occurrences.
