Spread evenly in idle services only, await known guards only

- The steps of the first jobs were spread over workers that others of another image filled later.
The loss of less than half of a step now counts in full in a service that is idle, and least from a tenth of its processors on; nothing is assumed of fillers that nobody has seen.
The wait ends once all workers that an earlier owner knew are linked.

--- a/internal/sched/fillerdemand.go
+++ b/internal/sched/fillerdemand.go
@@ -6,12 +6,8 @@
 	"github.com/crocusspring/crocusspring/internal/spread"
 )
 
-const (
-	// assumedDemand is the part of a service's processors that fillers are expected to ask for before any have been seen.
-	assumedDemand = 0.1
-	// demandInterval is the time between two looks at the demand of fillers.
-	demandInterval = time.Second
-)
+// demandInterval is the time between two looks at the demand of fillers.
+const demandInterval = time.Second
 
 // fillerDemands are the demands of fillers, by service.
 type fillerDemands struct {
@@ -25,7 +21,6 @@
 	d := c.fillerDemands.services[service]
 	if d == nil {
 		d = &spread.Demand{}
-		d.Observe(c.beganAt, assumedDemand)
 		c.fillerDemands.services[service] = d
 	}
 	return d
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -138,8 +138,9 @@
 	// interferenceSavedAt is when the interference estimates were stored last.
 	interferenceSavedAt time.Time
 	fillerDemands       fillerDemands
-	// beganAt is the time of the first round.
+	// beganAt is the time of the first round; newCell says that no worker was known from records.
 	beganAt time.Time
+	newCell bool
 	// nextSpreadOut is when spreadOut looks again; crowdedSteps is what it found.
 	nextSpreadOut time.Time
 	crowdedSteps  int
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -31,7 +31,7 @@
 func (c *Core) Schedule(now time.Time) {
 	c.beginRound(now)
 	if c.beganAt.IsZero() {
-		c.beganAt = now
+		c.beganAt, c.newCell = now, !slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return w.node != "" && !w.attached })
 	}
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
--- a/internal/sched/spread.go
+++ b/internal/sched/spread.go
@@ -16,8 +16,8 @@
 	lossWeight = 0.2
 	// leastMinor is how far the loss of less than half of a step counts when fillers need all workers that serving tasks leave them.
 	leastMinor = 0.1
-	// busyUsage is the part of a service's processors from which on it counts as full.
-	busyUsage = 0.5
+	// idleUsage is the part of a service's processors up to which it counts as idle, the less the more it uses.
+	idleUsage = 0.1
 	// domainFrequency is how often a rack or a data centre is lost, relative to a machine.
 	domainFrequency = 0.02
 	// moveCost is what the move of a task that lasts weighs: it is away for about a second.
@@ -32,9 +32,13 @@
 // without the others.
 func (s *step) spreads() bool { return s.spec.LongRunning && !s.spec.Gang }
 
-// awaitsGuards reports whether a step waits since the owner is new: the guards that link first must not get all of its tasks.
+// awaitsGuards reports whether a step waits since the owner is new: the guards that link first must not get all of its tasks. It ends
+// once all workers that an earlier owner knew are linked; nobody knows which those of a new cell are.
 func (c *Core) awaitsGuards(now time.Time, s *step) bool {
-	return s.spreads() && now.Sub(c.beganAt) < c.opt.LinkTime
+	if !s.spreads() || now.Sub(c.beganAt) >= c.opt.LinkTime {
+		return false
+	}
+	return c.newCell || slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return !w.attached })
 }
 
 // besideOwner reports whether a worker is on the machine of the process that runs the core.
@@ -108,7 +112,7 @@
 // minor returns how far the loss of less than half of a step counts: fully in an idle service, little in one where fillers need the room
 // that serving tasks leave them by sharing workers.
 func (c *Core) minor(s *step) float64 {
-	return max(leastMinor, 1-c.usage(s.occ.job.spec.Policy.Service)/busyUsage)
+	return max(leastMinor, 1-c.usage(s.occ.job.spec.Policy.Service)/idleUsage)
 }
 
 // openSteps returns the steps of all open occurrences.
