--- a/internal/sched/cell_spread_test.go
+++ b/internal/sched/cell_spread_test.go
@@ -113,14 +113,7 @@
 			w.runUntil(1000)
 			w.submitServing(3, 4)
 			w.runUntil(6000)
-			w.machines[0], w.machines[n] = w.machines[n], w.machines[0]
-			w.touch(2500)
-			w.lose(4)
-			w.newest().kill()
-			w.after(2000, func() {
-				w.takeOver(0)
-				w.guardsFollow(500)
-			})
+			w.loseAllBut(n)
 			w.watchServing(t, 15_000)
 			w.reportAll(t)
 		})
@@ -140,20 +133,25 @@
 			w.runUntil(300)
 			w.submitServing(3, 4)
 			w.runUntil(14_000)
-			w.machines[0], w.machines[n] = w.machines[n], w.machines[0]
-			w.touch(2500)
-			w.lose(4)
-			w.newest().kill()
-			w.after(2000, func() {
-				w.takeOver(0)
-				w.guardsFollow(500)
-			})
+			w.loseAllBut(n)
 			w.watchServing(t, 15_000)
 			w.reportAll(t)
 		})
 	}
 }
 
+// loseAllBut lets all machines but one go for good, with the owner; the one that is left takes the cell two seconds later.
+func (w *cellWorld) loseAllBut(n int) {
+	w.machines[0], w.machines[n] = w.machines[n], w.machines[0]
+	w.touch(2500)
+	w.lose(len(w.machines) - 1)
+	w.newest().kill()
+	w.after(2000, func() {
+		w.takeOver(0)
+		w.guardsFollow(500)
+	})
+}
+
 // TestCellSpreads is TestCell with workers that are all away but one, which gets all tasks that last, and owners that change: some time
 // after the others are back no machine holds all tasks of a step while another one has room. CELL_SEED, CELL_SEEDS and CELL_FROM are
 // those of TestCell.
