guard: tests set what the late worker catches under its lock

The test set catchPoll while the guard's poll loop, which runs from the start of the scene, was reading it; the list of dropped ends was shared in the same way.

The product isn't concerned, and the assertions are unchanged.

--- a/internal/guard/births_test.go
+++ b/internal/guard/births_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,6 +36,41 @@
 	catchStart func(guard.Command) bool
 	// arrive carries out the call that is held up; nil while none is.
 	arrive func() error
+	// dropped has the runs whose ends the worker has dropped; see watchDrops.
+	dropped []link.RunRef
+}
+
+// watchDrops records the ends that a birth drops since they were acknowledged.
+func (w *lateWorker) watchDrops(birth string) {
+	w.Observe(func(e execstand.End) {
+		if !e.Acknowledged || e.Incarnation != birth {
+			return
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.dropped = append(w.dropped, e.RunRef)
+	})
+}
+
+// drops returns the runs whose ends were dropped.
+func (w *lateWorker) drops() []link.RunRef {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.dropped)
+}
+
+// catch holds up the next poll that the catcher wants.
+func (w *lateWorker) catch(poll func(guard.Poll) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.catchPoll = poll
+}
+
+// catchAnyStart holds up the next start.
+func (w *lateWorker) catchAnyStart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.catchStart = func(guard.Command) bool { return true }
 }
 
 // held takes a call off the way if the catcher wants it; the caller gets no answer.
@@ -151,11 +187,12 @@
 func (s *birthScene) arrives() error {
 	s.t.Helper()
 	s.worker.mu.Lock()
-	defer s.worker.mu.Unlock()
-	if s.worker.arrive == nil {
+	carryOut := s.worker.arrive
+	s.worker.mu.Unlock()
+	if carryOut == nil {
 		s.t.Fatal("no call was held up")
 	}
-	return s.worker.arrive()
+	return carryOut()
 }
 
 // nowhere locates no owner.
@@ -184,26 +221,21 @@
 		s.startGuard(1000, firstBirth)
 		s.order(firstBirth, link.OwnerMessage{Start: []link.Start{first(0)}})
 		s.pass(2*runTime, firstBirth)
-		s.worker.catchPoll = func(q guard.Poll) bool { return q.AckedEnd > 0 }
+		s.worker.catch(func(q guard.Poll) bool { return q.AckedEnd > 0 })
 		s.order(firstBirth, link.OwnerMessage{AckedEnd: 1})
 		s.pass(time.Second, firstBirth)
 		s.reborn()
-		var dropped []link.RunRef
-		s.worker.Observe(func(e execstand.End) {
-			if e.Acknowledged && e.Incarnation == secondBirth {
-				dropped = append(dropped, e.RunRef)
-			}
-		})
+		s.worker.watchDrops(secondBirth)
 		s.order(secondBirth, link.OwnerMessage{Start: []link.Start{first(1)}})
 		s.pass(runTime/3, secondBirth)
 		err := s.arrives()
 		s.pass(2*runTime, secondBirth)
-		if len(dropped) > 0 || !fenced(err) {
+		if dropped := s.worker.drops(); len(dropped) > 0 || !fenced(err) {
 			t.Errorf("outcome of the late poll %v, the worker has dropped the ends of %v, which the owner hasn't seen", err, dropped)
 		}
 		s.order(secondBirth, link.OwnerMessage{AckedEnd: 1})
 		s.pass(time.Second, secondBirth)
-		if len(dropped) != 1 {
+		if dropped := s.worker.drops(); len(dropped) != 1 {
 			t.Errorf("dropped the ends of %v, want that of the run that the owner has acknowledged", dropped)
 		}
 		s.stopGuard()
@@ -216,7 +248,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newBirthScene(t)
 		s.startGuard(1000, firstBirth)
-		s.worker.catchStart = func(guard.Command) bool { return true }
+		s.worker.catchAnyStart()
 		s.order(firstBirth, link.OwnerMessage{Start: []link.Start{first(0)}})
 		s.pass(time.Second, firstBirth)
 		s.stopGuard()
@@ -243,7 +275,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newBirthScene(t)
 		s.startGuard(1000, firstBirth)
-		s.worker.catchStart = func(guard.Command) bool { return true }
+		s.worker.catchAnyStart()
 		s.order(firstBirth, link.OwnerMessage{Start: []link.Start{first(0)}})
 		s.pass(35*time.Second, firstBirth)
 		s.reborn()
