sched: crowdedTask reads the counts of the round, a move forgets the usage of its service only

The first running task of the fullest worker is the one that is moved now, in place of the last to be counted; TestReturnedWorkerGetsItsPart and the other tests of the package pass.

--- a/internal/sched/spread.go
+++ b/internal/sched/spread.go
@@ -82,7 +82,7 @@
 
 // noteMoved updates what is known in this round of where tasks are, after some of a step have come to a worker or gone.
 func (c *Core) noteMoved(s *step, w *worker, n int) {
-	clear(c.round.usages)
+	delete(c.round.usages, w.info.Service)
 	if p := c.round.places[s]; p != nil {
 		p.add(w, n)
 	}
@@ -141,7 +141,7 @@
 	for s := range c.openSteps() {
 		t := c.crowdedTask(s)
 		others := c.betterWorkers(now, t)
-		crowded += min(len(others), 1)
+		crowded += toInt(len(others) > 0)
 		switch {
 		case len(others) == 0:
 			s.crowdedSince = time.Time{}
@@ -171,14 +171,10 @@
 	if !s.spreads() {
 		return nil
 	}
-	held, most := map[string]int{}, 1
+	p, most := c.placesOf(s), 1
 	var found *task
 	for _, t := range s.tasks {
-		if !t.held() {
-			continue
-		}
-		held[t.worker]++
-		if n := held[t.worker]; n > most && t.state == stateRunning {
+		if n := p.workers[c.workers[t.worker]]; n > most && t.state == stateRunning {
 			found, most = t, n
 		}
 	}
