Let a job wait for the links of guards once, not with each owner (LOST)

Cause: since each new owner holds such tasks back until the guards of all workers that it knows from records are linked, for a second at most. Workers that have left for good never link, so that each owner waited for the whole second.

TestTasksStartWhileOwnersChange failed before: none of the tasks runs after ten owners of 0.9 s.

Now only jobs that were accepted less than a second ago wait: the wait is for a burst of new jobs, and a job that is older has waited for as long as guards take to link. Tests of sched and process pass, among them those of the late guard and of the owner's machine.

--- a/internal/sched/cell_spread_test.go
+++ b/internal/sched/cell_spread_test.go
@@ -140,6 +140,33 @@
 	}
 }
 
+// TestTasksStartWhileOwnersChange guards against tasks that last and don't start while owners change, with machines that take them: each
+// owner waited a second for the guard of a machine that is gone.
+func TestTasksStartWhileOwnersChange(t *testing.T) {
+	const ownerMS = 900
+	for _, tasks := range []int{1, 2, 4} {
+		t.Run(fmt.Sprint(tasks), func(t *testing.T) {
+			w := sceneWorld(6, nil)
+			w.runUntil(2000)
+			w.lose(1)
+			w.submitServing(3, tasks)
+			for range 10 {
+				w.touch(ownerMS)
+				w.newest().kill()
+				w.takeOver(0)
+				w.guardsFollow(100)
+				w.runUntil(w.now + ownerMS)
+			}
+			for _, id := range w.judge.ids {
+				if n := w.judge.jobs[id]; n.running < tasks {
+					t.Errorf("%d of %d tasks of %s run after ten owners", n.running, tasks, id)
+				}
+			}
+			w.reportAll(t)
+		})
+	}
+}
+
 // loseAllBut lets all machines but one go for good, with the owner; the one that is left takes the cell two seconds later.
 func (w *cellWorld) loseAllBut(n int) {
 	w.machines[0], w.machines[n] = w.machines[n], w.machines[0]
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -40,7 +40,7 @@
 	JobRetention time.Duration
 	// RecordBytes bounds a stored record with its key; 0 means no limit.
 	RecordBytes int
-	// LinkTime is how long after the beginning guards may take to link: tasks that are to be spread aren't placed before.
+	// LinkTime is how long after the beginning guards may take to link: tasks of new jobs that are to be spread aren't placed before.
 	LinkTime time.Duration
 	// Node names the guard whose process runs the core: its machine goes together with the owner.
 	Node string
--- a/internal/sched/spread.go
+++ b/internal/sched/spread.go
@@ -33,9 +33,10 @@
 func (s *step) spreads() bool { return s.spec.LongRunning && !s.spec.Gang }
 
 // awaitsGuards reports whether a step waits since the owner is new: the guards that link first must not get all of its tasks. It ends
-// once all workers that an earlier owner knew are linked; nobody knows which those of a new cell are.
+// once all workers that an earlier owner knew are linked; nobody knows which those of a new cell are. No job waits for longer
+// than LinkTime in all, or its tasks would never start while owners change.
 func (c *Core) awaitsGuards(now time.Time, s *step) bool {
-	if !s.spreads() || now.Sub(c.beganAt) >= c.opt.LinkTime {
+	if !s.spreads() || now.Sub(c.beganAt) >= c.opt.LinkTime || now.Sub(s.occ.job.acceptedAt) >= c.opt.LinkTime {
 		return false
 	}
 	return c.newCell || slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool { return !w.attached })
