Bound what a refusal and its log line repeat of a request

What callers saw: one legal body of 256 KiB with "steps":[{},{},...] was answered with 9.8 MB, one with "depends_on":[0,0,...] with 16.5 MB; a body of 1 MiB on the product's own interface with 66 MB. The entry took 89 and 125 MB for one, 711 and 418 MB for eight at once, and wrote 4 to 7 MB of log for each.

Cause: checks add one finding for each element of a list that is wrong, and every finding goes into the answer twice (findings, detail) and into the log line once more. The same list serves settings, operators' configuration and the node's own interface.

--- a/internal/finding/finding.go
+++ b/internal/finding/finding.go
@@ -4,6 +4,14 @@
 import (
 	"fmt"
 	"strings"
+	"unicode/utf8"
+)
+
+const (
+	// MaxListed is how many findings a List holds; one more stands for all further ones.
+	MaxListed = 16
+	// MaxText bounds each text of a finding, in bytes.
+	MaxText = 200
 )
 
 // Finding is one problem and its location.
@@ -14,6 +22,8 @@
 	Value string `json:"value,omitempty"`
 	// Problem describes the problem in one short sentence.
 	Problem string `json:"problem"`
+	// more is the number of findings that this one stands for; 0 for one of its own.
+	more int
 }
 
 // String formats the finding on one line.
@@ -27,9 +37,32 @@
 // List holds findings in the order in which they were added. The zero value is ready to use.
 type List []Finding
 
-// Add appends one finding; the problem is formatted as by fmt.Sprintf.
+// Add appends one finding; the problem is formatted as by fmt.Sprintf. A list that holds MaxListed findings counts it in
+// one more, which has the place of the first that is counted.
 func (l *List) Add(place, value, format string, args ...any) {
-	*l = append(*l, Finding{Place: place, Value: value, Problem: fmt.Sprintf(format, args...)})
+	switch last := len(*l) - 1; {
+	case last >= 0 && (*l)[last].more > 0:
+		f := &(*l)[last]
+		f.more++
+		f.Problem = fmt.Sprintf("%d more problems from here on", f.more)
+	case last >= MaxListed-1:
+		*l = append(*l, Finding{Place: Brief(place, MaxText), Problem: "1 more problem", more: 1})
+	default:
+		*l = append(*l, Finding{Place: Brief(place, MaxText), Value: Brief(value, MaxText), Problem: Brief(fmt.Sprintf(format, args...), MaxText)})
+	}
+}
+
+// Brief returns a text of at most limit bytes, or its beginning and how much it lacks. It is for texts that repeat what
+// others have sent.
+func Brief(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	cut := limit
+	for cut > 0 && !utf8.RuneStart(text[cut]) {
+		cut--
+	}
+	return fmt.Sprintf("%s... (%d bytes more)", text[:cut], len(text)-cut)
 }
 
 // Err returns nil when the list is empty and an *Error otherwise.
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -27,8 +27,12 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// maxDetail bounds the detail of a problem, in bytes: it names what is wrong and doesn't repeat what was sent.
+const maxDetail = 2 << 10
+
 // WriteProblem sends a response with a problem body and the problem's status.
 func WriteProblem(w http.ResponseWriter, p Problem) {
+	p.Detail = finding.Brief(p.Detail, maxDetail)
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
