Bound what the clients of each listener hold of a process

What callers saw: a process that ran out of memory, or had no descriptor left for the store and the balancer's check, because of clients that send large bodies without an end, headers without an end, or nothing, and stay.

Cause: no listener of an entry or a guard bounded its clients. A body had no time limit, and after a refusal the server waited for the rest of it without one; headers could have 1 MiB each; the number of connections and the memory of requests had no bound at all, and [limits] of the settings wasn't read.

Change: internal/ingress in front of every listener, of both roles and of the product's own interface. A body has until the request's deadline, 30 s at most; an answer before the body's end doesn't wait for the rest; headers have 64 KiB; what isn't read in 10 s ends the connection. 503 with Retry-After when nobody can make room: the request isn't handled.

TestSlowRequestInCalm held before and holds.

Why it works: the bounds hold after every step of the table (TestTableKeepsItsBounds, random histories), whatever clients do; and an ordinary client sends a request in one go, so that it is never the one that has stalled for longest.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -22,6 +22,7 @@
 	JobSubmitted          Message = "job submitted"
 	JobCancelled          Message = "job cancelled"
 	RequestRefused        Message = "request refused"
+	ClientsTurnedAway     Message = "clients turned away"
 	StoreLost             Message = "store lost"
 	StoreRegained         Message = "store regained"
 	StoreSlow             Message = "store slow"
@@ -116,6 +117,7 @@
 	{JobSubmitted, "info", "entry", "front", []string{"job", "queue", "version", "err"}, "a submission was answered; without err the job is accepted"},
 	{JobCancelled, "info", "entry", "front", []string{"job", "found", "err"}, "a cancellation was answered; without err it is stored"},
 	{RequestRefused, "info", "entry", "front", []string{"method", "path", "status", "reason"}, "a request was answered with an error status"},
+	{ClientsTurnedAway, "warn", "all", "ingress", []string{"listener", "closed", "refused", "connections", "memory_bytes"}, "a listener's clients take more connections or memory than they may: connections closed whose clients made no progress, and connections and requests that were refused, since the line before; what is taken now"},
 	{StoreLost, "warn", "entry", "intake", []string{"unknown", "err"}, "no way to the store is known; jobs are refused at once. unknown is the number of records that may or may not be stored"},
 	{StoreRegained, "info", "entry", "intake", []string{}, "jobs are accepted again"},
 	{StoreSlow, "warn", "entry", "intake", []string{}, "the store answers and takes long for appends; jobs are stored through the owner, in common appends of all entries"},
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -52,7 +52,7 @@
 
 // dirs are the directories of the programs that run on a platform; every line they log must be listed.
 var dirs = []string{
-	"../guard", "../owner", "../ownership", "../intake", "../queues", "../directory", "../process", "../sched", "../../platform",
+	"../guard", "../owner", "../ownership", "../intake", "../queues", "../directory", "../process", "../sched", "../ingress", "../../platform",
 }
 
 // call is a call of a logger in the source code.
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -33,7 +33,7 @@
 func submit(w http.ResponseWriter, r *http.Request, in *intake.Intake) {
 	var s job.Spec
 	if err := jsonhttp.Read(w, r, maxBody, &s); err != nil {
-		jsonhttp.WriteError(w, http.StatusBadRequest, err)
+		jsonhttp.ReadError(w, err)
 		return
 	}
 	s.AcceptedMS = time.Now().UnixMilli()
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/crocusspring/crocusspring/internal/finding"
+	"github.com/crocusspring/crocusspring/internal/ingress"
 )
 
 // Problem is the body of every response that reports an error (after RFC 9457).
@@ -50,9 +51,21 @@
 
 // Read decodes a JSON request body of at most limit bytes.
 func Read(w http.ResponseWriter, r *http.Request, limit int64, into any) error {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
-	if err := dec.Decode(into); err != nil {
+	data, err := ingress.ReadBody(w, r, limit)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
 		return fmt.Errorf("decode body: %w", err)
 	}
 	return nil
 }
+
+// ReadError sends the problem response to a request whose body Read didn't return.
+func ReadError(w http.ResponseWriter, err error) {
+	status := ingress.Status(err)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	WriteError(w, status, err)
+}
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/crocusspring/crocusspring/internal/ingress"
 )
 
 const (
@@ -91,20 +93,11 @@
 
 // readBody reads the whole body within the shorter of the given time and maxBodyTime.
 func readBody(w http.ResponseWriter, r *http.Request, limit time.Duration) ([]byte, error) {
-	if r.ContentLength > maxRequestBody {
-		return nil, newBadRequest(http.StatusRequestEntityTooLarge, "body has %d bytes, at most %d are taken", r.ContentLength, maxRequestBody)
-	}
-	// Test recorders have no connection to set a deadline on; the size of the body is bounded all the same.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(min(limit, maxBodyTime)))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, newBadRequest(http.StatusRequestEntityTooLarge, "body is too large, at most %d bytes are taken", maxRequestBody)
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return nil, newBadRequest(http.StatusRequestTimeout, "body did not arrive in time: %w", err)
+	ctx, cancel := context.WithTimeout(r.Context(), min(limit, maxBodyTime))
+	defer cancel()
+	body, err := ingress.ReadBody(w, r.WithContext(ctx), maxRequestBody)
+	if err != nil {
+		return nil, &badRequest{ingress.Status(err), err}
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocusspring/crocusspring/internal/claimrun"
 	"github.com/crocusspring/crocusspring/internal/dispatch"
+	"github.com/crocusspring/crocusspring/internal/ingress"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/retry"
 	"github.com/crocusspring/crocusspring/internal/targetapi"
@@ -45,6 +46,10 @@
 	}
 	defer n.admission.release(reserved)
 	q, c, err := n.parseCall(w, r, began)
+	if errors.Is(err, ingress.ErrNoRoom) {
+		n.writeReply(w, dispatch.Reply{Outcome: targetapi.NotRun, Reason: err.Error(), RetryAfter: overloadRetryAfter})
+		return
+	}
 	if err != nil {
 		status := http.StatusBadRequest
 		var b *badRequest
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -35,7 +35,7 @@
 func (n *Node) announce(w http.ResponseWriter, r *http.Request) {
 	var a announce.Announcement
 	if err := jsonhttp.Read(w, r, maxRequestBody, &a); err != nil {
-		jsonhttp.WriteError(w, http.StatusBadRequest, err)
+		jsonhttp.ReadError(w, err)
 		return
 	}
 	if err := a.Check(); err != nil {
--- a/internal/node/jobcancel.go
+++ b/internal/node/jobcancel.go
@@ -11,6 +11,7 @@
 	"github.com/crocusspring/crocusspring/internal/chart"
 	"github.com/crocusspring/crocusspring/internal/configrun"
 	"github.com/crocusspring/crocusspring/internal/finding"
+	"github.com/crocusspring/crocusspring/internal/ingress"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/record"
@@ -39,7 +40,7 @@
 func (n *Node) serveCancel(w http.ResponseWriter, r *http.Request) {
 	var q cancelRequest
 	if err := jsonhttp.Read(w, r, maxRequestBody, &q); err != nil {
-		failed(http.StatusBadRequest, targetapi.NotRun, err).write(w)
+		failed(ingress.Status(err), targetapi.NotRun, err).write(w)
 		return
 	}
 	if len(q.Jobs) == 0 || len(q.Jobs) > maxCancelled {
--- a/internal/node/jobhttp.go
+++ b/internal/node/jobhttp.go
@@ -11,6 +11,7 @@
 	"github.com/crocusspring/crocusspring/internal/cell"
 	"github.com/crocusspring/crocusspring/internal/chart"
 	"github.com/crocusspring/crocusspring/internal/finding"
+	"github.com/crocusspring/crocusspring/internal/ingress"
 	"github.com/crocusspring/crocusspring/internal/jsonhttp"
 	"github.com/crocusspring/crocusspring/internal/operator"
 	"github.com/crocusspring/crocusspring/internal/record"
@@ -56,7 +57,7 @@
 func (n *Node) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	var q submitRequest
 	if err := jsonhttp.Read(w, r, maxRequestBody, &q); err != nil {
-		failed(http.StatusBadRequest, targetapi.NotRun, err).write(w)
+		failed(ingress.Status(err), targetapi.NotRun, err).write(w)
 		return
 	}
 	if err := q.check(); err != nil {
--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusspring/crocusspring/internal/app"
 	"github.com/crocusspring/crocusspring/internal/finding"
+	"github.com/crocusspring/crocusspring/internal/ingress"
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/operator"
@@ -27,8 +28,10 @@
 	share   int64
 	appends int64
 	ops     string
-	tls     tlsconf.Files
-	opt     Options
+	// memoryMB and descriptors are those of the machine.
+	memoryMB, descriptors int64
+	tls                   tlsconf.Files
+	opt                   Options
 }
 
 // add declares the flags in a set.
@@ -56,9 +59,14 @@
 	s.Duration(&f.opt.TaskLease, "task-lease", d.TaskLease, time.Second, time.Minute, "how long a task runs without its owner")
 	s.Duration(&f.opt.SyncEvery, "sync-every", d.SyncEvery, 10*time.Millisecond, time.Minute, "time between two syncs with a worker")
 	s.Duration(&f.opt.Drain, "drain", d.Drain, 0, 10*time.Minute, "how long a graceful stop waits for requests in progress")
+	s.Int(&f.memoryMB, "memory-mb", defaultMemoryMB, 64, 1<<20, "memory that the process may take, in MB; it bounds what requests hold")
+	s.Int(&f.descriptors, "max-fds", 0, 0, 1<<20, "file descriptors that the process may take, 200 of them for files; it bounds connections. 0 for the limit of the process")
 	f.CommonFlags.Add(s)
 }
 
+// defaultMemoryMB is the memory that a process may take, in MB, if the settings don't say.
+const defaultMemoryMB = 1024
+
 // Main is the main function of a node's binary; it returns the exit code.
 func Main(role Role, args []string, stdout, stderr io.Writer) int {
 	f := flags{opt: Options{Role: role}}
@@ -67,6 +75,7 @@
 	if code, done := app.Parse(s, &f.CommonFlags, args, stdout, stderr); done {
 		return code
 	}
+	f.opt.Machine = ingress.NewMachine(f.memoryMB<<20, int(f.descriptors))
 	f.opt.Share, f.opt.LogAppends = int(f.share), int(f.appends)
 	f.opt.Peers = slices.DeleteFunc(f.opt.Peers, func(p string) bool { return p == f.listen || p == f.opt.Advertise })
 	if err := f.loadSecurity(); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/crocusspring/crocusspring/internal/config"
 	"github.com/crocusspring/crocusspring/internal/configrun"
 	"github.com/crocusspring/crocusspring/internal/dispatch"
+	"github.com/crocusspring/crocusspring/internal/ingress"
 	"github.com/crocusspring/crocusspring/internal/logs"
 	"github.com/crocusspring/crocusspring/internal/logsvc"
 	"github.com/crocusspring/crocusspring/internal/members"
@@ -78,6 +79,8 @@
 	TLS *tlsconf.Reloader `json:"-"`
 	// Drain is how long a graceful stop waits for requests in progress.
 	Drain time.Duration
+	// Machine is what the machine leaves to the process.
+	Machine ingress.Machine
 }
 
 // Ports are the clients for the external systems of a node.
@@ -89,6 +92,10 @@
 	Dial netdial.Func
 }
 
+// shareAll is the share of the only listener in the machine: the other half is for calls to targets, workers, the log and
+// other nodes.
+var shareAll = ingress.Share{Name: "node", Sockets: 16, Memory: 12, LargestBody: maxRequestBody}
+
 // Node is one running entry or guard. Use New to make one.
 type Node struct {
 	opt       Options
@@ -234,13 +241,17 @@
 // and when a component fails.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	n.newRequests(l.Addr())
+	n.opt.Machine.BoundGarbage()
+	gate := n.opt.Machine.Gate(shareAll, n.metrics, logs.Part(n.lg, "ingress"))
+	l = gate.Listen(l)
 	if n.opt.TLS != nil {
 		l = tls.NewListener(l, n.opt.TLS.Server())
 	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, run := errgroup.WithContext(run)
-	srv := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 4 * maxHeader, IdleTimeout: idleTimeout}
+	srv := gate.Server(n.Handler())
+	srv.ReadHeaderTimeout, srv.IdleTimeout = headerTimeout, idleTimeout
 	g.Go(func() error { n.config.Run(run); return nil })
 	g.Go(func() error { n.audit.Run(run); return nil })
 	g.Go(func() error { n.members.Run(run); return nil })
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -55,7 +55,7 @@
 func (n *Node) propose(w http.ResponseWriter, r *http.Request, o operator.Operator) {
 	var req proposeRequest
 	if err := jsonhttp.Read(w, r, maxRequestBody, &req); err != nil {
-		jsonhttp.WriteError(w, http.StatusBadRequest, err)
+		jsonhttp.ReadError(w, err)
 		return
 	}
 	if len(n.operators()) > 0 || req.By == "" {
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -30,8 +30,11 @@
 // it, whereas they would answer that a path which they don't know isn't found.
 const queryConfirm = "confirm"
 
-// maxBodyBytes bounds the body of a relayed append, a takeover notice or an answer, in bytes.
-const maxBodyBytes = 4 << 20
+const (
+	// maxBodyBytes bounds the body of a relayed append or of an answer, in bytes, maxNoticeBytes that of a takeover notice.
+	maxBodyBytes   = 4 << 20
+	maxNoticeBytes = 64 << 10
+)
 
 // Routes registers the handlers that an owner serves to guards and entries.
 func (c *Cell) Routes(mux *http.ServeMux) {
@@ -76,7 +79,7 @@
 func (c *Cell) serveRelay(w http.ResponseWriter, r *http.Request) {
 	var records []store.Record
 	if err := jsonhttp.Read(w, r, maxBodyBytes, &records); err != nil {
-		jsonhttp.WriteError(w, http.StatusBadRequest, err)
+		jsonhttp.ReadError(w, err)
 		return
 	}
 	err := c.relayed.Append(r.Context(), records)
@@ -109,8 +112,8 @@
 func ServeTakeover(lease *ownership.Runner) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var l ownership.Lease
-		if err := jsonhttp.Read(w, r, maxBodyBytes, &l); err != nil {
-			jsonhttp.WriteError(w, http.StatusBadRequest, err)
+		if err := jsonhttp.Read(w, r, maxNoticeBytes, &l); err != nil {
+			jsonhttp.ReadError(w, err)
 			return
 		}
 		lease.ObserveAnnounced(l)
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -125,11 +125,12 @@
 	mux := http.NewServeMux()
 	cell.Routes(mux)
 	mux.HandleFunc("POST "+owner.TakeoverPath, owner.ServeTakeover(lease))
-	server := newServer(mux)
+	gate := common.gate(shareLinks)
+	server := gate.Server(mux)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	c.runPart(ctx, &n.done, func(context.Context) error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(gate.Listen(l)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"hash/fnv"
-	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +17,7 @@
 	"github.com/crocusspring/crocusspring/internal/drains"
 	"github.com/crocusspring/crocusspring/internal/event"
 	"github.com/crocusspring/crocusspring/internal/guard"
+	"github.com/crocusspring/crocusspring/internal/ingress"
 	"github.com/crocusspring/crocusspring/internal/intake"
 	"github.com/crocusspring/crocusspring/internal/jobapi"
 	"github.com/crocusspring/crocusspring/internal/link"
@@ -63,10 +62,6 @@
 	// readyLag is how long a stopping entry goes on serving after it reports that it is not ready: the load
 	// balancer checks once per second and removes a process after two failed checks.
 	readyLag = 2500 * time.Millisecond
-	// headerTimeout bounds the reading of a request's headers, idleTimeout the time a connection stays
-	// open without a request.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 30 * time.Second
 	// leaveTimeout bounds the release of the cell during a stop.
 	leaveTimeout = 500 * time.Millisecond
 )
@@ -76,6 +71,8 @@
 	// Node names this process; Inner is its address for traffic between nodes.
 	Node, Inner string
 	Store       store.Store
+	// Machine is what the machine leaves to the process.
+	Machine ingress.Machine
 	// JobRetention is how long the state of an ended job can be queried.
 	JobRetention time.Duration
 	// Reload is called on SIGHUP and when the settings have changed. Changed reports whether they have
@@ -103,7 +100,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", c.Metrics.Handler())
-	serve(ctx, grp, newServer(mux), c.MetricsAddr)
+	c.serve(ctx, grp, mux, c.MetricsAddr, shareMetrics)
 }
 
 // schedOptions returns the parameters of the scheduler.
@@ -143,13 +140,12 @@
 func RunEntry(e EntryOptions) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	e.Machine.BoundGarbage()
 	lease := e.lease(false)
 	tables := queues.NewFollower(e.Store, e.Queues, e.scope(), e.Log.WithPrefix("config"))
 	peers := directory.NewFollower(e.Store, e.Inner)
 	in := intake.New(e.Store, owner.NewClient(), lease, peers, e.scope(), e.Log.WithPrefix("intake"))
-	front := newServer(e.Handler(tables, in))
 	stopping := make(chan struct{})
-	ready := newServer(readiness(tables, in, stopping))
 	inner := http.NewServeMux()
 	inner.HandleFunc("POST "+owner.TakeoverPath, owner.ServeTakeover(lease))
 	jobapi.Routes(inner, in)
@@ -160,9 +156,9 @@
 	grp.Go(func() error { return tables.Run(ctx) })
 	grp.Go(func() error { return peers.Run(ctx) })
 	e.serveMetrics(ctx, grp)
-	serve(ctx, grp, front, e.Front)
-	serve(ctx, grp, ready, e.Ready)
-	serve(ctx, grp, newServer(inner), e.Inner)
+	front := e.serve(ctx, grp, e.Handler(tables, in), e.Front, shareFront)
+	e.serve(ctx, grp, readiness(tables, in, stopping), e.Ready, shareReady)
+	e.serve(ctx, grp, inner, e.Inner, shareInner)
 	grp.Go(func() error {
 		if err := e.waitForStop(ctx); err != nil {
 			return err
@@ -190,29 +186,6 @@
 	return err
 }
 
-// newServer returns a server with timeouts that keep slow or idle clients from holding connections.
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-}
-
-// serve serves on an address until the context ends or the server is shut down.
-func serve(ctx context.Context, grp *errgroup.Group, s *http.Server, addr string) {
-	grp.Go(func() error {
-		<-ctx.Done()
-		return s.Close()
-	})
-	grp.Go(func() error {
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve on %s: %w", addr, err)
-		}
-		return nil
-	})
-}
-
 // readiness returns the handler of readiness checks. The process is ready from the time it has a queue
 // configuration until it receives a signal to stop, except while it knows no way to the store.
 func readiness(tables *queues.Follower, in *intake.Intake, stopping <-chan struct{}) http.Handler {
@@ -294,6 +267,7 @@
 func RunGuard(g GuardOptions) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	g.Machine.BoundGarbage()
 	lease := g.lease(true)
 	cell := owner.New(g.schedOptions(), g.Store, lease, g.Adviser, g.scope(), g.Log.WithPrefix("cell"))
 	cell.UseClock(g.Clock)
@@ -311,8 +285,8 @@
 	inner.HandleFunc("POST "+owner.TakeoverPath, owner.ServeTakeover(lease))
 	g.Log.Info(event.ProcessStarted, "node", g.Node, "control", g.Control, "inner", g.Inner)
 	g.serveMetrics(ctx, grp)
-	serve(ctx, grp, newServer(inner), g.Inner)
-	serve(ctx, grp, newServer(g.Announcements(local.Describe)), g.Control)
+	g.serve(ctx, grp, inner, g.Inner, shareLinks)
+	g.serve(ctx, grp, g.Announcements(local.Describe), g.Control, shareControl)
 	grp.Go(func() error { return lease.Run(ctx) })
 	grp.Go(func() error { return directory.Register(ctx, g.Store, g.Node, g.Inner, g.Log.WithPrefix("directory")) })
 	grp.Go(func() error { return cell.Run(ctx) })
