Count the values of a body before it is decoded

What callers saw: after the bound on refusals one legal body of 256 KiB still became many times its size: `{}` is a step of 230 bytes in two lists, `0` a number of 8, on every path that decodes a list. A label of bytes that aren't text became three times as long when it was decoded and six times when it was stored: 8 such bodies took 67 MB of an entry.

Cause: lists were decoded whole before their length was looked at, and a label, a rack or an image had no bound.

Change: jsonhttp.CheckValues counts members and elements of all lists and objects in the text, without decoding it: 8,192 for a job of steps (64 steps, with all their members and a dependency on each earlier step, need half of it), 4,096 for records that nodes relay, 64 for a takeover notice, 65,536 else. A step's names have at most 1,000 bytes in a submission; stored jobs may have longer ones.

Why it works: what a value takes when it is decoded is bounded by its type, so that their number bounds the whole, whatever the list; the scan takes no memory.

--- a/internal/job/check.go
+++ b/internal/job/check.go
@@ -18,6 +18,12 @@
 	// MaxSteps and MaxTasks bound the size of a job.
 	MaxSteps = 64
 	MaxTasks = 5000
+	// MaxValues bounds the JSON values of a job's text: what MaxSteps steps need, with a dependency on each earlier one.
+	MaxValues = MaxSteps * (MaxSteps + maxMembers)
+	// MaxName bounds each name in a step that is submitted: a label, a rack, an image, in bytes.
+	MaxName = 1000
+	// maxMembers bounds the members of a step.
+	maxMembers = 64
 	// MaxOccurrences bounds how often a job runs, and MaxOpenTasks the tasks of all its occurrences together: all of
 	// them may be due at once, and the owner holds each open task in memory.
 	MaxOccurrences = 10_000
@@ -35,11 +41,9 @@
 	if len(s.Payload) > MaxPayload {
 		l.Add("/payload", "", "has %d bytes, at most %d are allowed", len(s.Payload), MaxPayload)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
-		l.Add("/steps", "", "must have 1 to %d steps, has %d", MaxSteps, len(s.Steps))
-	}
+	checkSteps(&l, len(s.Steps))
 	tasks := 0
-	for i := range s.Steps {
+	for i := range s.Steps[:min(len(s.Steps), MaxSteps)] {
 		s.Steps[i].check(&l, i)
 		// A count out of range has a finding of its own; the sum must not overflow.
 		tasks += min(max(0, s.Steps[i].Count), MaxTasks)
@@ -59,6 +63,37 @@
 	return l.Err()
 }
 
+// CheckSteps returns why a job can't have n steps, or nil.
+func CheckSteps(n int) error {
+	var l finding.List
+	checkSteps(&l, n)
+	return l.Err()
+}
+
+// checkSteps adds a finding if a job can't have n steps.
+func checkSteps(l *finding.List, n int) {
+	if n == 0 || n > MaxSteps {
+		l.Add("/steps", "", "must have 1 to %d steps, has %d", MaxSteps, n)
+	}
+}
+
+// CheckNames returns why a job with such names isn't taken from a client, or nil. A job that is stored already may have
+// longer ones.
+func (s *Spec) CheckNames() error {
+	var l finding.List
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		for _, name := range []struct{ field, value string }{
+			{"requires", step.Requires}, {"data_rack", step.DataRack}, {"image", step.Image},
+		} {
+			if len(name.value) > MaxName {
+				l.Add(fmt.Sprintf("/steps/%d/%s", i, name.field), "", "has %d bytes, at most %d are allowed", len(name.value), MaxName)
+			}
+		}
+	}
+	return l.Err()
+}
+
 // reservedIDs are keys of other records beside the progress of jobs.
 var reservedIDs = []string{"learned", "owner"}
 
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -32,12 +32,12 @@
 // submit checks and stores a job. The same job may safely be submitted again.
 func submit(w http.ResponseWriter, r *http.Request, in *intake.Intake) {
 	var s job.Spec
-	if err := jsonhttp.Read(w, r, maxBody, &s); err != nil {
+	if err := jsonhttp.Read(w, r, maxBody, job.MaxValues, &s); err != nil {
 		jsonhttp.ReadError(w, err)
 		return
 	}
 	s.AcceptedMS = time.Now().UnixMilli()
-	if err := s.Check(); err != nil {
+	if err := errors.Join(s.Check(), s.CheckNames()); err != nil {
 		jsonhttp.WriteError(w, http.StatusBadRequest, err)
 		return
 	}
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -49,18 +49,44 @@
 	WriteProblem(w, p)
 }
 
-// Read decodes a JSON request body of at most limit bytes.
-func Read(w http.ResponseWriter, r *http.Request, limit int64, into any) error {
+// MaxValues is the number of values in a body that no request with a reason for more needs; see CheckValues.
+const MaxValues = 64 << 10
+
+// Read decodes a JSON request body of at most limit bytes and values values; see CheckValues.
+func Read(w http.ResponseWriter, r *http.Request, limit int64, values int, into any) error {
 	data, err := ingress.ReadBody(w, r, limit)
 	if err != nil {
 		return err
 	}
+	if err := CheckValues(data, values); err != nil {
+		return err
+	}
 	if err := json.Unmarshal(data, into); err != nil {
 		return fmt.Errorf("decode body: %w", err)
 	}
 	return nil
 }
 
+// CheckValues returns an error if a JSON text holds more than limit values: elements and members, of all lists and objects
+// together. The decoded form of a value may take many times the two bytes that it has at least.
+func CheckValues(data []byte, limit int) error {
+	values, inString := 0, false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case inString && c == '\\':
+			i++
+		case c == '"':
+			inString = !inString
+		case !inString && (c == ',' || c == '[' || c == '{'):
+			values++
+		}
+		if values > limit {
+			return fmt.Errorf("decode body: more than %d values up to byte %d", limit, i)
+		}
+	}
+	return nil
+}
+
 // ReadError sends the problem response to a request whose body Read didn't return.
 func ReadError(w http.ResponseWriter, err error) {
 	status := ingress.Status(err)
--- a/internal/jsonhttp/jsonhttp_test.go
+++ b/internal/jsonhttp/jsonhttp_test.go
@@ -16,3 +16,26 @@
 		t.Errorf("status %d with %d bytes", rec.Code, rec.Body.Len())
 	}
 }
+
+// TestCheckValues checks what counts as a value, and that text in strings doesn't.
+func TestCheckValues(t *testing.T) {
+	for _, c := range []struct {
+		text   string
+		values int
+	}{
+		{`7`, 0},
+		{`{}`, 1},
+		{`{"a":1,"b":[1,2,3]}`, 5},
+		{`[{},{},{}]`, 6},
+		{`{"a":"[,{\"[,{"}`, 1},
+		{`["\\",1]`, 2},
+		{`["` + strings.Repeat("[", 100), 1},
+	} {
+		if err := CheckValues([]byte(c.text), c.values); err != nil {
+			t.Errorf("%s: %v", c.text, err)
+		}
+		if c.values > 0 && CheckValues([]byte(c.text), c.values-1) == nil {
+			t.Errorf("%s counts as fewer than %d values", c.text, c.values)
+		}
+	}
+}
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -34,7 +34,7 @@
 // announce serves the announcement of a target or worker.
 func (n *Node) announce(w http.ResponseWriter, r *http.Request) {
 	var a announce.Announcement
-	if err := jsonhttp.Read(w, r, maxRequestBody, &a); err != nil {
+	if err := jsonhttp.Read(w, r, maxRequestBody, jsonhttp.MaxValues, &a); err != nil {
 		jsonhttp.ReadError(w, err)
 		return
 	}
--- a/internal/node/jobcancel.go
+++ b/internal/node/jobcancel.go
@@ -39,7 +39,7 @@
 // serveCancel cancels a list of jobs.
 func (n *Node) serveCancel(w http.ResponseWriter, r *http.Request) {
 	var q cancelRequest
-	if err := jsonhttp.Read(w, r, maxRequestBody, &q); err != nil {
+	if err := jsonhttp.Read(w, r, maxRequestBody, jsonhttp.MaxValues, &q); err != nil {
 		failed(ingress.Status(err), targetapi.NotRun, err).write(w)
 		return
 	}
--- a/internal/node/jobhttp.go
+++ b/internal/node/jobhttp.go
@@ -56,7 +56,7 @@
 // serveSubmit serves the submission of a job.
 func (n *Node) serveSubmit(w http.ResponseWriter, r *http.Request) {
 	var q submitRequest
-	if err := jsonhttp.Read(w, r, maxRequestBody, &q); err != nil {
+	if err := jsonhttp.Read(w, r, maxRequestBody, jsonhttp.MaxValues, &q); err != nil {
 		failed(ingress.Status(err), targetapi.NotRun, err).write(w)
 		return
 	}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -54,7 +54,7 @@
 // propose publishes one configuration record and answers with the verdict.
 func (n *Node) propose(w http.ResponseWriter, r *http.Request, o operator.Operator) {
 	var req proposeRequest
-	if err := jsonhttp.Read(w, r, maxRequestBody, &req); err != nil {
+	if err := jsonhttp.Read(w, r, maxRequestBody, jsonhttp.MaxValues, &req); err != nil {
 		jsonhttp.ReadError(w, err)
 		return
 	}
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -31,9 +31,13 @@
 const queryConfirm = "confirm"
 
 const (
-	// maxBodyBytes bounds the body of a relayed append or of an answer, in bytes, maxNoticeBytes that of a takeover notice.
+	// maxBodyBytes bounds the body of a relayed append or of an answer, in bytes, maxRelayValues the values of an append,
+	// which has some for each of a hundred records.
 	maxBodyBytes   = 4 << 20
-	maxNoticeBytes = 64 << 10
+	maxRelayValues = 4 << 10
+	// maxNoticeBytes and maxNoticeValues bound the body of a takeover notice.
+	maxNoticeBytes  = 64 << 10
+	maxNoticeValues = 64
 )
 
 // Routes registers the handlers that an owner serves to guards and entries.
@@ -78,7 +82,7 @@
 // serveRelay appends jobs for an entry to which the store doesn't answer, or answers slowly.
 func (c *Cell) serveRelay(w http.ResponseWriter, r *http.Request) {
 	var records []store.Record
-	if err := jsonhttp.Read(w, r, maxBodyBytes, &records); err != nil {
+	if err := jsonhttp.Read(w, r, maxBodyBytes, maxRelayValues, &records); err != nil {
 		jsonhttp.ReadError(w, err)
 		return
 	}
@@ -112,7 +116,7 @@
 func ServeTakeover(lease *ownership.Runner) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var l ownership.Lease
-		if err := jsonhttp.Read(w, r, maxNoticeBytes, &l); err != nil {
+		if err := jsonhttp.Read(w, r, maxNoticeBytes, maxNoticeValues, &l); err != nil {
 			jsonhttp.ReadError(w, err)
 			return
 		}
