Open accepted jobs only as far as the owner has memory for their tasks

What callers saw: legal jobs, sent whole and accepted, ended the guard that owned the cell, then the next one, since each new owner loads the same jobs.

Cause: the owner made a structure for each task of a job when the job was accepted, 4,992 of them for 8 kB of body, and kept those of ended jobs for as long as their state can be asked for.

Change: an occurrence of a job is opened only while all open tasks are within 8/32 of the machine's memory at 1 KiB each; small jobs may go over it by half, one is always opened. Jobs that wait are as accepted: queued, counted as waiting, cancelled like others, and opened in the order of the queues. Tasks of an ended job are dropped when nothing can be heard of them.

Why it works: a job that isn't opened is the same state as a scheduled job that isn't due, which every part of the scheduler knows; what a successor finds stored is the same too.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,7 @@
 	LinkRefused           Message = "link refused"
 	LinkEnded             Message = "link ended"
 	Accept                Message = "accept"
+	Defer                 Message = "defer"
 	Place                 Message = "place"
 	End                   Message = "end"
 	LeaseExpired          Message = "lapse"
@@ -143,6 +144,7 @@
 	{LinkRefused, "warn", "guard", "cell", []string{"err"}, "a guard's connection couldn't be accepted"},
 	{LinkEnded, "warn", "guard", "cell", []string{"guard", "worker", "peer", "err"}, "a guard's connection has ended; the lease of its runs expires unless the guard reconnects in time"},
 	{Accept, "info", "guard", "cell", decisionFields, "the owner learned of a job; age is the time since its acceptance"},
+	{Defer, "info", "guard", "cell", decisionFields, "a job's tasks wait until the owner has memory for them: their number, those held, and the limit"},
 	{Place, "info", "guard", "cell", decisionFields, "a task is placed on a worker as a run: the worker's free and unused CPU in thousandths of a core, its pace in percent, the time left to the objective; of a step that lasts how many of its tasks the worker has now, and whether it is beside the owner"},
 	{End, "info", "guard", "cell", decisionFields, "a run has ended: outcome, percent done, how long the worker had it"},
 	{LeaseExpired, "info", "guard", "cell", decisionFields, "the lease of a worker's runs is known to have expired"},
--- a/internal/ingress/machine.go
+++ b/internal/ingress/machine.go
@@ -36,8 +36,8 @@
 	return m
 }
 
-// withDefaults returns the machine with defaults for zero values.
-func (m Machine) withDefaults() Machine {
+// WithDefaults returns the machine with defaults for zero values.
+func (m Machine) WithDefaults() Machine {
 	if m.Memory <= 0 {
 		m.Memory = DefaultMemory
 	}
@@ -55,7 +55,7 @@
 // is in use: gates bound that.
 func (m Machine) BoundGarbage() {
 	const numerator, denominator = 4, 5
-	debug.SetMemoryLimit(m.withDefaults().Memory / denominator * numerator)
+	debug.SetMemoryLimit(m.WithDefaults().Memory / denominator * numerator)
 }
 
 // ShareUnit is the unit of a share: a 32nd of the machine's memory or sockets.
@@ -74,7 +74,7 @@
 
 // Gate returns the gate of a listener that has a share of the machine.
 func (m Machine) Gate(s Share, scope tally.Scope, l *log.Logger) *Gate {
-	m = m.withDefaults()
+	m = m.WithDefaults()
 	return New(s.Name, Limits{
 		Connections: int(int64(m.Sockets) * s.Sockets / ShareUnit),
 		Memory:      max(m.Memory*s.Memory/ShareUnit, requestMemory(s.LargestBody)),
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -109,6 +109,15 @@
 // Scheduled reports whether the job has a schedule.
 func (s *Spec) Scheduled() bool { return s.Schedule.Count > 0 }
 
+// Tasks returns the number of tasks of one occurrence.
+func (s *Spec) Tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(1, s.Schedule.Count) }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -370,6 +370,9 @@
 // recordMetrics exports the age of the view and the scheduler's time samples as metrics. The caller holds the lock.
 func (c *Cell) recordMetrics() {
 	c.scope.Gauge("view_age_seconds").Update(time.Since(c.jobsReadAt).Seconds())
+	tasks, deferred := c.core.OpenTasks()
+	c.scope.Gauge("open_tasks").Update(float64(tasks))
+	c.scope.Gauge("deferred_jobs").Update(float64(deferred))
 	c.scope.Gauge("standing_still").Update(float64(c.core.Standing()))
 	c.scope.Gauge("crowded_steps").Update(float64(c.core.CrowdedSteps()))
 	for _, s := range c.core.Samples() {
--- a/internal/process/machine.go
+++ b/internal/process/machine.go
@@ -24,6 +24,18 @@
 	shareControl = ingress.Share{Name: "control", Sockets: 4, Memory: 2, LargestBody: 4 << 20}
 )
 
+const (
+	// taskMemory is what an owner holds for each open task, in bytes.
+	taskMemory = 1 << 10
+	// taskShare is the share of the machine's memory for that, in ingress.ShareUnit.
+	taskShare = 8
+)
+
+// maxOpenTasks returns how many open tasks an owner may hold in memory.
+func (c *Common) maxOpenTasks() int {
+	return int(c.Machine.WithDefaults().Memory * taskShare / ingress.ShareUnit / taskMemory)
+}
+
 // gate returns the gate of a listener.
 func (c *Common) gate(s ingress.Share) *ingress.Gate {
 	return c.Machine.Gate(s, c.scope(), c.Log.WithPrefix("ingress"))
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -72,6 +72,8 @@
 	// inParts means that the progress is stored in parts; parts holds the hashes of the stored ones, by key.
 	inParts bool
 	parts   map[string]uint64
+	// deferred means that an occurrence is due and not open, since there is no room for its tasks; see mayOpen.
+	deferred bool
 	// unstorable means that the store doesn't take the progress; only the state is stored.
 	unstorable bool
 }
@@ -254,10 +256,10 @@
 	}
 }
 
-// openDueOccurrences opens the occurrences of a job that are due.
+// openDueOccurrences opens the occurrences of a job that are due, as far as there is room for their tasks.
 func (c *Core) openDueOccurrences(now time.Time, j *jobState) {
-	for j.next < j.spec.Occurrences() && c.timeOfDay(now) >= j.spec.Due(j.next) {
-		j.occurrences[j.next] = newOccurrence(j, j.next)
+	for j.next < j.spec.Occurrences() && c.timeOfDay(now) >= j.spec.Due(j.next) && c.mayOpen(j) {
+		c.openOccurrence(j, j.next)
 		j.next++
 	}
 }
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -38,13 +38,15 @@
 		return fmt.Errorf("progress of job %s: %w", id, err)
 	}
 	j.state, j.storedState, j.reason, j.next, j.finished = r.State, r.State, r.Reason, r.Next, r.Finished
-	j.occurrences = map[int]*occurrence{}
+	for _, o := range j.inOrder() {
+		c.dropOccurrences(j, o.k)
+	}
 	for _, o := range r.Occurrences {
 		c.restoreOccurrence(now, j, o)
 	}
 	j.inParts = r.Parts
 	for _, k := range r.Open {
-		j.occurrences[k] = newOccurrence(j, k)
+		c.openOccurrence(j, k)
 	}
 	if j.state.Terminal() {
 		j.endedAt = now
@@ -57,8 +59,7 @@
 
 // restoreOccurrence restores one open occurrence.
 func (c *Core) restoreOccurrence(now time.Time, j *jobState, r occurrenceRecord) {
-	o := newOccurrence(j, r.K)
-	j.occurrences[r.K] = o
+	o := c.openOccurrence(j, r.K)
 	for i, tasks := range r.Steps {
 		s := o.steps[i]
 		for n := range min(len(tasks), len(s.tasks)) {
@@ -149,6 +150,9 @@
 		return v, false
 	}
 	v.Waits = map[string]string{}
+	if c.jobs[id].deferred {
+		v.Waits[id] = "memory of the owner for its tasks"
+	}
 	for _, o := range c.jobs[id].inOrder() {
 		for _, s := range o.steps {
 			if s.waiting > 0 {
@@ -175,7 +179,11 @@
 func (c *Core) DropExpiredJobs(now time.Time) []string {
 	var out []string
 	for id, j := range c.jobs {
+		c.dropEndedTasks(j)
 		if j.state.Terminal() && j.held == 0 && c.dirty[id] == nil && now.Sub(j.endedAt) > c.opt.JobRetention {
+			for _, o := range j.inOrder() {
+				c.dropOccurrences(j, o.k)
+			}
 			delete(c.jobs, id)
 			out = append(out, id)
 		}
--- a/internal/sched/runs.go
+++ b/internal/sched/runs.go
@@ -321,7 +321,7 @@
 	}
 	j := o.job
 	j.finished++
-	delete(j.occurrences, o.k)
+	c.dropOccurrences(j, o.k)
 	if j.finished == j.spec.Occurrences() {
 		c.logDecision(event.Complete, j.spec.ID, fmt.Sprintf("slack=%s", j.due.Sub(now).Round(time.Millisecond)))
 		c.finishJob(now, j, Completed, "")
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -38,6 +38,8 @@
 	Margin time.Duration
 	// JobRetention is how long the state of an ended job can be queried.
 	JobRetention time.Duration
+	// MaxOpenTasks is how many tasks may be held in memory before further ones wait until some have ended; 0 means no limit.
+	MaxOpenTasks int
 	// RecordBytes bounds a stored record with its key; 0 means no limit.
 	RecordBytes int
 	// LinkTime is how long after the beginning guards may take to link: tasks of new jobs that are to be spread aren't placed before.
@@ -88,9 +90,11 @@
 
 // Core is the scheduling state of a cell under one ownership. Use New to create one.
 type Core struct {
-	opt      Options
-	round    round // the scheduling round in progress, or the last one
-	jobs     map[string]*jobState
+	opt   Options
+	round round // the scheduling round in progress, or the last one
+	jobs  map[string]*jobState
+	// tasks is the number of tasks of all jobs that are held in memory.
+	tasks    int
 	openJobs []*jobState
 	// cancelled are the jobs that aren't known and were cancelled, with the time when that was read.
 	cancelled map[string]time.Time
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -47,7 +47,7 @@
 		c.retryStops(now)
 	}
 	for _, j := range c.openJobs {
-		if j.spec.Scheduled() {
+		if j.next < j.spec.Occurrences() {
 			c.openDueOccurrences(now, j)
 		}
 	}
