--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -107,6 +107,17 @@
 	return data.Bytes(), nil
 }
 
+// HeaderBytes returns the size of a request's line and headers.
+func HeaderBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return int64(n)
+}
+
 // Status returns the status of the answer to a request whose body ReadBody didn't return; 503 promises that the request was
 // not handled.
 func Status(err error) int {
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -80,17 +80,6 @@
 	return &badRequest{status, fmt.Errorf(format, args...)}
 }
 
-// headerBytes returns the size of a request's headers.
-func headerBytes(r *http.Request) int {
-	n := len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
-
 // readBody reads the whole body within the shorter of the given time and maxBodyTime.
 func readBody(w http.ResponseWriter, r *http.Request, limit time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(r.Context(), min(limit, maxBodyTime))
--- a/internal/node/call.go
+++ b/internal/node/call.go
@@ -102,7 +102,7 @@
 func (n *Node) parseCall(w http.ResponseWriter, r *http.Request, began time.Time) (dispatch.Request, targetapi.Call, error) {
 	var q dispatch.Request
 	var c targetapi.Call
-	if size := headerBytes(r); size > maxHeader {
+	if size := ingress.HeaderBytes(r); size > maxHeader {
 		return q, c, newBadRequest(http.StatusRequestHeaderFieldsTooLarge, "headers have %d bytes, at most %d are taken", size, maxHeader)
 	}
 	budget, err := timeBudget(r, n.config.Current().Budget(r.PathValue("service"), defaultBudget))
--- a/internal/queues/queues.go
+++ b/internal/queues/queues.go
@@ -26,8 +26,9 @@
 type Table struct {
 	Version int64
 	Queues  []Queue
-	// MaxBody is the largest body of a request in bytes; 0 when the configuration sets no limit.
-	MaxBody int64
+	// MaxBody is the largest body of a request in bytes, MaxHeader the largest size of its headers; 0 when the configuration sets
+	// no limit.
+	MaxBody, MaxHeader int64
 }
 
 // Match returns the queue of a host that has the longest matching path prefix.
