Leave the memory of the code out of the bound on garbage

What was seen: guards of a machine with 48 MB took 48 to 51 MB in TestCrowdOfLinks and 44 MB in TestManyTasks, although what they hold is bounded.

Cause: the bound was four fifths of the machine's memory, 38 MB, and counts the memory of the runtime only; the code and stacks of threads take some 10 MB beside it.

Change: nine tenths of what is left after 16 MB for the code; at least half of that share of the machine's memory.

--- a/internal/ingress/machine.go
+++ b/internal/ingress/machine.go
@@ -51,11 +51,15 @@
 	return m
 }
 
+// codeMemory is what a process takes beside the memory of the runtime, mostly for its code, in bytes.
+const codeMemory = 16 << 20
+
 // BoundGarbage has the runtime collect garbage before the process reaches the memory of its machine. It frees nothing that
 // is in use: gates bound that.
 func (m Machine) BoundGarbage() {
-	const numerator, denominator = 4, 5
-	debug.SetMemoryLimit(m.WithDefaults().Memory / denominator * numerator)
+	memory := m.WithDefaults().Memory
+	const numerator, denominator = 9, 10
+	debug.SetMemoryLimit(max(memory-codeMemory, memory/2) / denominator * numerator)
 }
 
 // ShareUnit is the unit of a share: a 32nd of the machine's memory or sockets.
