Count what is received of messages on links

What callers saw: peers that open links to the owner's guard and send the beginning of a long message took 737 MB of it on, and 165 MB since its listener has a gate (100 peers, a machine with 48 MB). A stray process on the network can do that, and the guard that ends takes the cell with it.

Cause: a link is a connection that its handler has taken over. The gate counted nothing of it any more, and a message may have 4 MiB.

Change: a byte of a message counts as 4 until the message is handled, which the link tells the gate; without room the link ends. The buffer of a long message doubles instead of growing by a quarter. The listener's share of the memory is 12/32, so that the links of 1,700 workers fit where a machine has 152 MB.

TestTableKeepsItsBounds plays releases too.

--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -191,6 +191,12 @@
 	return nil
 }
 
+// EndMessage gives back what the messages received so far were counted with, for a handler that has taken the connection over
+// and has handled them.
+func (c *conn) EndMessage() {
+	c.update(func(t *table, _ time.Time) { t.release(c.entry) })
+}
+
 // enter begins a phase of the connection.
 func (c *conn) enter(p phase) {
 	c.update(func(t *table, now time.Time) { t.enter(c.entry, p, now) })
--- a/internal/ingress/table.go
+++ b/internal/ingress/table.go
@@ -10,6 +10,8 @@
 	headerCost = 24
 	// bodyCost is that of a received byte of a body: the body itself, its decoded form, and the record made of it.
 	bodyCost = 4
+	// messageCost is that of a received byte of a message on a connection that a handler has taken over.
+	messageCost = 4
 )
 
 // requestMemory returns what a request with a body is counted with at most, in bytes, with a few connections beside it.
@@ -121,7 +123,7 @@
 }
 
 // costs are the costs of a received byte by phase.
-var costs = map[phase]int64{readingHeaders: headerCost, readingBody: bodyCost}
+var costs = map[phase]int64{readingHeaders: headerCost, readingBody: bodyCost, detached: messageCost}
 
 // enter begins a phase of a connection.
 func (t *table) enter(e *entry, p phase, now time.Time) {
@@ -130,11 +132,16 @@
 	}
 	e.phase, e.stalledSince, e.received = p, now, 0
 	if p == idle || p == detached {
-		t.memory -= e.memory
-		e.memory = 0
+		t.release(e)
 	}
 }
 
+// release gives back what a request or a message was counted with.
+func (t *table) release(e *entry) {
+	t.memory -= e.memory
+	e.memory = 0
+}
+
 // block begins or ends the writing of an answer.
 func (t *table) block(e *entry, blocked bool, now time.Time) {
 	e.blocked = blocked
@@ -165,6 +172,6 @@
 	}
 	e.gone = true
 	delete(t.entries, e)
-	t.memory -= connCost + e.memory
-	e.memory = 0
+	t.memory -= connCost
+	t.release(e)
 }
--- a/internal/ingress/table_test.go
+++ b/internal/ingress/table_test.go
@@ -91,12 +91,14 @@
 				}
 			} else {
 				e := rapid.SampledFrom(es).Draw(t, "connection")
-				switch rapid.IntRange(0, 3).Draw(t, "change") {
+				switch rapid.IntRange(0, 4).Draw(t, "change") {
 				case 0:
 					table.receive(e, rapid.Int64Range(1, 100<<10).Draw(t, "bytes"), at(now))
 				case 1:
 					table.enter(e, phase(rapid.IntRange(0, int(detached)).Draw(t, "phase")), at(now))
 				case 2:
+					table.release(e)
+				case 3:
 					table.block(e, rapid.Bool().Draw(t, "blocked"), at(now))
 				default:
 					table.remove(e)
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -124,8 +125,15 @@
 	return nil
 }
 
+// messageEnder is a connection that counts what is received until the end of a message, such as one of a listener that bounds
+// the memory of its peers.
+type messageEnder interface{ EndMessage() }
+
 // Receive reads one message; it fails when none comes for too long.
 func (c *Conn) Receive(into any) error {
+	if m, ok := c.raw.(messageEnder); ok {
+		m.EndMessage()
+	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 		return fmt.Errorf("link: %w", err)
 	}
@@ -141,20 +149,20 @@
 
 // line reads up to the end of a line, of at most about maxMessage bytes. The result is valid until the next read.
 func (c *Conn) line() ([]byte, error) {
-	var whole []byte
+	var whole bytes.Buffer
 	for {
 		part, err := c.in.ReadSlice('\n')
-		if err == nil && whole == nil {
+		if err == nil && whole.Len() == 0 {
 			return part, nil
 		}
-		whole = append(whole, part...)
+		whole.Write(part)
 		if err == nil {
-			return whole, nil
+			return whole.Bytes(), nil
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return nil, err
 		}
-		if len(whole) > maxMessage {
+		if whole.Len() > maxMessage {
 			return nil, fmt.Errorf("message of more than %d bytes", maxMessage)
 		}
 	}
--- a/internal/process/machine.go
+++ b/internal/process/machine.go
@@ -20,7 +20,7 @@
 	shareInner   = ingress.Share{Name: "inner", Sockets: 4, Memory: 3, LargestBody: 1 << 20}
 	shareMetrics = ingress.Share{Name: "metrics", Sockets: 1, Memory: 1}
 	// shareLinks is that of a guard's listener for other nodes, which all link to it while it owns the cell.
-	shareLinks   = ingress.Share{Name: "inner", Sockets: 16, Memory: 8, LargestBody: 4 << 20}
+	shareLinks   = ingress.Share{Name: "inner", Sockets: 16, Memory: 12, LargestBody: 4 << 20}
 	shareControl = ingress.Share{Name: "control", Sockets: 4, Memory: 2, LargestBody: 4 << 20}
 )
 
