Refuse jobs for which the owner has no memory

What callers saw: legal jobs with long names and payloads, 181 kB each, were accepted without end; 300 of them took 158 MB of the owner's guard, whose machine has 48 in the test, and each next owner loads the same.

Cause: an entry accepts a job by an append to the store, whatever the owner holds already.

Change: the owner tells what is left of 4/32 of its machine's memory for jobs as they were accepted (GET /v1/cell/room).

Why it works: each entry is at most one slack ahead of what it has heard, and a refusal comes before anything was sent.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -12,6 +12,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/crocusspring/crocusspring/internal/job"
 	"github.com/crocusspring/crocusspring/internal/metrics"
@@ -57,6 +58,8 @@
 	ConfirmedJob(ctx context.Context, addr, id string) (v sched.View, found bool, err error)
 	Explain(ctx context.Context, addr, id string) (v sched.View, found bool, err error)
 	Waiting(ctx context.Context, addr string) (map[string]int, error)
+	// Room returns the memory that the owner has for further jobs, in bytes; sched.ErrNoLimit from one that tells no limit.
+	Room(ctx context.Context, addr string) (int64, error)
 	Relay(ctx context.Context, addr string, records []store.Record) error
 	CheckStore(ctx context.Context, addr string) error
 }
@@ -93,6 +96,9 @@
 	unresolved map[string]unresolvedRecord
 	// unknownCancels bounds the cancellations of jobs that don't exist.
 	unknownCancels cancelLimit
+	// room is what is known of the owner's memory for jobs; asking lets one caller at a time ask for it.
+	room   room
+	asking singleflight.Group
 	// counts is the cached number of waiting jobs by queue, queried at countsAt.
 	counts   map[string]int
 	countsAt time.Time
@@ -102,7 +108,7 @@
 func New(s store.Store, client Client, locator Locator, peers Peers, scope tally.Scope, l *log.Logger) *Intake {
 	return &Intake{
 		store: store.NewPulse(s), client: client, locator: locator, peers: peers, scope: scope, log: l,
-		appending: make(chan struct{}, 1), current: map[string]*pendingAppend{}, unresolved: map[string]unresolvedRecord{},
+		appending: make(chan struct{}, 1), room: room{allowance: roomSlack}, current: map[string]*pendingAppend{}, unresolved: map[string]unresolvedRecord{},
 	}
 }
 
@@ -116,7 +122,7 @@
 	r := store.Record{Key: store.PrefixJob + spec.ID, Value: value}
 	if err = in.store.Limits().Check(r); err != nil {
 		err = fmt.Errorf("%w: %w", ErrUnstorable, err)
-	} else {
+	} else if err = in.reserveRoom(ctx, r.Key, spec); err == nil {
 		err = in.append(ctx, r)
 	}
 	in.scope.Tagged(map[string]string{"outcome": outcome(err)}).Counter("jobs_submitted").Inc(1)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -29,6 +29,12 @@
 	mu  sync.Mutex
 	// away are the addresses that the store turns away.
 	away map[string]bool
+	// room is the memory that a limited owner has for jobs, in bytes; roomErr is the error of the call for it, roomAsked counts
+	// these calls.
+	room      int64
+	limited   bool
+	roomErr   error
+	roomAsked int
 }
 
 // reach returns an error if a node can't reach the store.
@@ -77,6 +83,20 @@
 	return nil, errors.New("not served")
 }
 
+// Room implements Client.
+func (n *nodes) Room(_ context.Context, addr string) (int64, error) {
+	if err := n.reach(addr); err != nil {
+		return 0, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.roomAsked++
+	if !n.limited && n.roomErr == nil {
+		return 0, sched.ErrNoLimit
+	}
+	return n.room, n.roomErr
+}
+
 // OwnerAddr implements Locator.
 func (n *nodes) OwnerAddr() string { return "owner" }
 
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -109,6 +109,17 @@
 // Scheduled reports whether the job has a schedule.
 func (s *Spec) Scheduled() bool { return s.Schedule.Count > 0 }
 
+// Memory returns about how many bytes a job takes in memory, without structures for its tasks.
+func (s *Spec) Memory() int64 {
+	const specBytes, stepBytes, dependencyBytes = 1 << 10, 512, 8
+	n := specBytes + len(s.ID) + len(s.Payload)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		n += stepBytes + dependencyBytes*len(step.DependsOn) + len(step.Requires) + len(step.DataRack) + len(step.Image)
+	}
+	return int64(n)
+}
+
 // Tasks returns the number of tasks of one occurrence.
 func (s *Spec) Tasks() int {
 	n := 0
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -22,6 +22,7 @@
 const (
 	pathJob     = "/v1/cell/jobs/"
 	pathWaiting = "/v1/cell/waiting"
+	pathRoom    = "/v1/cell/room"
 	pathRelay   = "/v1/cell/relay"
 	pathOwner   = "/v1/cell/owner"
 )
@@ -52,6 +53,7 @@
 	})
 	mux.HandleFunc("GET "+pathJob+"{id}/explain", func(w http.ResponseWriter, r *http.Request) { serveJob(w, r, c.Explain) })
 	mux.HandleFunc("GET "+pathWaiting, c.serveWaiting)
+	mux.HandleFunc("GET "+pathRoom, c.serveRoom)
 	mux.HandleFunc("POST "+pathRelay, c.serveRelay)
 	mux.HandleFunc("GET "+pathRelay, c.serveCheckStore)
 }
@@ -79,6 +81,24 @@
 	jsonhttp.Write(w, http.StatusOK, counts)
 }
 
+// roomAnswer is the memory that an owner has for further jobs; Bytes is missing if it has no limit.
+type roomAnswer struct {
+	Bytes *int64 `json:"bytes,omitempty"`
+}
+
+// serveRoom answers with the memory for further jobs.
+func (c *Cell) serveRoom(w http.ResponseWriter, _ *http.Request) {
+	left, limited, err := c.Room()
+	switch {
+	case err != nil:
+		jsonhttp.WriteError(w, http.StatusServiceUnavailable, err)
+	case !limited:
+		jsonhttp.Write(w, http.StatusOK, roomAnswer{})
+	default:
+		jsonhttp.Write(w, http.StatusOK, roomAnswer{&left})
+	}
+}
+
 // serveRelay appends jobs for an entry to which the store doesn't answer, or answers slowly.
 func (c *Cell) serveRelay(w http.ResponseWriter, r *http.Request) {
 	var records []store.Record
@@ -170,6 +190,19 @@
 	return out, err
 }
 
+// Room returns the memory that an owner has for further jobs, in bytes; sched.ErrNoLimit from one that has or tells no limit.
+func (c *Client) Room(ctx context.Context, addr string) (int64, error) {
+	var out roomAnswer
+	status, err := c.do(ctx, http.MethodGet, addr, pathRoom, nil, &out)
+	switch {
+	case status == http.StatusNotFound || err == nil && out.Bytes == nil:
+		return 0, sched.ErrNoLimit
+	case err != nil:
+		return 0, err
+	}
+	return *out.Bytes, nil
+}
+
 // Relay appends jobs through another node. The error is a store.ErrRefused when they are certain not to be stored, among
 // these a store.ErrRejected when the store doesn't take them and a store.ErrBusy when it is slow.
 func (c *Client) Relay(ctx context.Context, addr string, records []store.Record) error {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -371,6 +371,9 @@
 func (c *Cell) recordMetrics() {
 	c.scope.Gauge("view_age_seconds").Update(time.Since(c.jobsReadAt).Seconds())
 	tasks, deferred := c.core.OpenTasks()
+	if left, limited := c.core.Room(); limited {
+		c.scope.Gauge("room_bytes").Update(float64(left))
+	}
 	c.scope.Gauge("open_tasks").Update(float64(tasks))
 	c.scope.Gauge("deferred_jobs").Update(float64(deferred))
 	c.scope.Gauge("standing_still").Update(float64(c.core.Standing()))
--- a/internal/owner/peer.go
+++ b/internal/owner/peer.go
@@ -336,6 +336,17 @@
 	return v, found, nil
 }
 
+// Room returns the memory that this process has for further jobs, in bytes; false if it has no limit.
+func (c *Cell) Room() (int64, bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.core == nil || c.owns() != nil {
+		return 0, false, ErrNotOwner
+	}
+	left, limited := c.core.Room()
+	return left, limited, nil
+}
+
 // Waiting returns the number of jobs by queue that have not started a task.
 func (c *Cell) Waiting() (map[string]int, error) {
 	c.mu.Lock()
--- a/internal/process/machine.go
+++ b/internal/process/machine.go
@@ -29,8 +29,15 @@
 	taskMemory = 1 << 10
 	// taskShare is the share of the machine's memory for that, in ingress.ShareUnit.
 	taskShare = 8
+	// jobShare is the share for the jobs themselves.
+	jobShare = 4
 )
 
+// jobMemory returns how much memory the jobs of a cell may take, in bytes, without structures for their tasks.
+func (c *Common) jobMemory() int64 {
+	return c.Machine.WithDefaults().Memory * jobShare / ingress.ShareUnit
+}
+
 // maxOpenTasks returns how many open tasks an owner may hold in memory.
 func (c *Common) maxOpenTasks() int {
 	return int(c.Machine.WithDefaults().Memory * taskShare / ingress.ShareUnit / taskMemory)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -105,7 +105,7 @@
 
 // schedOptions returns the parameters of the scheduler.
 func (c *Common) schedOptions() sched.Options {
-	return sched.Options{RunLease: runLease, RunLeaseExtension: runLeaseExtension, HalfQuorumTime: halfQuorumTime, GuardSilence: guardSilence, Margin: expiryMargin, JobRetention: c.JobRetention, LinkTime: linkTime, MaxOpenTasks: c.maxOpenTasks(), Node: c.Node}
+	return sched.Options{RunLease: runLease, RunLeaseExtension: runLeaseExtension, HalfQuorumTime: halfQuorumTime, GuardSilence: guardSilence, Margin: expiryMargin, JobRetention: c.JobRetention, LinkTime: linkTime, MaxOpenTasks: c.maxOpenTasks(), JobMemory: c.jobMemory(), Node: c.Node}
 }
 
 // lease returns the runner that follows the cell's lease for this process and, if the process is a
--- a/internal/sched/job.go
+++ b/internal/sched/job.go
@@ -247,6 +247,7 @@
 	j.acceptedAt = now.Add(-age)
 	j.due = j.acceptedAt.Add(spec.Objective())
 	c.jobs[spec.ID] = j
+	c.specMemory += spec.Memory()
 	c.openJobs = append(c.openJobs, j)
 	c.logDecision(event.Accept, spec.ID, fmt.Sprintf("queue=%s steps=%d age=%s", spec.Policy.Queue, len(spec.Steps), age))
 	c.openDueOccurrences(now, j)
--- a/internal/sched/open.go
+++ b/internal/sched/open.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/crocusspring/crocusspring/internal/event"
@@ -69,6 +70,14 @@
 	}
 }
 
+// ErrNoLimit means that an owner has no limit of the memory for jobs, or tells none.
+var ErrNoLimit = errors.New("no limit of the memory for jobs is known")
+
+// Room returns the memory that is left for further jobs, in bytes; false if there is no limit.
+func (c *Core) Room() (int64, bool) {
+	return max(0, c.opt.JobMemory-c.specMemory), c.opt.JobMemory > 0
+}
+
 // OpenTasks returns how many tasks the core holds in memory, and how many jobs wait to be opened for want of room.
 func (c *Core) OpenTasks() (tasks, deferred int) {
 	for _, j := range c.openJobs {
--- a/internal/sched/restore.go
+++ b/internal/sched/restore.go
@@ -185,6 +185,7 @@
 				c.dropOccurrences(j, o.k)
 			}
 			delete(c.jobs, id)
+			c.specMemory -= j.spec.Memory()
 			out = append(out, id)
 		}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -40,6 +40,8 @@
 	JobRetention time.Duration
 	// MaxOpenTasks is how many tasks may be held in memory before further ones wait until some have ended; 0 means no limit.
 	MaxOpenTasks int
+	// JobMemory is how much memory jobs may take as they were accepted, in bytes; 0 means no limit. Entries learn what is left of it.
+	JobMemory int64
 	// RecordBytes bounds a stored record with its key; 0 means no limit.
 	RecordBytes int
 	// LinkTime is how long after the beginning guards may take to link: tasks of new jobs that are to be spread aren't placed before.
@@ -94,8 +96,10 @@
 	round round // the scheduling round in progress, or the last one
 	jobs  map[string]*jobState
 	// tasks is the number of tasks of all jobs that are held in memory.
-	tasks    int
-	openJobs []*jobState
+	tasks int
+	// specMemory is the memory of all jobs as they were accepted, in bytes.
+	specMemory int64
+	openJobs   []*jobState
 	// cancelled are the jobs that aren't known and were cancelled, with the time when that was read.
 	cancelled map[string]time.Time
 	workers   map[string]*worker
