Read nothing more on a connection whose bytes found no room

Found while reading: after a read that is refused its bytes are dropped, and the next ones have no known place in the request. The server reads the rest of a body only as far as the request is refused as well, so that no such case was brought about (TestConnectionEndsWithoutRoom holds before too); now every further read fails, whatever the server does.

--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -138,10 +138,15 @@
 	entry *entry
 	// late says that the server may have timed out while it read ahead, so that further requests would be cancelled.
 	late atomic.Bool
+	// cut says that received bytes were dropped for want of room, so that what follows has no known place in a request.
+	cut atomic.Bool
 }
 
 // Read implements net.Conn. Without room for what it has read it fails with ErrNoRoom.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.cut.Load() {
+		return 0, c.noRoom()
+	}
 	n, err := c.Conn.Read(p)
 	if n <= 0 {
 		return n, err
@@ -153,11 +158,18 @@
 		return closed, received || c.entry.gone
 	})
 	if !received {
-		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: ErrNoRoom}
+		c.cut.Store(true)
+		return 0, c.noRoom()
 	}
 	return n, err
 }
 
+// noRoom returns the error of a read without room. The server takes an error of this type for one of the network, and doesn't
+// answer it while it reads headers.
+func (c *conn) noRoom() error {
+	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: ErrNoRoom}
+}
+
 // Write implements net.Conn. The client must read what is written in time, unless a handler has taken the connection over.
 func (c *conn) Write(p []byte) (int, error) {
 	var detachedConn bool
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -127,6 +127,33 @@
 	}
 }
 
+// TestConnectionEndsWithoutRoom checks that nothing is read any more on a connection some of whose bytes found no room: what
+// follows could be taken for another request.
+func TestConnectionEndsWithoutRoom(t *testing.T) {
+	served := 0
+	read := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served++
+		if _, err := ReadBody(w, r, 1<<20); err != nil {
+			w.WriteHeader(Status(err))
+		}
+	})
+	small := ample
+	small.Memory = 4 * connCost
+	// The second request stands in the body of the first.
+	const inner = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+	text := strings.Repeat(inner, 60<<10/len(inner))
+	_, r := exchange(t, serveGate(t, small, read), fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s%s", len(text), text, text))
+	if got, closes := status(t, r); got != http.StatusServiceUnavailable || !closes {
+		t.Errorf("answered with %d, connection closed: %t", got, closes)
+	}
+	if rest, err := io.ReadAll(r); len(rest) > 0 {
+		t.Errorf("%d bytes of further answers, %v", len(rest), err)
+	}
+	if served != 1 {
+		t.Errorf("%d requests are handled", served)
+	}
+}
+
 // TestBodyStatus checks the answers to bodies that are too large, announced or not, and to those for which there is no
 // memory.
 func TestBodyStatus(t *testing.T) {
