--- a/internal/crowd/deployment_test.go
+++ b/internal/crowd/deployment_test.go
@@ -211,6 +211,12 @@
 	p.cmd = exec.Command(filepath.Join(programs, program), platform.Command)
 	p.cmd.Env = []string{platform.EnvFile + "=" + settings}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.run(t, n.Name)
+}
+
+// run runs the process until the test ends, with the descriptors of its machine.
+func (p *process) run(t *testing.T, name string) {
+	t.Helper()
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -227,7 +233,7 @@
 		_ = p.cmd.Process.Signal(syscall.SIGKILL)
 		<-p.exited
 		if t.Failed() {
-			t.Logf("end of the log of %s:\n%s", n.Name, tail(p.log))
+			t.Logf("end of the log of %s:\n%s", name, tail(p.log))
 		}
 	})
 }
@@ -304,20 +310,26 @@
 func (d *deployment) check(t *testing.T) {
 	t.Helper()
 	for _, p := range d.all() {
-		select {
-		case <-p.exited:
-			t.Errorf("%s has exited: %v", p.cmd.Path, p.cmd.ProcessState)
-			continue
-		default:
-		}
-		peak, sockets := p.peakMB(t), p.mostSockets.Load()
-		t.Logf("%s: peak %d MB, %d sockets", filepath.Base(p.cmd.Path), peak, sockets)
-		if peak > memoryMB {
-			t.Errorf("%s has taken %d MB, its machine has %d", p.cmd.Path, peak, memoryMB)
-		}
-		if sockets > maxSockets {
-			t.Errorf("%s has had %d sockets, its machine has %d", p.cmd.Path, sockets, maxSockets)
-		}
+		p.check(t, memoryMB)
+	}
+}
+
+// check checks that the process lives and has stayed within the memory, in MB, and the sockets of its machine.
+func (p *process) check(t *testing.T, memoryMB int) {
+	t.Helper()
+	select {
+	case <-p.exited:
+		t.Errorf("%s has exited: %v", p.cmd.Path, p.cmd.ProcessState)
+		return
+	default:
+	}
+	peak, sockets := p.peakMB(t), p.mostSockets.Load()
+	t.Logf("%s: peak %d MB, %d sockets", filepath.Base(p.cmd.Path), peak, sockets)
+	if peak > memoryMB {
+		t.Errorf("%s has taken %d MB, its machine has %d", p.cmd.Path, peak, memoryMB)
+	}
+	if sockets > maxSockets {
+		t.Errorf("%s has had %d sockets, its machine has %d", p.cmd.Path, sockets, maxSockets)
 	}
 }
 
