--- a/internal/node/main.go
+++ b/internal/node/main.go
@@ -76,6 +76,7 @@
 		return code
 	}
 	f.opt.Machine = ingress.NewMachine(f.memoryMB<<20, int(f.descriptors))
+	f.opt.Machine.BoundGarbage()
 	f.opt.Share, f.opt.LogAppends = int(f.share), int(f.appends)
 	f.opt.Peers = slices.DeleteFunc(f.opt.Peers, func(p string) bool { return p == f.listen || p == f.opt.Advertise })
 	if err := f.loadSecurity(); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -241,7 +241,6 @@
 // and when a component fails.
 func (n *Node) Serve(ctx context.Context, l net.Listener) error {
 	n.newRequests(l.Addr())
-	n.opt.Machine.BoundGarbage()
 	gate := n.opt.Machine.Gate(shareAll, n.metrics, logs.Part(n.lg, "ingress"))
 	l = gate.Listen(l)
 	if n.opt.TLS != nil {
