Handle a request once it is complete; bound an entry's connections to the owner

Cause: a handler of a method without a use for a body doesn't read it, so that half a DELETE was carried out. Such a connection counts as waiting for its client and may be closed for others, while its handler works on, with a connection to the owner of its own: handlers outnumbered connections, and nothing bounded calls to the owner.

Change: GET, HEAD and DELETE are handled once their body has arrived; what arrives isn't kept. An entry has at most 8/32 of its sockets for calls to the owner.

Evidence: TestHalfARequestIsNotHandled failed before.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -46,6 +46,21 @@
 	b.conn.enter(serving)
 }
 
+// maxSkipped is the largest body of a request that has no use for one, in bytes.
+const maxSkipped = 1 << 20
+
+// skip reads the body of a request whose method has no use for one. Handlers of such methods never look at the body, and would
+// work on for a client that has sent half a request, and whose connection may be closed for that.
+func (b *body) skip(w http.ResponseWriter, method string) error {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete:
+		_, err := io.Copy(io.Discard, http.MaxBytesReader(w, b, maxSkipped))
+		return readError(err, maxSkipped)
+	default:
+		return nil
+	}
+}
+
 const (
 	// drainTime is how long an answer waits for the rest of a body that the handler has left, drainBytes how much of it is
 	// read to keep the connection.
@@ -94,17 +109,25 @@
 	}
 	var data bytes.Buffer
 	data.Grow(int(max(0, min(r.ContentLength, firstRead))) + bytes.MinRead)
-	_, err := data.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	if _, err := data.ReadFrom(http.MaxBytesReader(w, r.Body, limit)); err != nil {
+		return nil, readError(err, limit)
+	}
+	return data.Bytes(), nil
+}
+
+// readError returns the error of ReadBody for one of reading a body; nil for none.
+func readError(err error, limit int64) error {
 	var large *http.MaxBytesError
 	switch {
+	case err == nil:
+		return nil
 	case errors.As(err, &large):
-		return nil, fmt.Errorf("%w: at most %d bytes are allowed", ErrTooLarge, limit)
+		return fmt.Errorf("%w: at most %d bytes are allowed", ErrTooLarge, limit)
 	case errors.Is(err, ErrNoRoom):
-		return nil, err
-	case err != nil:
-		return nil, fmt.Errorf("%w: %w", ErrIncomplete, err)
+		return err
+	default:
+		return fmt.Errorf("%w: %w", ErrIncomplete, err)
 	}
-	return data.Bytes(), nil
 }
 
 // HeaderBytes returns the size of a request's line and headers.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -80,7 +80,11 @@
 		// The server looks at the body of its own request to decide what it does with a rest.
 		inner := r.WithContext(r.Context())
 		inner.Body = b
-		h.ServeHTTP(w, inner)
+		if err := b.skip(w, r.Method); err != nil {
+			http.Error(w, err.Error(), Status(err))
+		} else {
+			h.ServeHTTP(w, inner)
+		}
 		b.drain()
 	})
 }
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -127,6 +127,32 @@
 	}
 }
 
+// TestHalfARequestIsNotHandled checks that a request whose method has no use for a body is handled only once its body has arrived:
+// its client may be gone before.
+func TestHalfARequestIsNotHandled(t *testing.T) {
+	handled := make(chan string, 10)
+	addr := serveGate(t, ample, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handled <- r.Method }))
+	for _, method := range []string{http.MethodGet, http.MethodDelete, http.MethodHead} {
+		c, r := exchange(t, addr, method+" / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx")
+		time.Sleep(50 * time.Millisecond)
+		select {
+		case m := <-handled:
+			t.Fatalf("half a %s is handled", m)
+		default:
+		}
+		if _, err := io.WriteString(c, "x"); err != nil {
+			t.Fatal(err)
+		}
+		if m := <-handled; m != method {
+			t.Errorf("%s is handled, want %s", m, method)
+		}
+		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: answer %v, %v", method, resp, err)
+		}
+	}
+}
+
 // TestConnectionEndsWithoutRoom checks that nothing is read any more on a connection some of whose bytes found no room: what
 // follows could be taken for another request.
 func TestConnectionEndsWithoutRoom(t *testing.T) {
--- a/internal/owner/http.go
+++ b/internal/owner/http.go
@@ -151,11 +151,12 @@
 // Client calls the owner. Use NewClient to make one.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client that keeps few idle connections, each for a few seconds.
-func NewClient() *Client {
+// NewClient returns a client that opens at most a number of connections to a node, 0 for any, and keeps few idle ones, each for
+// a few seconds.
+func NewClient(connections int) *Client {
 	const idleTimeout = 5 * time.Second
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxConnsPerHost: connections, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -88,7 +88,7 @@
 	began := time.Now()
 	return &Cell{
 		clockMS: func() int64 { return time.Since(began).Milliseconds() + 1 },
-		opt:     opt, store: s, lease: lease, client: NewClient(), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
+		opt:     opt, store: s, lease: lease, client: NewClient(0), scope: scope, log: l, links: map[string]*peer{}, clock: wallclock.New(time.Now()), roundDue: make(chan struct{}, 1),
 		approvalsDue: make(chan struct{}, 1), adviser: adviser,
 		relayed: store.NewGroup(s, store.TopicJobs, scope),
 	}
--- a/internal/owner/relay_test.go
+++ b/internal/owner/relay_test.go
@@ -49,7 +49,7 @@
 	defer server.Close()
 	addr := strings.TrimPrefix(server.URL, "http://")
 	relay := func(i int) error {
-		return NewClient().Relay(t.Context(), addr, []store.Record{{Key: fmt.Sprint("j/", i), Value: []byte("{}")}})
+		return NewClient(0).Relay(t.Context(), addr, []store.Record{{Key: fmt.Sprint("j/", i), Value: []byte("{}")}})
 	}
 	var wg sync.WaitGroup
 	errs := make([]error, 4)
--- a/internal/process/local.go
+++ b/internal/process/local.go
@@ -87,7 +87,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stop = cancel
 	c.runPart(ctx, &c.done, c.Entry.Run)
-	c.Intake = intake.New(s, owner.NewClient(), c.Entry, nil, common.scope(), l)
+	c.Intake = intake.New(s, owner.NewClient(0), c.Entry, nil, common.scope(), l)
 	return c, nil
 }
 
--- a/internal/process/machine.go
+++ b/internal/process/machine.go
@@ -12,8 +12,7 @@
 	"github.com/crocusspring/crocusspring/internal/ingress"
 )
 
-// Shares of the listeners in the machine. An entry may need a connection to the owner for each request of a client, for
-// which the share of its front leaves room.
+// Shares of the listeners in the machine.
 var (
 	shareFront   = ingress.Share{Name: "front", Sockets: 12, Memory: 8, LargestBody: 1 << 20}
 	shareReady   = ingress.Share{Name: "ready", Sockets: 2, Memory: 1}
@@ -24,6 +23,15 @@
 	shareControl = ingress.Share{Name: "control", Sockets: 4, Memory: 2, LargestBody: 4 << 20}
 )
 
+// ownerSockets is the share of an entry's sockets for its calls to the owner, in ingress.ShareUnit. Further calls wait for
+// their turn, each for its own time.
+const ownerSockets = 8
+
+// ownerConnections returns how many connections an entry may have to the owner.
+func (c *Common) ownerConnections() int {
+	return c.Machine.WithDefaults().Sockets * ownerSockets / ingress.ShareUnit
+}
+
 const (
 	// taskMemory is what an owner holds for each open task, in bytes.
 	taskMemory = 1 << 10
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -144,7 +144,7 @@
 	lease := e.lease(false)
 	tables := queues.NewFollower(e.Store, e.Queues, e.scope(), e.Log.WithPrefix("config"))
 	peers := directory.NewFollower(e.Store, e.Inner)
-	in := intake.New(e.Store, owner.NewClient(), lease, peers, e.scope(), e.Log.WithPrefix("intake"))
+	in := intake.New(e.Store, owner.NewClient(e.ownerConnections()), lease, peers, e.scope(), e.Log.WithPrefix("intake"))
 	stopping := make(chan struct{})
 	inner := http.NewServeMux()
 	inner.HandleFunc("POST "+owner.TakeoverPath, owner.ServeTakeover(lease))
