Drop tasks of ended jobs only where no run can come back

Found while reading the change: a task of an ended job that had a run was dropped within a second instead of with its job. A start that was held up and carried out then belongs to no known task, and takes the whole worker for 3 s. And a job that was opened because nothing else was open was still said to wait.

Now the tasks of steps that never had a run are dropped, the others stay with their job; a job that is opened doesn't wait.

--- a/internal/sched/cell_owner_test.go
+++ b/internal/sched/cell_owner_test.go
@@ -282,6 +282,7 @@
 		o.release("lost the cell")
 		return
 	}
+	o.core.DropExpiredJobs(o.time())
 	o.core.Schedule(o.time())
 	b, _ := o.core.Flush(o.time())
 	for _, d := range o.core.Decisions() {
--- a/internal/sched/open.go
+++ b/internal/sched/open.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/crocusspring/crocusspring/internal/event"
 )
@@ -15,13 +16,10 @@
 // whose tasks find none stays as it was accepted, which takes a few kilobytes. The first that is due is always opened.
 func (c *Core) mayOpen(j *jobState) bool {
 	limit, n := c.opt.MaxOpenTasks, j.spec.Tasks()
-	if limit <= 0 || c.tasks == 0 {
-		return true
-	}
 	if n <= smallJobTasks {
 		limit += limit / 2
 	}
-	if c.tasks+n <= limit {
+	if c.opt.MaxOpenTasks <= 0 || c.tasks == 0 || c.tasks+n <= limit {
 		j.deferred = false
 		return true
 	}
@@ -43,31 +41,30 @@
 // dropOccurrences removes occurrences of a job with their tasks.
 func (c *Core) dropOccurrences(j *jobState, ks ...int) {
 	for _, k := range ks {
-		if j.occurrences[k] != nil {
+		if o := j.occurrences[k]; o != nil {
+			for _, s := range o.steps {
+				c.tasks -= len(s.tasks)
+			}
 			delete(j.occurrences, k)
-			c.tasks -= j.spec.Tasks()
 		}
 	}
 }
 
-// dropEndedTasks drops the tasks of an ended job once nothing may be heard of them any more. An owner that takes over then has
-// none of them either.
+// dropEndedTasks drops the tasks of the steps of an ended job that never had a run: nothing can be heard of them. The tasks of
+// other steps stay as long as the job, since a start that was held up may still be carried out.
 func (c *Core) dropEndedTasks(j *jobState) {
 	if !j.state.Terminal() || j.held > 0 || c.dirty[j.spec.ID] != nil || c.inFlight != nil {
 		return
 	}
-	for _, o := range j.inOrder() {
+	hadRun := func(t *task) bool { return t.run > 0 || t.late != nil }
+	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if t.late != nil || len(t.copies) > 0 || c.crashed.tasks[t] {
-					return
-				}
+			if !slices.ContainsFunc(s.tasks, hadRun) {
+				c.tasks -= len(s.tasks)
+				s.tasks, s.openTasks, s.waiting = nil, 0, 0
 			}
 		}
 	}
-	for _, o := range j.inOrder() {
-		c.dropOccurrences(j, o.k)
-	}
 }
 
 // ErrNoLimit means that an owner has no limit of the memory for jobs, or tells none.
