--- a/review/standin3/exec.go
+++ b/review/standin3/exec.go
@@ -242,7 +242,11 @@
 		left += restore
 	}
 	if st.crash {
-		time.Sleep(time.Duration(st.crashMS) * time.Millisecond)
+		after := st.crashMS
+		if st.laterMS > 0 && r.n > 1 {
+			after = st.laterMS
+		}
+		time.Sleep(time.Duration(after) * time.Millisecond)
 		l.mu.Lock()
 		alive := l.up && !r.ended
 		l.mu.Unlock()
@@ -337,6 +341,10 @@
 		w.WriteHeader(421)
 		return
 	}
+	if r.URL.Path == "/v1/run-start" && holdLate(m, &o) {
+		<-r.Context().Done()
+		abort()
+	}
 	isOrder := r.URL.Path != "/v1/hold" || m.grants
 	if isOrder && rand.Float64() < late {
 		d := time.Duration(2000+rand.Intn(10000)) * time.Millisecond
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -205,7 +205,7 @@
 	deps                    []int
 	gang, spec, lasts       bool
 	checkpoint, crash       bool
-	crashMS                 int
+	crashMS, laterMS        int
 	fail                    float64
 	requires                string
 	anti, target            int
@@ -761,8 +761,11 @@
 func finished() bool { return closing || time.Now().After(endAt) }
 
 func newJob(i int) *jobSpec {
-	if os.Getenv("SCEN") == "crash" {
+	switch os.Getenv("SCEN") {
+	case "crash":
 		return crashJob(i)
+	case "late":
+		return lateJob(i)
 	}
 	s := &jobSpec{id: fmt.Sprintf("%016x", rng.Uint64()), queue: []string{"qa", "qa", "qb", "adv"}[rng.Intn(4)], attempts: 3}
 	s.spec = fmt.Sprintf("job %d \u00e9<&>\"\\ %d", i, rng.Intn(1000))
@@ -830,6 +833,88 @@
 	return s
 }
 
+// lateJob returns a job of scenario "late": sound short jobs, and from the tenth on some with one task of six seconds.
+func lateJob(i int) *jobSpec {
+	s := &jobSpec{id: fmt.Sprintf("%016x", rng.Uint64()), queue: "qa", attempts: 3, plain: true, spec: fmt.Sprintf("job %d", i)}
+	if i >= 10 && i%3 == 0 && i < 30 {
+		s.spec = fmt.Sprintf("long job %d", i)
+		s.steps = []stepSpec{{count: 1, cpu: 1800, mem: 3200, workMS: 6000}}
+		return s
+	}
+	s.steps = []stepSpec{{count: 2 + rng.Intn(5), cpu: 240, mem: 480, workMS: 300 + rng.Intn(700)}}
+	return s
+}
+
+// lateStart is the order that is carried out late, once; its lock guards it.
+var lateStart struct {
+	sync.Mutex
+	task string
+}
+
+// holdLate decides whether a start is the one that is carried out late. Its machine loses power a second later.
+func holdLate(m *Machine, o *order) bool {
+	judge.mu.Lock()
+	s := judge.jobs[strings.Split(o.Task, ".")[0]]
+	judge.mu.Unlock()
+	store.mu.Lock()
+	leader := store.last
+	store.mu.Unlock()
+	lateStart.Lock()
+	defer lateStart.Unlock()
+	if os.Getenv("SCEN") != "late" || s == nil || !strings.HasPrefix(s.spec, "long") || lateStart.task != "" || nodes[m.i].name == leader {
+		return false
+	}
+	if os.Getenv("TROUBLE") == "0" {
+		return false
+	}
+	lateStart.task = o.Task
+	ms := func(name string) time.Duration {
+		n, _ := strconv.Atoi(os.Getenv(name))
+		return time.Duration(n) * time.Millisecond
+	}
+	id := m.l.id
+	ev("TROUBLE the start of %s/%d on %s isn't answered, and is carried out %s later", o.Task, o.Run, id, ms("LATE_MS"))
+	go func() {
+		time.Sleep(ms("LATE_MS"))
+		m.mu.Lock()
+		l := m.l
+		m.mu.Unlock()
+		if l == nil || l.id != id {
+			ev("the late start of %s/%d finds no executor", o.Task, o.Run)
+			return
+		}
+		st, b := l.handle("/v1/run-start", o, true)
+		ev("late start of %s/%d on %s born %d: %d %v", o.Task, o.Run, l.id, l.born.UnixMilli(), st, b["reason"])
+	}()
+	go func() {
+		time.Sleep(time.Second)
+		var losses = 1
+		if os.Getenv("LOSSES") == "2" {
+			losses = 2
+		}
+		for k := range losses {
+			ev("TROUBLE the machine of %s loses power for %s", id, ms("DARK_MS"))
+			nodes[m.i].kill(syscall.SIGKILL)
+			m.crash()
+			if losses == 1 {
+				ev("TROUBLE the machine of n2 loses power too")
+				nodes[2].kill(syscall.SIGKILL)
+			}
+			time.Sleep(ms("DARK_MS") - 1500*time.Millisecond)
+			m.start(id)
+			time.Sleep(1500 * time.Millisecond)
+			nodes[m.i].spawn()
+			if losses == 1 {
+				nodes[2].spawn()
+			}
+			if k+1 < losses {
+				time.Sleep(ms("GAP_MS"))
+			}
+		}
+	}()
+	return true
+}
+
 var lateCrash int
 
 func crashJob(i int) *jobSpec {
@@ -837,6 +922,7 @@
 	s.spec = fmt.Sprintf("job %d", i)
 	n, _ := strconv.Atoi(os.Getenv("NCRASH"))
 	ms, _ := strconv.Atoi(os.Getenv("CRASHMS"))
+	later, _ := strconv.Atoi(os.Getenv("LATER_MS"))
 	late := os.Getenv("LATE") != "" && time.Until(trafficEnd) < 7*time.Second
 	if late && lateCrash < n && i%2 == 0 {
 		lateCrash++
@@ -846,7 +932,7 @@
 	}
 	if i >= 10 && i < 10+n {
 		s.spec = fmt.Sprintf("crashing job %d", i)
-		s.steps = []stepSpec{{count: 1, cpu: 1000, mem: 2000, workMS: 3000, crash: os.Getenv("TROUBLE") != "0", crashMS: ms}}
+		s.steps = []stepSpec{{count: 1, cpu: 1000, mem: 2000, workMS: 3000, crash: os.Getenv("TROUBLE") != "0", crashMS: ms, laterMS: later}}
 		return s
 	}
 	if i%8 == 7 {
@@ -912,7 +998,7 @@
 	for i := 0; time.Now().Before(trafficEnd); i++ {
 		wg.Add(1)
 		go newJob(i).client(&wg)
-		if os.Getenv("SCEN") == "crash" {
+		if os.Getenv("SCEN") != "" {
 			time.Sleep(time.Duration(200+rng.Intn(250)) * time.Millisecond)
 			continue
 		}
