--- a/review/standin3/exec.go
+++ b/review/standin3/exec.go
@@ -246,7 +246,16 @@
 		if st.laterMS > 0 && r.n > 1 {
 			after = st.laterMS
 		}
-		time.Sleep(time.Duration(after) * time.Millisecond)
+		for began := time.Now(); ; {
+			done := time.Since(began)
+			if done >= time.Duration(after)*time.Millisecond {
+				break
+			}
+			l.mu.Lock()
+			r.pct = min(99, int(done.Milliseconds())*100/st.workMS)
+			l.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+		}
 		l.mu.Lock()
 		alive := l.up && !r.ended
 		l.mu.Unlock()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -932,7 +932,7 @@
 	}
 	if i >= 10 && i < 10+n {
 		s.spec = fmt.Sprintf("crashing job %d", i)
-		s.steps = []stepSpec{{count: 1, cpu: 1000, mem: 2000, workMS: 3000, crash: os.Getenv("TROUBLE") != "0", crashMS: ms, laterMS: later}}
+		s.steps = []stepSpec{{count: 1, cpu: 1000, mem: 2000, workMS: max(3000, later+1000), crash: os.Getenv("TROUBLE") != "0", crashMS: ms, laterMS: later}}
 		return s
 	}
 	if i%8 == 7 {
