--- a/review/standin3/exec.go
+++ b/review/standin3/exec.go
@@ -106,6 +106,7 @@
 	m.srv = &http.Server{Handler: m, ErrorLog: quiet}
 	go m.srv.Serve(ln)
 }
+
 func (m *Machine) start(id string) {
 	m.mu.Lock()
 	if m.l != nil || closing {
@@ -124,6 +125,7 @@
 	go l.beat()
 	go l.tick()
 }
+
 func (m *Machine) crash() {
 	m.mu.Lock()
 	l := m.l
@@ -159,8 +161,10 @@
 		}
 		l.seq++
 		st := "ready"
-		b := map[string]any{"service": service, "address": l.m.addr, "zone": l.m.zone, "version": "v1", "slots": 8, "cold_left_ms": 0,
-			"capacity": map[string]any{"cpu": l.cpu, "mem_mb": l.mem, "gpu": 0}, "labels": []string{l.m.label, l.m.rack}, "clock_ms": l.clock(), "seq": l.seq, "born": l.born.UnixMilli()}
+		b := map[string]any{
+			"service": service, "address": l.m.addr, "zone": l.m.zone, "version": "v1", "slots": 8, "cold_left_ms": 0,
+			"capacity": map[string]any{"cpu": l.cpu, "mem_mb": l.mem, "gpu": 0}, "labels": []string{l.m.label, l.m.rack}, "clock_ms": l.clock(), "seq": l.seq, "born": l.born.UnixMilli(),
+		}
 		if l.draining {
 			st = "draining"
 			b["remaining_ms"] = 2000
@@ -402,6 +406,7 @@
 	w.WriteHeader(st)
 	json.NewEncoder(w).Encode(body)
 }
+
 func (l *life) list() map[string]any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -417,12 +422,14 @@
 	}
 	return map[string]any{"running": running, "ended": ended, "born": l.born.UnixMilli()}
 }
+
 func (r *run) measure() int {
 	if r.s.steps[r.step].target > 0 {
 		return 20 + rand.Intn(40)
 	}
 	return r.s.steps[r.step].cpu
 }
+
 func (l *life) extend(until *int64) {
 	if until == nil {
 		return
@@ -433,6 +440,7 @@
 	}
 	l.lease = max(l.lease, d)
 }
+
 func (l *life) handle(path string, o *order, late bool) (int, map[string]any) {
 	l.mu.Lock()
 	if !l.up {
@@ -493,7 +501,7 @@
 			return 409, map[string]any{"reason": why}
 		}
 		l.extend(o.Until)
-		l.runs[o.Task+map[bool]string{true: "", false: ""}[true]] = r
+		l.runs[o.Task] = r
 		l.mu.Unlock()
 		if r.s == nil {
 			return 200, map[string]any{}
@@ -553,6 +561,7 @@
 		}
 	})
 }
+
 func (l *life) end(r *run, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,3 +1,5 @@
+// Package main plays a small deployment with the real programs of the project: a store, executors, a policy service and clients as
+// the platform's pages describe them, and a judge of its rules. The environment chooses the scenario; see the run.sh of each case.
 package main
 
 import (
@@ -97,6 +99,7 @@
 		}
 	}()
 }
+
 func (n *Node) kill(sig syscall.Signal) {
 	n.mu.Lock()
 	c := n.cmd
@@ -106,6 +109,7 @@
 		c.Process.Signal(sig)
 	}
 }
+
 func (n *Node) signal(sig syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -113,6 +117,7 @@
 		n.cmd.Process.Signal(sig)
 	}
 }
+
 func stopAll() {
 	closing = true
 	for _, n := range nodes {
@@ -256,13 +261,16 @@
 type pend struct{ startsAtEnd int }
 
 // evacuated holds since when zones are evacuated; judge.mu guards it.
-var evacuated = map[string]time.Time{}
-var judge = &Judge{jobs: map[string]*jobSpec{}, tasks: map[string]*taskState{}, bad: map[string]int{}}
+var (
+	evacuated = map[string]time.Time{}
+	judge     = &Judge{jobs: map[string]*jobSpec{}, tasks: map[string]*taskState{}, bad: map[string]int{}}
+)
 
 func (j *Judge) broken(rule, f string, a ...any) {
 	j.bad[rule]++
 	ev("BROKEN %s: %s", rule, fmt.Sprintf(f, a...))
 }
+
 func (j *Judge) task(id string) *taskState {
 	t := j.tasks[id]
 	if t == nil {
@@ -271,6 +279,7 @@
 	}
 	return t
 }
+
 func (j *Judge) begin(l *life, o *order, late bool) (*run, string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -397,6 +406,7 @@
 	t.live[r] = true
 	return r, ""
 }
+
 func (j *Judge) ended(r *run, how string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -438,11 +448,13 @@
 		j.bad["alone"]++
 	}
 }
+
 func (j *Judge) saved(r *run) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.task(r.id).saved[r.cp] = true
 }
+
 func (j *Judge) noted(l *life, e *end) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -499,6 +511,7 @@
 	}
 	return resp.StatusCode, string(b)
 }
+
 func anyEntry() string {
 	var es []*Node
 	for _, n := range nodes {
@@ -511,6 +524,7 @@
 	}
 	return es[rand.Intn(len(es))].ip + ":8161"
 }
+
 func (s *jobSpec) body() []byte {
 	var steps []map[string]any
 	for _, st := range s.steps {
@@ -554,6 +568,7 @@
 	data, _ := json.Marshal(b)
 	return data
 }
+
 func (s *jobSpec) client(wg *sync.WaitGroup) {
 	defer wg.Done()
 	path := "/" + s.queue + "/" + s.id
@@ -888,7 +903,7 @@
 	}()
 	go func() {
 		time.Sleep(time.Second)
-		var losses = 1
+		losses := 1
 		if os.Getenv("LOSSES") == "2" {
 			losses = 2
 		}
@@ -1061,6 +1076,7 @@
 	}
 	return "127.50"
 }
+
 func cfg(v int) {
 	routes := []map[string]any{}
 	for i, q := range []string{"qa", "qb", "adv"} {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"sort"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -62,11 +61,13 @@
 	}
 	return t
 }
+
 func (s *Store) Put(tn, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.add(s.topic(tn), []rec{{key: key, value: value}})
 }
+
 func (s *Store) add(t *topic, rs []rec) int64 {
 	first := int64(len(t.recs))
 	for _, r := range rs {
@@ -112,6 +113,7 @@
 	}
 	return false
 }
+
 func (s *Store) Handler(node string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/log-append", func(w http.ResponseWriter, r *http.Request) {
@@ -262,5 +264,3 @@
 	go srv.Serve(l)
 	return srv
 }
-
-var _ = strings.TrimSpace
