--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -321,7 +321,7 @@
 			if !slow() || path != "/v1/hold" {
 				return 0
 			}
-			return 100*time.Millisecond + rand.N(90*time.Millisecond)
+			return rand.N(190 * time.Millisecond)
 		}
 	})
 	if err != nil {
@@ -437,13 +437,14 @@
 	return lease.Node
 }
 
-// caseRebirth holds a start back on its way to an executor. Soon after it was sent the machine loses power, and with it the executor,
-// which starts again under its id with the machine. The start is carried out there.
+// caseRebirth holds a start back on its way to an executor. Soon after it was sent the executor crashes and its side machine loses power.
+// The executor starts again under its id before the machine has power again, and the start is carried out there.
 func caseRebirth(d *deployment) ([]string, error) {
 	const (
-		darkFor   = 9500 * time.Millisecond
-		darkAfter = 600 * time.Millisecond
-		late      = darkAfter + darkFor + 400*time.Millisecond
+		late       = 7500 * time.Millisecond
+		crashAfter = 600 * time.Millisecond
+		downFor    = 4500 * time.Millisecond // of the executor
+		darkFor    = 9500 * time.Millisecond // of the side machine
 	)
 	var mu sync.Mutex
 	victim, sent := -1, make(chan int, 1)
@@ -481,22 +482,25 @@
 	case <-time.After(8 * time.Second):
 		return nil, fmt.Errorf("%w: the executor got no start", errSetup)
 	}
-	time.Sleep(darkAfter)
+	time.Sleep(crashAfter)
+	name, ip := fmt.Sprintf("side-%d", x+1), fmt.Sprintf("%s.%d", d.net, 101+x)
 	if d.trouble {
-		name, ip := fmt.Sprintf("side-%d", x+1), fmt.Sprintf("%s.%d", d.net, 101+x)
 		d.rec.add("power lost", map[string]any{"machine": name, "for_s": darkFor.Seconds()})
 		_ = d.guards[x].Process.Kill()
 		d.execs[x].crash()
-		time.Sleep(darkFor)
-		d.rec.add("power back", map[string]any{"machine": name})
+	}
+	time.Sleep(downFor)
+	if d.trouble {
 		if err := d.execs[x].reborn(); err != nil {
 			return nil, fmt.Errorf("%w: %w", errSetup, err)
 		}
+	}
+	time.Sleep(darkFor - downFor)
+	if d.trouble {
+		d.rec.add("power back", map[string]any{"machine": name})
 		if d.guards[x], err = d.startProcess(name, ip, "side", "target/crocus-guard"); err != nil {
 			return nil, fmt.Errorf("%w: %w", errSetup, err)
 		}
-	} else {
-		time.Sleep(darkFor)
 	}
 	time.Sleep(6 * time.Second)
 	return d.rec.breaks(), nil
