--- a/review/standin4/executor.go
+++ b/review/standin4/executor.go
@@ -73,6 +73,7 @@
 	ended   []execEnd
 	number  int
 	changed chan struct{}
+	gone    bool
 }
 
 var workPattern = regexp.MustCompile(`ms=(\d+)`)
@@ -102,12 +103,39 @@
 	return err
 }
 
+// crash ends the executor for good, with everything that runs on it.
+func (e *executor) crash() {
+	e.mu.Lock()
+	e.gone = true
+	for _, x := range e.running {
+		x.timer.Stop()
+		e.rec.runEnded(e.id, x.task, x.run, "crashed")
+	}
+	clear(e.running)
+	e.mu.Unlock()
+	_ = e.server.Close()
+}
+
+// isGone reports whether the executor has ended.
+func (e *executor) isGone() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gone
+}
+
+// held returns how many runs are there.
+func (e *executor) held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // beat sends heartbeats.
 func (e *executor) beat() {
 	client := &http.Client{Timeout: time.Second}
 	t := time.NewTicker(1500 * time.Millisecond)
 	defer t.Stop()
-	for seq := 1; ; seq++ {
+	for seq := 1; !e.isGone(); seq++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": "daftar", "address": e.app, "zone": "kv-cyberjaya", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 			"capacity": map[string]any{"cpu": e.cpu, "mem_mb": 64000, "gpu": 0}, "labels": []string{e.kind, e.rack}, "clock_ms": e.clockMS(),
--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -35,13 +35,14 @@
 	execs     []*executor
 	entries   []string // addresses for clients
 	processes []*exec.Cmd
+	guards    []*exec.Cmd
 	waits     sync.WaitGroup
 	trouble   bool
 	client    *http.Client
 }
 
 func main() {
-	cases := map[string]func(*deployment) (broken []string, err error){"waiting": caseWaiting, "overtaken": caseOvertaken}
+	cases := map[string]func(*deployment) (broken []string, err error){"waiting": caseWaiting, "overtaken": caseOvertaken, "steps": caseSteps}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin4 CASE FOLDER")
 		os.Exit(2)
@@ -214,6 +215,7 @@
 		if err := d.startProcess(fmt.Sprintf("side-%d", i+1), ip, "side", "target/crocus-guard"); err != nil {
 			return fmt.Errorf("%w: %w", errSetup, err)
 		}
+		d.guards = append(d.guards, d.processes[len(d.processes)-1])
 		e := newExecutor(fmt.Sprintf("i-%08x", rand.Uint32()), kind, fmt.Sprintf("r1-%d", 1+i/3), ip+":8080", ip+":8166", d.rec)
 		prepare(i, e)
 		if err := e.start(); err != nil {
@@ -255,6 +257,7 @@
 	CPU        int    `json:"cpu"`
 	MemMB      int    `json:"mem_mb"`
 	EstimateMS int    `json:"estimate_ms"`
+	Lasts      bool   `json:"long_running,omitempty"`
 	Requires   string `json:"requires,omitempty"`
 }
 
@@ -418,3 +421,99 @@
 	}
 	return broken, nil
 }
+
+// ownerNode returns the name of the process that holds the lease, by the newest record of it in the store.
+func (d *deployment) ownerNode() string {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	records := d.store.topic("keyed.owner").records
+	var lease struct{ Node string }
+	if len(records) == 0 {
+		return ""
+	}
+	rec := records[len(records)-1]
+	_ = json.Unmarshal(rec[1+rec[0]:], &lease)
+	return lease.Node
+}
+
+// remove takes a side machine away for good, with its executor.
+func (d *deployment) remove(i int) {
+	d.rec.add("removed", map[string]any{"machine": fmt.Sprintf("side-%d", i+1), "executor": d.execs[i].id})
+	_ = d.guards[i].Process.Kill()
+	d.execs[i].crash()
+}
+
+// caseSteps removes one side machine, and 3 s later the owner's with some others. Tasks that last must run again.
+func caseSteps(d *deployment) ([]string, error) {
+	const (
+		// silentFor is how long a task that lasts may have no run: 6 s, and 3 s more. calmFor is how long all must be calm by then.
+		silentFor, calmFor = 9 * time.Second, 7 * time.Second
+		gap                = 3 * time.Second
+		tasks              = 6
+	)
+	n := 9
+	others := 4 // that go with the owner's machine
+	if v := os.Getenv("OTHERS"); v != "" {
+		_, _ = fmt.Sscan(v, &others)
+	}
+	if err := d.up(strings.Split(strings.TrimSpace(strings.Repeat("a ", n)), " "), func(int, *executor) {}); err != nil {
+		return nil, err
+	}
+	var jobs []string
+	for range 4 {
+		jobs = append(jobs, newID())
+		if d.submit(jobs[len(jobs)-1], job("lasts", step{Count: tasks, CPU: 1000, MemMB: 480, EstimateMS: 500, Lasts: true})) != http.StatusOK {
+			return nil, fmt.Errorf("%w: a job wasn't accepted", errSetup)
+		}
+	}
+	time.Sleep(6 * time.Second)
+	owner := -1
+	for i := range d.execs {
+		if fmt.Sprintf("side-%d", i+1) == d.ownerNode() {
+			owner = i
+		}
+	}
+	first := -1
+	for i, e := range d.execs {
+		if i != owner && (first < 0 || e.held() > d.execs[first].held()) {
+			first = i
+		}
+	}
+	if owner < 0 || d.execs[first].held() == 0 {
+		return nil, fmt.Errorf("%w: no owner, or no task on another machine", errSetup)
+	}
+	touched := time.Now()
+	if d.trouble {
+		d.remove(first)
+		time.Sleep(gap)
+		d.remove(owner)
+		for i := range d.execs {
+			if i != first && i != owner && others > 0 {
+				others--
+				d.remove(i)
+			}
+		}
+		touched = time.Now()
+	}
+	seen := map[string]bool{}
+	var broken []string
+	for end := time.Now().Add(16 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if time.Since(touched) < calmFor {
+			continue
+		}
+		for _, id := range jobs {
+			for i := range tasks {
+				task := fmt.Sprintf("%s.0.0.%d", id, i)
+				if silent := d.rec.silent(task); silent > silentFor && !seen[task] {
+					seen[task] = true
+					broken = append(broken, fmt.Sprintf("task %s has had no run for %.2f s, all has been calm for %.2f s", task, silent.Seconds(), time.Since(touched).Seconds()))
+					d.rec.add("silent", map[string]any{"task": task, "for_s": silent.Seconds()})
+				}
+			}
+		}
+	}
+	for task := range seen {
+		d.rec.add("silence", map[string]any{"task": task, "lasted_s": d.rec.longestSilence(task).Seconds()})
+	}
+	return broken, nil
+}
--- a/review/standin4/record.go
+++ b/review/standin4/record.go
@@ -16,15 +16,17 @@
 
 // recorder writes the record of a case and keeps what the checks need.
 type recorder struct {
-	mu     sync.Mutex
-	began  time.Time
-	out    *os.File
-	live   map[string]map[string]bool // by task, the runs at work: EXECUTOR/RUN
-	twice  []string
-	done   map[string]time.Time // by task, when a run ended done
-	notes  map[string]bool      // tasks with such an end that was taken note of
-	after  map[string]string    // by task, a start after that end
-	began1 map[string]int       // starts by job
+	mu      sync.Mutex
+	began   time.Time
+	out     *os.File
+	live    map[string]map[string]bool // by task, the runs at work: EXECUTOR/RUN
+	twice   []string
+	done    map[string]time.Time     // by task, when a run ended done
+	notes   map[string]bool          // tasks with such an end that was taken note of
+	after   map[string]string        // by task, a start after that end
+	begun   map[string]int           // starts by job
+	lastEnd map[string]time.Time     // by task, when its last run ended
+	longest map[string]time.Duration // by task, the longest time between two runs
 }
 
 func newRecorder(path string) (*recorder, error) {
@@ -34,7 +36,7 @@
 	}
 	return &recorder{
 		began: time.Now(), out: f, live: map[string]map[string]bool{}, done: map[string]time.Time{}, notes: map[string]bool{}, after: map[string]string{},
-		began1: map[string]int{},
+		begun: map[string]int{}, lastEnd: map[string]time.Time{}, longest: map[string]time.Duration{},
 	}, nil
 }
 
@@ -59,7 +61,7 @@
 	defer r.mu.Unlock()
 	name := fmt.Sprintf("%s/%d", executor, run)
 	r.line("run begins", map[string]any{"executor": executor, "task": task, "run": run})
-	r.began1[task[:16]]++
+	r.begun[task[:16]]++
 	if len(r.live[task]) > 0 {
 		others := ""
 		for o := range r.live[task] {
@@ -71,17 +73,38 @@
 	if _, ok := r.done[task]; ok {
 		r.after[task] = name
 	}
+	if at, ok := r.lastEnd[task]; ok {
+		r.longest[task] = max(r.longest[task], time.Since(at))
+	}
 	if r.live[task] == nil {
 		r.live[task] = map[string]bool{}
 	}
 	r.live[task][name] = true
 }
 
+// silent returns for how long a task has had no run after one; 0 for a task at work or that never ran.
+func (r *recorder) silent(task string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, ok := r.lastEnd[task]; ok && len(r.live[task]) == 0 {
+		return time.Since(at)
+	}
+	return 0
+}
+
+// longestSilence returns the longest time between two runs of a task.
+func (r *recorder) longestSilence(task string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.longest[task]
+}
+
 // runEnded notes that a run has ended.
 func (r *recorder) runEnded(executor, task string, run int, how string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.live[task], fmt.Sprintf("%s/%d", executor, run))
+	r.lastEnd[task] = time.Now()
 	if how == "done" {
 		r.done[task] = time.Now()
 	}
@@ -114,7 +137,7 @@
 func (r *recorder) starts(job string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.began1[job]
+	return r.begun[job]
 }
 
 // listen serves a handler on an address.
